--- /dev/null
+++ b/crates/valehold-cli/tests/command.rs
@@ -0,0 +1,111 @@
+//! The command by itself.
+
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+
+fn valehold(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_valehold"))
+        .args(arguments)
+        .env_remove("VALEHOLD_OPERATORS")
+        .env_remove("VALEHOLD_KEY")
+        .output()
+        .unwrap()
+}
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[gtest]
+fn the_examples_hold() {
+    for name in ["hledsluvit", "calor-andino"] {
+        let output = valehold(&["check", &example(name)]);
+        expect_that!(output.status.code(), some(eq(0)));
+    }
+}
+
+#[gtest]
+fn a_wrong_field_is_refused_at_its_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    for inner in ["templates", "workspaces"] {
+        std::fs::create_dir(path.join(inner)).unwrap();
+    }
+    let files = [
+        "deployment.toml",
+        "templates/guesthouse.toml",
+        "workspaces/vik-guesthouse.toml",
+    ];
+    for file in files {
+        let from = format!("{}/{file}", example("hledsluvit"));
+        std::fs::copy(from, path.join(file)).unwrap();
+    }
+    let workspace = path.join("workspaces/vik-guesthouse.toml");
+    let text = std::fs::read_to_string(&workspace).unwrap();
+    let text = text.replace("[parameters]", "[parameters]\nspeed = 3");
+    std::fs::write(&workspace, text).unwrap();
+    let output = valehold(&["check", path.to_str().unwrap()]);
+    expect_that!(output.status.code(), some(eq(3)));
+    let errors = String::from_utf8(output.stderr).unwrap();
+    expect_that!(errors, contains_substring("unknown parameter \"speed\""));
+    expect_that!(errors, contains_substring("vik-guesthouse.toml:4"));
+    expect_that!(errors, contains_substring("the template has:"));
+}
+
+#[gtest]
+fn bad_arguments_end_with_their_own_code() {
+    let cases: [&[&str]; 5] = [
+        &[],
+        &["fly"],
+        &["check"],
+        &["status"],
+        &["explain", "--operators", "127.0.0.1:1", "--key", "k", "dream"],
+    ];
+    for arguments in cases {
+        let output = valehold(arguments);
+        expect_that!(output.status.code(), some(eq(2)), "{arguments:?}");
+    }
+}
+
+#[gtest]
+fn an_instance_that_is_not_there_has_its_own_code() {
+    // Port 1 of loopback is one that nothing here listens on.
+    let output =
+        valehold(&["status", "--operators", "127.0.0.1:1", "--key", "k"]);
+    expect_that!(output.status.code(), some(eq(5)));
+}
+
+#[gtest]
+fn every_command_has_help() {
+    let commands = [
+        "check", "plan", "apply", "fetch", "status", "explain", "watch",
+        "chart", "keys", "try",
+    ];
+    for command in commands {
+        let output = valehold(&[command, "--help"]);
+        expect_that!(output.status.code(), some(eq(0)));
+        let text = String::from_utf8(output.stdout).unwrap();
+        expect_that!(text, contains_substring("Usage: valehold"));
+    }
+}
+
+#[gtest]
+fn charts_are_printed_as_text_and_for_graphviz() {
+    let output = valehold(&["chart", "residency"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    expect_that!(text, contains_substring("order_load -> ordered"));
+    let output = valehold(&["chart", "residency", "--graphviz"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    expect_that!(text, starts_with("digraph"));
+}
+
+#[gtest]
+fn a_new_key_comes_with_its_digest() {
+    let output = valehold(&["keys", "new", "--format", "json"]);
+    let value: serde_json::Value =
+        serde_json::from_slice(&output.stdout).unwrap();
+    let key = value["key"].as_str().unwrap();
+    let digest = valehold_core::config::key_digest(key);
+    expect_that!(value["digest"].as_str(), some(eq(digest.as_str())));
+}
--- /dev/null
+++ b/crates/valehold-core/src/id.rs
@@ -0,0 +1,91 @@
+//! Names of the things that decisions are about.
+//!
+//! Each kind of name is a type of its own, so that an engine's name cannot
+//! stand where a model's is expected. Clones share the text.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash,
+            Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Makes the name from its text.
+            pub fn new(text: impl AsRef<str>) -> Self {
+                Self(Arc::from(text.as_ref()))
+            }
+
+            /// Returns the name's text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    )*};
+}
+
+names! {
+    /// The name of one entry instance of valehold.
+    InstanceId;
+    /// The name of a data centre.
+    DataCentreId;
+    /// The name of a workspace.
+    WorkspaceId;
+    /// The name of an upstream: an engine, or one process of a plain service.
+    UpstreamId;
+    /// The name that callers use for a model or an adapter.
+    ModelName;
+    /// The name of a plain service.
+    ServiceName;
+    /// The identifier of one caller's request.
+    RequestId;
+}
+
+/// One version of one model or adapter: what an engine loads.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Artifact {
+    /// The model or adapter.
+    pub name: ModelName,
+    /// The version, counted up by the operators.
+    pub version: u32,
+}
+
+impl Artifact {
+    /// Makes an artifact from a name and a version.
+    pub fn new(name: impl AsRef<str>, version: u32) -> Self {
+        Self { name: ModelName::new(name), version }
+    }
+}
+
+impl fmt::Display for Artifact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.name, self.version)
+    }
+}
--- /dev/null
+++ b/crates/valehold-core/src/placement/mod.rs
@@ -0,0 +1,20 @@
+//! Which models and adapters sit on which engines.
+//!
+//! [`pack`] tells before a configuration is accepted whether everything can
+//! be resident at once. [`Planner`] decides from demand and from what the
+//! engines hold what to load and what to unload next, and gives for each
+//! step the terms of its sum.
+
+mod forecast;
+mod pack;
+mod planner;
+mod spread;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    forecast::forecast,
+    pack::{EngineRoom, PackFault, Packing, pack},
+    planner::{Action, EngineView, Planner, Reason, StepKind},
+    spread::{ModelDemand, Spread},
+};
--- /dev/null
+++ b/crates/valehold-core/src/reason.rs
@@ -0,0 +1,123 @@
+//! Why a request is refused, and why one is tried again.
+//!
+//! Both enums are the label sets of counters. `docs/METRICS.md` lists every
+//! code, and a test holds the page against [`RefusalReason::ALL`] and
+//! [`RetryReason::ALL`].
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! reasons {
+    ($(#[$doc:meta])* $name:ident {
+        $($(#[$vdoc:meta])* $variant:ident = $code:literal,)*
+    }) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash,
+            Serialize, Deserialize,
+        )]
+        #[serde(rename_all = "snake_case")]
+        pub enum $name {
+            $($(#[$vdoc])* $variant,)*
+        }
+
+        impl $name {
+            /// Every reason, in the order of the documentation.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// Returns the stable code that callers and metrics see.
+            pub const fn code(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $code,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Why a caller's request was refused.
+    RefusalReason {
+        /// No key, or one that no workspace has.
+        BadKey = "bad_key",
+        /// The body is not what the interface asks for.
+        BadRequest = "bad_request",
+        /// The workspace does not use this model or service.
+        UnknownModel = "unknown_model",
+        /// The body is larger than the instance takes.
+        BodyTooLarge = "body_too_large",
+        /// The caller sent its body too slowly.
+        SlowCaller = "slow_caller",
+        /// The workspace's rate of requests is used up.
+        RateLimited = "rate_limited",
+        /// The workspace's requests in flight are at their limit.
+        ConcurrencyLimited = "concurrency_limited",
+        /// The workspace's rate of tokens is used up.
+        TokensLimited = "tokens_limited",
+        /// The answer could not begin within its time.
+        WouldBeLate = "would_be_late",
+        /// No live upstream holds the model.
+        NoUpstream = "no_upstream",
+        /// Every attempt failed, or the budget for retries is spent.
+        UpstreamFailed = "upstream_failed",
+        /// The answer did not begin within its time.
+        TimedOut = "timed_out",
+        /// This instance has no configuration yet.
+        NotReady = "not_ready",
+        /// The platform's store cannot record a call that must run once.
+        StoreDown = "store_down",
+        /// The call was already begun under the same idempotency key.
+        AlreadyClaimed = "already_claimed",
+        /// The same idempotency key came with a different request.
+        KeyReused = "key_reused",
+    }
+}
+
+impl RefusalReason {
+    /// Returns the HTTP status that goes with the reason.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadKey => 401,
+            Self::BadRequest => 400,
+            Self::UnknownModel => 404,
+            Self::BodyTooLarge => 413,
+            Self::SlowCaller => 408,
+            Self::RateLimited
+            | Self::ConcurrencyLimited
+            | Self::TokensLimited => 429,
+            Self::UpstreamFailed => 502,
+            Self::TimedOut => 504,
+            Self::AlreadyClaimed => 409,
+            Self::KeyReused => 422,
+            Self::WouldBeLate
+            | Self::NoUpstream
+            | Self::NotReady
+            | Self::StoreDown => 503,
+        }
+    }
+
+    /// Returns the error type that client libraries of the interface know.
+    pub const fn kind(self) -> &'static str {
+        match self.status() {
+            401 => "authentication_error",
+            429 => "rate_limit_error",
+            500.. => "server_error",
+            _ => "invalid_request_error",
+        }
+    }
+}
+
+reasons! {
+    /// Why an attempt was followed by another one.
+    RetryReason {
+        /// The upstream could not be connected to.
+        ConnectFailed = "connect_failed",
+        /// The upstream said that it did not run the request.
+        RefusedByUpstream = "refused_by_upstream",
+        /// The upstream failed before the caller had received anything.
+        FailedBeforeOutput = "failed_before_output",
+        /// A broken stream was resumed at the same upstream.
+        StreamResumed = "stream_resumed",
+        /// A call that may be repeated had no whole answer.
+        RepeatableCall = "repeatable_call",
+    }
+}
--- /dev/null
+++ b/crates/valehold-instance/src/main.rs
@@ -0,0 +1,94 @@
+//! `valehold-instance`: runs one entry instance until it is told to stop.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use tokio::signal::unix::{SignalKind, signal};
+use valehold_instance::{Error, Instance, Settings, logging};
+
+const HELP: &str = "\
+Runs one entry instance of valehold.
+
+Usage: valehold-instance --settings FILE
+
+Options:
+  --settings FILE  the instance's settings, in TOML; see docs/OPERATING.md
+  --check          read the settings, say whether they hold, and end
+  --help           print this
+
+It prints a line `callers = …`, `operators = …` and `peers = …` with the
+addresses it listens on. SIGTERM and SIGINT make it stop without cutting off
+a request. It ends with 0 after a stop, 2 after bad arguments or settings,
+1 after any other failure.
+";
+
+/// The exit code for bad arguments or settings.
+const BAD_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let settings = match arguments() {
+        Ok(Some(settings)) => settings,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(BAD_USAGE);
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("valehold-instance: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads the arguments; `None` if there is nothing to run.
+fn arguments() -> miette::Result<Option<Settings>> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return Ok(None);
+    }
+    let check = arguments.contains("--check");
+    let path: PathBuf = arguments
+        .value_from_str("--settings")
+        .map_err(|e| miette::miette!(help = HELP, "{e}"))?;
+    let rest = arguments.finish();
+    if let Some(unknown) = rest.first() {
+        return Err(miette::miette!(help = HELP, "unknown {unknown:?}"));
+    }
+    let settings = Settings::from_file(&path)?;
+    if check {
+        println!("the settings hold");
+        return Ok(None);
+    }
+    Ok(Some(settings))
+}
+
+fn run(settings: Settings) -> Result<(), Error> {
+    logging::start(&settings.log)?;
+    let instance = Instance::start(settings)?;
+    let addresses = instance.addresses();
+    println!("callers = {}", addresses.callers);
+    println!("operators = {}", addresses.operators);
+    println!("peers = {}", addresses.peers);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::new("waiting for signals", e))?;
+    runtime
+        .block_on(stop_signal())
+        .map_err(|e| Error::new("waiting for signals", e))?;
+    instance.stop();
+    instance.join()
+}
+
+async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/valehold-instance/tests/program.rs
@@ -0,0 +1,33 @@
+//! The program by itself.
+
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+
+fn instance(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_valehold-instance"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+#[gtest]
+fn bad_settings_are_refused_with_place_and_help() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, "instance = \"a\"\ncolour = 3\n").unwrap();
+    let output = instance(&["--settings", path.to_str().unwrap()]);
+    expect_that!(output.status.code(), some(eq(2)));
+    let errors = String::from_utf8(output.stderr).unwrap();
+    expect_that!(errors, contains_substring("unknown field `colour`"));
+    expect_that!(errors, contains_substring("settings.toml:2"));
+    expect_that!(errors, contains_substring("docs/OPERATING.md"));
+}
+
+#[gtest]
+fn arguments_that_are_missing_are_named() {
+    let output = instance(&[]);
+    expect_that!(output.status.code(), some(eq(2)));
+    let errors = String::from_utf8(output.stderr).unwrap();
+    expect_that!(errors, contains_substring("--settings"));
+}
--- /dev/null
+++ b/crates/valehold-platform/src/http/client.rs
@@ -0,0 +1,190 @@
+//! A client that tells for each failure whether the request may have run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use valehold_core::Verdict;
+
+use crate::error::{PortError, PortErrorKind};
+
+/// The header by which an upstream says that it did not run a request.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// How long the client waits, and how much it takes.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientSettings {
+    /// For a connection.
+    pub connect_timeout: Duration,
+    /// For the beginning of an answer.
+    pub answer_timeout: Duration,
+    /// For the rest of a whole answer.
+    pub body_timeout: Duration,
+    /// The largest whole answer, in bytes.
+    pub max_body: usize,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            answer_timeout: Duration::from_secs(2),
+            body_timeout: Duration::from_secs(5),
+            max_body: 16 * 1024 * 1024,
+        }
+    }
+}
+
+/// Whether a connection may serve several requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Connections {
+    /// Kept and used again.
+    Kept,
+    /// One for each request, so that a failure to connect proves that this
+    /// request was not sent.
+    OneEach,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    settings: ClientSettings,
+}
+
+impl HttpClient {
+    pub(super) fn new(
+        settings: ClientSettings,
+        connections: Connections,
+    ) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.connect_timeout));
+        let mut builder = Client::builder(TokioExecutor::new());
+        // The library would send a request again on its own when a kept
+        // connection turns out closed. Whether to is decided elsewhere.
+        builder.retry_canceled_requests(false);
+        if connections == Connections::OneEach {
+            builder.pool_max_idle_per_host(0);
+        }
+        Self { client: builder.build(connector), settings }
+    }
+
+    /// Sends a request and waits for the beginning of the answer.
+    pub(super) async fn begin(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PortError> {
+        let timeout = self.settings.answer_timeout;
+        let sending = self.client.request(request);
+        let response = tokio::time::timeout(timeout, sending)
+            .await
+            .map_err(|_| PortError::timed_out("no answer in time"))?
+            .map_err(|e| match e.is_connect() {
+                true => PortError::not_connected(e.to_string()),
+                false => PortError::broken(e.to_string()),
+            })?;
+        refuse_if_not_run(&response)?;
+        Ok(response)
+    }
+
+    /// Sends a request and takes the whole answer.
+    pub(super) async fn whole(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, PortError> {
+        let (parts, body) = self.begin(request).await?.into_parts();
+        let limited = Limited::new(body, self.settings.max_body);
+        let timeout = self.settings.body_timeout;
+        let collected = tokio::time::timeout(timeout, limited.collect())
+            .await
+            .map_err(|_| PortError::timed_out("no whole answer in time"))?
+            .map_err(|e| PortError::broken(e.to_string()))?;
+        Ok(Response::from_parts(parts, collected.to_bytes()))
+    }
+
+    /// Sends a request and reads a JSON answer; `None` for "not found".
+    pub(super) async fn json<T: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Option<T>, PortError> {
+        let response = self.whole(request).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        check_status(response.status())?;
+        serde_json::from_slice(response.body())
+            .map(Some)
+            .map_err(|e| PortError::malformed(e.to_string()))
+    }
+}
+
+/// Makes an address and a path into a URI.
+pub(super) fn uri(address: SocketAddr, path: &str) -> Result<Uri, PortError> {
+    Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(|e| not_sendable(&e.to_string()))
+}
+
+/// Makes a request without a body.
+pub(super) fn bare(
+    method: &str,
+    uri: Uri,
+) -> Result<Request<Full<Bytes>>, PortError> {
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .body(Full::default())
+        .map_err(|e| not_sendable(&e.to_string()))
+}
+
+/// Makes a request whose body is JSON.
+pub(super) fn with_json<T: Serialize>(
+    uri: Uri,
+    value: &T,
+) -> Result<Request<Full<Bytes>>, PortError> {
+    let body =
+        serde_json::to_vec(value).map_err(|e| not_sendable(&e.to_string()))?;
+    Request::builder()
+        .method("POST")
+        .uri(uri)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(body))
+        .map_err(|e| not_sendable(&e.to_string()))
+}
+
+/// Makes an error of a status that is not a success.
+pub(super) fn check_status(status: StatusCode) -> Result<(), PortError> {
+    if status.is_success() {
+        return Ok(());
+    }
+    let message = format!("the answer's status is {status}");
+    let kind = PortErrorKind::Failed;
+    Err(PortError::new(kind, Verdict::MayHaveRun, message))
+}
+
+pub(super) fn not_sendable(message: &str) -> PortError {
+    let kind = PortErrorKind::Malformed;
+    PortError::new(kind, Verdict::NotRun, message)
+}
+
+fn refuse_if_not_run(response: &Response<Incoming>) -> Result<(), PortError> {
+    let headers = response.headers();
+    let Some(why) = headers.get(NOT_RUN_HEADER) else { return Ok(()) };
+    let why = why.to_str().unwrap_or("refused").to_owned();
+    let come_back = headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map(Duration::from_secs);
+    let error = PortError::new(PortErrorKind::Refused, Verdict::NotRun, why);
+    Err(error.come_back(come_back))
+}
--- /dev/null
+++ b/crates/valehold-platform/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! The ports over HTTP, in the wire format of this project's stand-ins.
+
+mod client;
+mod engine;
+mod platform;
+mod service;
+
+pub use self::{
+    client::{ClientSettings, NOT_RUN_HEADER},
+    engine::HttpEngines,
+    platform::HttpPlatform,
+    service::HttpServices,
+};
--- /dev/null
+++ b/crates/valehold-platform/src/lib.rs
@@ -0,0 +1,16 @@
+//! Ports towards the platform, engines and plain services.
+//!
+//! A port is a trait, [`port::Table`] for one, with the types that cross it.
+//! The decisions and the instance know only the ports. The modules under
+//! [`http`] speak them in the wire format of this project's stand-ins;
+//! another wire format is one more adapter there.
+//!
+//! [`store`] stands on the table's port and makes each write's outcome
+//! certain.
+
+pub mod error;
+pub mod http;
+pub mod port;
+pub mod store;
+
+pub use crate::error::{PortError, PortErrorKind};
