Property tests of the decisions, and four faults that they found

Cause: the decisions were only exercised by the process tests. Change: property tests with an adversarial scheduler over memory accounts (two kinds of engines, several holders alive at once), leases, grants of limits, streams, retry budgets, placement through demand and a change of every version, and merges of racing operators; fault tables for declarations; tests that show the failure with the mechanism switched off. Found, each with its test: - planner: a replaced version could be unloaded to make room while nothing else answered for its model (lost after a change of all versions); - planner: an adapter whose only spared neighbour was its own base was ordered into memory that was not free; - account: a report asked for in the same millisecond as a newer one could bring back an artifact that was gone; - planner: each replica was weighed against every engine; now four of them.

--- a/crates/valehold-core/src/account/mod.rs
+++ b/crates/valehold-core/src/account/mod.rs
@@ -139,7 +139,7 @@
     late_order_bound_ms: u64,
     entries: BTreeMap<Artifact, Entry>,
     /// When the newest report taken in was asked for.
-    observed: Millis,
+    observed: Option<Millis>,
 }
 
 impl EngineAccount {
@@ -156,7 +156,7 @@
             checks_fences,
             late_order_bound_ms,
             entries: BTreeMap::new(),
-            observed: Millis::default(),
+            observed: None,
         }
     }
 
@@ -363,7 +363,7 @@
         mut next_stamp: impl FnMut() -> Stamp,
         now: Millis,
     ) -> Vec<Order> {
-        let observed = self.observed;
+        let Some(observed) = self.observed else { return Vec::new() };
         let mut renewed = Vec::new();
         for entry in self.entries.values_mut() {
             let Some(tracked) = &entry.order else { continue };
@@ -405,12 +405,14 @@
 
     /// Takes in a report that was asked for at `asked`.
     ///
-    /// A report that was overtaken by a newer one is left out.
+    /// A report that was overtaken by a newer one is left out, and so is one
+    /// that was asked for in the same millisecond: which of the two the
+    /// engine gave first cannot be told.
     pub fn observe(&mut self, report: &ResidencyReport, asked: Millis) {
-        if asked < self.observed {
+        if self.observed.is_some_and(|observed| asked <= observed) {
             return;
         }
-        self.observed = asked;
+        self.observed = Some(asked);
         for reported in &report.artifacts {
             self.observe_present(reported, asked);
         }
--- a/crates/valehold-core/src/demand.rs
+++ b/crates/valehold-core/src/demand.rs
@@ -3,6 +3,9 @@
 //! An estimate rises with the first busy second and falls slowly, so that a
 //! burst is met at once and a pause in it does not take its models away.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -12,6 +12,9 @@
 //! that it holds. Its writes are conditioned on the epoch's row and fail,
 //! and what it still sends is covered by `crate::account`.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- /dev/null
+++ b/crates/valehold-core/src/lease/tests.rs
@@ -0,0 +1,203 @@
+//! At most one instance uses a lease at a time, whatever the clocks' offsets.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease};
+use crate::{Millis, id::InstanceId, testing::cases};
+
+const TERMS: LeaseTerms =
+    LeaseTerms { term_ms: 600, margin_ms: 100, renew_after_ms: 150 };
+
+const INSTANCES: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// True time passes for all, also for paused ones.
+    Pass(u64),
+    /// An instance decides and, if it is to write, sends the write.
+    Act(usize),
+    /// The write takes effect; its answer comes, or is lost.
+    Arrive { instance: usize, answered: bool },
+    /// The write is lost.
+    Lose(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        4 => (1_u64..200).prop_map(Step::Pass),
+        6 => instance.clone().prop_map(Step::Act),
+        6 => (instance.clone(), prop::bool::weighted(0.8)).prop_map(
+            |(instance, answered)| Step::Arrive { instance, answered }
+        ),
+        1 => instance.prop_map(Step::Lose),
+    ]
+}
+
+struct Pending {
+    version: u64,
+    row: LeaseRow,
+    takes: bool,
+    sent: Millis,
+}
+
+/// The platform's row, and instances whose clocks began at other times.
+struct World {
+    now: u64,
+    version: u64,
+    row: Option<LeaseRow>,
+    keepers: Vec<LeaseKeeper>,
+    pending: Vec<Option<Pending>>,
+}
+
+impl World {
+    fn new(terms: LeaseTerms) -> Self {
+        let keeper = |index| {
+            LeaseKeeper::new(InstanceId::new(format!("i{index}")), terms)
+        };
+        Self {
+            now: 0,
+            version: 0,
+            row: None,
+            keepers: (0..INSTANCES).map(keeper).collect(),
+            pending: (0..INSTANCES).map(|_| None).collect(),
+        }
+    }
+
+    /// Each instance's clock has its own offset.
+    fn clock(&self, instance: usize) -> Millis {
+        Millis::new(self.now + 1_000 * instance as u64)
+    }
+
+    fn take(&mut self, step: &Step) {
+        match step {
+            Step::Pass(ms) => self.now += ms,
+            Step::Act(instance) => self.act(*instance),
+            Step::Arrive { instance, answered } => {
+                self.arrive(*instance, *answered);
+            }
+            Step::Lose(instance) => {
+                if let Some(lost) = self.pending[*instance].take() {
+                    self.keepers[*instance].write_lost(lost.takes);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, instance: usize) {
+        let now = self.clock(instance);
+        if self.pending[instance].is_some() {
+            return;
+        }
+        match self.keepers[instance].step(now) {
+            LeaseStep::Read => {
+                let lease = VersionedLease {
+                    version: self.version,
+                    row: self.row.clone(),
+                };
+                self.keepers[instance].row_read(lease, now);
+            }
+            LeaseStep::Write { version, row, takes } => {
+                let pending = Pending { version, row, takes, sent: now };
+                self.pending[instance] = Some(pending);
+            }
+        }
+    }
+
+    fn arrive(&mut self, instance: usize, answered: bool) {
+        let now = self.clock(instance);
+        let Some(write) = self.pending[instance].take() else { return };
+        let keeper = &mut self.keepers[instance];
+        if write.version != self.version {
+            keeper.write_lost(write.takes);
+            return;
+        }
+        self.version += 1;
+        self.row = Some(write.row.clone());
+        if !answered {
+            keeper.write_lost(write.takes);
+            return;
+        }
+        let lease =
+            VersionedLease { version: self.version, row: Some(write.row) };
+        keeper.write_won(lease, write.takes, write.sent, now);
+    }
+
+    fn holders(&self) -> usize {
+        let held = |instance: &usize| {
+            let keeper = &self.keepers[*instance];
+            keeper.held_epoch(self.clock(*instance)).is_some()
+        };
+        (0..INSTANCES).filter(held).count()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn at_most_one_instance_holds(
+        steps in prop::collection::vec(step(), 1..300),
+    ) {
+        let mut world = World::new(TERMS);
+        for step in &steps {
+            world.take(step);
+            prop_assert!(world.holders() <= 1, "after {step:?}");
+        }
+    }
+}
+
+#[gtest]
+fn the_lease_is_taken_once_the_row_stood_still_for_a_term() {
+    let mut world = World::new(TERMS);
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    expect_that!(world.holders(), eq(1));
+    world.take(&Step::Act(1));
+    world.take(&Step::Pass(TERMS.term_ms - 1));
+    world.take(&Step::Act(1));
+    expect_that!(world.pending[1].is_none(), eq(true));
+    expect_that!(world.holders(), eq(0));
+    world.take(&Step::Pass(1));
+    world.take(&Step::Act(1));
+    world.take(&Step::Arrive { instance: 1, answered: true });
+    expect_that!(world.holders(), eq(1));
+    expect_that!(world.row.as_ref().map(|row| row.epoch), some(eq(2)));
+}
+
+#[gtest]
+fn a_lease_that_was_handed_back_is_taken_at_once() {
+    let mut world = World::new(TERMS);
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    let now = world.clock(0);
+    let step = world.keepers[0].step_down(now).unwrap();
+    let LeaseStep::Write { row, .. } = step else { panic!("no write") };
+    world.version += 1;
+    world.row = Some(row);
+    world.take(&Step::Act(1));
+    world.take(&Step::Act(1));
+    world.take(&Step::Arrive { instance: 1, answered: true });
+    expect_that!(world.holders(), eq(1));
+}
+
+#[gtest]
+fn two_hold_where_a_contender_does_not_wait() {
+    // Without the mechanism: a contender that waits for no term.
+    let hasty = LeaseTerms { term_ms: 0, ..TERMS };
+    let mut world = World::new(TERMS);
+    world.keepers[1] = LeaseKeeper::new(InstanceId::new("i1"), hasty);
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    world.take(&Step::Act(1));
+    world.take(&Step::Act(1));
+    world.take(&Step::Arrive { instance: 1, answered: true });
+    let epochs: Vec<Option<u64>> =
+        (0..2).map(|i| world.keepers[i].held_epoch(world.clock(i))).collect();
+    expect_that!(epochs[0], some(eq(1)));
+    expect_that!(world.row.as_ref().map(|row| row.epoch), some(eq(2)));
+}
--- a/crates/valehold-core/src/ledger.rs
+++ b/crates/valehold-core/src/ledger.rs
@@ -5,6 +5,9 @@
 //! condition that there is none. Whoever finds a claim never sends. The
 //! claim's row later takes the answer, so that a repeat gets it again.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/crates/valehold-core/src/lib.rs
+++ b/crates/valehold-core/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod retry;
 pub mod routing;
 pub mod stream;
+#[cfg(test)]
+mod testing;
 pub mod time;
 pub mod verdict;
 
--- a/crates/valehold-core/src/limit.rs
+++ b/crates/valehold-core/src/limit.rs
@@ -8,6 +8,9 @@
 //! its predecessor's grants are over; so the shares never sum to more than
 //! the limit, also between instances that cannot reach each other.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use crate::{
--- a/crates/valehold-core/src/membership.rs
+++ b/crates/valehold-core/src/membership.rs
@@ -4,6 +4,9 @@
 //! whose word that it leaves is final; and its silence. A member that the
 //! list lacks is not thereby gone while it still answers.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
--- a/crates/valehold-core/src/placement/planner.rs
+++ b/crates/valehold-core/src/placement/planner.rs
@@ -52,6 +52,15 @@
             && served.base.as_ref().is_none_or(|b| self.reachable.contains(b))
     }
 
+    /// Tells whether some version of a model or adapter can be asked here.
+    fn answers(&self, served: &Served) -> bool {
+        let has = |name: &ModelName| {
+            self.reachable.iter().any(|artifact| artifact.name == *name)
+        };
+        has(&served.artifact.name)
+            && served.base.as_ref().is_none_or(|base| has(&base.name))
+    }
+
     /// Tells whether it serves an artifact, or will when its loads are done.
     fn will_serve(&self, served: &Served) -> bool {
         self.takes_work
@@ -275,7 +284,7 @@
                 !engine.claimed.contains_key(&served.artifact)
             })
             .filter_map(|index| {
-                let spared = self.spared_for(index, served.size_mib)?;
+                let spared = self.spared_for(index, served)?;
                 Some((spared.len(), index, spared))
             })
             .min_by_key(|(moves, index, _)| (*moves, *index));
@@ -298,18 +307,22 @@
         })
     }
 
-    /// Lists artifacts whose unloading frees enough on an engine.
+    /// Lists artifacts whose unloading frees enough for another on an engine.
+    ///
+    /// The base that the other stands on is never among them.
     fn spared_for(
         &self,
         index: usize,
-        size_mib: u64,
+        other: &Served,
     ) -> Option<Vec<Artifact>> {
+        let size_mib = other.size_mib;
         let engine = &self.engines[index];
         let mut free = engine.free_mib;
         let mut spared = Vec::new();
         let mut surplus: Vec<(&Artifact, u64)> = engine
             .claimed
             .iter()
+            .filter(|(artifact, _)| Some(*artifact) != other.base.as_ref())
             .filter(|(artifact, _)| self.may_unload(index, artifact))
             .map(|(artifact, size)| (artifact, *size))
             .collect();
@@ -339,7 +352,7 @@
             return false;
         }
         match self.current(artifact) {
-            None => true,
+            None => self.is_answered_without(index, artifact),
             Some(served) => {
                 let others = self
                     .engines
@@ -353,6 +366,18 @@
         }
     }
 
+    /// Tells whether callers of a replaced version would still be answered
+    /// if an engine did not have it.
+    fn is_answered_without(&self, index: usize, artifact: &Artifact) -> bool {
+        let Some(served) = self.served.get(&artifact.name) else {
+            return true;
+        };
+        self.successor_is_there(artifact)
+            || self.engines.iter().enumerate().any(|(other, engine)| {
+                other != index && engine.takes_work && engine.answers(served)
+            })
+    }
+
     /// Tells whether an adapter on the engine stands on a base.
     ///
     /// An older version of the base counts for as long as the version in use
@@ -448,11 +473,9 @@
             if self.is_on_its_way(artifact) {
                 continue;
             }
-            for index in 0..self.engines.len() {
-                let Some(makes_room) = self.room_for(index, served) else {
-                    continue;
-                };
-                let then = self.spread(Some((index, served, &makes_room)));
+            for (index, makes_room) in self.places_for(served, &now) {
+                let step = Some((index, served, &makes_room[..]));
+                let then = self.spread(step);
                 let gain = (then.in_time() - now.in_time()) * self.horizon_s;
                 #[allow(clippy::cast_precision_loss)]
                 let moves = (1 + makes_room.len()) as f64;
@@ -472,6 +495,28 @@
         self.engines.iter().any(|e| e.expects(artifact))
     }
 
+    /// Lists the engines that are worth weighing for one more replica, each
+    /// with what has to go first: those with the fewest moves, and among
+    /// them the least loaded.
+    fn places_for(
+        &self,
+        served: &Served,
+        now: &Spread,
+    ) -> Vec<(usize, Vec<Artifact>)> {
+        /// How many engines are weighed for one model.
+        const WEIGHED: usize = 4;
+        let mut places: Vec<(usize, Vec<Artifact>)> = (0..self.engines.len())
+            .filter_map(|i| Some((i, self.room_for(i, served)?)))
+            .collect();
+        let load = |index: usize| now.load(&self.engines[index].engine);
+        places.sort_by(|(a, room_a), (b, room_b)| {
+            let by_load = load(*a).total_cmp(&load(*b));
+            room_a.len().cmp(&room_b.len()).then(by_load)
+        });
+        places.truncate(WEIGHED);
+        places
+    }
+
     /// Returns what has to go before an engine can take one more replica.
     fn room_for(
         &self,
@@ -491,12 +536,7 @@
         if engine.may_take(served.size_mib) {
             return Some(Vec::new());
         }
-        let mut spared = self.spared_for(index, served.size_mib)?;
-        // Never the base that the artifact itself stands on.
-        if let Some(base) = &served.base {
-            spared.retain(|artifact| artifact != base);
-        }
-        Some(spared)
+        self.spared_for(index, served)
     }
 
     fn spread(&self, step: Option<(usize, &Served, &[Artifact])>) -> Spread {
--- a/crates/valehold-core/src/prefix.rs
+++ b/crates/valehold-core/src/prefix.rs
@@ -5,6 +5,9 @@
 //! engine had this block at that time. Hints age, are bounded in number, and
 //! an engine's are all dropped when its events show a gap.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{HashMap, VecDeque};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -4,6 +4,9 @@
 //! code, and a test holds the page against [`RefusalReason::ALL`] and
 //! [`RetryReason::ALL`].
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 macro_rules! reasons {
--- a/crates/valehold-core/src/retry.rs
+++ b/crates/valehold-core/src/retry.rs
@@ -5,6 +5,9 @@
 //! the workspace's and the upstream's. First attempts pay into the budgets,
 //! so that retries stay a fixed share of them however many fail.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{time::Millis, verdict::Verdict};
--- a/crates/valehold-core/src/routing.rs
+++ b/crates/valehold-core/src/routing.rs
@@ -11,6 +11,9 @@
 //! among engines whose predictions differ by less than the reports can be
 //! trusted to tell, and hardly ever for one that is much worse.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::UpstreamId;
--- /dev/null
+++ b/crates/valehold-core/src/routing/tests.rs
@@ -0,0 +1,89 @@
+//! Predictions and choices.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use super::{Candidate, RoutingSettings, WhyChosen, choose, predict};
+use crate::{id::UpstreamId, testing::cases};
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        engine: UpstreamId::new(name),
+        distance_ms: 1.0,
+        suspect: false,
+        slots: 4,
+        prefill_tokens_per_second: 1_000.0,
+        running: 0,
+        waiting_tokens: 0,
+        service_ms: 400.0,
+        report_age_ms: 0,
+        cached_tokens: 0,
+    }
+}
+
+#[gtest]
+fn each_term_is_its_own() {
+    let settings = RoutingSettings::default();
+    let idle = candidate("a");
+    let busy = Candidate { running: 5, waiting_tokens: 50, ..candidate("a") };
+    let warm = Candidate { cached_tokens: 100, ..candidate("a") };
+    let idle = predict(&idle, 100, &settings);
+    expect_that!(idle.distance_ms, approx_eq(2.0));
+    expect_that!(idle.prompt_ms, approx_eq(100.0));
+    expect_that!(idle.total_ms, approx_eq(102.0));
+    let busy = predict(&busy, 100, &settings);
+    expect_that!(busy.queue_ms, approx_eq(50.0));
+    expect_that!(busy.slot_ms, approx_eq(200.0));
+    let warm = predict(&warm, 100, &settings);
+    expect_that!(warm.prompt_ms, approx_eq(10.0));
+}
+
+#[gtest]
+fn a_loaded_engines_cache_is_not_counted_on() {
+    let settings = RoutingSettings::default();
+    let loaded =
+        Candidate { cached_tokens: 100, running: 4, ..candidate("a") };
+    expect_that!(predict(&loaded, 100, &settings).cached_tokens, eq(0));
+}
+
+#[gtest]
+fn suspect_engines_are_chosen_only_where_no_other_is_left() {
+    let settings = RoutingSettings::default();
+    let suspect = Candidate { suspect: true, ..candidate("a") };
+    let slow = Candidate { waiting_tokens: 9_000, ..candidate("b") };
+    let both = [suspect.clone(), slow];
+    let chosen = choose(&both, 10, 0.999, &settings).unwrap();
+    expect_that!(chosen.engine, eq(&UpstreamId::new("b")));
+    let only = choose(&[suspect], 10, 0.5, &settings).unwrap();
+    expect_that!(only.why, eq(WhyChosen::Only));
+    expect_that!(choose(&[], 10, 0.5, &settings), none());
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn chances_sum_to_one_and_fall_with_time(
+        waiting in prop::collection::vec(0_u64..5_000, 1..12),
+        age in 0_u64..5_000,
+        draw in 0.0_f64..1.0,
+    ) {
+        let candidates: Vec<Candidate> = waiting
+            .iter()
+            .enumerate()
+            .map(|(index, waiting)| Candidate {
+                waiting_tokens: *waiting,
+                report_age_ms: age,
+                ..candidate(&format!("e{index}"))
+            })
+            .collect();
+        let settings = RoutingSettings::default();
+        let choice = choose(&candidates, 10, draw, &settings).unwrap();
+        let sum: f64 = choice.predictions.iter().map(|p| p.chance).sum();
+        prop_assert!((sum - 1.0).abs() < 1e-9);
+        for pair in choice.predictions.windows(2) {
+            prop_assert!(pair[0].total_ms <= pair[1].total_ms);
+            prop_assert!(pair[0].chance >= pair[1].chance);
+        }
+    }
+}
--- a/crates/valehold-core/src/stream.rs
+++ b/crates/valehold-core/src/stream.rs
@@ -5,6 +5,9 @@
 //! frames that are late, crossed or repeated are left out, and a missing one
 //! stops the stream until it is resumed after the last frame let through.
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::RequestId;
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -1,6 +1,6 @@
 //! The control thread: it owns all control state.
 //!
-//! [`Control`] takes one [`Input`] after the other, changes its state, starts
+//! [`Control`] takes one input after the other, changes its state, starts
 //! whatever has to be read or written, and publishes a snapshot. What it
 //! starts never blocks it: results come back as further inputs.
 
