--- a/crates/valehold-cli/tests/support/mod.rs
+++ b/crates/valehold-cli/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Stand-ins, `valehold-instance` processes and the `valehold` command.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -19,7 +22,7 @@
 use serde_json::{Value, json};
 use valehold_core::{
     config::{Config, Files, key_digest},
-    id::DataCentreId,
+    id::{DataCentreId, UpstreamId},
 };
 use valehold_instance::peer::Authority;
 use valehold_standin::{Pace, Site};
@@ -90,10 +93,16 @@
     _folder: tempfile::TempDir,
 }
 
-/// Returns the path of an example.
+/// The small declarations of these tests, in the place of an example.
+pub const SMALL: &str = "small";
+
+/// Returns the path of an example, or of the small declarations.
 fn example(name: &str) -> PathBuf {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-    root.join(name)
+    let package = Path::new(env!("CARGO_MANIFEST_DIR"));
+    match name {
+        SMALL => package.join("tests/declarations").join(name),
+        _ => package.join("../../examples").join(name),
+    }
 }
 
 /// Returns the path of a program that this workspace builds.
@@ -215,6 +224,37 @@
             .unwrap()
     }
 
+    /// Starts the small deployment, and waits until all is reachable.
+    pub async fn small(instances: usize) -> Self {
+        let deployment = Self::start(SMALL, instances, 2).await;
+        deployment.apply();
+        for instance in 0..instances {
+            deployment.all_reachable(instance).await;
+        }
+        deployment
+    }
+
+    /// Returns the engines that hold a model, as an instance sees it.
+    pub fn holders(&self, instance: usize, model: &str) -> Vec<UpstreamId> {
+        let arguments = ["explain", "model", model, "--format", "json"];
+        let output = self.valehold(instance, &arguments);
+        let Ok(value) = serde_json::from_slice::<Value>(&output.stdout) else {
+            return Vec::new();
+        };
+        let engines = value["answered_by"].as_array().into_iter().flatten();
+        engines
+            .map(|e| UpstreamId::new(e["engine"].as_str().unwrap()))
+            .collect()
+    }
+
+    /// Returns the instance that holds the placement lease.
+    pub fn holder(&self, asked: usize) -> Option<usize> {
+        let output = self.valehold(asked, &["status", "--format", "json"]);
+        let status: Value = serde_json::from_slice(&output.stdout).ok()?;
+        let holder = status["holder"].as_str()?;
+        self.instances.iter().position(|i| i.name == holder)
+    }
+
     /// Applies the directory and expects that it is accepted.
     pub fn apply(&self) -> Output {
         let directory = self.directory.to_str().unwrap();
--- a/crates/valehold-core/src/prefix.rs
+++ b/crates/valehold-core/src/prefix.rs
@@ -23,6 +23,14 @@
 /// How many bytes of prompt are taken for a token.
 pub const BYTES_PER_TOKEN: usize = 4;
 
+/// Returns the part of a caller's body whose beginning engines cache.
+///
+/// Of a chat that is its messages, of a completion its prompt, each as JSON.
+pub fn prompt_text(body: &serde_json::Value) -> String {
+    let prompt = body.get("messages").or_else(|| body.get("prompt"));
+    prompt.map_or_else(String::new, ToString::to_string)
+}
+
 /// Returns the hashes of a prompt's leading whole blocks.
 ///
 /// # Example
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -22,7 +22,7 @@
 };
 use valehold_platform::{
     PortError,
-    port::{CommitOutcome, EngineStatus, Listed, Row},
+    port::{CacheEvents, CommitOutcome, EngineStatus, Listed, Row},
 };
 
 use self::{
@@ -60,6 +60,13 @@
         /// What it said.
         result: Result<EngineStatus, PortError>,
     },
+    /// An engine's cache events were read.
+    CacheEvents {
+        /// The engine.
+        engine: UpstreamId,
+        /// The events.
+        result: Result<CacheEvents, PortError>,
+    },
     /// A process of a plain service said whether it leaves.
     Health {
         /// The process.
@@ -260,6 +267,14 @@
                 }
                 self.upstreams.status_read(&engine, asked, result, now);
             }
+            Input::CacheEvents { engine, result } => {
+                let news = self.upstreams.cache_events_read(&engine, result);
+                let mut hints = self.context.shared.hints();
+                if news.gap {
+                    hints.forget(&engine);
+                }
+                hints.note(&engine, &news.stored, now);
+            }
             Input::Health { upstream, result } => {
                 self.upstreams.health_read(&upstream, &result, now);
             }
--- a/crates/valehold-instance/src/control/publish.rs
+++ b/crates/valehold-instance/src/control/publish.rs
@@ -52,7 +52,7 @@
             entry: self.entry(),
             life: self.life,
             revision: self.config.number(),
-            in_flight: 0,
+            in_flight: self.context.shared.in_flight(),
             demand: self.estimator.demand().into_iter().collect(),
             asked: asked.iter().map(|(id, n)| (id.clone(), *n)).collect(),
         }
--- a/crates/valehold-instance/src/control/upstreams.rs
+++ b/crates/valehold-instance/src/control/upstreams.rs
@@ -15,7 +15,7 @@
 };
 use valehold_platform::{
     PortError,
-    port::{EngineStatus, Listed, ListedKind, ListedState},
+    port::{CacheEvents, EngineStatus, Listed, ListedKind, ListedState},
 };
 
 use super::{Context, Input};
@@ -30,6 +30,9 @@
 /// How often each engine and service process is asked how it does.
 const STATUS_EVERY_MS: u64 = 500;
 
+/// How often each engine's cache events are read.
+const EVENTS_EVERY_MS: u64 = 1_000;
+
 /// For how long a list that still calls a restarted upstream leaving is not
 /// believed.
 const LIST_LAG_MS: u64 = 60_000;
@@ -44,6 +47,15 @@
     asking: bool,
     status: Option<(Millis, EngineStatus)>,
     restarted: Option<Millis>,
+    cache: CacheEventsSeen,
+}
+
+/// How far an engine's cache events were read.
+#[derive(Debug, Default)]
+struct CacheEventsSeen {
+    asked: Option<Millis>,
+    asking: bool,
+    sequence: u64,
 }
 
 #[derive(Debug)]
@@ -52,6 +64,15 @@
     Service(ServiceName),
 }
 
+/// What an engine's cache events tell.
+#[derive(Debug, Default)]
+pub(super) struct CacheNews {
+    /// Whether events are missing: what was known of the cache is void.
+    pub(super) gap: bool,
+    /// The blocks that the cache now has.
+    pub(super) stored: Vec<u64>,
+}
+
 /// Engines and processes of plain services.
 pub(super) struct Upstreams {
     known: BTreeMap<UpstreamId, Known>,
@@ -85,6 +106,7 @@
                 asking: false,
                 status: None,
                 restarted: None,
+                cache: CacheEventsSeen::default(),
             });
             known.address = address;
             known.data_centre = data_centre;
@@ -100,6 +122,7 @@
         self.ask_list(context, now);
         for (id, known) in &mut self.known {
             ask_one(id, known, context, now);
+            ask_cache_events(id, known, context, now);
         }
     }
 
@@ -132,6 +155,7 @@
         let boot = known.status.as_ref().map(|(_, before)| before.boot);
         let is_new = boot.is_some_and(|boot| boot != status.boot);
         if is_new {
+            known.cache.sequence = 0;
             known.restarted = Some(now);
             self.membership.restarted(engine, now);
         }
@@ -142,6 +166,31 @@
         known.status = Some((asked, status));
     }
 
+    /// Takes in an engine's cache events; returns what they tell.
+    pub(super) fn cache_events_read(
+        &mut self,
+        engine: &UpstreamId,
+        result: Result<CacheEvents, PortError>,
+    ) -> CacheNews {
+        let Some(known) = self.known.get_mut(engine) else {
+            return CacheNews::default();
+        };
+        known.cache.asking = false;
+        let Ok(CacheEvents { events }) = result else {
+            return CacheNews::default();
+        };
+        let mut news = CacheNews::default();
+        for event in events {
+            if event.sequence <= known.cache.sequence {
+                continue;
+            }
+            news.gap |= event.sequence > known.cache.sequence + 1;
+            known.cache.sequence = event.sequence;
+            news.stored.extend(event.stored);
+        }
+        news
+    }
+
     pub(super) fn health_read(
         &mut self,
         upstream: &UpstreamId,
@@ -304,6 +353,30 @@
     }
 }
 
+fn ask_cache_events(
+    id: &UpstreamId,
+    known: &mut Known,
+    context: &Context,
+    now: Millis,
+) {
+    let cache = &mut known.cache;
+    let due = cache.asked.is_none_or(|at| now.since(at) >= EVENTS_EVERY_MS);
+    let is_engine = matches!(known.kind, Kind::Engine(_));
+    let Some(address) = known.address else { return };
+    if !due || cache.asking || !is_engine {
+        return;
+    }
+    cache.asked = Some(now);
+    cache.asking = true;
+    let after = cache.sequence;
+    let id = id.clone();
+    let engines = context.shared.ports.engines.clone();
+    context.start(async move {
+        let result = engines.cache_events(address, after).await;
+        Input::CacheEvents { engine: id, result }
+    });
+}
+
 fn resident(status: &EngineStatus) -> BTreeSet<valehold_core::id::Artifact> {
     let artifacts = status.residency.artifacts.iter();
     artifacts
--- a/crates/valehold-instance/src/instance.rs
+++ b/crates/valehold-instance/src/instance.rs
@@ -10,8 +10,9 @@
     task::LocalSet,
 };
 use valehold_core::chart::library;
-use valehold_platform::http::{
-    ClientSettings, HttpEngines, HttpPlatform, HttpServices,
+use valehold_platform::{
+    budget::BudgetedTable,
+    http::{ClientSettings, HttpEngines, HttpPlatform, HttpServices},
 };
 use viz::{Responder, Tree};
 
@@ -192,8 +193,13 @@
     let client = ClientSettings::default();
     let platform =
         Arc::new(HttpPlatform::new(settings.platform.address, client));
+    let table = BudgetedTable::new(
+        platform.clone(),
+        settings.platform.reads_per_second,
+        settings.platform.writes_per_second,
+    );
     Ports {
-        table: platform.clone(),
+        table: Arc::new(table),
         objects: platform.clone(),
         list: platform,
         engines: Arc::new(HttpEngines::new(client)),
--- a/crates/valehold-instance/src/operators.rs
+++ b/crates/valehold-instance/src/operators.rs
@@ -39,6 +39,8 @@
     pub holder: Option<InstanceId>,
     /// How long ago the store was last read, in ms.
     pub store_age_ms: Option<u64>,
+    /// Requests that the instance is working on.
+    pub in_flight: u32,
     /// The engines that take requests.
     pub engines: Vec<EngineStatus>,
     /// The models and adapters in use that no engine can answer for.
@@ -171,6 +173,7 @@
         revisions: snapshot.revisions.clone().into_iter().collect(),
         holder: snapshot.holder.clone(),
         store_age_ms: snapshot.store_read.map(|read| now.since(read)),
+        in_flight: shared.in_flight(),
         engines: snapshot
             .engines
             .iter()
--- a/crates/valehold-instance/src/shared.rs
+++ b/crates/valehold-instance/src/shared.rs
@@ -1,6 +1,9 @@
 //! What the control thread and the traffic threads have in common.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU32, Ordering},
+};
 
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
@@ -8,6 +11,7 @@
     chart::library::{self, InstanceState},
     explain::{Record, Records},
     id::{Artifact, UpstreamId},
+    prefix::PrefixHints,
 };
 use valehold_platform::{
     port::{Engines, InstanceList, Objects, Services, Table},
@@ -18,6 +22,12 @@
     clock::Clock, metrics::Metrics, settings::Settings, snapshot::Snapshot,
 };
 
+/// For how long a hint about an engine's prefix cache is kept.
+const KEEP_HINTS_MS: u64 = 300_000;
+
+/// How many hints are kept.
+const MAX_HINTS: usize = 65_536;
+
 /// How many reports may wait for the control thread.
 pub const REPORT_CHANNEL: usize = 8_192;
 
@@ -72,6 +82,9 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// The newest decisions; written by the control thread.
     records: Mutex<Records>,
+    /// Which engine is likely to have which prompt's beginning.
+    hints: Mutex<PrefixHints>,
+    in_flight: AtomicU32,
     reports: mpsc::Sender<Report>,
     life: watch::Sender<InstanceState>,
 }
@@ -94,6 +107,8 @@
             metrics,
             snapshot: ArcSwap::from_pointee(Snapshot::empty(starting)),
             records: Mutex::new(records),
+            hints: Mutex::new(PrefixHints::new(KEEP_HINTS_MS, MAX_HINTS)),
+            in_flight: AtomicU32::new(0),
             reports,
             life: watch::Sender::new(starting),
             settings,
@@ -118,6 +133,27 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the hints about prefix caches, locked.
+    pub fn hints(&self) -> MutexGuard<'_, PrefixHints> {
+        // A panic between two changes leaves hints that are still only hints.
+        self.hints.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request in.
+    pub fn request_began(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a request out.
+    pub fn request_ended(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many requests this instance is working on.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
     /// Publishes this instance's life; control alone calls it.
     pub fn set_life(&self, life: InstanceState) {
         self.life.send_replace(life);
--- a/crates/valehold-instance/src/traffic/generate.rs
+++ b/crates/valehold-instance/src/traffic/generate.rs
@@ -230,8 +230,11 @@
             .as_ref()
             .map_or(0.0, |c| c.distance_ms(own, &engine.data_centre));
         let unreported = app.outstanding.since(&engine.id, engine.reported);
-        let blocks =
-            app.hints().cached_blocks(&engine.id, &self.job.blocks, now);
+        let blocks = app.shared.hints().cached_blocks(
+            &engine.id,
+            &self.job.blocks,
+            now,
+        );
         Candidate {
             engine: engine.id.clone(),
             distance_ms,
@@ -281,7 +284,7 @@
                 PortError::timed_out("the answer did not begin")
             })??;
         under_way.prompt_read();
-        app.hints().note(&engine.id, &self.job.blocks, now);
+        app.shared.hints().note(&engine.id, &self.job.blocks, now);
         app.shared.report(Report::Succeeded(engine.id.clone()));
         Ok(Answer::new(
             app.clone(),
--- a/crates/valehold-instance/src/traffic/mod.rs
+++ b/crates/valehold-instance/src/traffic/mod.rs
@@ -14,11 +14,10 @@
 mod trace;
 mod usage;
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use valehold_core::{
     config::{Config, Workspace},
-    prefix::PrefixHints,
     reason::RefusalReason,
 };
 
@@ -28,12 +27,6 @@
 pub(crate) use self::{refusal::json_response, server::serve};
 use crate::{once::Claims, shared::Shared, snapshot::Snapshot};
 
-/// For how long a hint about an engine's prefix cache is kept.
-const KEEP_HINTS_MS: u64 = 300_000;
-
-/// How many hints are kept.
-const MAX_HINTS: usize = 65_536;
-
 /// What the traffic threads work with.
 pub(crate) struct App {
     pub(crate) shared: Arc<Shared>,
@@ -41,29 +34,21 @@
     usage: Usage,
     retries: Retries,
     outstanding: Outstanding,
-    hints: Mutex<PrefixHints>,
 }
 
 impl App {
     /// Makes the traffic side of an instance.
     pub(crate) fn new(shared: Arc<Shared>, claims: Claims) -> Self {
         let retries = Retries::new(shared.settings.retry);
-        let hints = PrefixHints::new(KEEP_HINTS_MS, MAX_HINTS);
         Self {
             shared,
             claims,
             usage: Usage::default(),
             retries,
             outstanding: Outstanding::default(),
-            hints: Mutex::new(hints),
         }
     }
 
-    fn hints(&self) -> std::sync::MutexGuard<'_, PrefixHints> {
-        // A panic between two changes leaves hints that are still only hints.
-        self.hints.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Finds the configuration in force and the workspace of a caller's key.
     fn authorize(
         &self,
--- a/crates/valehold-instance/src/traffic/shape.rs
+++ b/crates/valehold-instance/src/traffic/shape.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use valehold_core::{
     id::RequestId,
-    prefix::{block_hashes, estimated_tokens},
+    prefix::{block_hashes, estimated_tokens, prompt_text},
     reason::RefusalReason,
     stream::{EndMark, FinishReason, Payload},
 };
@@ -49,10 +49,10 @@
             PromptKind::Chat => ("messages", body.get("messages")),
             PromptKind::Completion => ("prompt", body.get("prompt")),
         };
-        let prompt = prompt
+        prompt
             .filter(|p| p.is_array() || p.is_string())
-            .ok_or_else(|| bad(format!("`{field}` is missing")))?
-            .to_string();
+            .ok_or_else(|| bad(format!("`{field}` is missing")))?;
+        let prompt = prompt_text(&body);
         let stream = match body.get("stream") {
             None | Some(Value::Null) => false,
             Some(Value::Bool(stream)) => *stream,
--- a/crates/valehold-instance/src/traffic/trace.rs
+++ b/crates/valehold-instance/src/traffic/trace.rs
@@ -27,6 +27,7 @@
     /// Starts the trace of a request that just arrived.
     pub(super) fn new(shared: Arc<Shared>) -> Self {
         let id: u64 = rand::random();
+        shared.request_began();
         let state = library::request().initial();
         let record = Record {
             request: RequestId::new(format!("r-{id:016x}")),
@@ -142,6 +143,7 @@
         self.record.outcome = self.state;
         self.record.total_ms = self.elapsed_ms();
         self.shared.metrics.ended(self.state);
+        self.shared.request_ended();
         let record = Box::new(self.record.clone());
         log::debug!(
             "{} of {} for {}: {:?} after {} ms",
--- a/crates/valehold-platform/src/lib.rs
+++ b/crates/valehold-platform/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`http`] speak them in the wire format of this project's stand-ins;
 //! another wire format is one more adapter there.
 //!
+//! [`budget`] keeps within an instance's share of the table, and
 //! [`store`] stands on the table's port and makes each write's outcome
 //! certain.
 
+pub mod budget;
 pub mod error;
 pub mod http;
 pub mod port;
--- a/crates/valehold-standin/src/engine/mod.rs
+++ b/crates/valehold-standin/src/engine/mod.rs
@@ -16,6 +16,7 @@
 use valehold_core::{
     id::{Artifact, RequestId},
     order::Order,
+    prefix::{block_hashes, prompt_text},
 };
 use valehold_platform::port::{
     CacheEvent, CacheEvents, EngineStatus, GenerateRequest,
@@ -229,8 +230,8 @@
     }
 
     fn note_blocks(&self, request: &GenerateRequest) {
-        let prompt = request.body.to_string();
-        let stored = valehold_core::prefix::block_hashes(prompt.as_bytes());
+        let prompt = prompt_text(&request.body);
+        let stored = block_hashes(prompt.as_bytes());
         let mut blocks = lock(&self.shared.blocks);
         blocks.sequence += 1;
         let sequence = blocks.sequence;
