Experiments: the real decisions against baselines on one trace

Cause: nothing said what the policies are worth. Change: a deterministic experiment in valehold-standin drives placement, routing and admission through eight scenarios for both users, beside round-robin and least-in-flight on a static placement, loading on demand, and all accelerators pooled as the bound.

--- /dev/null
+++ b/crates/valehold-standin/examples/measure.rs
@@ -0,0 +1,127 @@
+//! Prints attainment and moves of the decisions and of simple baselines.
+//!
+//! ```sh
+//! cargo run --release -p valehold-standin --example measure
+//! ```
+//!
+//! `--seconds N` sets the length of a run (600), `--seeds N` how many seeds
+//! are tried (3), `--only TEXT` runs the scenarios whose names contain it.
+//! `--compare prefix` compares ways of counting on prefix caches, `--compare
+//! doubt` ways of drawing among engines, `--compare weighing` prices of moves.
+
+use std::path::Path;
+
+use valehold_core::{
+    config::{Config, Files, Weighing},
+    routing::RoutingSettings,
+};
+use valehold_standin::experiment::{
+    Policy, Scenario, Summary, User, run, table,
+};
+
+/// A policy with the name it has in the table.
+type Named = (String, Policy);
+
+/// Returns the policies that are compared.
+fn policies(compared: &str) -> Vec<Named> {
+    let ours = |name: String, weighing, routing| {
+        (name, Policy::Ours { weighing, routing })
+    };
+    let shipped = RoutingSettings::default();
+    match compared {
+        "prefix" => [
+            ("guarded, as shipped", shipped),
+            ("off", RoutingSettings { prefix_trust: 0.0, ..shipped }),
+            (
+                "unguarded",
+                RoutingSettings { prefix_load_guard: 1e9, ..shipped },
+            ),
+        ]
+        .map(|(name, routing)| ours(name.to_owned(), None, routing))
+        .into(),
+        "doubt" => [(3.0, 0.01), (3.0, 0.0), (0.001, 0.0), (30.0, 0.1)]
+            .map(|(least_doubt_ms, doubt_per_ms)| {
+                let name = format!("{least_doubt_ms} + {doubt_per_ms} age");
+                let routing = RoutingSettings {
+                    least_doubt_ms,
+                    doubt_per_ms,
+                    ..shipped
+                };
+                ours(name, None, routing)
+            })
+            .into(),
+        "weighing" => [0.0, 1.0, 5.0, 20.0, 60.0, 200.0, 1_000.0]
+            .map(|moves| {
+                let weighing = Weighing { attainment: 1.0, moves };
+                ours(format!("a move costs {moves}"), Some(weighing), shipped)
+            })
+            .into(),
+        _ => [
+            Policy::ours(),
+            Policy::RoundRobin,
+            Policy::LeastInFlight,
+            Policy::LoadOnDemand,
+            Policy::Pooled,
+        ]
+        .map(|policy| (policy.name().to_owned(), policy))
+        .into(),
+    }
+}
+
+fn main() {
+    let seconds = number("--seconds", 600);
+    let seeds = number("--seeds", 3);
+    let only = text("--only").unwrap_or_default();
+    let compared = text("--compare").unwrap_or_default();
+    for user in User::ALL {
+        println!("\n## {}\n", user.example());
+        let config = example(user.example());
+        let scenarios = Scenario::ALL.into_iter();
+        let scenarios = scenarios.filter(|s| s.name().contains(&only));
+        let mut summaries = Vec::new();
+        for scenario in scenarios {
+            for (name, policy) in policies(&compared) {
+                let runs = (1..=seeds).map(|seed| {
+                    run(user, scenario, &config, policy, seed, seconds)
+                });
+                summaries.push(Summary {
+                    scenario: scenario.name(),
+                    policy: name,
+                    runs: runs.collect(),
+                });
+            }
+        }
+        println!("{}", table(&summaries));
+    }
+}
+
+fn text(name: &str) -> Option<String> {
+    let mut arguments = std::env::args();
+    arguments.find(|argument| argument == name)?;
+    arguments.next()
+}
+
+fn number(name: &str, otherwise: u64) -> u64 {
+    text(name).and_then(|n| n.parse().ok()).unwrap_or(otherwise)
+}
+
+/// Reads one of the shipped examples.
+fn example(name: &str) -> Config {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let mut files = Files::new();
+    for folder in ["", "templates", "workspaces"] {
+        let entries = std::fs::read_dir(root.join(name).join(folder));
+        for entry in entries.expect("the example is there") {
+            let path = entry.expect("the folder can be read").path();
+            if let (true, Some(file)) = (path.is_file(), path.file_name()) {
+                let inner = Path::new(folder).join(file);
+                let text = std::fs::read_to_string(&path);
+                files.insert(
+                    inner.to_string_lossy(),
+                    text.expect("the file can be read"),
+                );
+            }
+        }
+    }
+    Config::try_from_files(&files).expect("the example holds")
+}
--- /dev/null
+++ b/crates/valehold-standin/src/experiment/driver.rs
@@ -0,0 +1,471 @@
+//! One run of one policy.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use valehold_core::{
+    Millis,
+    account::EngineAccount,
+    admission::{self, AdmissionSettings},
+    config::{Config, Served, Weighing, Workspace},
+    demand::{DemandSettings, Estimator},
+    id::{Artifact, ModelName, UpstreamId},
+    limit::TokenBucket,
+    order::Stamp,
+    placement::{Action, EngineView, Planner, StepKind, forecast},
+    prefix::{BLOCK_BYTES, BYTES_PER_TOKEN, PrefixHints},
+    routing::{self, Candidate, RoutingSettings},
+};
+
+use super::{
+    baselines,
+    fleet::{Fleet, TOKEN_MS, Timing, Work},
+    table::Figures,
+    trace::{Request, Scenario, User, requests},
+};
+
+/// How many entry instances there are.
+pub(super) const INSTANCES: usize = 8;
+
+/// How often placement is planned and engines report their memory.
+const TICK_MS: u64 = 500;
+
+/// How decisions are made.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Policy {
+    /// The decisions of `valehold-core`.
+    Ours {
+        /// The weighing; the deployment's own where there is none.
+        weighing: Option<Weighing>,
+        /// How engines are chosen.
+        routing: RoutingSettings,
+    },
+    /// Round-robin over a placement that never changes.
+    RoundRobin,
+    /// Least requests in flight over a placement that never changes.
+    LeastInFlight,
+    /// Loading on demand in place of what was least recently used.
+    LoadOnDemand,
+    /// All accelerators as one, with every model there at once.
+    Pooled,
+}
+
+impl Policy {
+    /// Makes the policy of the product, as it ships.
+    pub fn ours() -> Self {
+        let routing = RoutingSettings::default();
+        Self::Ours { weighing: None, routing }
+    }
+
+    /// Returns its name in tables.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Ours { .. } => "valehold",
+            Self::RoundRobin => "round-robin, static",
+            Self::LeastInFlight => "least in flight, static",
+            Self::LoadOnDemand => "load on demand, LRU",
+            Self::Pooled => "pooled (bound)",
+        }
+    }
+}
+
+/// Runs a policy through a scenario.
+pub fn run(
+    user: User,
+    scenario: Scenario,
+    config: &Config,
+    policy: Policy,
+    seed: u64,
+    length_s: u64,
+) -> Figures {
+    let length_ms = length_s * 1_000;
+    let trace = requests(user, scenario, config, seed, length_ms, INSTANCES);
+    let mut fleet = Fleet::new(config);
+    fleet.slowness = scenario.slowness();
+    fill(&mut fleet, config);
+    let mut world = World {
+        scenario,
+        length_ms,
+        config,
+        fleet,
+        figures: Figures::default(),
+        random: StdRng::seed_from_u64(seed ^ 0x5eed),
+    };
+    match policy {
+        Policy::Ours { weighing, routing } => {
+            Ours::new(&world, weighing, routing).run(&mut world, &trace);
+        }
+        Policy::Pooled => baselines::pooled(&mut world, &trace),
+        _ => baselines::run(policy, &mut world, &trace),
+    }
+    world.finish()
+}
+
+/// What a run happens in.
+pub(super) struct World<'a> {
+    pub(super) scenario: Scenario,
+    pub(super) length_ms: u64,
+    pub(super) config: &'a Config,
+    pub(super) fleet: Fleet,
+    pub(super) figures: Figures,
+    pub(super) random: StdRng,
+}
+
+impl World<'_> {
+    /// Returns which part of the run has passed, from 0 to 1.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn part(&self, now: Millis) -> f64 {
+        now.get() as f64 / self.length_ms as f64
+    }
+
+    /// Lets what the scenario brings happen.
+    pub(super) fn happen(&mut self, now: Millis) {
+        let part = self.part(now);
+        let lost = |index: usize, place: &str| match self.scenario {
+            Scenario::EngineLost => part >= 0.3 && index == 0,
+            Scenario::DataCentreLost => {
+                (0.3..0.7).contains(&part) && place == "dc-1"
+            }
+            _ => false,
+        };
+        for (index, engine) in self.fleet.engines.iter_mut().enumerate() {
+            let is_lost = lost(index, engine.data_centre.as_str());
+            if is_lost && engine.alive {
+                engine.lose();
+            } else if !is_lost {
+                engine.alive = true;
+            }
+            engine.forget(now);
+        }
+    }
+
+    pub(super) fn served(&self, model: &ModelName) -> &Served {
+        &self.config.served()[model]
+    }
+
+    /// Returns the workspace that a model's requests come from.
+    pub(super) fn workspace(&self, model: &ModelName) -> &Workspace {
+        let mut workspaces = self.config.workspaces().values();
+        let uses = |w: &&std::sync::Arc<Workspace>| w.models.contains(model);
+        workspaces.find(uses).expect("every served model is used")
+    }
+
+    /// Sends a request to an engine, and notes when it was answered.
+    pub(super) fn send(
+        &mut self,
+        index: usize,
+        request: &Request,
+        at: Millis,
+    ) -> Timing {
+        let target_ms = self.workspace(&request.model).first_token_ms;
+        let engine = &mut self.fleet.engines[index];
+        let timing = engine.take(request.work, at);
+        let first_ms = timing.first_token.since(request.at);
+        self.figures.answered(first_ms, first_ms <= target_ms);
+        timing
+    }
+
+    fn finish(mut self) -> Figures {
+        self.figures.moves = self.fleet.moves;
+        let over = self.fleet.engines.iter().any(|e| e.overcommitted);
+        self.figures.overcommitted = over;
+        #[allow(clippy::cast_precision_loss)]
+        let length_s = self.length_ms as f64 / 1_000.0;
+        self.figures.length_s = length_s;
+        let accelerators = self.config.deployment().engine.iter();
+        let accelerators: u32 = accelerators.map(|e| e.accelerators).sum();
+        self.figures.accelerators = accelerators;
+        self.figures
+    }
+}
+
+/// Places every model once, as the planner does on empty engines.
+fn fill(fleet: &mut Fleet, config: &Config) {
+    let empty: Vec<EngineView> = fleet
+        .engines
+        .iter()
+        .map(|engine| EngineView {
+            engine: engine.id.clone(),
+            data_centre: engine.data_centre.clone(),
+            free_mib: engine.usable_mib,
+            slots: engine.slots,
+            takes_work: true,
+            reachable: Default::default(),
+            claimed: Default::default(),
+            leaving: Default::default(),
+            unsettled: Default::default(),
+        })
+        .collect();
+    let deployment = config.deployment();
+    let steps = forecast(
+        config.served(),
+        &BTreeMap::new(),
+        deployment.weighing,
+        deployment.placement.horizon_s,
+        empty,
+    );
+    for step in steps {
+        let index = fleet.engines.iter().position(|e| e.id == step.engine);
+        let served = &config.served()[&step.artifact.name];
+        fleet.place(index.expect("the engine is there"), served);
+    }
+}
+
+/// A request that an instance sent. It sees the answer begin and end.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at: Millis,
+    prompt_tokens: u64,
+    timing: Timing,
+}
+
+/// The product's decisions, put together as an instance does.
+struct Ours {
+    weighing: Weighing,
+    routing: RoutingSettings,
+    admission: AdmissionSettings,
+    accounts: Vec<EngineAccount>,
+    sequence: u64,
+    loads: TokenBucket,
+    estimator: Estimator,
+    /// What each instance sent to each engine.
+    sent: Vec<Vec<Vec<Sent>>>,
+    hints: Vec<PrefixHints>,
+    service_ms: f64,
+}
+
+impl Ours {
+    fn new(
+        world: &World<'_>,
+        weighing: Option<Weighing>,
+        routing: RoutingSettings,
+    ) -> Self {
+        let deployment = world.config.deployment();
+        let store = deployment.weight_store;
+        let engines = world.fleet.engines.len();
+        let start = Millis::default();
+        let accounts = deployment.engine.iter().map(|engine| {
+            let (name, usable) = (engine.name.clone(), engine.usable_mib());
+            EngineAccount::new(name, usable, true, 0)
+        });
+        Self {
+            weighing: weighing.unwrap_or(deployment.weighing),
+            routing,
+            admission: AdmissionSettings::default(),
+            accounts: accounts.collect(),
+            sequence: 0,
+            loads: TokenBucket::new(store.loads_per_second, 1.0, start),
+            estimator: Estimator::new(DemandSettings::default(), start),
+            sent: vec![vec![Vec::new(); engines]; INSTANCES],
+            hints: vec![PrefixHints::new(300_000, 65_536); INSTANCES],
+            service_ms: 2_000.0,
+        }
+    }
+
+    fn run(mut self, world: &mut World<'_>, trace: &[Request]) {
+        let mut next_tick = Millis::default();
+        for request in trace {
+            while next_tick <= request.at {
+                self.tick(world, next_tick);
+                next_tick = next_tick + TICK_MS;
+            }
+            self.request(world, request);
+        }
+    }
+
+    fn tick(&mut self, world: &mut World<'_>, now: Millis) {
+        world.happen(now);
+        self.estimator.close_window_if_due(now);
+        for (engine, account) in
+            world.fleet.engines.iter().zip(&mut self.accounts)
+        {
+            if engine.alive {
+                account.observe(&engine.report(now), now);
+            }
+        }
+        if world.scenario.store_is_up(world.part(now)) {
+            self.place(world, now);
+        }
+        for sent in self.sent.iter_mut().flatten() {
+            sent.retain(|sent| now < sent.timing.end);
+        }
+    }
+
+    fn place(&mut self, world: &mut World<'_>, now: Millis) {
+        let store = world.config.deployment().weight_store;
+        let under_way: usize =
+            self.accounts.iter().map(EngineAccount::loads_under_way).sum();
+        let width = store.loads_at_once as usize;
+        let left = width.saturating_sub(under_way);
+        let loads = left.min(self.loads.available(now));
+        let demand = self.estimator.demand();
+        let planner = Planner::new(
+            world.config.served(),
+            &demand,
+            self.weighing,
+            world.config.deployment().placement.horizon_s,
+            self.views(world),
+            loads,
+        );
+        for action in planner.plan() {
+            self.order(world, &action, now);
+        }
+    }
+
+    fn order(&mut self, world: &mut World<'_>, action: &Action, now: Millis) {
+        let engines = &world.fleet.engines;
+        let index = engines.iter().position(|e| e.id == action.engine);
+        let index = index.expect("the engine is there");
+        self.sequence += 1;
+        let stamp = Stamp { epoch: 1, sequence: self.sequence };
+        let account = &mut self.accounts[index];
+        let (artifact, size) = (&action.artifact, action.size_mib);
+        let order = match action.kind {
+            StepKind::Load => {
+                let _ = self.loads.try_take(1.0, now);
+                account.order_load(artifact, size, stamp, now)
+            }
+            StepKind::Unload => account.order_unload(artifact, stamp, now),
+        };
+        if let Ok(order) = order {
+            account.recorded(&order, now);
+            for order in account.take_due(1, now, 1_000) {
+                world.fleet.obey(index, &order, now);
+            }
+        }
+    }
+
+    fn views(&self, world: &World<'_>) -> Vec<EngineView> {
+        let engines = world.fleet.engines.iter().zip(&self.accounts);
+        let views = engines.map(|(engine, account)| {
+            let all = || account.claims().map(|(a, _)| a.clone());
+            EngineView {
+                engine: engine.id.clone(),
+                data_centre: engine.data_centre.clone(),
+                free_mib: account.free_mib(),
+                slots: engine.slots,
+                takes_work: engine.alive,
+                reachable: all()
+                    .filter(|a| engine.alive && account.is_reachable(a))
+                    .collect(),
+                claimed: account
+                    .claims()
+                    .map(|(a, size)| (a.clone(), size))
+                    .collect(),
+                leaving: all().filter(|a| account.is_leaving(a)).collect(),
+                unsettled: all().filter(|a| account.is_unsettled(a)).collect(),
+            }
+        });
+        views.collect()
+    }
+
+    fn request(&mut self, world: &mut World<'_>, request: &Request) {
+        let now = request.at;
+        let served = world.served(&request.model).clone();
+        self.estimator.arrived(&served.artifact);
+        let candidates = self.candidates(world, request, &served);
+        let draw = world.random.random();
+        let tokens = request.work.prompt_tokens;
+        let choice = routing::choose(&candidates, tokens, draw, &self.routing);
+        let Some(choice) = choice else {
+            world.figures.refused("no_upstream");
+            return;
+        };
+        let workspace = world.workspace(&request.model);
+        let admit = |predicted_ms| {
+            admission::admit(
+                predicted_ms,
+                workspace.priority,
+                workspace.first_token_ms,
+                &self.admission,
+            )
+        };
+        let least = &choice.predictions[0];
+        let engine = match admit(choice.predicted_ms) {
+            Ok(()) => &choice.engine,
+            Err(_) if admit(least.total_ms).is_ok() => &least.engine,
+            Err(_) => {
+                world.figures.refused("would_be_late");
+                return;
+            }
+        };
+        let engine = engine.clone();
+        self.send(world, request, &served.artifact, &engine, now);
+    }
+
+    fn send(
+        &mut self,
+        world: &mut World<'_>,
+        request: &Request,
+        artifact: &Artifact,
+        engine: &UpstreamId,
+        now: Millis,
+    ) {
+        let index = world.fleet.engines.iter().position(|e| e.id == *engine);
+        let index = index.expect("the engine is there");
+        let blocks = blocks_of(request.work);
+        self.hints[request.instance].note(engine, &blocks, now);
+        #[allow(clippy::cast_precision_loss)]
+        let service_ms = (request.work.answer_tokens * TOKEN_MS) as f64;
+        self.service_ms += 0.05 * (service_ms - self.service_ms);
+        self.estimator.finished(artifact, service_ms / 1_000.0);
+        let timing = world.send(index, request, now);
+        let prompt_tokens = request.work.prompt_tokens;
+        let sent = Sent { at: now, prompt_tokens, timing };
+        self.sent[request.instance][index].push(sent);
+    }
+
+    fn candidates(
+        &self,
+        world: &World<'_>,
+        request: &Request,
+        served: &Served,
+    ) -> Vec<Candidate> {
+        let now = request.at;
+        let age = world.scenario.report_age_ms();
+        let report = now - age;
+        let engines = world.fleet.engines.iter().enumerate();
+        let holders = engines.filter(|(index, engine)| {
+            let wanted = |a: &Artifact| {
+                engine.is_resident(a, now)
+                    && self.accounts[*index].is_reachable(a)
+            };
+            let base = served.base.as_ref();
+            wanted(&served.artifact) && base.is_none_or(wanted)
+        });
+        let blocks = blocks_of(request.work);
+        holders
+            .map(|(index, engine)| {
+                let (running, waiting) = engine.load_at(report);
+                let sent = &self.sent[request.instance][index];
+                let since = sent.iter().filter(|s| s.at >= report);
+                let own = since.clone().filter(|s| now < s.timing.end);
+                let own = u32::try_from(own.count()).unwrap_or(u32::MAX);
+                let unread = since.filter(|s| now < s.timing.first_token);
+                let unread: u64 = unread.map(|s| s.prompt_tokens).sum();
+                let hints = &self.hints[request.instance];
+                let cached = hints.cached_blocks(&engine.id, &blocks, now);
+                let cached_bytes = cached * BLOCK_BYTES;
+                Candidate {
+                    engine: engine.id.clone(),
+                    distance_ms: 1.0,
+                    suspect: false,
+                    slots: engine.slots,
+                    prefill_tokens_per_second: engine.prefill_per_s,
+                    running: running + own,
+                    waiting_tokens: waiting + unread,
+                    service_ms: self.service_ms,
+                    report_age_ms: age,
+                    cached_tokens: (cached_bytes / BYTES_PER_TOKEN) as u64,
+                }
+            })
+            .collect()
+    }
+}
+
+/// Makes the blocks of a prompt whose beginning is shared.
+fn blocks_of(work: Work) -> Vec<u64> {
+    let tokens_a_block = (BLOCK_BYTES / BYTES_PER_TOKEN) as u64;
+    let shared = work.shared_tokens / tokens_a_block;
+    (0..shared).map(|block| u64::from(work.prefix) << 32 | block).collect()
+}
--- /dev/null
+++ b/crates/valehold-standin/src/experiment/mod.rs
@@ -0,0 +1,23 @@
+//! Experiments: the real decisions against fake engines, on a clock of the
+//! experiment's own.
+//!
+//! One run drives the placement, routing and admission of `valehold-core`
+//! through a trace of requests, and does the same with simple baselines. The
+//! fake engines model only what matters for attainment and moves: slots,
+//! the reading of prompts, prefix caches, memory, load times, and reports
+//! that lag. Given a seed, every figure is the same each time.
+//!
+//! What is left out: the network between processes, retries, limits, and
+//! engines that honour priorities.
+
+mod baselines;
+mod driver;
+mod fleet;
+mod table;
+mod trace;
+
+pub use self::{
+    driver::{Policy, run},
+    table::{Figures, Summary, table},
+    trace::{Scenario, User},
+};
--- a/crates/valehold-standin/src/lib.rs
+++ b/crates/valehold-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! `valehold_platform::http`, and has fault switches, see [`Faults`].
 
 mod engine;
+pub mod experiment;
 mod fault;
 mod platform;
 mod server;
