Placement weighs reading as well as slots; the load guard on prefixes goes

Cause: prompts that others share were read again on one engine while its neighbours idled in the experiment with long manuals: demand was counted in slots alone, and reading is what runs short there. Change: demand carries the tokens read, an engine's load is that of its slots or its reading, whichever is shorter.

--- a/crates/valehold-core/src/config/deployment.rs
+++ b/crates/valehold-core/src/config/deployment.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Artifact, DataCentreId, ModelName, ServiceName, UpstreamId};
+use crate::{
+    id::{Artifact, DataCentreId, ModelName, ServiceName, UpstreamId},
+    placement::Capacity,
+};
 
 /// Everything that `deployment.toml` declares.
 #[derive(Debug, Clone, Deserialize)]
@@ -158,6 +161,14 @@
     pub fn usable_mib(&self) -> u64 {
         self.memory_mib.saturating_sub(self.kv_floor_mib)
     }
+
+    /// Returns what it can do at once.
+    pub fn capacity(&self) -> Capacity {
+        Capacity {
+            slots: f64::from(self.slots),
+            tokens_read: self.prefill_tokens_per_second,
+        }
+    }
 }
 
 const fn default_instances() -> u32 {
--- a/crates/valehold-core/src/demand.rs
+++ b/crates/valehold-core/src/demand.rs
@@ -39,6 +39,7 @@
     arrivals: u32,
     rate: f64,
     service_s: f64,
+    read_tokens: f64,
 }
 
 /// The estimates of one instance.
@@ -66,14 +67,23 @@
 
     /// Notes that a request arrived, also one that was refused for want of
     /// capacity.
-    pub fn arrived(&mut self, artifact: &Artifact) {
-        self.entry(artifact).arrivals += 1;
+    pub fn arrived(&mut self, artifact: &Artifact, prompt_tokens: u64) {
+        self.entry(artifact, prompt_tokens).arrivals += 1;
     }
 
-    /// Notes that a request ended after keeping a slot for so long.
-    pub fn finished(&mut self, artifact: &Artifact, service_s: f64) {
-        let entry = self.entry(artifact);
+    /// Notes that a request ended after keeping a slot for so long, and
+    /// having so many tokens of its prompt read.
+    pub fn finished(
+        &mut self,
+        artifact: &Artifact,
+        service_s: f64,
+        read_tokens: u64,
+    ) {
+        let entry = self.entry(artifact, read_tokens);
         entry.service_s += SERVICE_WEIGHT * (service_s - entry.service_s);
+        #[allow(clippy::cast_precision_loss)]
+        let read = read_tokens as f64;
+        entry.read_tokens += SERVICE_WEIGHT * (read - entry.read_tokens);
     }
 
     /// Closes the window if it has been open for long enough.
@@ -111,17 +121,25 @@
             let demand = ModelDemand {
                 requests_per_second: estimate.rate,
                 service_s: estimate.service_s,
+                read_tokens: estimate.read_tokens,
             };
             (artifact.clone(), demand)
         });
         demand.collect()
     }
 
-    fn entry(&mut self, artifact: &Artifact) -> &mut Estimate {
+    fn entry(
+        &mut self,
+        artifact: &Artifact,
+        first_tokens: u64,
+    ) -> &mut Estimate {
+        #[allow(clippy::cast_precision_loss)]
+        let read_tokens = first_tokens as f64;
         let first = Estimate {
             arrivals: 0,
             rate: 0.0,
             service_s: self.settings.first_service_s,
+            read_tokens,
         };
         self.estimates.entry(artifact.clone()).or_insert(first)
     }
@@ -136,8 +154,11 @@
         let entry = sum.entry(artifact.clone()).or_default();
         let rate = entry.requests_per_second + more.requests_per_second;
         if rate > 0.0 {
-            // The mean of the service times, by how often each came.
-            entry.service_s = (entry.slots() + more.slots()) / rate;
+            // The means, by how often each came.
+            let service_s = (entry.slots() + more.slots()) / rate;
+            let read = (entry.tokens_read() + more.tokens_read()) / rate;
+            entry.service_s = service_s;
+            entry.read_tokens = read;
         }
         entry.requests_per_second = rate;
     }
--- a/crates/valehold-core/src/demand/tests.rs
+++ b/crates/valehold-core/src/demand/tests.rs
@@ -18,7 +18,7 @@
     let mut now = 0;
     for _ in 0..6 {
         for _ in 0..100 {
-            estimator.arrived(&artifact);
+            estimator.arrived(&artifact, 10);
         }
         now += 1_000;
         estimator.close_window(Millis::new(now));
@@ -35,10 +35,15 @@
 #[gtest]
 fn demand_of_several_instances_adds_up() {
     let artifact = Artifact::new("m", 1);
-    let one = ModelDemand { requests_per_second: 1.0, service_s: 1.0 };
-    let three = ModelDemand { requests_per_second: 3.0, service_s: 2.0 };
-    let mut sum = [(artifact.clone(), one)].into();
-    add(&mut sum, &[(artifact.clone(), three)].into());
+    let demand = |requests_per_second, service_s, read_tokens| ModelDemand {
+        requests_per_second,
+        service_s,
+        read_tokens,
+    };
+    let mut sum = [(artifact.clone(), demand(1.0, 1.0, 100.0))].into();
+    let more = [(artifact.clone(), demand(3.0, 2.0, 20.0))].into();
+    add(&mut sum, &more);
     expect_that!(sum[&artifact].requests_per_second, approx_eq(4.0));
     expect_that!(sum[&artifact].service_s, approx_eq(7.0 / 4.0));
+    expect_that!(sum[&artifact].read_tokens, approx_eq(160.0 / 4.0));
 }
--- a/crates/valehold-core/src/placement/mod.rs
+++ b/crates/valehold-core/src/placement/mod.rs
@@ -16,5 +16,5 @@
     forecast::forecast,
     pack::{EngineRoom, PackFault, Packing, pack},
     planner::{Action, EngineView, Planner, Reason, StepKind},
-    spread::{ModelDemand, Spread},
+    spread::{Capacity, ModelDemand, Spread},
 };
--- a/crates/valehold-core/src/placement/planner.rs
+++ b/crates/valehold-core/src/placement/planner.rs
@@ -5,7 +5,7 @@
     fmt,
 };
 
-use super::spread::{ModelDemand, Spread};
+use super::spread::{Capacity, ModelDemand, Spread};
 use crate::{
     config::{Served, Weighing},
     id::{Artifact, DataCentreId, ModelName, UpstreamId},
@@ -20,8 +20,8 @@
     pub data_centre: DataCentreId,
     /// Memory that weights may take and no claim is on, in MiB.
     pub free_mib: u64,
-    /// How many requests it decodes at once.
-    pub slots: u32,
+    /// What it can do at once.
+    pub capacity: Capacity,
     /// Whether it may be given new artifacts.
     pub takes_work: bool,
     /// The artifacts that requests can be sent to.
@@ -540,11 +540,11 @@
     }
 
     fn spread(&self, step: Option<(usize, &Served, &[Artifact])>) -> Spread {
-        let slots = self
+        let capacities = self
             .engines
             .iter()
             .filter(|e| e.takes_work)
-            .map(|e| (e.engine.clone(), f64::from(e.slots)))
+            .map(|e| (e.engine.clone(), e.capacity))
             .collect();
         let mut holders: BTreeMap<&Artifact, Vec<&UpstreamId>> =
             BTreeMap::new();
@@ -568,7 +568,7 @@
                 entry.push(&engine.engine);
             }
         }
-        Spread::new(&slots, &holders, self.demand)
+        Spread::new(&capacities, &holders, self.demand)
     }
 
     fn load(&mut self, index: usize, served: &Served, reason: Reason) -> bool {
--- a/crates/valehold-core/src/placement/spread.rs
+++ b/crates/valehold-core/src/placement/spread.rs
@@ -19,6 +19,8 @@
     pub requests_per_second: f64,
     /// For how long a request keeps a slot, in seconds.
     pub service_s: f64,
+    /// How many prompt tokens an engine reads for a request.
+    pub read_tokens: f64,
 }
 
 impl ModelDemand {
@@ -26,6 +28,20 @@
     pub fn slots(&self) -> f64 {
         self.requests_per_second * self.service_s
     }
+
+    /// Returns how many prompt tokens are read in a second.
+    pub fn tokens_read(&self) -> f64 {
+        self.requests_per_second * self.read_tokens
+    }
+}
+
+/// What an engine can do at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Capacity {
+    /// Requests that it decodes at once.
+    pub slots: f64,
+    /// Prompt tokens that it reads in a second.
+    pub tokens_read: f64,
 }
 
 /// Demand spread over engines, and what of it is answered in time.
@@ -40,18 +56,17 @@
     /// Spreads demand as the instances' routing would: towards the engines
     /// with more room.
     ///
-    /// `slots` are the slots of each engine; `holders` the engines that hold
-    /// each artifact.
+    /// `holders` are the engines that hold each artifact.
     pub fn new(
-        slots: &BTreeMap<UpstreamId, f64>,
+        capacities: &BTreeMap<UpstreamId, Capacity>,
         holders: &BTreeMap<&Artifact, Vec<&UpstreamId>>,
         demand: &BTreeMap<Artifact, ModelDemand>,
     ) -> Self {
         let mut shares = even_shares(holders, demand);
-        let mut load = load_of(slots, &shares, demand);
+        let mut load = load_of(capacities, &shares, demand);
         for _ in 0..ROUNDS {
             shift(&mut shares, &load);
-            load = load_of(slots, &shares, demand);
+            load = load_of(capacities, &shares, demand);
         }
         let mut spread = Self { load, ..Self::default() };
         for (artifact, asked) in demand {
@@ -73,7 +88,8 @@
         self.in_time
     }
 
-    /// Returns an engine's load, of its capacity.
+    /// Returns an engine's load, of its capacity: of its slots or of its
+    /// reading, whichever is shorter.
     pub fn load(&self, engine: &UpstreamId) -> f64 {
         self.load.get(engine).copied().unwrap_or(0.0)
     }
@@ -120,24 +136,25 @@
 }
 
 fn load_of(
-    slots: &BTreeMap<UpstreamId, f64>,
+    capacities: &BTreeMap<UpstreamId, Capacity>,
     shares: &Shares<'_>,
     demand: &BTreeMap<Artifact, ModelDemand>,
 ) -> BTreeMap<UpstreamId, f64> {
-    let mut busy: BTreeMap<UpstreamId, f64> =
-        slots.keys().map(|engine| (engine.clone(), 0.0)).collect();
+    let mut busy: BTreeMap<&UpstreamId, (f64, f64)> = BTreeMap::new();
     for (artifact, engines) in shares {
-        let asked = demand.get(*artifact).map_or(0.0, ModelDemand::slots);
+        let asked = demand.get(*artifact).copied().unwrap_or_default();
         for (engine, share) in engines {
-            if let Some(busy) = busy.get_mut(*engine) {
-                *busy += asked * share;
-            }
+            let (slots, read) = busy.entry(engine).or_default();
+            *slots += asked.slots() * share;
+            *read += asked.tokens_read() * share;
         }
     }
-    for (engine, busy) in &mut busy {
-        *busy /= slots.get(engine).copied().unwrap_or(1.0).max(1.0);
-    }
-    busy
+    let load = capacities.iter().map(|(engine, capacity)| {
+        let (slots, read) = busy.get(engine).copied().unwrap_or_default();
+        let load = (slots / capacity.slots).max(read / capacity.tokens_read);
+        (engine.clone(), load)
+    });
+    load.collect()
 }
 
 fn shift(shares: &mut Shares<'_>, load: &BTreeMap<UpstreamId, f64>) {
--- a/crates/valehold-core/src/placement/tests.rs
+++ b/crates/valehold-core/src/placement/tests.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 
 use super::{
-    Action, EngineRoom, EngineView, ModelDemand, PackFault, Planner, Reason,
-    StepKind, forecast, pack,
+    Action, Capacity, EngineRoom, EngineView, ModelDemand, PackFault, Planner,
+    Reason, StepKind, forecast, pack,
 };
 use crate::{
     Millis,
@@ -45,7 +45,7 @@
         engine: UpstreamId::new(format!("e{index}")),
         data_centre: DataCentreId::new(format!("d{}", index % 2)),
         free_mib: usable_mib,
-        slots: 4,
+        capacity: Capacity { slots: 4.0, tokens_read: 1_000.0 },
         takes_work: true,
         reachable: BTreeSet::new(),
         claimed: BTreeMap::new(),
@@ -177,7 +177,7 @@
 }
 
 fn rate(requests_per_second: f64) -> ModelDemand {
-    ModelDemand { requests_per_second, service_s: 1.0 }
+    ModelDemand { requests_per_second, service_s: 1.0, read_tokens: 10.0 }
 }
 
 /// A set of models and adapters that engines of 100 MiB hold, with room.
@@ -318,7 +318,7 @@
     for second in 1..=400_u64 {
         let busy = if (second / 20) % 2 == 0 { &a } else { &b };
         for _ in 0..8 {
-            estimator.arrived(busy);
+            estimator.arrived(busy, 10);
         }
         estimator.close_window(Millis::new(second * 1_000));
         world.round(&all, &estimator.demand(), weighing, 1);
--- a/crates/valehold-core/src/routing.rs
+++ b/crates/valehold-core/src/routing.rs
@@ -28,19 +28,11 @@
     pub doubt_per_ms: f64,
     /// How much of a prompt's cached part is counted on, from 0 to 1.
     pub prefix_trust: f64,
-    /// The load above which cached prefixes are not counted on, of the
-    /// slots. Without it, a popular prefix piles requests on one engine.
-    pub prefix_load_guard: f64,
 }
 
 impl Default for RoutingSettings {
     fn default() -> Self {
-        Self {
-            least_doubt_ms: 3.0,
-            doubt_per_ms: 0.01,
-            prefix_trust: 0.9,
-            prefix_load_guard: 0.9,
-        }
+        Self { least_doubt_ms: 3.0, doubt_per_ms: 0.01, prefix_trust: 0.9 }
     }
 }
 
@@ -195,11 +187,6 @@
     prompt_tokens: u64,
     settings: &RoutingSettings,
 ) -> u64 {
-    let load =
-        f64::from(candidate.running) / f64::from(candidate.slots.max(1));
-    if load >= settings.prefix_load_guard {
-        return 0;
-    }
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
--- a/crates/valehold-core/src/routing/tests.rs
+++ b/crates/valehold-core/src/routing/tests.rs
@@ -38,14 +38,6 @@
     expect_that!(warm.prompt_ms, approx_eq(10.0));
 }
 
-#[gtest]
-fn a_loaded_engines_cache_is_not_counted_on() {
-    let settings = RoutingSettings::default();
-    let loaded =
-        Candidate { cached_tokens: 100, running: 4, ..candidate("a") };
-    expect_that!(predict(&loaded, 100, &settings).cached_tokens, eq(0));
-}
-
 #[gtest]
 fn suspect_engines_are_chosen_only_where_no_other_is_left() {
     let settings = RoutingSettings::default();
--- a/crates/valehold-instance/src/control/cell.rs
+++ b/crates/valehold-instance/src/control/cell.rs
@@ -713,7 +713,7 @@
         engine: engine.name.clone(),
         data_centre: engine.data_centre.clone(),
         free_mib: account.free_mib(),
-        slots: engine.slots,
+        capacity: engine.capacity(),
         takes_work,
         reachable: artifacts().filter(|a| account.is_reachable(a)).collect(),
         claimed: account
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -318,9 +318,11 @@
 
     fn take_report(&mut self, report: Report) {
         match report {
-            Report::Arrived(artifact) => self.estimator.arrived(&artifact),
-            Report::Served { artifact, service_s } => {
-                self.estimator.finished(&artifact, service_s);
+            Report::Arrived { artifact, prompt_tokens } => {
+                self.estimator.arrived(&artifact, prompt_tokens);
+            }
+            Report::Served { artifact, service_s, read_tokens } => {
+                self.estimator.finished(&artifact, service_s, read_tokens);
             }
             Report::Succeeded(upstream) => {
                 self.upstreams.succeeded(&upstream);
--- a/crates/valehold-instance/src/operators.rs
+++ b/crates/valehold-instance/src/operators.rs
@@ -291,7 +291,7 @@
             engine: engine.name.clone(),
             data_centre: engine.data_centre.clone(),
             free_mib: engine.usable_mib().saturating_sub(taken),
-            slots: engine.slots,
+            capacity: engine.capacity(),
             takes_work: true,
             reachable: resident,
             claimed,
--- a/crates/valehold-instance/src/shared.rs
+++ b/crates/valehold-instance/src/shared.rs
@@ -50,13 +50,20 @@
 #[derive(Debug)]
 pub enum Report {
     /// A request for an artifact arrived.
-    Arrived(Artifact),
+    Arrived {
+        /// The artifact.
+        artifact: Artifact,
+        /// The length of its prompt.
+        prompt_tokens: u64,
+    },
     /// An engine worked on a request for so long.
     Served {
         /// The artifact.
         artifact: Artifact,
         /// For how long it kept a slot, in seconds.
         service_s: f64,
+        /// How many tokens of its prompt were not cached.
+        read_tokens: u64,
     },
     /// A request to an upstream succeeded.
     Succeeded(UpstreamId),
--- a/crates/valehold-instance/src/traffic/answer.rs
+++ b/crates/valehold-instance/src/traffic/answer.rs
@@ -15,44 +15,52 @@
 use super::{App, outstanding::UnderWay};
 use crate::{shared::Report, snapshot::EngineRoute};
 
+/// What an attempt that succeeded leaves.
+pub(super) struct Begun {
+    pub(super) engine: EngineRoute,
+    pub(super) artifact: Artifact,
+    pub(super) gate: StreamGate,
+    pub(super) frames: FrameStream,
+    pub(super) first: Payload,
+    pub(super) under_way: UnderWay,
+    /// How many tokens of the prompt were taken for not cached.
+    pub(super) read_tokens: u64,
+}
+
 /// An answer of which the first piece has come.
 pub(super) struct Answer {
     app: Arc<App>,
+    workspace: WorkspaceId,
     engine: EngineRoute,
     artifact: Artifact,
-    workspace: WorkspaceId,
     gate: StreamGate,
     frames: FrameStream,
     first: Option<Payload>,
-    resumed: u32,
     under_way: UnderWay,
+    read_tokens: u64,
+    resumed: u32,
     began: Millis,
     last: Millis,
 }
 
 impl Answer {
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn new(
         app: Arc<App>,
-        engine: EngineRoute,
-        artifact: Artifact,
         workspace: WorkspaceId,
-        gate: StreamGate,
-        frames: FrameStream,
-        first: Payload,
-        under_way: UnderWay,
+        begun: Begun,
     ) -> Self {
         let now = app.shared.clock.now();
         Self {
             app,
-            engine,
-            artifact,
             workspace,
-            gate,
-            frames,
-            first: Some(first),
+            engine: begun.engine,
+            artifact: begun.artifact,
+            gate: begun.gate,
+            frames: begun.frames,
+            first: Some(begun.first),
+            under_way: begun.under_way,
+            read_tokens: begun.read_tokens,
             resumed: 0,
-            under_way,
             began: now,
             last: now,
         }
@@ -153,6 +161,7 @@
         self.app.shared.report(Report::Served {
             artifact: self.artifact.clone(),
             service_s: service_ms / 1_000.0,
+            read_tokens: self.read_tokens,
         });
     }
 }
--- a/crates/valehold-instance/src/traffic/generate.rs
+++ b/crates/valehold-instance/src/traffic/generate.rs
@@ -19,7 +19,12 @@
     port::{FrameStream, GenerateRequest, PromptKind},
 };
 
-use super::{App, answer::Answer, refusal::Refused, trace::Trace};
+use super::{
+    App,
+    answer::{Answer, Begun},
+    refusal::Refused,
+    trace::Trace,
+};
 use crate::{
     shared::Report,
     snapshot::{EngineRoute, Snapshot, Target},
@@ -81,8 +86,11 @@
                 self.app.retries.first_attempt(workspace, &engine);
             }
             self.made += 1;
+            let read_tokens = self.uncached_tokens(&choice);
             trace.attempt(&engine, Some(choice), self.retry.take());
-            match self.attempt(trace.request(), route, target).await {
+            let attempt =
+                self.attempt(trace.request(), route, target, read_tokens);
+            match attempt.await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => self.failed(trace, &engine, &error)?,
             }
@@ -249,12 +257,21 @@
         }
     }
 
+    /// Returns how many tokens of the prompt the chosen engine has to read.
+    fn uncached_tokens(&self, choice: &Choice) -> u64 {
+        let mut predictions = choice.predictions.iter();
+        let chosen = predictions.find(|p| p.engine == choice.engine);
+        let cached = chosen.map_or(0, |prediction| prediction.cached_tokens);
+        self.job.prompt_tokens.saturating_sub(cached)
+    }
+
     /// Makes one attempt: sends, and waits for the first piece.
     async fn attempt(
         &self,
         request: &RequestId,
         engine: EngineRoute,
         target: Target,
+        read_tokens: u64,
     ) -> Result<Answer, PortError> {
         let app = &self.app;
         let now = app.shared.clock.now();
@@ -286,16 +303,17 @@
         under_way.prompt_read();
         app.shared.hints().note(&engine.id, &self.job.blocks, now);
         app.shared.report(Report::Succeeded(engine.id.clone()));
-        Ok(Answer::new(
-            app.clone(),
+        let begun = Begun {
             engine,
-            target.artifact,
-            self.job.workspace.name.clone(),
+            artifact: target.artifact,
             gate,
             frames,
             first,
             under_way,
-        ))
+            read_tokens,
+        };
+        let workspace = self.job.workspace.name.clone();
+        Ok(Answer::new(app.clone(), workspace, begun))
     }
 }
 
--- a/crates/valehold-instance/src/traffic/handlers.rs
+++ b/crates/valehold-instance/src/traffic/handlers.rs
@@ -72,7 +72,10 @@
         ));
     };
     // Before the limits: what is refused for them is demand all the same.
-    app.shared.report(Report::Arrived(served.artifact.clone()));
+    app.shared.report(Report::Arrived {
+        artifact: served.artifact.clone(),
+        prompt_tokens: prompt.prompt_tokens,
+    });
     let in_flight = app.usage.enter(
         &workspace,
         snapshot.grants.get(&workspace.name).copied().unwrap_or_default(),
--- a/crates/valehold-standin/examples/measure.rs
+++ b/crates/valehold-standin/examples/measure.rs
@@ -29,16 +29,13 @@
     };
     let shipped = RoutingSettings::default();
     match compared {
-        "prefix" => [
-            ("guarded, as shipped", shipped),
-            ("off", RoutingSettings { prefix_trust: 0.0, ..shipped }),
-            (
-                "unguarded",
-                RoutingSettings { prefix_load_guard: 1e9, ..shipped },
-            ),
-        ]
-        .map(|(name, routing)| ours(name.to_owned(), None, routing))
-        .into(),
+        "prefix" => [0.0, 0.5, 0.9, 1.0]
+            .map(|prefix_trust| {
+                let name = format!("prefixes trusted by {prefix_trust}");
+                let routing = RoutingSettings { prefix_trust, ..shipped };
+                ours(name, None, routing)
+            })
+            .into(),
         "doubt" => [(3.0, 0.01), (3.0, 0.0), (0.001, 0.0), (30.0, 0.1)]
             .map(|(least_doubt_ms, doubt_per_ms)| {
                 let name = format!("{least_doubt_ms} + {doubt_per_ms} age");
--- a/crates/valehold-standin/src/experiment/driver.rs
+++ b/crates/valehold-standin/src/experiment/driver.rs
@@ -188,7 +188,7 @@
             engine: engine.id.clone(),
             data_centre: engine.data_centre.clone(),
             free_mib: engine.usable_mib,
-            slots: engine.slots,
+            capacity: engine.capacity(),
             takes_work: true,
             reachable: Default::default(),
             claimed: Default::default(),
@@ -343,7 +343,7 @@
                 engine: engine.id.clone(),
                 data_centre: engine.data_centre.clone(),
                 free_mib: account.free_mib(),
-                slots: engine.slots,
+                capacity: engine.capacity(),
                 takes_work: engine.alive,
                 reachable: all()
                     .filter(|a| engine.alive && account.is_reachable(a))
@@ -362,7 +362,8 @@
     fn request(&mut self, world: &mut World<'_>, request: &Request) {
         let now = request.at;
         let served = world.served(&request.model).clone();
-        self.estimator.arrived(&served.artifact);
+        let tokens = request.work.prompt_tokens;
+        self.estimator.arrived(&served.artifact, tokens);
         let candidates = self.candidates(world, request, &served);
         let draw = world.random.random();
         let tokens = request.work.prompt_tokens;
@@ -390,14 +391,24 @@
             }
         };
         let engine = engine.clone();
-        self.send(world, request, &served.artifact, &engine, now);
+        let cached = choice
+            .predictions
+            .iter()
+            .find(|prediction| prediction.engine == engine)
+            .map_or(0, |prediction| prediction.cached_tokens);
+        let read = tokens.saturating_sub(cached);
+        self.estimator.finished(
+            &served.artifact,
+            service_s(request.work),
+            read,
+        );
+        self.send(world, request, &engine, now);
     }
 
     fn send(
         &mut self,
         world: &mut World<'_>,
         request: &Request,
-        artifact: &Artifact,
         engine: &UpstreamId,
         now: Millis,
     ) {
@@ -405,10 +416,8 @@
         let index = index.expect("the engine is there");
         let blocks = blocks_of(request.work);
         self.hints[request.instance].note(engine, &blocks, now);
-        #[allow(clippy::cast_precision_loss)]
-        let service_ms = (request.work.answer_tokens * TOKEN_MS) as f64;
+        let service_ms = service_s(request.work) * 1_000.0;
         self.service_ms += 0.05 * (service_ms - self.service_ms);
-        self.estimator.finished(artifact, service_ms / 1_000.0);
         let timing = world.send(index, request, now);
         let prompt_tokens = request.work.prompt_tokens;
         let sent = Sent { at: now, prompt_tokens, timing };
@@ -463,6 +472,12 @@
     }
 }
 
+/// Returns for how long a request keeps a slot, in seconds.
+#[allow(clippy::cast_precision_loss)]
+fn service_s(work: Work) -> f64 {
+    (work.answer_tokens * TOKEN_MS) as f64 / 1_000.0
+}
+
 /// Makes the blocks of a prompt whose beginning is shared.
 fn blocks_of(work: Work) -> Vec<u64> {
     let tokens_a_block = (BLOCK_BYTES / BYTES_PER_TOKEN) as u64;
--- a/crates/valehold-standin/src/experiment/trace.rs
+++ b/crates/valehold-standin/src/experiment/trace.rs
@@ -64,13 +64,15 @@
     LateReports,
     /// The weight store is four times slower, in a frost night.
     SlowWeights,
+    /// Prompts are long manuals that many requests share.
+    LongManuals,
     /// The table is down through the peak of a frost night.
     StoreDown,
 }
 
 impl Scenario {
     /// Every scenario.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Steady,
         Self::FrostNight,
         Self::Holiday,
@@ -79,6 +81,7 @@
         Self::LateReports,
         Self::SlowWeights,
         Self::StoreDown,
+        Self::LongManuals,
     ];
 
     /// Returns its name in tables.
@@ -92,6 +95,7 @@
             Self::LateReports => "reports 5 s old",
             Self::SlowWeights => "weight store slow",
             Self::StoreDown => "store down at peak",
+            Self::LongManuals => "long manuals",
         }
     }
 
@@ -116,10 +120,42 @@
         self != Self::StoreDown || !(0.25..0.75).contains(&part)
     }
 
+    /// How many times longer prompts are, which part of them others share,
+    /// and how many different beginnings a model's prompts have.
+    fn prompts(self) -> (f64, f64, u32) {
+        match self {
+            Self::LongManuals => (5.0, 0.9, 12),
+            _ => (1.0, 0.5, 3),
+        }
+    }
+
+    /// Draws the size of a request.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn work(self, user: User, model: usize, random: &mut StdRng) -> Work {
+        let (longer, shared, beginnings) = self.prompts();
+        let (prompt, answer) = user.mean_tokens();
+        let prompt_tokens = spread(prompt * longer, random);
+        let model = u32::try_from(model).unwrap_or(0);
+        let beginning = random.random_range(0..beginnings);
+        Work {
+            prompt_tokens,
+            shared_tokens: (prompt_tokens as f64 * shared) as u64,
+            prefix: model * beginnings + beginning,
+            answer_tokens: spread(answer, random),
+        }
+    }
+
     /// By how much a model's demand is multiplied at a part of the run.
     fn factor(self, model: usize, models: usize, part: f64) -> f64 {
         match self {
-            Self::Steady | Self::EngineLost | Self::DataCentreLost => 1.0,
+            Self::Steady
+            | Self::EngineLost
+            | Self::DataCentreLost
+            | Self::LongManuals => 1.0,
             Self::Holiday => {
                 let peak = (part * std::f64::consts::PI).sin();
                 if model % 9 == 0 { 1.0 + 6.0 * peak } else { 0.8 }
@@ -174,7 +210,7 @@
                     at: Millis::new(step * STEP_MS + offset),
                     model: served.artifact.name.clone(),
                     instance: random.random_range(0..instances),
-                    work: work(user, index, &mut random),
+                    work: scenario.work(user, index, &mut random),
                 });
             }
         }
@@ -192,20 +228,6 @@
     weights.into_iter().map(|w| w / total).collect()
 }
 
-fn work(user: User, model: usize, random: &mut StdRng) -> Work {
-    const PREFIXES_A_MODEL: u32 = 3;
-    let (prompt, answer) = user.mean_tokens();
-    let prompt_tokens = spread(prompt, random);
-    let model = u32::try_from(model).unwrap_or(0);
-    Work {
-        prompt_tokens,
-        shared_tokens: prompt_tokens / 2,
-        prefix: model * PREFIXES_A_MODEL
-            + random.random_range(0..PREFIXES_A_MODEL),
-        answer_tokens: spread(answer, random),
-    }
-}
-
 /// Draws a size between half and one and a half of the mean.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn spread(mean: f64, random: &mut StdRng) -> u64 {
