--- a/crates/valehold-standin/src/experiment/trace.rs
+++ b/crates/valehold-standin/src/experiment/trace.rs
@@ -158,11 +158,11 @@
             | Self::LongManuals => 1.0,
             Self::Holiday => {
                 let peak = (part * std::f64::consts::PI).sin();
-                if model % 9 == 0 { 1.0 + 6.0 * peak } else { 0.8 }
+                if model.is_multiple_of(9) { 1.0 + 6.0 * peak } else { 0.8 }
             }
             _ => {
                 // The models that wake are those that sleep otherwise.
-                let wakes = model >= models / 4 && model % 3 == 0;
+                let wakes = model >= models / 4 && model.is_multiple_of(3);
                 let is_night = (0.25..0.75).contains(&part);
                 match (wakes, is_night) {
                     (true, true) => 10.0,
