Control made cheaper where its slopes were measured; capacity and footprint

Cause: the new capacity program showed costs that grow with the square of their size, and heartbeats that carry demand to every peer.

--- a/crates/valehold-cli/tests/support/mod.rs
+++ b/crates/valehold-cli/tests/support/mod.rs
@@ -59,8 +59,12 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).unwrap();
+        let pid = i32::try_from(self.id()).unwrap();
         kill_process(Pid::from_raw(pid).unwrap(), signal).unwrap();
     }
 
@@ -107,9 +111,11 @@
 
 /// Returns the path of a program that this workspace builds.
 fn program(name: &str) -> PathBuf {
-    let valehold = Path::new(env!("CARGO_BIN_EXE_valehold"));
-    let path = valehold.with_file_name(name);
-    assert!(path.exists(), "{name} is built by `cargo test --workspace`");
+    // Tests and examples lie one folder below the programs.
+    let own = std::env::current_exe().unwrap();
+    let folder = own.parent().unwrap().parent().unwrap();
+    let path = folder.join(name);
+    assert!(path.exists(), "{name} is built by `cargo build --workspace`");
     path
 }
 
@@ -140,10 +146,22 @@
     /// Starts stand-ins for an example, and instances.
     pub async fn start(example: &str, instances: usize, keep_s: u64) -> Self {
         let folder = tempfile::tempdir().unwrap();
+        let files = copy_example(example, folder.path());
+        Self::start_in(folder, &files, Pace::default(), instances, keep_s)
+            .await
+    }
+
+    /// Starts stand-ins for the declarations in a folder, and instances.
+    pub async fn start_in(
+        folder: tempfile::TempDir,
+        files: &Files,
+        pace: Pace,
+        instances: usize,
+        keep_s: u64,
+    ) -> Self {
         let directory = folder.path().to_owned();
-        let files = copy_example(example, &directory);
-        let config = Config::try_from_files(&files).unwrap();
-        let site = Site::start(&config, Pace::default()).await.unwrap();
+        let config = Config::try_from_files(files).unwrap();
+        let site = Site::start(&config, pace).await.unwrap();
         let mut deployment = Self {
             site,
             instances: Vec::new(),
--- a/crates/valehold-core/src/account/mod.rs
+++ b/crates/valehold-core/src/account/mod.rs
@@ -22,7 +22,10 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::BTreeMap, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use crate::{
     chart::library::{
@@ -416,15 +419,16 @@
         for reported in &report.artifacts {
             self.observe_present(reported, asked);
         }
-        let present: Vec<&Artifact> =
+        let present: BTreeSet<&Artifact> =
             report.artifacts.iter().map(|r| &r.artifact).collect();
+        let fences: BTreeMap<&Artifact, Stamp> =
+            report.fences.iter().map(|(a, stamp)| (a, *stamp)).collect();
         let (fenced, bound) = (self.checks_fences, self.late_order_bound_ms);
         for (artifact, entry) in &mut self.entries {
-            if present.contains(&artifact) {
+            if present.contains(artifact) {
                 continue;
             }
-            let obeyed = report.fences.iter().find(|(a, _)| a == artifact);
-            let obeyed = obeyed.map(|(_, stamp)| *stamp);
+            let obeyed = fences.get(artifact).copied();
             observe_absent(entry, obeyed, asked, fenced, bound);
         }
         self.entries.retain(|_, entry| !is_over(entry));
--- a/crates/valehold-core/src/limit.rs
+++ b/crates/valehold-core/src/limit.rs
@@ -123,7 +123,7 @@
 pub struct Grantor {
     term_ms: u64,
     grants_from: Millis,
-    given: BTreeMap<(WorkspaceId, InstanceId), Vec<Given>>,
+    given: BTreeMap<WorkspaceId, BTreeMap<InstanceId, Vec<Given>>>,
 }
 
 impl Grantor {
@@ -160,8 +160,8 @@
         // Earlier grants still run and stay in the book: the receiver keeps
         // to the newest, but that one may be lost on its way.
         let until = now + self.term_ms;
-        let key = (workspace.clone(), instance.clone());
-        let given = self.given.entry(key).or_default();
+        let given = self.given.entry(workspace.clone()).or_default();
+        let given = given.entry(instance.clone()).or_default();
         given.retain(|g| g.until > now);
         given.push(Given { part, until });
         Grant { part, term_ms: self.term_ms }
@@ -174,10 +174,9 @@
         instance: &InstanceId,
         now: Millis,
     ) -> f64 {
-        let others: f64 = self
-            .given
-            .iter()
-            .filter(|((w, i), _)| w == workspace && i != instance)
+        let given = self.given.get(workspace).into_iter().flatten();
+        let others: f64 = given
+            .filter(|(other, _)| *other != instance)
             .map(|(_, given)| largest_running(given, now))
             .sum();
         (1.0 - EVEN_PART - others).max(0.0)
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -37,10 +37,10 @@
     shared::{Report, Shared},
 };
 
-/// How often time passes for the control state.
+/// How often time passes for the control state, and a snapshot is published.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How many inputs are taken before a snapshot is published.
+/// How many inputs are taken in one go.
 const INPUTS_AT_ONCE: usize = 256;
 
 /// Something that the control state takes in.
@@ -196,8 +196,7 @@
         self.estimator.close_window_if_due(now);
         self.config.tick(&self.context, now);
         self.upstreams.tick(&self.context, now);
-        let heartbeat = self.heartbeat();
-        self.peers.tick(&self.context, now, heartbeat);
+        self.beat(now);
         self.tick_cell(now);
         self.grant_own();
         self.tick_drain(now);
@@ -235,7 +234,6 @@
             let Ok(input) = self.taken.try_recv() else { break };
             self.take(input);
         }
-        self.publish();
         let busy = began.elapsed().as_secs_f64();
         self.context.shared.metrics.control_busy(busy);
     }
@@ -307,6 +305,7 @@
         log::info!("revision {revision} is in force");
         self.upstreams.configure(config, now);
         self.live(InstanceEvent::Configured);
+        self.publish();
     }
 
     fn take_reports(&mut self, reports: &mut mpsc::Receiver<Report>) {
@@ -343,10 +342,19 @@
         self.live(InstanceEvent::StopAsked);
         self.cell.step_down(&self.context, now);
         let heartbeat = self.heartbeat();
-        self.peers.beat_now(&self.context, now, heartbeat);
+        self.peers.beat_now(&self.context, now, heartbeat, None);
         self.publish();
     }
 
+    /// Sends heartbeats if they are due.
+    fn beat(&mut self, now: Millis) {
+        let heartbeat = self.heartbeat();
+        let holder = self.cell.holder(now);
+        let estimator = &self.estimator;
+        let demand = || estimator.demand();
+        self.peers.tick(&self.context, now, heartbeat, holder, demand);
+    }
+
     fn live(&mut self, event: InstanceEvent) {
         let next = library::instance_life().next(self.life, event);
         if next != self.life {
--- a/crates/valehold-instance/src/control/peers.rs
+++ b/crates/valehold-instance/src/control/peers.rs
@@ -27,6 +27,9 @@
 /// How often a heartbeat goes to each chosen peer.
 const BEAT_EVERY_MS: u64 = 500;
 
+/// How often the holder of the placement lease is told the demand.
+const DEMAND_EVERY_MS: u64 = 2_000;
+
 /// To how many peers heartbeats go. Up to so many instances all know each
 /// other; beyond that each is watched by so many, see `docs/CAPACITY.md`.
 const BEAT_PEERS: usize = 16;
@@ -76,6 +79,7 @@
     addresses: BTreeMap<InstanceId, SocketAddr>,
     heard: BTreeMap<InstanceId, Heard>,
     beat_at: Option<Millis>,
+    told_demand: Option<Millis>,
     grants: HashMap<WorkspaceId, HeldGrant>,
     asked: BTreeMap<WorkspaceId, f64>,
     asked_at: Millis,
@@ -88,6 +92,7 @@
             addresses: BTreeMap::new(),
             heard: BTreeMap::new(),
             beat_at: None,
+            told_demand: None,
             grants: HashMap::new(),
             asked: BTreeMap::new(),
             asked_at: Millis::default(),
@@ -119,33 +124,55 @@
         context: &Context,
         now: Millis,
         heartbeat: Heartbeat,
+        holder: Option<InstanceId>,
+        demand: impl FnOnce() -> BTreeMap<Artifact, ModelDemand>,
     ) {
         self.heard.retain(|_, heard| now.since(heard.at) < SILENT_MS * 4);
         self.fade_asked(now);
         let due = self.beat_at.is_none_or(|at| now.since(at) >= BEAT_EVERY_MS);
-        if due {
-            self.beat_now(context, now, heartbeat);
+        if !due {
+            return;
+        }
+        let mut for_holder = heartbeat.clone();
+        for_holder.asked = self.asked.clone().into_iter().collect();
+        let told =
+            self.told_demand.is_some_and(|at| now.since(at) < DEMAND_EVERY_MS);
+        if !told {
+            self.told_demand = Some(now);
+            for_holder.demand = Some(demand().into_iter().collect());
         }
+        let for_holder = holder.map(|holder| (holder, for_holder));
+        self.beat_now(context, now, heartbeat, for_holder);
     }
 
-    /// Sends a heartbeat to each chosen peer.
+    /// Sends a heartbeat to each chosen peer, and another to the holder of
+    /// the placement lease.
     pub(super) fn beat_now(
         &mut self,
         context: &Context,
         now: Millis,
         heartbeat: Heartbeat,
+        for_holder: Option<(InstanceId, Heartbeat)>,
     ) {
         self.beat_at = Some(now);
         let own = heartbeat.entry.instance.clone();
         let names: Vec<String> =
             self.addresses.keys().map(ToString::to_string).collect();
         let chosen = rendezvous::owners(own.as_str(), &names, BEAT_PEERS);
+        let mut chosen: Vec<&str> =
+            chosen.into_iter().map(String::as_str).collect();
+        let holder = for_holder.as_ref().map(|(holder, _)| holder.as_str());
+        chosen.extend(holder.filter(|holder| !chosen.contains(holder)));
         for name in chosen {
-            let Some(address) = self.addresses.get(name.as_str()) else {
+            let Some(address) = self.addresses.get(name) else {
                 continue;
             };
             let (link, address) = (self.link.clone(), *address);
-            let ask = Ask::Heartbeat(heartbeat.clone());
+            let beat = match &for_holder {
+                Some((holder, beat)) if holder.as_str() == name => beat,
+                _ => &heartbeat,
+            };
+            let ask = Ask::Heartbeat(beat.clone());
             context.start(async move {
                 let result = link.ask(address, &ask).await;
                 Input::Peer { asked: now, result }
@@ -192,12 +219,17 @@
     /// Takes in a peer's heartbeat.
     pub(super) fn beaten(&mut self, beat: Heartbeat, now: Millis) {
         let id = beat.entry.instance.clone();
+        let before = self.heard.remove(&id);
+        let demand = match beat.demand {
+            Some(demand) => demand.into_iter().collect(),
+            None => before.map(|heard| heard.demand).unwrap_or_default(),
+        };
         let heard = Heard {
             at: now,
             entry: Some(beat.entry),
             life: beat.life,
             revision: beat.revision,
-            demand: beat.demand.into_iter().collect(),
+            demand,
             asked: beat.asked.into_iter().collect(),
         };
         self.heard.insert(id, heard);
--- a/crates/valehold-instance/src/control/publish.rs
+++ b/crates/valehold-instance/src/control/publish.rs
@@ -45,16 +45,15 @@
         shared.snapshot.store(snapshot.into());
     }
 
-    /// Makes this instance's heartbeat.
+    /// Makes this instance's heartbeat, as all but the holder get it.
     pub(super) fn heartbeat(&self) -> Heartbeat {
-        let asked = self.peers.asked();
         Heartbeat {
             entry: self.entry(),
             life: self.life,
             revision: self.config.number(),
             in_flight: self.context.shared.in_flight(),
-            demand: self.estimator.demand().into_iter().collect(),
-            asked: asked.iter().map(|(id, n)| (id.clone(), *n)).collect(),
+            demand: None,
+            asked: Vec::new(),
         }
     }
 
--- a/crates/valehold-instance/src/control/upstreams.rs
+++ b/crates/valehold-instance/src/control/upstreams.rs
@@ -1,8 +1,9 @@
 //! What is known of engines and of the processes of plain services.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use valehold_core::{
@@ -10,7 +11,7 @@
     account::Reported,
     chart::library::UpstreamState,
     config::{Config, Engine},
-    id::{DataCentreId, ServiceName, UpstreamId},
+    id::{Artifact, DataCentreId, ServiceName, UpstreamId},
     membership::Membership,
 };
 use valehold_platform::{
@@ -46,6 +47,7 @@
     asked: Option<Millis>,
     asking: bool,
     status: Option<(Millis, EngineStatus)>,
+    resident: Arc<BTreeSet<Artifact>>,
     restarted: Option<Millis>,
     cache: CacheEventsSeen,
 }
@@ -105,6 +107,7 @@
                 asked: None,
                 asking: false,
                 status: None,
+                resident: Arc::default(),
                 restarted: None,
                 cache: CacheEventsSeen::default(),
             });
@@ -163,6 +166,10 @@
         if status.leaving {
             self.membership.said_leaving(engine);
         }
+        let resident = resident(&status);
+        if *known.resident != resident {
+            known.resident = Arc::new(resident);
+        }
         known.status = Some((asked, status));
     }
 
@@ -249,7 +256,7 @@
                 running: status.running,
                 waiting_tokens: status.waiting_tokens,
                 reported: *reported,
-                resident: resident(status),
+                resident: known.resident.clone(),
             })
         });
         routes.collect()
@@ -259,9 +266,8 @@
     pub(super) fn service_routes(
         &self,
         now: Millis,
-    ) -> std::collections::HashMap<ServiceName, Vec<ServiceRoute>> {
-        let mut routes: std::collections::HashMap<_, Vec<_>> =
-            std::collections::HashMap::new();
+    ) -> HashMap<ServiceName, Vec<ServiceRoute>> {
+        let mut routes: HashMap<_, Vec<_>> = HashMap::new();
         for (id, known) in &self.known {
             let Kind::Service(service) = &known.kind else { continue };
             let Some(address) = known.address else { continue };
@@ -377,7 +383,7 @@
     });
 }
 
-fn resident(status: &EngineStatus) -> BTreeSet<valehold_core::id::Artifact> {
+fn resident(status: &EngineStatus) -> BTreeSet<Artifact> {
     let artifacts = status.residency.artifacts.iter();
     artifacts
         .filter(|reported| reported.state == Reported::Resident)
--- a/crates/valehold-instance/src/operators.rs
+++ b/crates/valehold-instance/src/operators.rs
@@ -283,7 +283,8 @@
     let engines = config.deployment().engine.iter();
     let views = engines.map(|engine| {
         let route = snapshot.engine(&engine.name);
-        let resident = route.map(|r| r.resident.clone()).unwrap_or_default();
+        let resident =
+            route.map(|r| (*r.resident).clone()).unwrap_or_default();
         let claimed: std::collections::BTreeMap<_, _> =
             resident.iter().map(|a| (a.clone(), size(a))).collect();
         let taken: u64 = claimed.values().sum();
--- a/crates/valehold-instance/src/peer/message.rs
+++ b/crates/valehold-instance/src/peer/message.rs
@@ -55,9 +55,10 @@
     pub revision: u64,
     /// Requests it is working on.
     pub in_flight: u32,
-    /// What is asked of each artifact there.
-    pub demand: Vec<(Artifact, ModelDemand)>,
-    /// Requests a second of each workspace there.
+    /// What is asked of each artifact there. Only the holder of the placement
+    /// lease is told, and not in every heartbeat.
+    pub demand: Option<Vec<(Artifact, ModelDemand)>>,
+    /// Requests of each workspace there lately. Only the holder is told.
     pub asked: Vec<(WorkspaceId, f64)>,
 }
 
--- a/crates/valehold-instance/src/snapshot.rs
+++ b/crates/valehold-instance/src/snapshot.rs
@@ -123,8 +123,8 @@
     pub waiting_tokens: u64,
     /// When its last report was asked for.
     pub reported: Millis,
-    /// What can be asked of it.
-    pub resident: BTreeSet<Artifact>,
+    /// What can be asked of it; shared between snapshots until it changes.
+    pub resident: Arc<BTreeSet<Artifact>>,
 }
 
 impl EngineRoute {
--- a/crates/valehold-standin/src/site.rs
+++ b/crates/valehold-standin/src/site.rs
@@ -110,6 +110,15 @@
         self.servers.remove(upstream);
     }
 
+    /// Returns an upstream's address.
+    ///
+    /// # Panics
+    ///
+    /// If there is no such upstream, or it was killed.
+    pub fn address(&self, upstream: &UpstreamId) -> SocketAddr {
+        self.servers[upstream].address()
+    }
+
     /// Returns the platform's address.
     pub fn platform_address(&self) -> SocketAddr {
         self.platform_server.address()
