--- a/crates/valehold-cli/tests/answers.rs
+++ b/crates/valehold-cli/tests/answers.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use http::{Response, StatusCode};
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use valehold_standin::EngineStandin;
 
 use crate::support::{
@@ -149,6 +150,39 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn too_many_headers_are_refused() {
+    let deployment = Deployment::small(1).await;
+    let address = deployment.instances[0].callers;
+    let names: Vec<String> = (0..80).map(|n| format!("x-{n}")).collect();
+    let headers: Vec<(&str, &str)> =
+        names.iter().map(|name| (name.as_str(), "1")).collect();
+    let caller = Caller::new("one");
+    let path = "/v1/chat/completions";
+    let body = r#"{"model": "single", "messages": []}"#.to_owned();
+    let answer = caller.send("POST", address, path, &headers, body).await;
+    let answer = answer.unwrap();
+    expect_that!(answer.status().as_u16(), eq(431), "{answer:?}");
+    expect_that!(code(&answer), eq("too_many_headers"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_sends_its_body_slowly_is_refused() {
+    let deployment = Deployment::small(1).await;
+    let address = deployment.instances[0].callers;
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: \
+                Bearer example-key-one\r\ncontent-length: 100\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let length = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..length]);
+    expect_that!(answer, starts_with("HTTP/1.1 408"));
+    expect_that!(answer, contains_substring("slow_caller"));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_that_fails_half_its_calls_gets_little_more_load() {
--- a/crates/valehold-cli/tests/once.rs
+++ b/crates/valehold-cli/tests/once.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use http::Response;
+use rustix::process::Signal;
 use serde_json::Value;
 
 use crate::support::{Caller, Deployment, eventually};
@@ -103,6 +104,34 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_dies_while_its_call_runs_leaves_one_run() {
+    let deployment = Deployment::small(2).await;
+    let services = &deployment.site.services;
+    services.values().for_each(|s| s.faults.freeze(true));
+    let caller = Caller::new("one");
+    let address = deployment.instances[0].callers;
+    let lost = tokio::spawn(async move {
+        let headers = [("idempotency-key", "dies")];
+        let body = "dies".to_owned();
+        caller.send("POST", address, PATH, &headers, body).await
+    });
+    eventually("the claim is in the table", || async {
+        let claims = deployment.site.platform.rows("once/");
+        (!claims.is_empty()).then_some(())
+    })
+    .await;
+    deployment.instances[0].signal(Signal::KILL);
+    expect_that!(lost.await.unwrap().is_err(), eq(true));
+    services.values().for_each(|s| s.faults.freeze(false));
+    for _ in 0..3 {
+        let again = book(&deployment, 1, "dies").await;
+        expect_that!(seen(&again), eq(&seen_as(409, "maybe")));
+    }
+    expect_that!(runs(&deployment, "dies"), le(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_same_key_for_another_call_is_refused() {
--- a/crates/valehold-cli/tests/support/mod.rs
+++ b/crates/valehold-cli/tests/support/mod.rs
@@ -215,6 +215,7 @@
             "instance = \"{name}\"\n\
              data_centre = \"{place}\"\n\
              [callers]\nlisten = \"127.0.0.1:0\"\naddress_keep_s = {}\n\
+             read_timeout_ms = 2000\n\
              [operators]\nlisten = \"127.0.0.1:0\"\nkey_digest = \"{}\"\n\
              [platform]\naddress = \"{}\"\n\
              [log]\nlevel = \"warn\"\n\
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -46,6 +46,8 @@
         BadRequest = "bad_request",
         /// The workspace does not use this model or service.
         UnknownModel = "unknown_model",
+        /// The request has more headers than the instance takes.
+        TooManyHeaders = "too_many_headers",
         /// The body is larger than the instance takes.
         BodyTooLarge = "body_too_large",
         /// The caller sent its body too slowly.
@@ -83,6 +85,7 @@
             Self::BadRequest => 400,
             Self::UnknownModel => 404,
             Self::BodyTooLarge => 413,
+            Self::TooManyHeaders => 431,
             Self::SlowCaller => 408,
             Self::RateLimited
             | Self::ConcurrencyLimited
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -263,7 +263,12 @@
                 if let Ok(status) = &result {
                     self.cell.observe(&engine, &status.residency, asked);
                 }
-                self.upstreams.status_read(&engine, asked, result, now);
+                let resident =
+                    self.upstreams.status_read(&engine, asked, result, now);
+                if let Some(count) = resident {
+                    let metrics = &self.context.shared.metrics;
+                    metrics.engine_resident(engine.as_str(), count);
+                }
             }
             Input::CacheEvents { engine, result } => {
                 let news = self.upstreams.cache_events_read(&engine, result);
--- a/crates/valehold-instance/src/control/upstreams.rs
+++ b/crates/valehold-instance/src/control/upstreams.rs
@@ -145,16 +145,18 @@
         }
     }
 
+    /// Takes in an engine's report; returns how much can be asked of it if
+    /// that has changed.
     pub(super) fn status_read(
         &mut self,
         engine: &UpstreamId,
         asked: Millis,
         result: Result<EngineStatus, PortError>,
         now: Millis,
-    ) {
-        let Some(known) = self.known.get_mut(engine) else { return };
+    ) -> Option<u64> {
+        let known = self.known.get_mut(engine)?;
         known.asking = false;
-        let Ok(status) = result else { return };
+        let status = result.ok()?;
         let boot = known.status.as_ref().map(|(_, before)| before.boot);
         let is_new = boot.is_some_and(|boot| boot != status.boot);
         if is_new {
@@ -167,10 +169,13 @@
             self.membership.said_leaving(engine);
         }
         let resident = resident(&status);
-        if *known.resident != resident {
-            known.resident = Arc::new(resident);
-        }
         known.status = Some((asked, status));
+        if *known.resident == resident {
+            return None;
+        }
+        let count = resident.len() as u64;
+        known.resident = Arc::new(resident);
+        Some(count)
     }
 
     /// Takes in an engine's cache events; returns what they tell.
--- a/crates/valehold-instance/src/metrics.rs
+++ b/crates/valehold-instance/src/metrics.rs
@@ -36,6 +36,7 @@
     knowledge_age: Gauge<f64>,
     engine_claimed: Gauge<u64>,
     engine_free: Gauge<u64>,
+    engine_resident: Gauge<u64>,
     holds_cell: Gauge<u64>,
 }
 
@@ -104,6 +105,10 @@
                 "valehold_engine_free_mib",
                 "Engine memory that no claim is on.",
             ),
+            engine_resident: gauge(
+                "valehold_engine_resident",
+                "Models and adapters that can be asked of an engine.",
+            ),
             holds_cell: gauge("valehold_holds_cell", "1 at the holder."),
             registry,
             _provider: provider,
@@ -167,6 +172,12 @@
         self.engine_free.record(free, &labels);
     }
 
+    /// Sets how many models and adapters can be asked of an engine.
+    pub fn engine_resident(&self, engine: &str, count: u64) {
+        let labels = [KeyValue::new("engine", engine.to_owned())];
+        self.engine_resident.record(count, &labels);
+    }
+
     /// Sets whether this instance holds the placement cell.
     pub fn holds_cell(&self, holds: bool) {
         self.holds_cell.record(u64::from(holds), &[]);
--- a/crates/valehold-instance/src/traffic/mod.rs
+++ b/crates/valehold-instance/src/traffic/mod.rs
@@ -55,6 +55,13 @@
         request: &viz::Request,
         snapshot: &Snapshot,
     ) -> Result<(Arc<Config>, Arc<Workspace>), Refused> {
+        let max_headers = self.shared.settings.callers.max_headers;
+        if request.headers().len() > max_headers {
+            return Err(Refused::not_run(
+                RefusalReason::TooManyHeaders,
+                format!("the request has more than {max_headers} headers"),
+            ));
+        }
         let Some(config) = &snapshot.config else {
             return Err(Refused::not_run(
                 RefusalReason::NotReady,
--- a/crates/valehold-instance/src/traffic/server.rs
+++ b/crates/valehold-instance/src/traffic/server.rs
@@ -14,6 +14,10 @@
 
 use super::{App, handlers, pages, services};
 
+/// How many times the headers that are taken are read, so that a caller that
+/// sends too many is told so in the shape that it knows.
+const HEADERS_READ: usize = 4;
+
 /// Serves callers until this instance finishes, then waits until all
 /// connections are closed; says so on `finished`.
 pub(crate) async fn serve(
@@ -45,7 +49,7 @@
             .header_read_timeout(Duration::from_millis(
                 settings.read_timeout_ms,
             ))
-            .max_headers(settings.max_headers)
+            .max_headers(settings.max_headers.saturating_mul(HEADERS_READ))
             .serve_connection(TokioIo::new(stream), responder);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
