An answer does not wait for the store, and plans run beside control

Cause: reading the code again: a call's answer waited up to 5 s to be recorded while the store was down, and the operators' interface ran on the control thread, where a plan could stand longer than a lease's margin. Change: an answer waits 250 ms at the most for its record, which goes on; the operators' interface runs on the traffic threads. Measured: the new test freezes the store between claim and answer; the answer comes while it is frozen, and a repeat gets it once it is not.

--- a/crates/valehold-cli/tests/once.rs
+++ b/crates/valehold-cli/tests/once.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use http::Response;
@@ -132,6 +134,39 @@
     expect_that!(runs(&deployment, "dies"), le(1));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_given_while_the_store_is_down_and_recorded_after() {
+    let deployment = Deployment::small(1).await;
+    let services = &deployment.site.services;
+    let slow = Duration::from_millis(500);
+    services.values().for_each(|s| s.faults.delay(slow));
+    let caller = Caller::new("one");
+    let address = deployment.instances[0].callers;
+    let call = tokio::spawn(async move {
+        let headers = [("idempotency-key", "down")];
+        let body = "down".to_owned();
+        caller.send("POST", address, PATH, &headers, body).await.unwrap()
+    });
+    let store = &deployment.site.platform.store_faults;
+    eventually("the claim is in the table", || async {
+        let claims = deployment.site.platform.rows("once/");
+        (!claims.is_empty()).then_some(())
+    })
+    .await;
+    store.freeze(true);
+    let answer = call.await.unwrap();
+    expect_that!(seen(&answer), eq(&seen_as(200, "yes")));
+    store.freeze(false);
+    let again = eventually("the answer is recorded", || async {
+        let again = book(&deployment, 0, "down").await;
+        again.status().is_success().then_some(again)
+    })
+    .await;
+    expect_that!(again.body(), eq(answer.body()));
+    expect_that!(runs(&deployment, "down"), eq(1));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_same_key_for_another_call_is_refused() {
--- a/crates/valehold-instance/src/instance.rs
+++ b/crates/valehold-instance/src/instance.rs
@@ -168,11 +168,11 @@
     let (answerers, asked) = mpsc::channel::<Answerer>(QUESTIONS_WAITING);
     let link = Link::open(&settings.peers, answerers)?;
     let peers = link.address()?;
-    let operators = bind(settings.operators.listen).await?;
-    let operators_at = local(&operators)?;
+    let (operators, operators_at) = bind_std(settings.operators.listen)?;
     let metrics = Metrics::try_new()?;
     let (shared, reports) = Shared::new(settings, ports, metrics);
-    tokio::spawn(serve_operators(shared.clone(), operators));
+    // On the traffic threads: a plan takes longer than control may stand.
+    traffic.spawn(serve_operators(shared.clone(), operators));
     let control = Control::new(shared.clone(), link);
     // Entered so that the task of the claims runs on the traffic threads.
     let claims = {
@@ -213,12 +213,35 @@
         .map_err(|e| Error::new(&format!("listening on {address}"), e))
 }
 
+/// Binds an address for a runtime other than the current one.
+fn bind_std(
+    address: SocketAddr,
+) -> Result<(std::net::TcpListener, SocketAddr), Error> {
+    let bind = || {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let bound = listener.local_addr()?;
+        Ok::<_, std::io::Error>((listener, bound))
+    };
+    bind().map_err(|e| Error::new(&format!("listening on {address}"), e))
+}
+
 fn local(listener: &TcpListener) -> Result<SocketAddr, Error> {
     listener.local_addr().map_err(|e| Error::new("reading an address", e))
 }
 
-async fn serve_operators(shared: Arc<Shared>, listener: TcpListener) {
+async fn serve_operators(
+    shared: Arc<Shared>,
+    listener: std::net::TcpListener,
+) {
     let tree = Arc::new(Tree::from(operators::router(&shared)));
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("operators cannot be served: {error}");
+            return;
+        }
+    };
     loop {
         let Ok((stream, from)) = listener.accept().await else { continue };
         let responder = Responder::new(tree.clone(), Some(Arc::new(from)));
--- a/crates/valehold-instance/src/traffic/services.rs
+++ b/crates/valehold-instance/src/traffic/services.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
@@ -45,6 +45,9 @@
 /// are kept, see `docs/design/05-at-most-once.md`.
 const SEND_WINDOW_MS: u64 = 5_000;
 
+/// For how long an answer waits to be recorded before its caller gets it.
+const RECORD_WAIT: Duration = Duration::from_millis(250);
+
 /// In how many ms to come back when the store is down.
 const STORE_COME_BACK_MS: u64 = 3_000;
 
@@ -340,7 +343,12 @@
     match answered {
         Ok(answer) => {
             attempt.follow(OnceEvent::Answered);
-            record(app, &claim_key, version, row, &answer).await;
+            let recording =
+                record(app.clone(), claim_key, version, row, answer.clone());
+            let recorded = tokio::spawn(recording);
+            // The recording goes on if it takes longer; until it is done a
+            // repeat is told that the call may have run.
+            let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
             Ok(answer)
         }
         Err(failed) if failed.verdict == Verdict::NotRun => {
@@ -381,11 +389,11 @@
 }
 
 async fn record(
-    app: &Arc<App>,
-    key: &str,
+    app: Arc<App>,
+    key: String,
     version: u64,
     row: ClaimRow,
-    answer: &ServiceAnswer,
+    answer: ServiceAnswer,
 ) {
     if answer.body.len() > MAX_RECORDED_BYTES {
         log::warn!("an answer is too large to be recorded for repeats");
@@ -397,7 +405,7 @@
         body: answer.body.to_vec(),
     };
     // The call ran and its caller gets the answer, recorded or not.
-    if let Err(error) = app.claims.record(key, version, row, recorded).await {
+    if let Err(error) = app.claims.record(&key, version, row, recorded).await {
         log::warn!("an answer was not recorded: {error}");
     }
 }
