Names that say what they are, and how fast a configuration spreads

Cause: read as a newcomer, some names were images (beats, strikes, ends) or said nothing (Known, Held, Given, Ours); and nothing had measured how long an accepted configuration takes to be in force. Change: names of the field in their place; footprint applies five changes and times each.

--- a/crates/valehold-cli/examples/footprint.rs
+++ b/crates/valehold-cli/examples/footprint.rs
@@ -1,5 +1,6 @@
 //! Measures a whole `valehold-instance` process: what control costs at three
-//! sizes without callers, and what it adds to a request.
+//! sizes without callers, what it adds to a request, and how long an accepted
+//! configuration takes until it is in force on eight instances.
 //!
 //! ```sh
 //! cargo build --release --workspace --bins
@@ -47,7 +48,8 @@
 #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
 async fn main() {
     println!(
-        "| engines | core, % | control thread, % | resident, MiB | store reads /s | store writes /s |"
+        "| engines | core, % | control thread, % | resident, MiB | \
+         store reads /s | store writes /s |"
     );
     println!("| --- | --- | --- | --- | --- | --- |");
     for engines in [12, 24, 48] {
@@ -57,9 +59,33 @@
     println!("| path | requests /s | p50, µs | p99, µs |");
     println!("| --- | --- | --- | --- |");
     busy().await;
+    println!();
+    println!("| change | in force on all, ms |");
+    println!("| --- | --- |");
+    spread().await;
 }
 
-async fn start(engines: usize) -> Deployment {
+/// Applies changes, and waits until each is in force everywhere.
+async fn spread() {
+    const INSTANCES: usize = 8;
+    let deployment = start(12, INSTANCES).await;
+    for change in 1..=5_u32 {
+        let path = deployment.directory.join("workspaces/w.toml");
+        let text = std::fs::read_to_string(&path).expect("it is ours");
+        std::fs::write(&path, text + "# changed\n").expect("it is ours");
+        deployment.apply();
+        let began = Instant::now();
+        let wanted = f64::from(change + 1);
+        for process in &deployment.instances {
+            while metric(process, "valehold_revision").await < wanted {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        println!("| {change} | {} |", began.elapsed().as_millis());
+    }
+}
+
+async fn start(engines: usize, instances: usize) -> Deployment {
     let folder = tempfile::tempdir().expect("a folder can be made");
     let files = files(engines);
     for inner in ["templates", "workspaces"] {
@@ -69,14 +95,17 @@
         std::fs::write(folder.path().join(path), text).expect("it is ours");
     }
     let pace = Pace { token_time: Duration::ZERO, load_time: Duration::ZERO };
-    let deployment = Deployment::start_in(folder, &files, pace, 2, 2).await;
+    let deployment =
+        Deployment::start_in(folder, &files, pace, instances, 2).await;
     deployment.apply();
-    deployment.all_reachable(0).await;
+    for instance in 0..instances {
+        deployment.all_reachable(instance).await;
+    }
     deployment
 }
 
 async fn idle(engines: usize) {
-    let deployment = start(engines).await;
+    let deployment = start(engines, 2).await;
     // Until what starting cost is over.
     tokio::time::sleep(Duration::from_secs(3)).await;
     let holder = deployment.holder(0).unwrap_or(0);
@@ -100,7 +129,7 @@
 }
 
 async fn busy() {
-    let deployment = start(4).await;
+    let deployment = start(4, 2).await;
     let holders = deployment.holders(0, "model-0");
     let engine = deployment.site.address(&holders[0]);
     let direct = GenerateRequest {
@@ -219,14 +248,18 @@
 
 /// Returns the time that a process's control thread was at work, in seconds.
 async fn control_s(process: &Process) -> f64 {
+    metric(process, "valehold_control_busy").await
+}
+
+/// Returns the first value of a metric whose name begins so.
+async fn metric(process: &Process, name: &str) -> f64 {
     let caller = support::Caller::new("w");
     let metrics = caller
         .send("GET", process.callers, "/metrics", &[], String::new())
         .await;
     let text = metrics.map(|m| m.into_body()).unwrap_or_default();
     let text = String::from_utf8_lossy(&text).into_owned();
-    let line =
-        text.lines().find(|line| line.starts_with("valehold_control_busy"));
+    let line = text.lines().find(|line| line.starts_with(name));
     let value = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
     value.unwrap_or(0.0)
 }
--- a/crates/valehold-core/src/limit.rs
+++ b/crates/valehold-core/src/limit.rs
@@ -113,7 +113,7 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Given {
+struct IssuedGrant {
     part: f64,
     until: Millis,
 }
@@ -123,7 +123,7 @@
 pub struct Grantor {
     term_ms: u64,
     grants_from: Millis,
-    given: BTreeMap<WorkspaceId, BTreeMap<InstanceId, Vec<Given>>>,
+    given: BTreeMap<WorkspaceId, BTreeMap<InstanceId, Vec<IssuedGrant>>>,
 }
 
 impl Grantor {
@@ -163,7 +163,7 @@
         let given = self.given.entry(workspace.clone()).or_default();
         let given = given.entry(instance.clone()).or_default();
         given.retain(|g| g.until > now);
-        given.push(Given { part, until });
+        given.push(IssuedGrant { part, until });
         Grant { part, term_ms: self.term_ms }
     }
 
@@ -183,7 +183,7 @@
     }
 }
 
-fn largest_running(given: &[Given], now: Millis) -> f64 {
+fn largest_running(given: &[IssuedGrant], now: Millis) -> f64 {
     let running = given.iter().filter(|g| g.until > now);
     running.map(|g| g.part).fold(0.0, f64::max)
 }
--- a/crates/valehold-instance/src/control/cell.rs
+++ b/crates/valehold-instance/src/control/cell.rs
@@ -22,7 +22,7 @@
 
 pub(crate) use self::held::Recording;
 use self::{
-    held::Held,
+    held::HeldCell,
     keys::{epoch_key, lease_key, orders_prefix},
 };
 use super::{Context, Input, upstreams::Upstreams};
@@ -46,7 +46,7 @@
     lease_busy: bool,
     lease_at: Option<Millis>,
     taken_version: u64,
-    held: Option<Held>,
+    held: Option<HeldCell>,
 }
 
 impl Cell {
@@ -209,7 +209,7 @@
             (_, None) => return,
         };
         let version = self.taken_version;
-        self.held = Some(Held::new(epoch, version, orders, config, now));
+        self.held = Some(HeldCell::new(epoch, version, orders, config, now));
     }
 
     /// Takes in what became of orders that were being recorded.
--- a/crates/valehold-instance/src/control/cell/held.rs
+++ b/crates/valehold-instance/src/control/cell/held.rs
@@ -49,7 +49,7 @@
 }
 
 /// What the holder of the lease knows.
-pub(super) struct Held {
+pub(super) struct HeldCell {
     epoch: u64,
     /// The version of the epoch's row; every write is conditioned on it.
     epoch_version: u64,
@@ -69,7 +69,7 @@
     sweeping: bool,
 }
 
-impl Held {
+impl HeldCell {
     /// Takes over the orders that the platform has.
     pub(super) fn new(
         epoch: u64,
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -119,8 +119,8 @@
     }
 }
 
-/// The ends at which control takes what comes from outside its thread.
-pub struct Ends {
+/// The channels on which control takes what comes from outside its thread.
+pub struct Channels {
     /// Reports from traffic.
     pub reports: mpsc::Receiver<Report>,
     /// Questions from peers.
@@ -166,7 +166,7 @@
     }
 
     /// Runs until the instance has stopped. Needs a `LocalSet`.
-    pub async fn run(mut self, mut ends: Ends) {
+    pub async fn run(mut self, mut channels: Channels) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         while self.life != InstanceState::Stopped {
@@ -178,13 +178,13 @@
                     self.context.shared.metrics.control_busy(busy);
                 }
                 Some(input) = self.taken.recv() => self.take_all(input),
-                Some(report) = ends.reports.recv() => {
+                Some(report) = channels.reports.recv() => {
                     self.take_report(report);
-                    self.take_reports(&mut ends.reports);
+                    self.take_reports(&mut channels.reports);
                 }
-                Some(question) = ends.asked.recv() => self.answer(question),
-                Ok(()) = ends.stop.changed() => self.stop(),
-                Ok(()) = ends.finished.changed() => {
+                Some(question) = channels.asked.recv() => self.answer(question),
+                Ok(()) = channels.stop.changed() => self.stop(),
+                Ok(()) = channels.finished.changed() => {
                     self.live(InstanceEvent::AllFinished);
                 }
             }
@@ -196,7 +196,7 @@
         self.estimator.close_window_if_due(now);
         self.config.tick(&self.context, now);
         self.upstreams.tick(&self.context, now);
-        self.beat(now);
+        self.send_due_heartbeats(now);
         self.tick_cell(now);
         self.grant_own();
         self.tick_drain(now);
@@ -282,7 +282,7 @@
                 self.upstreams.health_read(&upstream, &result, now);
             }
             Input::Peer { asked, result } => {
-                let newest = self.peers.answered(asked, result, now);
+                let newest = self.peers.reply_received(asked, result, now);
                 self.config.peer_has(&self.context, newest);
             }
             Input::LeaseRead(row) => self.cell.lease_read(row, now),
@@ -347,12 +347,12 @@
         self.live(InstanceEvent::StopAsked);
         self.cell.step_down(&self.context, now);
         let heartbeat = self.heartbeat();
-        self.peers.beat_now(&self.context, now, heartbeat, None);
+        self.peers.send_heartbeats(&self.context, now, heartbeat, None);
         self.publish();
     }
 
     /// Sends heartbeats if they are due.
-    fn beat(&mut self, now: Millis) {
+    fn send_due_heartbeats(&mut self, now: Millis) {
         let heartbeat = self.heartbeat();
         let holder = self.cell.holder(now);
         let estimator = &self.estimator;
--- a/crates/valehold-instance/src/control/peers.rs
+++ b/crates/valehold-instance/src/control/peers.rs
@@ -25,14 +25,14 @@
 };
 
 /// How often a heartbeat goes to each chosen peer.
-const BEAT_EVERY_MS: u64 = 500;
+const HEARTBEAT_EVERY_MS: u64 = 500;
 
 /// How often the holder of the placement lease is told the demand.
 const DEMAND_EVERY_MS: u64 = 2_000;
 
 /// To how many peers heartbeats go. Up to so many instances all know each
 /// other; beyond that each is watched by so many, see `docs/CAPACITY.md`.
-const BEAT_PEERS: usize = 16;
+const HEARTBEAT_PEERS: usize = 16;
 
 /// After how long without a heartbeat a peer is left out of the directory.
 const SILENT_MS: u64 = 3_000;
@@ -64,7 +64,7 @@
 
 /// What a peer said last.
 #[derive(Debug)]
-struct Heard {
+struct PeerInfo {
     at: Millis,
     entry: Option<Entry>,
     life: InstanceState,
@@ -77,8 +77,8 @@
 pub(super) struct Peers {
     link: Link,
     addresses: BTreeMap<InstanceId, SocketAddr>,
-    heard: BTreeMap<InstanceId, Heard>,
-    beat_at: Option<Millis>,
+    heard: BTreeMap<InstanceId, PeerInfo>,
+    heartbeat_at: Option<Millis>,
     told_demand: Option<Millis>,
     grants: HashMap<WorkspaceId, HeldGrant>,
     asked: BTreeMap<WorkspaceId, f64>,
@@ -91,7 +91,7 @@
             link,
             addresses: BTreeMap::new(),
             heard: BTreeMap::new(),
-            beat_at: None,
+            heartbeat_at: None,
             told_demand: None,
             grants: HashMap::new(),
             asked: BTreeMap::new(),
@@ -129,7 +129,9 @@
     ) {
         self.heard.retain(|_, heard| now.since(heard.at) < SILENT_MS * 4);
         self.fade_asked(now);
-        let due = self.beat_at.is_none_or(|at| now.since(at) >= BEAT_EVERY_MS);
+        let due = self
+            .heartbeat_at
+            .is_none_or(|at| now.since(at) >= HEARTBEAT_EVERY_MS);
         if !due {
             return;
         }
@@ -142,23 +144,23 @@
             for_holder.demand = Some(demand().into_iter().collect());
         }
         let for_holder = holder.map(|holder| (holder, for_holder));
-        self.beat_now(context, now, heartbeat, for_holder);
+        self.send_heartbeats(context, now, heartbeat, for_holder);
     }
 
     /// Sends a heartbeat to each chosen peer, and another to the holder of
     /// the placement lease.
-    pub(super) fn beat_now(
+    pub(super) fn send_heartbeats(
         &mut self,
         context: &Context,
         now: Millis,
         heartbeat: Heartbeat,
         for_holder: Option<(InstanceId, Heartbeat)>,
     ) {
-        self.beat_at = Some(now);
+        self.heartbeat_at = Some(now);
         let own = heartbeat.entry.instance.clone();
         let names: Vec<String> =
             self.addresses.keys().map(ToString::to_string).collect();
-        let chosen = rendezvous::owners(own.as_str(), &names, BEAT_PEERS);
+        let chosen = rendezvous::owners(own.as_str(), &names, HEARTBEAT_PEERS);
         let mut chosen: Vec<&str> =
             chosen.into_iter().map(String::as_str).collect();
         let holder = for_holder.as_ref().map(|(holder, _)| holder.as_str());
@@ -181,7 +183,7 @@
     }
 
     /// Takes in the answer to a heartbeat; returns what is newer there.
-    pub(super) fn answered(
+    pub(super) fn reply_received(
         &mut self,
         asked: Millis,
         result: Result<Reply, Error>,
@@ -196,7 +198,7 @@
             }
         };
         let HeartbeatReply { instance, life, revision, grants } = reply;
-        let heard = self.heard.entry(instance.clone()).or_insert(Heard {
+        let heard = self.heard.entry(instance.clone()).or_insert(PeerInfo {
             at: now,
             entry: None,
             life,
@@ -217,14 +219,14 @@
     }
 
     /// Takes in a peer's heartbeat.
-    pub(super) fn beaten(&mut self, beat: Heartbeat, now: Millis) {
+    pub(super) fn heartbeat_received(&mut self, beat: Heartbeat, now: Millis) {
         let id = beat.entry.instance.clone();
         let before = self.heard.remove(&id);
         let demand = match beat.demand {
             Some(demand) => demand.into_iter().collect(),
             None => before.map(|heard| heard.demand).unwrap_or_default(),
         };
-        let heard = Heard {
+        let heard = PeerInfo {
             at: now,
             entry: Some(beat.entry),
             life: beat.life,
--- a/crates/valehold-instance/src/control/publish.rs
+++ b/crates/valehold-instance/src/control/publish.rs
@@ -68,7 +68,7 @@
                 let id = beat.entry.instance.clone();
                 let asked: Vec<WorkspaceId> =
                     beat.asked.iter().map(|(w, _)| w.clone()).collect();
-                self.peers.beaten(beat, now);
+                self.peers.heartbeat_received(beat, now);
                 let grants = self.grant(&id, asked);
                 Reply::Heartbeat(HeartbeatReply {
                     instance: self.context.shared.settings.instance.clone(),
--- a/crates/valehold-instance/src/control/upstreams.rs
+++ b/crates/valehold-instance/src/control/upstreams.rs
@@ -40,7 +40,7 @@
 
 /// What is known of one upstream.
 #[derive(Debug)]
-struct Known {
+struct UpstreamInfo {
     address: Option<SocketAddr>,
     data_centre: DataCentreId,
     kind: Kind,
@@ -77,7 +77,7 @@
 
 /// Engines and processes of plain services.
 pub(super) struct Upstreams {
-    known: BTreeMap<UpstreamId, Known>,
+    known: BTreeMap<UpstreamId, UpstreamInfo>,
     membership: Membership,
     list_asked: Option<Millis>,
     list_asking: bool,
@@ -100,7 +100,7 @@
         let mut before = std::mem::take(&mut self.known);
         for (id, address, data_centre, kind) in declared(config) {
             let address = address.parse().ok();
-            let mut known = before.remove(&id).unwrap_or(Known {
+            let mut known = before.remove(&id).unwrap_or(UpstreamInfo {
                 address,
                 data_centre: data_centre.clone(),
                 kind: Kind::Service(ServiceName::new("")),
@@ -340,7 +340,7 @@
 
 fn ask_one(
     id: &UpstreamId,
-    known: &mut Known,
+    known: &mut UpstreamInfo,
     context: &Context,
     now: Millis,
 ) {
@@ -366,7 +366,7 @@
 
 fn ask_cache_events(
     id: &UpstreamId,
-    known: &mut Known,
+    known: &mut UpstreamInfo,
     context: &Context,
     now: Millis,
 ) {
--- a/crates/valehold-instance/src/instance.rs
+++ b/crates/valehold-instance/src/instance.rs
@@ -17,7 +17,7 @@
 use viz::{Responder, Tree};
 
 use crate::{
-    control::{Control, Ends},
+    control::{Channels, Control},
     error::Error,
     metrics::Metrics,
     once::Claims,
@@ -148,9 +148,9 @@
     let local = LocalSet::new();
     local.block_on(&runtime, async move {
         match set_up(parts, traffic).await {
-            Ok((control, ends, addresses)) => {
+            Ok((control, channels, addresses)) => {
                 let _ = started.send(Ok(addresses));
-                control.run(ends).await;
+                control.run(channels).await;
             }
             Err(error) => {
                 let _ = started.send(Err(error));
@@ -162,7 +162,7 @@
 async fn set_up(
     parts: Parts,
     traffic: &tokio::runtime::Handle,
-) -> Result<(Control, Ends, (SocketAddr, SocketAddr)), Error> {
+) -> Result<(Control, Channels, (SocketAddr, SocketAddr)), Error> {
     let settings = parts.settings;
     let ports = ports(&settings);
     let (answerers, asked) = mpsc::channel::<Answerer>(QUESTIONS_WAITING);
@@ -183,9 +183,13 @@
     traffic.spawn(async move {
         traffic::serve(app, parts.listener, parts.finished).await;
     });
-    let ends =
-        Ends { reports, asked, stop: parts.stop, finished: parts.finishing };
-    Ok((control, ends, (operators_at, peers)))
+    let channels = Channels {
+        reports,
+        asked,
+        stop: parts.stop,
+        finished: parts.finishing,
+    };
+    Ok((control, channels, (operators_at, peers)))
 }
 
 /// Makes the ports over HTTP.
--- a/crates/valehold-instance/src/traffic/answer.rs
+++ b/crates/valehold-instance/src/traffic/answer.rs
@@ -16,7 +16,7 @@
 use crate::{shared::Report, snapshot::EngineRoute};
 
 /// What an attempt that succeeded leaves.
-pub(super) struct Begun {
+pub(super) struct BegunAnswer {
     pub(super) engine: EngineRoute,
     pub(super) artifact: Artifact,
     pub(super) gate: StreamGate,
@@ -47,7 +47,7 @@
     pub(super) fn new(
         app: Arc<App>,
         workspace: WorkspaceId,
-        begun: Begun,
+        begun: BegunAnswer,
     ) -> Self {
         let now = app.shared.clock.now();
         Self {
--- a/crates/valehold-instance/src/traffic/generate.rs
+++ b/crates/valehold-instance/src/traffic/generate.rs
@@ -21,7 +21,7 @@
 
 use super::{
     App,
-    answer::{Answer, Begun},
+    answer::{Answer, BegunAnswer},
     refusal::Refused,
     trace::Trace,
 };
@@ -303,7 +303,7 @@
         under_way.prompt_read();
         app.shared.hints().note(&engine.id, &self.job.blocks, now);
         app.shared.report(Report::Succeeded(engine.id.clone()));
-        let begun = Begun {
+        let begun = BegunAnswer {
             engine,
             artifact: target.artifact,
             gate,
--- a/crates/valehold-instance/src/traffic/services.rs
+++ b/crates/valehold-instance/src/traffic/services.rs
@@ -75,7 +75,7 @@
 }
 
 /// A call that was let in.
-struct Asked {
+struct AdmittedCall {
     workspace: WorkspaceId,
     service: ServiceName,
     call: ServiceCall,
@@ -89,7 +89,7 @@
     app: &Arc<App>,
     request: &mut Request,
     trace: &mut Trace,
-) -> Result<Asked, Refused> {
+) -> Result<AdmittedCall, Refused> {
     let snapshot = app.shared.snapshot.load_full();
     let (config, workspace) = app.authorize(request, &snapshot)?;
     trace.of_workspace(&workspace.name);
@@ -130,7 +130,7 @@
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
     let timeout = app.shared.settings.callers.first_output_timeout_ms;
-    Ok(Asked {
+    Ok(AdmittedCall {
         workspace: workspace.name.clone(),
         service: name,
         call: ServiceCall { method, path, content_type, body },
@@ -165,7 +165,7 @@
 /// Makes a call that needs no claim.
 async fn plain(
     app: &Arc<App>,
-    asked: &Asked,
+    asked: &AdmittedCall,
     trace: &mut Trace,
 ) -> Result<ServiceAnswer, Refused> {
     attempts(app, asked, trace, || true).await.map_err(|f| f.refused)
@@ -176,7 +176,7 @@
 /// `may_send` is asked right before each attempt is sent.
 async fn attempts(
     app: &Arc<App>,
-    asked: &Asked,
+    asked: &AdmittedCall,
     trace: &mut Trace,
     may_send: impl Fn() -> bool,
 ) -> Result<ServiceAnswer, Failed> {
@@ -228,7 +228,7 @@
 /// Decides whether another attempt follows, and why.
 fn another(
     app: &Arc<App>,
-    asked: &Asked,
+    asked: &AdmittedCall,
     error: &PortError,
     tried: &[valehold_core::id::UpstreamId],
     verdict: Verdict,
@@ -308,7 +308,7 @@
 /// Makes a call that may run at most once.
 async fn once_only(
     app: &Arc<App>,
-    asked: &Asked,
+    asked: &AdmittedCall,
     key: &str,
     trace: &mut Trace,
 ) -> Result<ServiceAnswer, Refused> {
--- a/crates/valehold-standin/examples/measure.rs
+++ b/crates/valehold-standin/examples/measure.rs
@@ -27,8 +27,8 @@
 /// Returns the policies that are compared.
 fn policies(compared: &str) -> Vec<Named> {
     let admission = AdmissionSettings::default();
-    let ours = |name: String, weighing, routing| {
-        (name, Policy::Ours { weighing, routing, admission })
+    let named = |name: String, weighing, routing| {
+        (name, Policy::Valehold { weighing, routing, admission })
     };
     let shipped = RoutingSettings::default();
     match compared {
@@ -36,7 +36,7 @@
             .map(|prefix_trust| {
                 let name = format!("prefixes trusted by {prefix_trust}");
                 let routing = RoutingSettings { prefix_trust, ..shipped };
-                ours(name, None, routing)
+                named(name, None, routing)
             })
             .into(),
         "doubt" => [(3.0, 0.01), (3.0, 0.0), (0.001, 0.0), (30.0, 0.1)]
@@ -47,7 +47,7 @@
                     doubt_per_ms,
                     ..shipped
                 };
-                ours(name, None, routing)
+                named(name, None, routing)
             })
             .into(),
         "admission" => [(0.5, 1.0), (0.8, 1.0), (1.0, 1.0), (1.2, 1.2)]
@@ -55,17 +55,17 @@
                 let name = format!("waits {lowest} to {highest}");
                 let admission = AdmissionSettings { lowest, highest };
                 let (weighing, routing) = (None, shipped);
-                (name, Policy::Ours { weighing, routing, admission })
+                (name, Policy::Valehold { weighing, routing, admission })
             })
             .into(),
         "weighing" => [0.0, 1.0, 5.0, 20.0, 60.0, 200.0, 1_000.0]
             .map(|moves| {
                 let weighing = Weighing { attainment: 1.0, moves };
-                ours(format!("a move costs {moves}"), Some(weighing), shipped)
+                named(format!("a move costs {moves}"), Some(weighing), shipped)
             })
             .into(),
         _ => [
-            Policy::ours(),
+            Policy::valehold(),
             Policy::RoundRobin,
             Policy::LeastInFlight,
             Policy::LoadOnDemand,
--- a/crates/valehold-standin/src/engine/generate.rs
+++ b/crates/valehold-standin/src/engine/generate.rs
@@ -25,12 +25,12 @@
 /// How many tokens an answer has if its request sets no bound.
 const DEFAULT_ANSWER_TOKENS: u64 = 16;
 
-/// The frame at which a fault strikes.
+/// The frame at which a fault takes effect.
 const FAULTY_FRAME: u64 = 3;
 
-/// What strikes one stream.
+/// The faults of one stream.
 #[derive(Debug, Clone, Copy, Default)]
-struct Strikes {
+struct StreamFaults {
     cross: bool,
     repeat: bool,
     skip: bool,
@@ -71,14 +71,14 @@
         from: u64,
     ) -> Response {
         let busy = self.busy(&request.artifact);
-        let strikes = self.strikes();
+        let faults = self.take_stream_faults();
         let frames = answer(request);
         let this = self.clone();
         let prompt_tokens = estimated_tokens(request.body.to_string().len());
         let body = stream::once(async move {
             let slot = this.read_prompt(prompt_tokens).await;
             let token_time = this.shared.settings.token_time;
-            paced(frames, from, token_time, strikes, (busy, slot))
+            paced(frames, from, token_time, faults, (busy, slot))
         })
         .flatten();
         let mut response = Response::new(Body::from_stream(body));
@@ -108,21 +108,21 @@
         Busy { running, artifact: artifact.clone() }
     }
 
-    fn strikes(&self) -> Strikes {
+    fn take_stream_faults(&self) -> StreamFaults {
         let mut faults = lock(&self.shared.frame_faults);
-        Strikes {
-            cross: strike(&mut faults.cross),
-            repeat: strike(&mut faults.repeat),
-            skip: strike(&mut faults.skip),
-            cut: strike(&mut faults.cut),
+        StreamFaults {
+            cross: take_fault(&mut faults.cross),
+            repeat: take_fault(&mut faults.repeat),
+            skip: take_fault(&mut faults.skip),
+            cut: take_fault(&mut faults.cut),
         }
     }
 }
 
-fn strike(count: &mut u32) -> bool {
-    let strikes = *count > 0;
+fn take_fault(count: &mut u32) -> bool {
+    let is_due = *count > 0;
     *count = count.saturating_sub(1);
-    strikes
+    is_due
 }
 
 /// Returns all frames of a request's answer.
@@ -157,11 +157,11 @@
     frames: Vec<Frame>,
     from: u64,
     token_time: Duration,
-    strikes: Strikes,
+    faults: StreamFaults,
     held: (Busy, Option<OwnedSemaphorePermit>),
 ) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
     let left = frames.into_iter().filter(move |f| f.sequence >= from);
-    let events: Vec<_> = left.flat_map(|f| struck(f, strikes)).collect();
+    let events: Vec<_> = left.flat_map(|f| with_faults(f, faults)).collect();
     stream::unfold(
         (events.into_iter(), held),
         move |(mut events, held)| async move {
@@ -173,27 +173,27 @@
 }
 
 /// Makes the events of one frame, as the faults have it.
-fn struck(
+fn with_faults(
     frame: Frame,
-    strikes: Strikes,
+    faults: StreamFaults,
 ) -> Vec<Result<Bytes, std::io::Error>> {
     if frame.sequence != FAULTY_FRAME {
         return vec![Ok(event(&frame))];
     }
-    if strikes.cut {
+    if faults.cut {
         return vec![Err(std::io::Error::other("cut off"))];
     }
-    if strikes.skip {
+    if faults.skip {
         return Vec::new();
     }
     let mut events = Vec::new();
-    if strikes.cross {
+    if faults.cross {
         let payload = Payload::Text("not yours".to_owned());
         let request = RequestId::new("another");
         let crossed = Frame { request, sequence: frame.sequence, payload };
         events.push(Ok(event(&crossed)));
     }
-    if strikes.repeat {
+    if faults.repeat {
         events.push(Ok(event(&frame)));
     }
     events.push(Ok(event(&frame)));
--- a/crates/valehold-standin/src/experiment/baselines.rs
+++ b/crates/valehold-standin/src/experiment/baselines.rs
@@ -23,7 +23,7 @@
     for request in trace {
         if request.at.since(ticked) >= TICK_MS {
             ticked = request.at;
-            world.happen(ticked);
+            world.apply_scenario(ticked);
         }
         if policy == Policy::LoadOnDemand {
             load_on_demand(world, request);
@@ -163,7 +163,7 @@
     for request in trace {
         if request.at.since(ticked) >= TICK_MS {
             ticked = request.at;
-            world.happen(ticked);
+            world.apply_scenario(ticked);
         }
         let target_ms = world.workspace(&request.model).first_token_ms;
         let alive = (0..world.fleet.engines.len())
--- a/crates/valehold-standin/src/experiment/driver.rs
+++ b/crates/valehold-standin/src/experiment/driver.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Policy {
     /// The decisions of `valehold-core`.
-    Ours {
+    Valehold {
         /// The weighing; the deployment's own where there is none.
         weighing: Option<Weighing>,
         /// How engines are chosen.
@@ -54,16 +54,16 @@
 
 impl Policy {
     /// Makes the policy of the product, as it ships.
-    pub fn ours() -> Self {
+    pub fn valehold() -> Self {
         let routing = RoutingSettings::default();
         let admission = AdmissionSettings::default();
-        Self::Ours { weighing: None, routing, admission }
+        Self::Valehold { weighing: None, routing, admission }
     }
 
     /// Returns its name in tables.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Ours { .. } => "valehold",
+            Self::Valehold { .. } => "valehold",
             Self::RoundRobin => "round-robin, static",
             Self::LeastInFlight => "least in flight, static",
             Self::LoadOnDemand => "load on demand, LRU",
@@ -95,9 +95,9 @@
         random: StdRng::seed_from_u64(seed ^ 0x5eed),
     };
     match policy {
-        Policy::Ours { weighing, routing, admission } => {
-            let ours = Ours::new(&world, weighing, routing, admission);
-            ours.run(&mut world, &trace);
+        Policy::Valehold { weighing, routing, admission } => {
+            let valehold = Valehold::new(&world, weighing, routing, admission);
+            valehold.run(&mut world, &trace);
         }
         Policy::Pooled => baselines::pooled(&mut world, &trace),
         _ => baselines::run(policy, &mut world, &trace),
@@ -122,8 +122,8 @@
         now.get() as f64 / self.length_ms as f64
     }
 
-    /// Lets what the scenario brings happen.
-    pub(super) fn happen(&mut self, now: Millis) {
+    /// Lets what the scenario brings apply_scenario.
+    pub(super) fn apply_scenario(&mut self, now: Millis) {
         let part = self.part(now);
         let lost = |index: usize, place: &str| match self.scenario {
             Scenario::EngineLost => part >= 0.3 && index == 0,
@@ -211,7 +211,7 @@
 }
 
 /// The product's decisions, put together as an instance does.
-struct Ours {
+struct Valehold {
     weighing: Weighing,
     routing: RoutingSettings,
     admission: AdmissionSettings,
@@ -225,7 +225,7 @@
     service_ms: f64,
 }
 
-impl Ours {
+impl Valehold {
     fn new(
         world: &World<'_>,
         weighing: Option<Weighing>,
@@ -266,7 +266,7 @@
     }
 
     fn tick(&mut self, world: &mut World<'_>, now: Millis) {
-        world.happen(now);
+        world.apply_scenario(now);
         self.estimator.close_window_if_due(now);
         for (engine, account) in
             world.fleet.engines.iter().zip(&mut self.accounts)
--- a/crates/valehold-standin/tests/experiment.rs
+++ b/crates/valehold-standin/tests/experiment.rs
@@ -32,14 +32,14 @@
 #[gtest]
 fn a_seed_gives_the_same_figures_each_time() {
     let run =
-        || figures(User::Hledsluvit, Scenario::FrostNight, Policy::ours());
+        || figures(User::Hledsluvit, Scenario::FrostNight, Policy::valehold());
     expect_that!(run(), eq(&run()));
 }
 
 #[gtest]
 fn every_request_ends_once_under_every_policy() {
     let policies = [
-        Policy::ours(),
+        Policy::valehold(),
         Policy::RoundRobin,
         Policy::LeastInFlight,
         Policy::LoadOnDemand,
@@ -58,7 +58,7 @@
 #[gtest]
 fn memory_is_never_overcommitted() {
     for scenario in Scenario::ALL {
-        let figures = figures(User::Hledsluvit, scenario, Policy::ours());
+        let figures = figures(User::Hledsluvit, scenario, Policy::valehold());
         expect_that!(figures.overcommitted, eq(false), "{}", scenario.name());
     }
 }
@@ -67,14 +67,14 @@
 fn on_a_frost_night_the_decisions_beat_the_baselines_at_fewer_moves() {
     for user in User::ALL {
         let night = |policy| figures(user, Scenario::FrostNight, policy);
-        let ours = night(Policy::ours());
+        let valehold = night(Policy::valehold());
         for baseline in
             [Policy::RoundRobin, Policy::LeastInFlight, Policy::LoadOnDemand]
         {
-            expect_that!(ours.in_time, ge(night(baseline).in_time));
+            expect_that!(valehold.in_time, ge(night(baseline).in_time));
         }
         let on_demand = night(Policy::LoadOnDemand);
-        expect_that!(ours.moves * 2, le(on_demand.moves));
+        expect_that!(valehold.moves * 2, le(on_demand.moves));
     }
 }
 
@@ -82,10 +82,11 @@
 fn dearer_moves_are_fewer() {
     let moves = [0.0, 20.0, 1_000.0].map(|moves| {
         let weighing = Some(Weighing { attainment: 1.0, moves });
-        let Policy::Ours { routing, admission, .. } = Policy::ours() else {
+        let Policy::Valehold { routing, admission, .. } = Policy::valehold()
+        else {
             panic!("the product's own policy")
         };
-        let policy = Policy::Ours { weighing, routing, admission };
+        let policy = Policy::Valehold { weighing, routing, admission };
         figures(User::Hledsluvit, Scenario::FrostNight, policy).moves
     });
     expect_that!(moves[1], lt(moves[0]));
