--- a/crates/valehold-standin/examples/measure.rs
+++ b/crates/valehold-standin/examples/measure.rs
@@ -10,15 +10,11 @@
 //! doubt` ways of drawing among engines, `--compare weighing` prices of moves,
 //! `--compare admission` how much of its time a request may wait.
 
-use std::path::Path;
-
 use valehold_core::{
-    admission::AdmissionSettings,
-    config::{Config, Files, Weighing},
-    routing::RoutingSettings,
+    admission::AdmissionSettings, config::Weighing, routing::RoutingSettings,
 };
 use valehold_standin::experiment::{
-    Policy, Scenario, Summary, User, run, table,
+    Policy, Scenario, Summary, User, example, run, table,
 };
 
 /// A policy with the name it has in the table.
@@ -83,7 +79,7 @@
     let compared = text("--compare").unwrap_or_default();
     for user in User::ALL {
         println!("\n## {}\n", user.example());
-        let config = example(user.example());
+        let config = example(user);
         let scenarios = Scenario::ALL.into_iter();
         let scenarios = scenarios.filter(|s| s.name().contains(&only));
         let mut summaries = Vec::new();
@@ -112,24 +108,3 @@
 fn number(name: &str, otherwise: u64) -> u64 {
     text(name).and_then(|n| n.parse().ok()).unwrap_or(otherwise)
 }
-
-/// Reads one of the shipped examples.
-fn example(name: &str) -> Config {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-    let mut files = Files::new();
-    for folder in ["", "templates", "workspaces"] {
-        let entries = std::fs::read_dir(root.join(name).join(folder));
-        for entry in entries.expect("the example is there") {
-            let path = entry.expect("the folder can be read").path();
-            if let (true, Some(file)) = (path.is_file(), path.file_name()) {
-                let inner = Path::new(folder).join(file);
-                let text = std::fs::read_to_string(&path);
-                files.insert(
-                    inner.to_string_lossy(),
-                    text.expect("the file can be read"),
-                );
-            }
-        }
-    }
-    Config::try_from_files(&files).expect("the example holds")
-}
--- a/crates/valehold-standin/src/experiment/mod.rs
+++ b/crates/valehold-standin/src/experiment/mod.rs
@@ -12,12 +12,14 @@
 
 mod baselines;
 mod driver;
+mod example;
 mod fleet;
 mod table;
 mod trace;
 
 pub use self::{
     driver::{Policy, run},
+    example::example,
     table::{Figures, Summary, table},
     trace::{Scenario, User},
 };
--- a/crates/valehold-standin/tests/experiment.rs
+++ b/crates/valehold-standin/tests/experiment.rs
@@ -1,31 +1,15 @@
 //! A short form of the experiments: what has to hold whatever the figures.
 
-use std::path::Path;
-
 use googletest::prelude::*;
-use valehold_core::config::{Config, Files, Weighing};
-use valehold_standin::experiment::{Figures, Policy, Scenario, User, run};
+use valehold_core::config::Weighing;
+use valehold_standin::experiment::{
+    Figures, Policy, Scenario, User, example, run,
+};
 
 const SECONDS: u64 = 60;
 
-fn example(name: &str) -> Config {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-    let mut files = Files::new();
-    for folder in ["", "templates", "workspaces"] {
-        for entry in std::fs::read_dir(root.join(name).join(folder)).unwrap() {
-            let path = entry.unwrap().path();
-            if path.is_file() {
-                let file = Path::new(folder).join(path.file_name().unwrap());
-                let text = std::fs::read_to_string(&path).unwrap();
-                files.insert(file.to_str().unwrap(), text);
-            }
-        }
-    }
-    Config::try_from_files(&files).unwrap()
-}
-
 fn figures(user: User, scenario: Scenario, policy: Policy) -> Figures {
-    let config = example(user.example());
+    let config = example(user);
     run(user, scenario, &config, policy, 7, SECONDS)
 }
 
