try shows a model that is loaded first

Cause: the first command printed nothing for up to 20 s, waiting for a model late in the order of loading. Change: the model shown is the largest, which loads among the first, and the wait is announced on standard error.

--- a/crates/valehold-cli/src/command/try.rs
+++ b/crates/valehold-cli/src/command/try.rs
@@ -95,19 +95,27 @@
     files
 }
 
-/// Picks a workspace whose key is an example's, and one of its models.
+/// Picks a workspace whose key is an example's, and one of its models: the
+/// largest, which is among the first that are loaded.
 fn shown(config: &Config) -> Result<(Workspace, ModelName), Failure> {
-    let mut workspaces = config.workspaces().values();
-    let found = workspaces.find_map(|workspace| {
+    let workspaces = config.workspaces().values().filter(|workspace| {
         let digest = key_digest(&example_key(workspace));
-        let known = workspace.key_digests.contains(&digest);
-        let model = workspace.models.first().filter(|_| known)?;
-        Some((workspace.as_ref().clone(), model.clone()))
+        workspace.key_digests.contains(&digest)
     });
-    found.ok_or_else(|| {
-        let message = "no workspace has the key example-key-WORKSPACE";
-        Failure::message(INVALID, message)
-    })
+    let models = workspaces.flat_map(|workspace| {
+        workspace.models.iter().map(move |model| (workspace, model))
+    });
+    let size = |model: &ModelName| config.served()[model].size_mib;
+    let largest = models.max_by_key(|(_, model)| size(model));
+    match largest {
+        Some((workspace, model)) => {
+            Ok((workspace.as_ref().clone(), model.clone()))
+        }
+        None => {
+            let message = "no workspace has the key example-key-WORKSPACE";
+            Err(Failure::message(INVALID, message))
+        }
+    }
 }
 
 fn example_key(workspace: &Workspace) -> String {
@@ -138,6 +146,12 @@
         by: "valehold try".to_owned(),
     };
     client.post("/apply", &serde_json::json!(request)).await?;
+    let rate = config.deployment().weight_store.loads_per_second;
+    let count = config.served().len();
+    eprintln!(
+        "waiting for {model}; {count} models and adapters load at {rate} a \
+         second"
+    );
     wait_for(&client, model).await?;
     let address = first.addresses().callers;
     let key = example_key(workspace);
