Read once more: one hexadecimal, one entry to the limits, demand when planning

Cause: a last read of the whole change. Hexadecimal digests were written in two packages; both kinds of requests spelled out the same five arguments of the limits; the demand of all instances was summed on every instance ten times a second, though only the lease's holder uses it, twice a second; the decision about another call of a service looked its last upstream up twice through a filter. Change: valehold_core::digest, App::enter, demand asked for by the plan that needs it, and a plain call of the retry decision. Behaviour is the same. Conclusion: what was left as it is: the tests' set-up lines that look alike, and the fault tables, whose rows are meant to.

--- a/crates/valehold-core/src/config/files.rs
+++ b/crates/valehold-core/src/config/files.rs
@@ -1,10 +1,12 @@
 //! The texts of a directory of declarations.
 
-use std::{collections::BTreeMap, fmt::Write};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::digest::hexadecimal;
+
 /// The path of the file that declares the deployment.
 pub const DEPLOYMENT_FILE: &str = "deployment.toml";
 
@@ -73,11 +75,3 @@
 pub(crate) fn text_digest(text: &str) -> String {
     hexadecimal(&Sha256::digest(text))
 }
-
-fn hexadecimal(bytes: &[u8]) -> String {
-    let mut out = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(out, "{byte:02x}");
-    }
-    out
-}
--- a/crates/valehold-core/src/lib.rs
+++ b/crates/valehold-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chart;
 pub mod config;
 pub mod demand;
+pub mod digest;
 pub mod directory;
 pub mod error;
 pub mod explain;
--- a/crates/valehold-instance/src/control/cell.rs
+++ b/crates/valehold-instance/src/control/cell.rs
@@ -88,7 +88,7 @@
         now: Millis,
         config: Option<(&Arc<Config>, u64)>,
         upstreams: &Upstreams,
-        demand: &BTreeMap<Artifact, ModelDemand>,
+        demand: impl FnOnce() -> BTreeMap<Artifact, ModelDemand>,
     ) {
         let Some((config, _)) = config else { return };
         self.tick_lease(context, now);
--- a/crates/valehold-instance/src/control/cell/held.rs
+++ b/crates/valehold-instance/src/control/cell/held.rs
@@ -171,7 +171,7 @@
         now: Millis,
         config: &Config,
         upstreams: &Upstreams,
-        demand: &BTreeMap<Artifact, ModelDemand>,
+        demand: impl FnOnce() -> BTreeMap<Artifact, ModelDemand>,
     ) {
         let due = self.planned.is_none_or(|at| now.since(at) >= PLAN_EVERY_MS);
         if self.recording || !due {
@@ -180,9 +180,10 @@
         self.planned = Some(now);
         let deployment = config.deployment();
         let loads = self.loads_allowed(config, now);
+        let demand = demand();
         let planner = Planner::new(
             config.served(),
-            demand,
+            &demand,
             deployment.weighing,
             deployment.placement.horizon_s,
             self.views(config, upstreams),
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -208,13 +208,14 @@
             self.life,
             InstanceState::Starting | InstanceState::Serving
         ) {
-            let demand = self.peers.total_demand(self.estimator.demand(), now);
+            let (peers, estimator) = (&self.peers, &self.estimator);
+            let demand = || peers.total_demand(estimator.demand(), now);
             self.cell.tick(
                 &self.context,
                 now,
                 self.config.current(),
                 &self.upstreams,
-                &demand,
+                demand,
             );
         }
     }
--- a/crates/valehold-instance/src/once.rs
+++ b/crates/valehold-instance/src/once.rs
@@ -16,6 +16,7 @@
 };
 use valehold_core::{
     Verdict,
+    digest::hexadecimal,
     id::{ServiceName, WorkspaceId},
     ledger::{ClaimRow, RecordedAnswer},
 };
@@ -256,7 +257,3 @@
     let claimed = found.map(|row| Claimed::Found(Box::new(row)));
     let _ = ask.answer.send(claimed);
 }
-
-fn hexadecimal(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/valehold-instance/src/traffic/handlers.rs
+++ b/crates/valehold-instance/src/traffic/handlers.rs
@@ -76,13 +76,8 @@
         artifact: served.artifact.clone(),
         prompt_tokens: prompt.prompt_tokens,
     });
-    let in_flight = app.usage.enter(
-        &workspace,
-        snapshot.grants.get(&workspace.name).copied().unwrap_or_default(),
-        config.deployment().max_instances,
-        prompt.prompt_tokens + prompt.answer_tokens,
-        app.shared.clock.now(),
-    )?;
+    let tokens = prompt.prompt_tokens + prompt.answer_tokens;
+    let in_flight = app.enter(&snapshot, &config, &workspace, tokens)?;
     trace.follow(RequestEvent::Admit);
     let shape = Shape::new(kind, trace.request(), &prompt.model);
     let job = Job {
--- a/crates/valehold-instance/src/traffic/mod.rs
+++ b/crates/valehold-instance/src/traffic/mod.rs
@@ -22,7 +22,10 @@
 };
 
 use self::{
-    outstanding::Outstanding, refusal::Refused, retries::Retries, usage::Usage,
+    outstanding::Outstanding,
+    refusal::Refused,
+    retries::Retries,
+    usage::{InFlight, Usage},
 };
 pub(crate) use self::{refusal::json_response, server::serve};
 use crate::{once::Claims, shared::Shared, snapshot::Snapshot};
@@ -82,4 +85,22 @@
             )),
         }
     }
+
+    /// Counts a request in, if the workspace's share allows it here.
+    fn enter(
+        &self,
+        snapshot: &Snapshot,
+        config: &Config,
+        workspace: &Workspace,
+        tokens: u64,
+    ) -> Result<InFlight, Refused> {
+        let grant = snapshot.grants.get(&workspace.name).copied();
+        self.usage.enter(
+            workspace,
+            grant.unwrap_or_default(),
+            config.deployment().max_instances,
+            tokens,
+            self.shared.clock.now(),
+        )
+    }
 }
--- a/crates/valehold-instance/src/traffic/services.rs
+++ b/crates/valehold-instance/src/traffic/services.rs
@@ -8,7 +8,7 @@
 use valehold_core::{
     Millis, Verdict,
     chart::library::{OnceEvent, RequestEvent},
-    id::{ServiceName, WorkspaceId},
+    id::{ServiceName, UpstreamId, WorkspaceId},
     ledger::{ClaimRow, Found, OnceAttempt, RecordedAnswer, judge},
     reason::{RefusalReason, RetryReason},
     retry::FailedAttempt,
@@ -111,13 +111,7 @@
     let repeatable = service.may_repeat(&method, &path);
     let key = idempotency_key(request)?;
     let body = body::read(request, &app.shared.settings.callers).await?;
-    let in_flight = app.usage.enter(
-        &workspace,
-        snapshot.grants.get(&workspace.name).copied().unwrap_or_default(),
-        config.deployment().max_instances,
-        0,
-        app.shared.clock.now(),
-    )?;
+    let in_flight = app.enter(&snapshot, &config, &workspace, 0)?;
     trace.follow(RequestEvent::Admit);
     let query = request.query_string();
     let path = match query {
@@ -220,7 +214,8 @@
         trace.attempt_failed(&error);
         app.shared.report(Report::Failed(process.id.clone()));
         tried.push(process.id.clone());
-        retry = Some(another(app, asked, &error, &tried, verdict)?);
+        let (last, made) = (&process.id, tried.len());
+        retry = Some(another(app, asked, &error, last, made, verdict)?);
         trace.follow(RequestEvent::Retry);
     }
 }
@@ -230,36 +225,30 @@
     app: &Arc<App>,
     asked: &AdmittedCall,
     error: &PortError,
-    tried: &[valehold_core::id::UpstreamId],
+    upstream: &UpstreamId,
+    attempts: usize,
     verdict: Verdict,
 ) -> Result<RetryReason, Failed> {
     let attempt = FailedAttempt {
         verdict: error.verdict(),
         repeatable: asked.repeatable,
         output_begun: false,
-        attempts: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+        attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
     };
-    let last = tried.last().filter(|_| {
-        let now = app.shared.clock.now();
-        let upstream = &tried[tried.len() - 1];
-        app.retries
-            .try_retry(
-                attempt,
-                &asked.workspace,
-                upstream,
-                now,
-                asked.deadline,
-            )
-            .is_ok()
-    });
-    if last.is_some() {
+    let decided = app.retries.try_retry(
+        attempt,
+        &asked.workspace,
+        upstream,
+        app.shared.clock.now(),
+        asked.deadline,
+    );
+    if decided.is_ok() {
         return Ok(match error.verdict() {
             Verdict::NotRun => RetryReason::ConnectFailed,
             _ => RetryReason::RepeatableCall,
         });
     }
-    let message =
-        format!("no answer after {} attempt(s): {error}", tried.len());
+    let message = format!("no answer after {} attempt(s): {error}", attempts);
     Err(failed(
         RefusalReason::UpstreamFailed,
         verdict,
@@ -284,7 +273,7 @@
     app: &App,
     snapshot: &Snapshot,
     service: &ServiceName,
-    tried: &[valehold_core::id::UpstreamId],
+    tried: &[UpstreamId],
 ) -> Option<ServiceRoute> {
     let own = &app.shared.settings.data_centre;
     let distance = |route: &ServiceRoute| {
