--- a/crates/valehold-cli/examples/footprint.rs
+++ b/crates/valehold-cli/examples/footprint.rs
@@ -28,7 +28,7 @@
     config::{Files, key_digest},
     id::{Artifact, RequestId},
 };
-use valehold_platform::port::{GenerateRequest, PromptKind};
+use valehold_ports::port::{GenerateRequest, PromptKind};
 use valehold_standin::Pace;
 
 use crate::support::{Deployment, Process};
--- /dev/null
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -0,0 +1,104 @@
+//! On which engine an adapter is loaded, and what makes way for it.
+
+use std::collections::BTreeMap;
+
+use super::{
+    catalog::EngineSpec,
+    listing::{Holding, Variant},
+};
+use crate::{
+    id::{AdapterName, ModelName, UpstreamId},
+    rendezvous,
+};
+
+/// An engine that could hold an adapter.
+#[derive(Debug, Clone)]
+pub struct AdapterHost<'a> {
+    /// The engine.
+    pub engine: &'a UpstreamId,
+    /// What it holds.
+    pub holding: &'a Holding,
+    /// How busy it is, from 0.
+    pub load: f64,
+}
+
+/// What to do so that an adapter gets to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdapterStep {
+    /// Load it there.
+    Load(UpstreamId),
+    /// Take another one away first.
+    MakeRoom {
+        /// The engine.
+        engine: UpstreamId,
+        /// What makes way.
+        victim: Variant,
+    },
+}
+
+/// Decides the next step for an adapter that no engine holds.
+///
+/// `use_of` tells how often a variant was asked for lately. The engines'
+/// order for an adapter is fixed by rendezvous, so that it comes back to
+/// where it was before; an engine with a free place goes first.
+pub fn place_adapter(
+    variant: &Variant,
+    hosts: &[AdapterHost<'_>],
+    spec: &EngineSpec,
+    use_of: &BTreeMap<Variant, f64>,
+) -> Option<AdapterStep> {
+    let key = variant.to_string();
+    let mut able: Vec<&AdapterHost<'_>> = hosts
+        .iter()
+        .filter(|host| host.holding.models.contains_key(&variant.model))
+        .collect();
+    able.sort_by_key(|host| {
+        let weight = rendezvous::weight(&key, host.engine.as_str());
+        std::cmp::Reverse(weight)
+    });
+    let free = able
+        .iter()
+        .filter(|host| has_room(host.holding, &variant.model, spec))
+        .min_by_key(|host| host.holding.adapters());
+    if let Some(host) = free {
+        return Some(AdapterStep::Load(host.engine.clone()));
+    }
+    let victims = able.iter().filter_map(|host| {
+        let (victim, used) = least_used(host.holding, use_of)?;
+        Some((host, victim, used))
+    });
+    let (host, victim, _) =
+        victims.min_by(|(_, _, a), (_, _, b)| a.total_cmp(b))?;
+    Some(AdapterStep::MakeRoom { engine: host.engine.clone(), victim })
+}
+
+fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
+    let size = spec.model(model).map_or(0, |model| model.adapter_mb);
+    let taken = taken_mb(holding, spec);
+    holding.adapters() < spec.adapter_slots && taken + size <= spec.weights_mb
+}
+
+/// Returns the memory that an engine's models and adapters take, in MB.
+pub fn taken_mb(holding: &Holding, spec: &EngineSpec) -> u64 {
+    let one = |(name, adapters): (&ModelName, &_)| {
+        let adapters: &std::collections::BTreeSet<AdapterName> = adapters;
+        spec.model(name).map_or(0, |model| {
+            model.size_mb + model.adapter_mb * adapters.len() as u64
+        })
+    };
+    holding.models.iter().map(one).sum()
+}
+
+fn least_used(
+    holding: &Holding,
+    use_of: &BTreeMap<Variant, f64>,
+) -> Option<(Variant, f64)> {
+    let all = holding.models.iter().flat_map(|(model, adapters)| {
+        adapters.iter().map(|a| Variant::adapted(model.as_str(), a.as_str()))
+    });
+    all.map(|variant| {
+        let used = use_of.get(&variant).copied().unwrap_or(0.0);
+        (variant, used)
+    })
+    .min_by(|(_, a), (_, b)| a.total_cmp(b))
+}
--- /dev/null
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -0,0 +1,186 @@
+//! Routes, services and models, as one accepted configuration declares them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ModelName, ServiceName};
+
+/// Whether a request may be sent to an upstream more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repetition {
+    /// It may run any number of times.
+    Safe,
+    /// It may run once.
+    Once,
+    /// It is a stream that another upstream may go on with.
+    Resumable,
+}
+
+impl Repetition {
+    /// Tells whether a request that may have run may be sent again.
+    pub const fn is_allowed(self) -> bool {
+        !matches!(self, Self::Once)
+    }
+}
+
+/// A service that takes a part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the other targets' weights.
+    pub weight: u32,
+}
+
+/// One route: which requests it takes, and how they are to be treated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The host that callers name.
+    pub host: String,
+    /// The beginning of the paths that it takes.
+    pub path_prefix: String,
+    /// The services that answer it.
+    pub targets: Vec<Target>,
+    /// Whether its requests may run more than once.
+    pub repetition: Repetition,
+    /// Whether its answers are streams of events.
+    pub streaming: bool,
+    /// The longest time a request may be held, in ms.
+    pub timeout_ms: u64,
+    /// The time within which an answer is to begin, in ms.
+    pub objective_ms: u64,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// The most upstreams that one request may be sent to.
+    pub attempts: u32,
+}
+
+impl Route {
+    /// Picks the service for a request; `draw` is from 0 to 1.
+    pub fn service(&self, draw: f64) -> Option<&ServiceName> {
+        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
+        let mut left = draw * f64::from(total);
+        for target in &self.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        let weighty = self.targets.iter().rev().find(|t| t.weight > 0);
+        weighty.or(self.targets.last()).map(|target| &target.service)
+    }
+}
+
+/// A model that a service's engines can hold.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ModelSpec {
+    /// Its name.
+    pub name: ModelName,
+    /// The memory of its weights, in MB.
+    pub size_mb: u64,
+    /// The memory of one of its adapters, in MB.
+    pub adapter_mb: u64,
+    /// How long a load from the weight store takes, in ms.
+    pub load_ms: u64,
+}
+
+/// What the engines of a service are able to do.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineSpec {
+    /// Requests that an engine decodes at once.
+    pub slots: u32,
+    /// Tokens that its memory keeps for running and cached prompts.
+    pub cache_tokens: u64,
+    /// Memory for weights and adapters, in MB.
+    pub weights_mb: u64,
+    /// Adapters that it can hold.
+    pub adapter_slots: usize,
+    /// Loads a second that the weight store allows over all engines.
+    pub loads_per_second: f64,
+    /// The models.
+    pub models: Vec<ModelSpec>,
+}
+
+impl EngineSpec {
+    /// Returns a model's declaration.
+    pub fn model(&self, name: &ModelName) -> Option<&ModelSpec> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+}
+
+/// A service, of plain processes or of model engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Connections that one of its upstreams takes from all callers.
+    pub max_connections: u32,
+    /// For model engines, what they are able to do.
+    pub engine: Option<EngineSpec>,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// The largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// The largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// How long a caller may take to send a head, in ms.
+    pub header_timeout_ms: u64,
+    /// How long a connection may rest between requests, in ms.
+    pub idle_timeout_ms: u64,
+}
+
+/// One accepted configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Catalog {
+    /// Its version; a greater one replaces it.
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: BTreeMap<ServiceName, Service>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+impl Catalog {
+    /// Finds the route with the longest prefix for a host and path.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// # use valehold_core::fleet::catalog::*;
+    /// # let route = |prefix: &str| Route {
+    /// #     host: "a.example".into(), path_prefix: prefix.into(),
+    /// #     targets: vec![], repetition: Repetition::Once,
+    /// #     streaming: false, timeout_ms: 1, objective_ms: 1, rank: 0,
+    /// #     attempts: 1,
+    /// # };
+    /// # let limits = CallerLimits {
+    /// #     header_bytes: 1, body_bytes: 1, header_timeout_ms: 1,
+    /// #     idle_timeout_ms: 1,
+    /// # };
+    /// let catalog = Catalog {
+    ///     version: 1,
+    ///     routes: vec![route("/"), route("/book/")],
+    ///     services: Default::default(),
+    ///     limits,
+    /// };
+    /// let found = catalog.find("A.example", "/book/1").unwrap();
+    /// assert_eq!(found.path_prefix, "/book/");
+    /// assert!(catalog.find("b.example", "/").is_none());
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host))
+            .filter(|route| path.starts_with(&route.path_prefix))
+            .max_by_key(|route| route.path_prefix.len())
+    }
+
+    /// Returns a service whose upstreams run models, by name.
+    pub fn engine_spec(&self, service: &ServiceName) -> Option<&EngineSpec> {
+        self.services.get(service)?.engine.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -0,0 +1,119 @@
+//! The upstreams that there are, as they list themselves.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{
+    AdapterName, DataCentreId, ModelName, ServiceName, UpstreamId,
+};
+
+/// A model, alone or with one of its adapters.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Variant {
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if any.
+    pub adapter: Option<AdapterName>,
+}
+
+impl Variant {
+    /// Makes the variant of a model without an adapter.
+    pub fn plain(model: impl AsRef<str>) -> Self {
+        Self { model: ModelName::new(model), adapter: None }
+    }
+
+    /// Makes the variant of a model with an adapter.
+    pub fn adapted(model: impl AsRef<str>, adapter: impl AsRef<str>) -> Self {
+        let adapter = Some(AdapterName::new(adapter));
+        Self { model: ModelName::new(model), adapter }
+    }
+}
+
+impl fmt::Display for Variant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => write!(f, "{}", self.model),
+        }
+    }
+}
+
+/// What an engine holds, as of a number of orders that it has taken.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// How many orders it has taken since its start.
+    pub sequence: u64,
+    /// Its models, each with the adapters that are there or on their way.
+    pub models: BTreeMap<ModelName, BTreeSet<AdapterName>>,
+}
+
+impl Holding {
+    /// Tells whether a request for a variant can run here.
+    pub fn has(&self, variant: &Variant) -> bool {
+        self.models.get(&variant.model).is_some_and(|adapters| {
+            let wanted = variant.adapter.as_ref();
+            wanted.is_none_or(|adapter| adapters.contains(adapter))
+        })
+    }
+
+    /// Counts the adapters of all models.
+    pub fn adapters(&self) -> usize {
+        self.models.values().map(BTreeSet::len).sum()
+    }
+}
+
+/// One upstream: an engine, or a process of a plain service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Its name, which no other start of it has.
+    pub id: UpstreamId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+    /// What it holds, if it runs models.
+    pub holding: Holding,
+}
+
+/// All upstreams as of one version of the platform's list.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The version; a greater one is newer.
+    pub version: u64,
+    /// The upstreams.
+    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+}
+
+impl Listing {
+    /// Returns the upstreams of a service that take new work.
+    pub fn of<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams
+            .values()
+            .filter(move |u| u.service == *service && !u.leaving)
+    }
+
+    /// Takes in what an engine holds, unless something newer is known.
+    pub fn update_holding(&mut self, id: &UpstreamId, holding: &Holding) {
+        if let Some(upstream) = self.upstreams.get_mut(id)
+            && upstream.holding.sequence < holding.sequence
+        {
+            upstream.holding = holding.clone();
+        }
+    }
+}
--- /dev/null
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -0,0 +1,24 @@
+//! Decisions about a fleet of upstreams behind declared routes.
+//!
+//! A [`Catalog`] says which routes there are and which services answer them.
+//! The upstreams of a service list themselves; those that run models also
+//! say which models they hold. From both follow the choice of an upstream
+//! ([`choice`]), how many second sends one instance may make ([`share`]),
+//! and which models are to be loaded where ([`replicas`], [`adapters`]).
+
+pub mod adapters;
+pub mod catalog;
+pub mod choice;
+pub mod event;
+pub mod health;
+pub mod listing;
+pub mod replicas;
+pub mod share;
+#[cfg(test)]
+mod tests;
+pub mod window;
+
+pub use self::{
+    catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
+    listing::{Holding, Listing, Upstream, Variant},
+};
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the fleet's decisions.
--- a/crates/valehold-core/src/id.rs
+++ b/crates/valehold-core/src/id.rs
@@ -60,7 +60,9 @@
     UpstreamId;
     /// The name that callers use for a model or an adapter.
     ModelName;
-    /// The name of a plain service.
+    /// The name of an adapter, within its model.
+    AdapterName;
+    /// The name of a service: of plain processes, or of model engines.
     ServiceName;
     /// The identifier of one caller's request.
     RequestId;
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -209,7 +209,13 @@
         let Some((lease, since)) = &self.seen else {
             return LeaseStep::Read;
         };
-        let held = lease.row.as_ref().is_some_and(|row| row.holder.is_some());
+        let held = lease.row.as_ref().is_some_and(|row| {
+            // What this start of this instance let lapse, and nobody took
+            // since, it may take back at once.
+            let own = row.holder.as_ref() == Some(&self.me)
+                && row.epoch == self.epoch;
+            row.holder.is_some() && !own
+        });
         if held && now.since(*since) < self.terms.term_ms {
             return LeaseStep::Read;
         }
--- a/crates/valehold-core/src/lib.rs
+++ b/crates/valehold-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod error;
 pub mod explain;
+pub mod fleet;
 pub mod id;
 pub mod lease;
 pub mod ledger;
--- /dev/null
+++ b/crates/valehold-gateway/src/control/demand.rs
@@ -0,0 +1,52 @@
+//! The demand that comes to this gateway, smoothed.
+
+use std::collections::BTreeMap;
+
+use valehold_core::{Millis, fleet::Variant};
+
+use crate::{peers::message::VariantDemand, shared::Work};
+
+/// Over how many ms demand is smoothed.
+const SMOOTHED_MS: f64 = 5_000.0;
+
+/// Demand below this many requests a second is forgotten.
+const LEAST: f64 = 0.002;
+
+/// The demand that comes to this gateway.
+#[derive(Debug, Default)]
+pub(super) struct Demand {
+    rates: BTreeMap<Variant, Work>,
+    updated: Millis,
+}
+
+impl Demand {
+    /// Takes in the work that came since the last call.
+    pub(super) fn take(&mut self, work: BTreeMap<Variant, Work>, now: Millis) {
+        #[allow(clippy::cast_precision_loss)]
+        let passed_ms = now.since(self.updated).max(1) as f64;
+        self.updated = now;
+        let kept = (-passed_ms / SMOOTHED_MS).exp();
+        for rate in self.rates.values_mut() {
+            rate.requests *= kept;
+            rate.busy_ms *= kept;
+        }
+        let gain = (1.0 - kept) / passed_ms;
+        for (variant, work) in work {
+            let rate = self.rates.entry(variant).or_default();
+            rate.requests += work.requests * 1_000.0 * gain;
+            rate.busy_ms += work.busy_ms * gain;
+        }
+        self.rates.retain(|_, rate| rate.requests > LEAST);
+    }
+
+    /// Returns the demand for each variant.
+    #[allow(clippy::cast_possible_truncation)]
+    pub(super) fn list(&self) -> Vec<VariantDemand> {
+        let one = |(variant, rate): (&Variant, &Work)| VariantDemand {
+            variant: variant.clone(),
+            requests: rate.requests as f32,
+            busy: rate.busy_ms as f32,
+        };
+        self.rates.iter().map(one).collect()
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -0,0 +1,121 @@
+//! Following the configuration and the upstreams in the platform's store.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::sync::mpsc;
+use valehold_ports::{
+    PortError,
+    port::fleet::{CatalogNews, FleetStore, ListingNews},
+};
+
+use super::input::Input;
+
+/// The least pause after a failure.
+const LEAST_PAUSE: Duration = Duration::from_millis(150);
+
+/// The greatest pause after failures.
+const GREATEST_PAUSE: Duration = Duration::from_millis(700);
+
+/// Between two answers of a watch, so that changes come in bunches.
+const BETWEEN_CHANGES: Duration = Duration::from_millis(80);
+
+type Inputs = mpsc::UnboundedSender<Input>;
+
+/// Pauses after failures, longer and longer.
+struct Pauses {
+    next: Duration,
+}
+
+impl Pauses {
+    fn new() -> Self {
+        Self { next: LEAST_PAUSE }
+    }
+
+    fn succeeded(&mut self) {
+        self.next = LEAST_PAUSE;
+    }
+
+    async fn failed(&mut self, doing: &str, error: &PortError) {
+        log::debug!("{doing}: {error}");
+        let jitter = 0.75 + 0.5 * rand::random::<f64>();
+        tokio::time::sleep(self.next.mul_f64(jitter)).await;
+        self.next = (self.next * 2).min(GREATEST_PAUSE);
+    }
+}
+
+/// Follows the configuration until control ends.
+pub(super) async fn follow_catalog(
+    store: Arc<dyn FleetStore>,
+    inputs: Inputs,
+) {
+    let mut pauses = Pauses::new();
+    let mut after = None;
+    while !inputs.is_closed() {
+        let news = match after {
+            None => store.read_catalog().await,
+            Some(after) => store.await_catalog(after).await,
+        };
+        let heard = match news {
+            Ok(CatalogNews::Accepted { version, catalog }) => {
+                after = Some(version);
+                Some(catalog)
+            }
+            Ok(CatalogNews::Nothing { version }) => {
+                after = Some(version);
+                None
+            }
+            Ok(CatalogNews::HistoryGone) => {
+                after = None;
+                tokio::time::sleep(BETWEEN_CHANGES).await;
+                continue;
+            }
+            Err(error) => {
+                pauses.failed("following the configuration", &error).await;
+                continue;
+            }
+        };
+        pauses.succeeded();
+        let _ = inputs.send(Input::CatalogHeard(heard));
+    }
+}
+
+/// Follows the upstreams until control ends.
+///
+/// `known` is the version that control has; a peer may have given a newer
+/// one than this watch.
+pub(super) async fn follow_listing(
+    store: Arc<dyn FleetStore>,
+    inputs: Inputs,
+    known: Rc<Cell<u64>>,
+) {
+    let mut pauses = Pauses::new();
+    let mut after = None;
+    while !inputs.is_closed() {
+        let Some(from) = after else {
+            match store.read_listing().await {
+                Ok(listing) => {
+                    pauses.succeeded();
+                    after = Some(listing.version);
+                    let _ = inputs.send(Input::ListingRead(listing));
+                }
+                Err(error) => pauses.failed("reading upstreams", &error).await,
+            }
+            continue;
+        };
+        match store.await_listing(from.max(known.get())).await {
+            Ok(ListingNews::HistoryGone) => {
+                after = None;
+                tokio::time::sleep(BETWEEN_CHANGES).await;
+            }
+            Ok(news) => {
+                pauses.succeeded();
+                if let ListingNews::Changed { next, .. } = &news {
+                    after = Some(*next);
+                }
+                let _ = inputs.send(Input::ListingChanged(news));
+                tokio::time::sleep(BETWEEN_CHANGES).await;
+            }
+            Err(error) => pauses.failed("following upstreams", &error).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -0,0 +1,88 @@
+//! What control takes in, one after the other.
+
+use std::net::SocketAddr;
+
+use valehold_core::{
+    Millis,
+    fleet::{Catalog, Listing},
+    id::UpstreamId,
+    lease::VersionedLease,
+};
+use valehold_ports::{
+    PortError,
+    port::fleet::{
+        EngineReport, LeaseWrite, ListingNews, OrderOutcome, OrderWish,
+    },
+};
+
+use crate::peers::state::PeerState;
+
+/// A write of the lease that was sent.
+#[derive(Debug, Clone)]
+pub(super) struct SentLease {
+    pub(super) version: u64,
+    pub(super) row: valehold_core::lease::LeaseRow,
+    pub(super) takes: bool,
+    pub(super) sent: Millis,
+}
+
+/// An order that was given, or was to be.
+#[derive(Debug, Clone)]
+pub(super) struct GivenOrder {
+    pub(super) engine: UpstreamId,
+    pub(super) wish: OrderWish,
+    pub(super) expected_sequence: u64,
+}
+
+/// How an order ended.
+#[derive(Debug)]
+pub(super) enum OrderEnd {
+    /// The engine answered.
+    Answered(OrderOutcome),
+    /// No answer: it may be carried out, also later.
+    Unanswered(PortError),
+    /// It was not sent: the engine is not as it was thought to be, or the
+    /// lease is over.
+    NotSent,
+}
+
+impl OrderEnd {
+    /// Returns the label under which it is counted.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(OrderOutcome::Accepted) => "accepted",
+            Self::Answered(OrderOutcome::Holds) => "holds",
+            Self::Answered(OrderOutcome::Conflict) => "conflict",
+            Self::Answered(OrderOutcome::Refused) => "refused",
+            Self::Unanswered(_) => "unanswered",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
+/// What control takes in.
+#[derive(Debug)]
+pub(super) enum Input {
+    /// The store answered a read of the configuration or a watch on it.
+    CatalogHeard(Option<Box<Catalog>>),
+    /// All upstreams were read.
+    ListingRead(Listing),
+    /// Upstreams changed.
+    ListingChanged(ListingNews),
+    /// A peer gave its state.
+    PeerState(Result<PeerState, PortError>),
+    /// The lease's row was read.
+    LeaseRead(Result<VersionedLease, PortError>),
+    /// A write of the lease ended.
+    LeaseWritten(SentLease, Result<LeaseWrite, PortError>),
+    /// An engine reported.
+    Reported {
+        engine: UpstreamId,
+        asked: Millis,
+        report: Result<EngineReport, PortError>,
+    },
+    /// An order ended.
+    Ordered(GivenOrder, OrderEnd),
+    /// A datagram came.
+    Datagram(SocketAddr, Vec<u8>),
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -0,0 +1,593 @@
+//! Everything that is decided beside requests, on one thread.
+//!
+//! Control takes one input after the other and never waits. It follows the
+//! configuration and the upstreams, keeps the roster of gateways, holds the
+//! lease when it is its turn, and publishes a [`View`] that traffic reads.
+
+mod demand;
+mod feeds;
+mod input;
+mod lease;
+mod placer;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, watch},
+    time::MissedTickBehavior,
+};
+use valehold_core::{
+    Millis,
+    fleet::{Catalog, Holding, Listing, Variant},
+    id::UpstreamId,
+};
+use valehold_ports::port::fleet::{FleetEngines, FleetStore, ListingNews};
+
+use self::{
+    demand::Demand,
+    input::Input,
+    lease::LeaseDuty,
+    placer::{Authority, Placer},
+};
+use crate::{
+    peers::{
+        Heartbeat, Message, Roster,
+        message::{EngineHolding, MAX_DATAGRAM, UpstreamLoad, VariantDemand},
+        state::{self, StateClient},
+    },
+    shared::Shared,
+    view::{Life, Load, ReadyMember, View},
+};
+
+/// How often time passes for control.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long what the holder says of an engine goes before the list, in ms.
+const KEEP_HOLDING_MS: u64 = 8_000;
+
+/// How long the store has to bring a configuration that a peer has, in ms.
+const WAIT_FOR_CATALOG_MS: u64 = 250;
+
+/// How long the store has to bring changes of upstreams that a peer has
+/// heard of, in ms.
+const WAIT_FOR_LISTING_MS: u64 = 600;
+
+/// How many inputs are taken before time passes.
+const INPUTS_AT_ONCE: usize = 64;
+
+/// What control is started with.
+pub struct Parts {
+    /// What it shares with traffic.
+    pub shared: Arc<Shared>,
+    /// The platform's store.
+    pub store: Arc<dyn FleetStore>,
+    /// Engines.
+    pub engines: Arc<dyn FleetEngines>,
+    /// Where heartbeats come and go.
+    pub heartbeats: UdpSocket,
+    /// Where peers read state.
+    pub state: TcpListener,
+    /// Wishes of requests that wait.
+    pub wishes: mpsc::Receiver<Variant>,
+    /// Whether this gateway was told to stop.
+    pub stop: watch::Receiver<bool>,
+    /// The newest seeds.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+}
+
+/// Since when peers have had something newer.
+#[derive(Debug, Default)]
+struct Behind {
+    catalog: Option<Millis>,
+    listing: Option<Millis>,
+}
+
+/// Control of one gateway.
+pub struct Control {
+    shared: Arc<Shared>,
+    socket: Rc<UdpSocket>,
+    inputs: mpsc::UnboundedSender<Input>,
+    roster: Roster,
+    lease: Rc<RefCell<LeaseDuty>>,
+    placer: Placer,
+    demand: Demand,
+    life: Life,
+    catalog: Option<Arc<Catalog>>,
+    /// The list, with what the holder said of engines.
+    listing: Arc<Listing>,
+    listing_known: Rc<Cell<u64>>,
+    has_listing: bool,
+    /// What the holder said engines hold, and when.
+    told: BTreeMap<UpstreamId, (Holding, Millis)>,
+    state_client: StateClient,
+    reading_state: bool,
+    behind: Behind,
+    start: u64,
+    sequence: u64,
+    beat: Millis,
+}
+
+impl Control {
+    /// Runs control until this gateway has ended.
+    pub async fn run(parts: Parts) {
+        let (inputs, taken) = mpsc::unbounded_channel();
+        let socket = Rc::new(parts.heartbeats);
+        let shared = parts.shared;
+        let known = Rc::new(Cell::new(0));
+        let store = parts.store;
+        tokio::task::spawn_local(state::serve(shared.clone(), parts.state));
+        tokio::task::spawn_local(feeds::follow_catalog(
+            store.clone(),
+            inputs.clone(),
+        ));
+        tokio::task::spawn_local(feeds::follow_listing(
+            store.clone(),
+            inputs.clone(),
+            known.clone(),
+        ));
+        tokio::task::spawn_local(receive(socket.clone(), inputs.clone()));
+        let settings = &shared.settings;
+        let lease = Rc::new(RefCell::new(LeaseDuty::new(
+            settings.instance.clone(),
+            settings.lease.quiet_ms,
+            store,
+            inputs.clone(),
+        )));
+        let authority = Authority {
+            holder: settings.instance.clone(),
+            epoch: {
+                let (lease, clock) = (lease.clone(), shared.clock);
+                Rc::new(move || lease.borrow().order_epoch(clock.now()))
+            },
+        };
+        let placer = Placer::new(
+            parts.engines,
+            inputs.clone(),
+            authority,
+            settings.loads.window_s,
+        );
+        let control = Self {
+            roster: Roster::new(
+                settings.peers.heartbeats,
+                settings.peers.silent_ms,
+                seeds(settings.peers.heartbeats, &settings.peers.seeds),
+            ),
+            socket,
+            inputs,
+            lease,
+            placer,
+            demand: Demand::default(),
+            life: Life::Starting,
+            catalog: None,
+            listing: Arc::default(),
+            listing_known: known,
+            has_listing: false,
+            told: BTreeMap::new(),
+            state_client: StateClient::new(),
+            reading_state: false,
+            behind: Behind::default(),
+            start: rand::random(),
+            sequence: 0,
+            beat: Millis::default(),
+            shared: shared.clone(),
+        };
+        control.follow(taken, parts.wishes, parts.stop, parts.seeds).await;
+    }
+
+    async fn follow(
+        mut self,
+        mut taken: mpsc::UnboundedReceiver<Input>,
+        mut wishes: mpsc::Receiver<Variant>,
+        mut stop: watch::Receiver<bool>,
+        mut new_seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                Some(input) = taken.recv() => {
+                    self.take(input);
+                    for _ in 0..INPUTS_AT_ONCE {
+                        let Ok(input) = taken.try_recv() else { break };
+                        self.take(input);
+                    }
+                }
+                Some(wish) = wishes.recv() => self.wish(wish),
+                Ok(()) = stop.changed() => self.stop(),
+                Ok(()) = new_seeds.changed() => {
+                    let own = self.shared.settings.peers.heartbeats;
+                    let fresh = new_seeds.borrow().clone();
+                    self.roster.set_seeds(seeds(own, &fresh));
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.shared.clock.now()
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.roster.tick(now);
+        if self.life == Life::Serving {
+            let heard = self.roster.holder(now).is_some();
+            let own = &self.shared.settings.instance;
+            let place = self.roster.place_of(own, now);
+            self.lease.borrow_mut().tick(now, heard, place);
+        }
+        self.place(now);
+        self.catch_up(now);
+        let every = self.shared.settings.peers.every_ms;
+        if now.since(self.beat) >= every {
+            self.beat = now;
+            let work = std::mem::take(&mut *self.shared.work());
+            self.demand.take(work, now);
+            self.send_heartbeats(now);
+            self.expire_told(now);
+            self.publish(now);
+        }
+    }
+
+    /// Places models and adapters, if this gateway may give orders.
+    fn place(&mut self, now: Millis) {
+        let may_order = self.lease.borrow().order_epoch(now).is_some();
+        let Some(catalog) = self.catalog.clone().filter(|_| may_order) else {
+            return;
+        };
+        let mut all = BTreeMap::new();
+        for one in self.demand.list() {
+            all.insert(one.variant.clone(), one);
+        }
+        self.roster.add_demand(&mut all, now);
+        let busy = each(&all, |one| one.busy);
+        let requests = each(&all, |one| one.requests);
+        let mut loads = self.roster.loads(now);
+        for (id, load) in self.shared.loads().iter() {
+            let sum = loads.entry(id.clone()).or_default();
+            *sum = sum.plus(*load);
+        }
+        for (name, service) in &catalog.services {
+            let Some(spec) = &service.engine else { continue };
+            self.placer.tick(now, name, spec, &busy, &requests, &loads);
+        }
+    }
+
+    /// Reads a peer's state if it has had something newer for a while, and
+    /// the store has not brought it.
+    fn catch_up(&mut self, now: Millis) {
+        let version = self.catalog.as_ref().map_or(0, |c| c.version);
+        let catalog = self.roster.with_newer_catalog(version, now);
+        let known = self.listing_known.get();
+        let listing = self.roster.with_newer_listing(known, now);
+        let waited = |since: &mut Option<Millis>, peer: Option<_>, wait| {
+            match peer {
+                None => *since = None,
+                Some(_) => {
+                    let since = *since.get_or_insert(now);
+                    return now.since(since) >= wait;
+                }
+            }
+            false
+        };
+        let behind = &mut self.behind;
+        let by_catalog =
+            waited(&mut behind.catalog, catalog, WAIT_FOR_CATALOG_MS);
+        let by_listing =
+            waited(&mut behind.listing, listing, WAIT_FOR_LISTING_MS);
+        let peer =
+            catalog.filter(|_| by_catalog).or(listing.filter(|_| by_listing));
+        let Some(peer) = peer.filter(|_| !self.reading_state) else { return };
+        self.reading_state = true;
+        let (client, inputs) =
+            (self.state_client.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let state = client.read(peer).await;
+            let _ = inputs.send(Input::PeerState(state));
+        });
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::CatalogHeard(catalog) => {
+                if let Some(catalog) = catalog {
+                    self.configure(*catalog, now);
+                }
+            }
+            Input::ListingRead(listing) => self.list(listing, now),
+            Input::ListingChanged(news) => self.list_changes(news, now),
+            Input::PeerState(state) => {
+                self.reading_state = false;
+                match state {
+                    Ok(state) => {
+                        if let Some(catalog) = state.catalog {
+                            self.configure(catalog, now);
+                        }
+                        self.list(state.listing, now);
+                    }
+                    Err(error) => log::debug!("a peer's state: {error}"),
+                }
+            }
+            Input::LeaseRead(read) => {
+                self.lease.borrow_mut().read_done(read, now);
+            }
+            Input::LeaseWritten(write, written) => {
+                self.lease.borrow_mut().write_done(write, written, now);
+                let holds = self.lease.borrow().held_epoch(now).is_some();
+                self.shared.metrics.holds_lease(holds);
+            }
+            Input::Reported { engine, report, .. } => {
+                self.placer.reported(&engine, report, now);
+                self.spread_news(now);
+            }
+            Input::Ordered(order, end) => {
+                self.shared.metrics.ordered(end.label());
+                self.placer.ordered(order, &end, now);
+                self.spread_news(now);
+                self.place(now);
+            }
+            Input::Datagram(from, bytes) => self.datagram(from, &bytes, now),
+        }
+    }
+
+    fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Millis) {
+        match Message::decode(bytes) {
+            Ok(Message::Heartbeat(heartbeat)) => {
+                let holdings = heartbeat.holdings.clone();
+                let is_new = self.roster.heard(from, *heartbeat, now);
+                self.take_told(holdings, now);
+                if is_new {
+                    // Who just came learns of this gateway at once.
+                    self.send_heartbeat_to(from, now);
+                    self.publish(now);
+                }
+            }
+            Ok(Message::Wish(variant)) => {
+                self.placer.wished(variant, now);
+                self.place(now);
+            }
+            Ok(Message::Holdings(holdings)) => self.take_told(holdings, now),
+            Err(error) => log::debug!("a datagram of {from}: {error}"),
+        }
+    }
+
+    fn wish(&mut self, variant: Variant) {
+        let now = self.now();
+        if self.lease.borrow().held_epoch(now).is_some() {
+            self.placer.wished(variant, now);
+            self.place(now);
+        } else if let Some(holder) = self.roster.holder(now) {
+            self.send(holder, &Message::Wish(variant));
+        }
+    }
+
+    /// Takes in what the holder says engines hold.
+    fn take_told(&mut self, holdings: Vec<EngineHolding>, now: Millis) {
+        let mut changed = false;
+        for one in holdings {
+            let known = self.listing.upstreams.get(&one.engine);
+            let is_newer = known.is_some_and(|upstream| {
+                upstream.holding.sequence < one.holding.sequence
+            });
+            if is_newer {
+                changed = true;
+                self.told.insert(one.engine, (one.holding, now));
+            }
+        }
+        if changed {
+            self.relist(None, now);
+        }
+    }
+
+    /// Tells peers, and traffic here, what engines hold since orders.
+    fn spread_news(&mut self, now: Millis) {
+        let news = self.placer.news(now);
+        if news.is_empty() {
+            return;
+        }
+        let newer: Vec<EngineHolding> = news
+            .into_iter()
+            .filter(|one| {
+                let known = self.listing.upstreams.get(&one.engine);
+                known.is_some_and(|upstream| {
+                    upstream.holding.sequence < one.holding.sequence
+                })
+            })
+            .collect();
+        if newer.is_empty() {
+            return;
+        }
+        let message = Message::Holdings(newer.clone());
+        for target in self.roster.targets() {
+            self.send(target, &message);
+        }
+        self.take_told(newer, now);
+    }
+
+    fn expire_told(&mut self, now: Millis) {
+        self.told.retain(|_, (_, at)| now.since(*at) < KEEP_HOLDING_MS);
+    }
+
+    fn configure(&mut self, catalog: Catalog, now: Millis) {
+        let version = self.catalog.as_ref().map_or(0, |c| c.version);
+        if catalog.version <= version {
+            return;
+        }
+        log::info!("configuration {} is in force", catalog.version);
+        self.shared.metrics.catalog(catalog.version);
+        self.catalog = Some(Arc::new(catalog));
+        self.live();
+        self.send_heartbeats(now);
+        self.publish(now);
+    }
+
+    fn list(&mut self, listing: Listing, now: Millis) {
+        if listing.version < self.listing_known.get() {
+            return;
+        }
+        self.has_listing = true;
+        self.relist(Some(listing), now);
+        self.live();
+    }
+
+    fn list_changes(&mut self, news: ListingNews, now: Millis) {
+        let ListingNews::Changed { version, changed, gone, .. } = news else {
+            return;
+        };
+        let Some(version) = version else { return };
+        if version < self.listing_known.get() {
+            return;
+        }
+        let mut listing = (*self.listing).clone();
+        listing.version = version;
+        for upstream in changed {
+            listing.upstreams.insert(upstream.id.clone(), upstream);
+        }
+        for id in gone {
+            listing.upstreams.remove(&id);
+        }
+        self.relist(Some(listing), now);
+    }
+
+    /// Puts what the holder said over the list, and publishes both.
+    fn relist(&mut self, listing: Option<Listing>, now: Millis) {
+        let mut listing = listing.unwrap_or_else(|| (*self.listing).clone());
+        self.listing_known.set(listing.version);
+        self.placer.listed(&listing);
+        for (engine, (holding, _)) in &self.told {
+            listing.update_holding(engine, holding);
+        }
+        self.listing = Arc::new(listing);
+        self.publish(now);
+    }
+
+    fn live(&mut self) {
+        let knows = self.catalog.is_some() && self.has_listing;
+        if self.life == Life::Starting && knows {
+            self.life = Life::Serving;
+            self.shared.set_life(self.life);
+        }
+    }
+
+    fn stop(&mut self) {
+        let now = self.now();
+        self.life = Life::Leaving;
+        self.shared.set_life(self.life);
+        self.lease.borrow_mut().step_down(now);
+        self.send_heartbeats(now);
+        self.publish(now);
+    }
+
+    fn publish(&mut self, now: Millis) {
+        let settings = &self.shared.settings;
+        let mut ready = self.roster.ready(now);
+        if self.life == Life::Serving {
+            ready.push(ReadyMember {
+                requests: settings.callers.requests,
+                data_centre: settings.data_centre.clone(),
+            });
+        }
+        self.shared.view.store(Arc::new(View {
+            life: self.life,
+            catalog: self.catalog.clone(),
+            listing: self.listing.clone(),
+            peer_loads: self.roster.loads(now),
+            ready,
+        }));
+    }
+
+    fn heartbeat(&mut self, now: Millis) -> Message {
+        self.sequence += 1;
+        let settings = &self.shared.settings;
+        let epoch = self.lease.borrow().held_epoch(now);
+        let loads = self.shared.loads();
+        let is_idle = |load: &Load| *load == Load::default();
+        Message::Heartbeat(Box::new(Heartbeat {
+            instance: settings.instance.clone(),
+            start: self.start,
+            sequence: self.sequence,
+            data_centre: settings.data_centre.clone(),
+            life: self.life,
+            requests: settings.callers.requests,
+            state: settings.peers.state,
+            catalog: self.catalog.as_ref().map_or(0, |c| c.version),
+            listing: self.listing_known.get(),
+            epoch,
+            known: self.roster.known(now),
+            loads: loads
+                .iter()
+                .filter(|(_, load)| !is_idle(load))
+                .map(|(id, load)| UpstreamLoad {
+                    upstream: id.clone(),
+                    load: *load,
+                })
+                .collect(),
+            demand: self.demand.list(),
+            holdings: match epoch {
+                Some(_) => self.placer.news(now),
+                None => Vec::new(),
+            },
+        }))
+    }
+
+    fn send_heartbeats(&mut self, now: Millis) {
+        let message = self.heartbeat(now);
+        for target in self.roster.targets() {
+            self.send(target, &message);
+        }
+    }
+
+    fn send_heartbeat_to(&mut self, target: SocketAddr, now: Millis) {
+        let message = self.heartbeat(now);
+        self.send(target, &message);
+    }
+
+    fn send(&self, to: SocketAddr, message: &Message) {
+        match message.encode() {
+            // Datagrams may be lost, so one that finds no room may be too.
+            Ok(bytes) => {
+                let _ = self.socket.try_send_to(&bytes, to);
+            }
+            Err(error) => log::warn!("a datagram was not sent: {error}"),
+        }
+    }
+}
+
+fn each(
+    all: &BTreeMap<Variant, VariantDemand>,
+    value: impl Fn(&VariantDemand) -> f32,
+) -> BTreeMap<Variant, f64> {
+    let one = |(variant, demand): (&Variant, &VariantDemand)| {
+        (variant.clone(), f64::from(value(demand)))
+    };
+    all.iter().map(one).collect()
+}
+
+/// Makes seeds' heartbeat addresses: gateways use the same ports.
+fn seeds(own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let port = own.port();
+    seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
+/// Receives datagrams until control ends.
+async fn receive(socket: Rc<UdpSocket>, inputs: mpsc::UnboundedSender<Input>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    while !inputs.is_closed() {
+        // An error tells that an earlier datagram was not taken.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let bytes = buffer[..length].to_vec();
+        let _ = inputs.send(Input::Datagram(from, bytes));
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -0,0 +1,611 @@
+//! Giving engines the orders that placement decides.
+//!
+//! Every order states how many orders its engine must have taken before. A
+//! decision is made on what an engine holds after so many orders, and is
+//! carried out only if that still is so: an order that arrives late, or that
+//! another holder's has overtaken, does nothing.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::sync::mpsc;
+use valehold_core::{
+    Millis,
+    fleet::{
+        Holding, Listing, Variant,
+        adapters::{AdapterHost, AdapterStep, place_adapter, taken_mb},
+        catalog::EngineSpec,
+        replicas::{self, EngineState, ReplicaStep},
+        window::Window,
+    },
+    id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
+};
+use valehold_ports::{
+    PortError,
+    port::fleet::{
+        EngineOrder, EngineReport, FleetEngines, OrderOutcome, OrderWish,
+    },
+};
+
+use super::input::{GivenOrder, Input, OrderEnd};
+use crate::{peers::message::EngineHolding, view::Load};
+
+/// How often the plan is made, in ms.
+const PLAN_EVERY_MS: u64 = 400;
+
+/// How often an engine that is busy is asked, in ms.
+const ASK_EVERY_MS: u64 = 400;
+
+/// How long an engine is left alone after an order failed, in ms.
+const AFTER_FAILURE_MS: u64 = 400;
+
+/// After how many failures in a row an engine is taken for gone.
+const GONE_AFTER: u32 = 2;
+
+/// After how many reports in a row from before an order its effect is taken
+/// for what they say. Reports lag by less than so many questions take.
+const MOST_OLD_REPORTS: u32 = 6;
+
+/// How long a wish stays without being repeated, in ms.
+const KEEP_WISH_MS: u64 = 1_000;
+
+/// How long what an engine holds is told to peers after a change, in ms.
+const TELL_MS: u64 = 3_000;
+
+/// The part of the allowed loads that is used, since the next holder counts
+/// anew.
+const USED_LOADS: f64 = 0.45;
+
+/// How long requests get to turn away from a model before it is unloaded.
+const TURN_AWAY: Duration = Duration::from_millis(150);
+
+/// What is known of one engine.
+#[derive(Debug, Clone)]
+struct Entry {
+    service: ServiceName,
+    address: SocketAddr,
+    data_centre: DataCentreId,
+    leaving: bool,
+    holding: Holding,
+    loading: Option<ModelName>,
+    /// Whether an order about a model is being carried out.
+    busy: bool,
+    /// Whether a report has to come before the next order.
+    uncertain: bool,
+    /// Whether a report or an order is under way.
+    under_way: bool,
+    asked: Millis,
+    left_alone_until: Millis,
+    failures: u32,
+    /// Reports in a row from before what is known.
+    old_reports: u32,
+    held_before: BTreeSet<ModelName>,
+    changed: Option<Millis>,
+}
+
+impl Entry {
+    fn is_sound(&self) -> bool {
+        !self.leaving && self.failures < GONE_AFTER
+    }
+
+    fn may_order(&self, now: Millis) -> bool {
+        self.is_sound()
+            && !self.under_way
+            && !self.uncertain
+            && now >= self.left_alone_until
+    }
+
+    fn note_held(&mut self) {
+        let models = self.holding.models.keys().cloned();
+        self.held_before.extend(models);
+    }
+}
+
+/// What the lease allows an order to carry.
+#[derive(Clone)]
+pub(super) struct Authority {
+    /// The holder.
+    pub(super) holder: InstanceId,
+    /// Returns the epoch, if orders may be given at this moment.
+    pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
+}
+
+/// Gives orders to engines.
+pub(super) struct Placer {
+    engines: Arc<dyn FleetEngines>,
+    inputs: mpsc::UnboundedSender<Input>,
+    authority: Authority,
+    entries: BTreeMap<UpstreamId, Entry>,
+    wishes: BTreeMap<Variant, Millis>,
+    loads: BTreeMap<ServiceName, Window>,
+    load_window_s: f64,
+    planned: Millis,
+}
+
+impl Placer {
+    pub(super) fn new(
+        engines: Arc<dyn FleetEngines>,
+        inputs: mpsc::UnboundedSender<Input>,
+        authority: Authority,
+        load_window_s: f64,
+    ) -> Self {
+        Self {
+            engines,
+            inputs,
+            authority,
+            entries: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            load_window_s,
+            planned: Millis::default(),
+        }
+    }
+
+    /// Takes in the upstreams.
+    pub(super) fn listed(&mut self, listing: &Listing) {
+        let entries = &mut self.entries;
+        entries.retain(|id, _| listing.upstreams.contains_key(id));
+        for (id, upstream) in &listing.upstreams {
+            let entry = entries.entry(id.clone()).or_insert_with(|| Entry {
+                service: upstream.service.clone(),
+                address: upstream.address,
+                data_centre: upstream.data_centre.clone(),
+                leaving: upstream.leaving,
+                holding: upstream.holding.clone(),
+                loading: None,
+                busy: false,
+                uncertain: true,
+                under_way: false,
+                asked: Millis::default(),
+                left_alone_until: Millis::default(),
+                failures: 0,
+                old_reports: 0,
+                held_before: BTreeSet::new(),
+                changed: None,
+            });
+            entry.leaving = upstream.leaving;
+            if upstream.holding.sequence > entry.holding.sequence {
+                entry.holding = upstream.holding.clone();
+            }
+            entry.note_held();
+        }
+    }
+
+    /// Takes in that a request waits for a variant.
+    pub(super) fn wished(&mut self, variant: Variant, now: Millis) {
+        self.wishes.insert(variant, now);
+    }
+
+    /// Returns what engines hold since the last orders.
+    pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
+        let is_news = |entry: &Entry| {
+            entry.changed.is_some_and(|at| now.since(at) < TELL_MS)
+        };
+        self.entries
+            .iter()
+            .filter(|(_, entry)| is_news(entry))
+            .map(|(id, entry)| EngineHolding {
+                engine: id.clone(),
+                holding: entry.holding.clone(),
+            })
+            .collect()
+    }
+
+    /// Does what is due for one service while orders may be given.
+    pub(super) fn tick(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        demand: &BTreeMap<Variant, f64>,
+        use_of: &BTreeMap<Variant, f64>,
+        loads: &BTreeMap<UpstreamId, Load>,
+    ) {
+        if (self.authority.epoch)().is_none() {
+            return;
+        }
+        self.ask_where_due(service, now);
+        self.place_adapters(now, service, spec, use_of, loads);
+        if now.since(self.planned) >= PLAN_EVERY_MS {
+            self.planned = now;
+            self.place_models(now, service, spec, demand, loads);
+        }
+    }
+
+    /// Asks engines of which a report is needed.
+    fn ask_where_due(&mut self, service: &ServiceName, now: Millis) {
+        let due: Vec<UpstreamId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.service == *service && !entry.leaving)
+            .filter(|(_, e)| !e.under_way && now >= e.left_alone_until)
+            .filter(|(_, entry)| {
+                entry.uncertain
+                    || (entry.busy && now.since(entry.asked) >= ASK_EVERY_MS)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.ask(&id, now);
+        }
+    }
+
+    fn ask(&mut self, id: &UpstreamId, now: Millis) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.under_way = true;
+        entry.asked = now;
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let (engine, address) = (id.clone(), entry.address);
+        tokio::task::spawn_local(async move {
+            let report = engines.report(address).await;
+            let input = Input::Reported { engine, asked: now, report };
+            let _ = inputs.send(input);
+        });
+    }
+
+    /// Takes in an engine's report.
+    pub(super) fn reported(
+        &mut self,
+        engine: &UpstreamId,
+        report: Result<EngineReport, PortError>,
+        now: Millis,
+    ) {
+        let Some(entry) = self.entries.get_mut(engine) else { return };
+        entry.under_way = false;
+        let report = match report {
+            Ok(report) => report,
+            Err(error) => {
+                log::debug!("{engine} did not report: {error}");
+                entry.failures += 1;
+                entry.left_alone_until = now + AFTER_FAILURE_MS;
+                return;
+            }
+        };
+        entry.failures = 0;
+        let is_old = report.holding.sequence < entry.holding.sequence;
+        if is_old && entry.old_reports < MOST_OLD_REPORTS {
+            // It is from before the last order.
+            entry.old_reports += 1;
+            entry.left_alone_until = now + ASK_EVERY_MS / 4;
+            return;
+        }
+        entry.old_reports = 0;
+        entry.uncertain = false;
+        entry.busy = report.busy;
+        if !report.busy {
+            entry.loading = None;
+        }
+        if report.holding != entry.holding {
+            entry.changed = Some(now);
+            entry.holding = report.holding;
+        }
+        entry.note_held();
+    }
+
+    fn place_adapters(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        use_of: &BTreeMap<Variant, f64>,
+        loads: &BTreeMap<UpstreamId, Load>,
+    ) {
+        self.wishes.retain(|_, at| now.since(*at) < KEEP_WISH_MS);
+        let wishes: Vec<Variant> = self.wishes.keys().cloned().collect();
+        for variant in wishes {
+            if variant.adapter.is_none()
+                || spec.model(&variant.model).is_none()
+            {
+                continue;
+            }
+            let held = self.entries.values().any(|entry| {
+                entry.service == *service
+                    && entry.is_sound()
+                    && entry.holding.has(&variant)
+            });
+            if held {
+                self.wishes.remove(&variant);
+                continue;
+            }
+            let step =
+                self.adapter_step(now, service, spec, &variant, use_of, loads);
+            match step {
+                Some(AdapterStep::Load(engine)) => {
+                    self.order(&engine, OrderWish::Load(variant));
+                }
+                Some(AdapterStep::MakeRoom { engine, victim }) => {
+                    self.order(&engine, OrderWish::Unload(victim));
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn adapter_step(
+        &self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        variant: &Variant,
+        use_of: &BTreeMap<Variant, f64>,
+        loads: &BTreeMap<UpstreamId, Load>,
+    ) -> Option<AdapterStep> {
+        let hosts: Vec<AdapterHost<'_>> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.service == *service && e.may_order(now))
+            .map(|(id, entry)| AdapterHost {
+                engine: id,
+                holding: &entry.holding,
+                load: load_of(loads, id),
+            })
+            .collect();
+        place_adapter(variant, &hosts, spec, use_of)
+    }
+
+    fn place_models(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        demand: &BTreeMap<Variant, f64>,
+        loads: &BTreeMap<UpstreamId, Load>,
+    ) {
+        let mut by_model: BTreeMap<ModelName, f64> = BTreeMap::new();
+        for (variant, busy) in demand {
+            *by_model.entry(variant.model.clone()).or_default() += busy;
+        }
+        let states: Vec<EngineState> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.service == *service)
+            .map(|(id, entry)| EngineState {
+                id: id.clone(),
+                data_centre: entry.data_centre.clone(),
+                holding: entry.holding.clone(),
+                loading: entry.loading.clone(),
+                busy: entry.busy || !entry.may_order(now),
+                sound: entry.is_sound(),
+                held_before: entry.held_before.clone(),
+                load: load_of(loads, id),
+            })
+            .collect();
+        let allowed = self.loads_left(now, service, spec);
+        for step in replicas::plan(spec, &by_model, &states, allowed) {
+            match step {
+                ReplicaStep::Load { engine, model } => {
+                    self.loads_of(service).note(now);
+                    let variant = Variant { model, adapter: None };
+                    let wish = OrderWish::Load(variant);
+                    self.order_checked(&engine, wish, spec, now);
+                }
+                ReplicaStep::Unload { engine, model } => {
+                    let variant = Variant { model, adapter: None };
+                    let wish = OrderWish::Unload(variant);
+                    self.order_checked(&engine, wish, spec, now);
+                }
+            }
+        }
+    }
+
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn loads_left(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+    ) -> usize {
+        let allowed = spec.loads_per_second * self.load_window_s * USED_LOADS;
+        let used = self.loads_of(service).count(now);
+        (allowed as usize).max(1).saturating_sub(used)
+    }
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn loads_of(&mut self, service: &ServiceName) -> &mut Window {
+        let span_ms = (self.load_window_s * 1_000.0) as u64;
+        let loads = &mut self.loads;
+        loads.entry(service.clone()).or_insert_with(|| Window::new(span_ms))
+    }
+
+    /// Gives an order on what is known.
+    fn order(&mut self, engine: &UpstreamId, wish: OrderWish) {
+        let Some(order) = self.begin(engine, &wish) else { return };
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let authority = self.authority.clone();
+        tokio::task::spawn_local(async move {
+            let end = give(&*engines, &authority, &order).await;
+            let _ = inputs.send(Input::Ordered(order.given(), end));
+        });
+    }
+
+    /// Gives an order about a model, if a report confirms what is known.
+    fn order_checked(
+        &mut self,
+        engine: &UpstreamId,
+        wish: OrderWish,
+        spec: &EngineSpec,
+        now: Millis,
+    ) {
+        let Some(order) = self.begin(engine, &wish) else { return };
+        let Some(entry) = self.entries.get_mut(engine) else { return };
+        let known = entry.holding.clone();
+        if let OrderWish::Unload(variant) = &wish {
+            // Peers turn away from it first. A later report tells them what
+            // is there, whatever becomes of the order.
+            entry.holding.models.remove(&variant.model);
+            entry.holding.sequence += 1;
+            entry.changed = Some(now);
+        }
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let authority = self.authority.clone();
+        let spec = spec.clone();
+        tokio::task::spawn_local(async move {
+            if matches!(order.wish, OrderWish::Unload(_)) {
+                tokio::time::sleep(TURN_AWAY).await;
+            }
+            let report = engines.report(order.address).await;
+            let as_known = report.is_ok_and(|report| {
+                !report.busy
+                    && report.holding == known
+                    && fits(&report.holding, &order.wish, &spec)
+            });
+            let end = match as_known {
+                true => give(&*engines, &authority, &order).await,
+                false => OrderEnd::NotSent,
+            };
+            let _ = inputs.send(Input::Ordered(order.given(), end));
+        });
+    }
+
+    fn begin(
+        &mut self,
+        engine: &UpstreamId,
+        wish: &OrderWish,
+    ) -> Option<PlannedOrder> {
+        let entry = self.entries.get_mut(engine)?;
+        entry.under_way = true;
+        Some(PlannedOrder {
+            engine: engine.clone(),
+            address: entry.address,
+            wish: wish.clone(),
+            expected_sequence: entry.holding.sequence,
+        })
+    }
+
+    /// Takes in how an order ended.
+    pub(super) fn ordered(
+        &mut self,
+        order: GivenOrder,
+        end: &OrderEnd,
+        now: Millis,
+    ) {
+        let Some(entry) = self.entries.get_mut(&order.engine) else { return };
+        entry.under_way = false;
+        let is_model = match &order.wish {
+            OrderWish::Load(v) | OrderWish::Unload(v) => v.adapter.is_none(),
+        };
+        match end {
+            OrderEnd::Answered(
+                OrderOutcome::Accepted | OrderOutcome::Holds,
+            ) => {
+                entry.failures = 0;
+                entry.uncertain =
+                    is_model && matches!(order.wish, OrderWish::Unload(_));
+                entry.holding.sequence = order.expected_sequence + 1;
+                entry.changed = Some(now);
+                apply(entry, &order.wish);
+            }
+            OrderEnd::Answered(
+                OrderOutcome::Conflict | OrderOutcome::Refused,
+            )
+            | OrderEnd::NotSent => {
+                entry.uncertain = true;
+                entry.left_alone_until = now + AFTER_FAILURE_MS / 4;
+                forget_guess(entry, &order);
+            }
+            OrderEnd::Unanswered(error) => {
+                log::debug!("an order to {} was lost: {error}", order.engine);
+                entry.uncertain = true;
+                entry.left_alone_until = now + AFTER_FAILURE_MS;
+                forget_guess(entry, &order);
+            }
+        }
+    }
+}
+
+/// Goes back to before an order of which the effect is not known, so that
+/// the next report counts, whatever it says.
+fn forget_guess(entry: &mut Entry, order: &GivenOrder) {
+    entry.holding.sequence = order.expected_sequence;
+    entry.changed = None;
+}
+
+fn apply(entry: &mut Entry, wish: &OrderWish) {
+    let models = &mut entry.holding.models;
+    match wish {
+        OrderWish::Load(Variant { model, adapter: None }) => {
+            entry.loading = Some(model.clone());
+            entry.busy = true;
+        }
+        OrderWish::Load(Variant { model, adapter: Some(adapter) }) => {
+            models.entry(model.clone()).or_default().insert(adapter.clone());
+        }
+        OrderWish::Unload(Variant { model, adapter: None }) => {
+            models.remove(model);
+            entry.busy = true;
+        }
+        OrderWish::Unload(Variant { model, adapter: Some(adapter) }) => {
+            if let Some(adapters) = models.get_mut(model) {
+                adapters.remove(adapter);
+            }
+        }
+    }
+}
+
+fn fits(holding: &Holding, wish: &OrderWish, spec: &EngineSpec) -> bool {
+    match wish {
+        OrderWish::Unload(_) => true,
+        OrderWish::Load(variant) => {
+            let size = spec.model(&variant.model).map(|model| model.size_mb);
+            let taken = taken_mb(holding, spec);
+            size.is_some_and(|size| taken + size <= spec.weights_mb)
+        }
+    }
+}
+
+fn load_of(loads: &BTreeMap<UpstreamId, Load>, id: &UpstreamId) -> f64 {
+    loads.get(id).map_or(0.0, |load| f64::from(load.running))
+}
+
+/// An order that is about to be given.
+#[derive(Debug, Clone)]
+struct PlannedOrder {
+    engine: UpstreamId,
+    address: SocketAddr,
+    wish: OrderWish,
+    expected_sequence: u64,
+}
+
+impl PlannedOrder {
+    fn given(self) -> GivenOrder {
+        GivenOrder {
+            engine: self.engine,
+            wish: self.wish,
+            expected_sequence: self.expected_sequence,
+        }
+    }
+}
+
+/// Gives an order, if the lease allows it at this moment.
+async fn give(
+    engines: &dyn FleetEngines,
+    authority: &Authority,
+    planned: &PlannedOrder,
+) -> OrderEnd {
+    let Some(epoch) = (authority.epoch)() else { return OrderEnd::NotSent };
+    let order = EngineOrder {
+        engine: planned.engine.clone(),
+        address: planned.address,
+        wish: planned.wish.clone(),
+        expected_sequence: planned.expected_sequence,
+        holder: authority.holder.clone(),
+        epoch,
+    };
+    log::info!("orders {order:?}");
+    match engines.order(&order).await {
+        Ok(outcome) => {
+            log::info!("order {:?} ended {outcome:?}", order.wish);
+            OrderEnd::Answered(outcome)
+        }
+        Err(error) => OrderEnd::Unanswered(error),
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -0,0 +1,208 @@
+//! One running gateway.
+
+use std::{net::SocketAddr, sync::Arc, thread::JoinHandle};
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+};
+use valehold_core::{chart::library, fleet::Variant};
+use valehold_ports::port::fleet::{Dialect, FleetEngines, FleetStore};
+
+use crate::{
+    control::{Control, Parts},
+    error::Error,
+    metrics::Metrics,
+    settings::Settings,
+    shared::Shared,
+    traffic::{self, App},
+};
+
+/// The outside, through its ports.
+#[derive(Clone)]
+pub struct Ports {
+    /// The platform's store.
+    pub store: Arc<dyn FleetStore>,
+    /// Engines.
+    pub engines: Arc<dyn FleetEngines>,
+    /// How requests and answers are written.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    stop: watch::Sender<bool>,
+    seeds: watch::Sender<Vec<SocketAddr>>,
+    traffic: JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Starts a gateway, on one thread for control and one for traffic.
+    ///
+    /// # Errors
+    ///
+    /// If a chart does not hold, or an address cannot be had.
+    pub fn start(settings: Settings, ports: Ports) -> Result<Self, Error> {
+        library::check_all().map_err(|e| Error::new("reading charts", e))?;
+        let metrics = Metrics::try_new()?;
+        let (shared, wishes) = Shared::new(settings, metrics);
+        let (stop, stopping) = watch::channel(false);
+        let (seeds, new_seeds) = watch::channel(Vec::new());
+        let control = ControlStart {
+            shared: shared.clone(),
+            ports: ports.clone(),
+            wishes,
+            stop: stopping,
+            seeds: new_seeds,
+        };
+        let (started, starting) = oneshot::channel();
+        spawn("control", move || control.run(started))?;
+        wait(starting)?;
+        let (started, starting) = oneshot::channel();
+        let dialect = ports.dialect;
+        let traffic =
+            spawn("traffic", move || run_traffic(shared, dialect, started))?;
+        wait(starting)?;
+        Ok(Self { stop, seeds, traffic })
+    }
+
+    /// Asks it to stop; it finishes what it has first.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds.send_replace(seeds);
+    }
+
+    /// Waits until it has stopped.
+    ///
+    /// # Errors
+    ///
+    /// If its traffic thread panicked.
+    pub fn join(self) -> Result<(), Error> {
+        self.traffic
+            .join()
+            .map_err(|_| Error::new("running", "the traffic thread panicked"))
+    }
+}
+
+type Started = oneshot::Sender<Result<(), Error>>;
+
+fn wait(starting: oneshot::Receiver<Result<(), Error>>) -> Result<(), Error> {
+    starting.blocking_recv().map_err(|e| Error::new("starting", e))?
+}
+
+fn spawn(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, Error> {
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(run)
+        .map_err(|e| Error::new("starting a thread", e))
+}
+
+/// Runs a task on a runtime of this thread alone.
+fn block_on<F: Future<Output = ()>>(
+    task: impl FnOnce() -> F,
+) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::new("starting a runtime", e))?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, task());
+    Ok(())
+}
+
+/// What the control thread is started with.
+struct ControlStart {
+    shared: Arc<Shared>,
+    ports: Ports,
+    wishes: mpsc::Receiver<Variant>,
+    stop: watch::Receiver<bool>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+}
+
+impl ControlStart {
+    fn run(self, started: Started) {
+        let run = || async move {
+            let peers = &self.shared.settings.peers;
+            let bound = async {
+                let heartbeats = UdpSocket::bind(peers.heartbeats)
+                    .await
+                    .map_err(|e| listening(peers.heartbeats, e))?;
+                Ok::<_, Error>((heartbeats, bind(peers.state).await?))
+            };
+            let (heartbeats, state) = match bound.await {
+                Ok(bound) => bound,
+                Err(error) => {
+                    let _ = started.send(Err(error));
+                    return;
+                }
+            };
+            let _ = started.send(Ok(()));
+            Control::run(Parts {
+                shared: self.shared,
+                store: self.ports.store,
+                engines: self.ports.engines,
+                heartbeats,
+                state,
+                wishes: self.wishes,
+                stop: self.stop,
+                seeds: self.seeds,
+            })
+            .await;
+        };
+        if let Err(error) = block_on(run) {
+            log::error!("{error}");
+        }
+    }
+}
+
+fn run_traffic(
+    shared: Arc<Shared>,
+    dialect: Arc<dyn Dialect>,
+    started: Started,
+) {
+    let run = || async move {
+        let doors = match open_doors(&shared.settings).await {
+            Ok(doors) => doors,
+            Err(error) => {
+                let _ = started.send(Err(error));
+                return;
+            }
+        };
+        let _ = started.send(Ok(()));
+        traffic::serve(App::new(shared, dialect), doors).await;
+    };
+    if let Err(error) = block_on(run) {
+        log::error!("{error}");
+    }
+}
+
+async fn open_doors(settings: &Settings) -> Result<traffic::Doors, Error> {
+    let callers = &settings.callers;
+    let metrics = match callers.metrics {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    Ok(traffic::Doors {
+        requests: bind(callers.requests).await?,
+        ready: bind(callers.ready).await?,
+        addresses: bind(callers.addresses).await?,
+        metrics,
+    })
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|e| listening(address, e))
+}
+
+fn listening(address: SocketAddr, error: std::io::Error) -> Error {
+    Error::new(&format!("listening on {address}"), error)
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -0,0 +1,111 @@
+//! What gateways send to each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use valehold_core::{
+    fleet::{Holding, Variant},
+    id::{DataCentreId, InstanceId, UpstreamId},
+};
+
+use crate::view::{Life, Load};
+
+/// The largest datagram that is sent, in bytes.
+pub const MAX_DATAGRAM: usize = 60_000;
+
+/// What one gateway has under way at one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What is under way.
+    pub load: Load,
+}
+
+/// The demand for one variant that came to one gateway.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VariantDemand {
+    /// The variant.
+    pub variant: Variant,
+    /// Requests a second.
+    pub requests: f32,
+    /// Engines that it keeps wholly busy.
+    pub busy: f32,
+}
+
+/// What an engine holds, as the holder of the lease knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineHolding {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// What it holds.
+    pub holding: Holding,
+}
+
+/// A gateway's word about itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Differs between its starts.
+    pub start: u64,
+    /// Counts its heartbeats.
+    pub sequence: u64,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// How far its life has come.
+    pub life: Life,
+    /// Where it takes requests.
+    pub requests: SocketAddr,
+    /// Where peers read its state.
+    pub state: SocketAddr,
+    /// The version of its configuration; 0 before the first.
+    pub catalog: u64,
+    /// The version of its list of upstreams; 0 before the first.
+    pub listing: u64,
+    /// The epoch in which it holds the lease, if it does.
+    pub epoch: Option<u64>,
+    /// Where the gateways that it knows take heartbeats.
+    pub known: Vec<SocketAddr>,
+    /// What it has under way.
+    pub loads: Vec<UpstreamLoad>,
+    /// The demand that comes to it.
+    pub demand: Vec<VariantDemand>,
+    /// From the holder: what engines hold since its last orders.
+    pub holdings: Vec<EngineHolding>,
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A gateway's word about itself.
+    Heartbeat(Box<Heartbeat>),
+    /// To the holder: a request waits for this variant.
+    Wish(Variant),
+    /// From the holder: what engines hold since its last orders.
+    Holdings(Vec<EngineHolding>),
+}
+
+impl Message {
+    /// Writes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If it is too large, or cannot be written.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_stdvec(self)?;
+        match bytes.len() <= MAX_DATAGRAM {
+            true => Ok(bytes),
+            false => Err(postcard::Error::SerializeBufferFull),
+        }
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If it is none of these.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/peers/mod.rs
@@ -0,0 +1,15 @@
+//! Gateways and one another: heartbeats, wishes, and state that is behind.
+//!
+//! Heartbeats go by UDP, without answers: a lost one is followed by the
+//! next. What is too large for a datagram, the configuration and the list of
+//! upstreams, is asked for by HTTP, and only when a heartbeat shows that a
+//! peer has something newer.
+
+pub mod message;
+pub mod roster;
+pub mod state;
+
+pub use self::{
+    message::{Heartbeat, Message},
+    roster::Roster,
+};
--- /dev/null
+++ b/crates/valehold-gateway/src/settings.rs
@@ -0,0 +1,228 @@
+//! A gateway's settings, written in TOML.
+
+use std::{net::SocketAddr, path::Path};
+
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use serde::Deserialize;
+use thiserror::Error;
+use valehold_core::{
+    admission::AdmissionSettings,
+    fleet::share::RetryBudget,
+    id::{DataCentreId, InstanceId},
+    routing::RoutingSettings,
+};
+
+/// Everything that a gateway is told when it starts.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Its name.
+    pub instance: InstanceId,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+    /// Its side towards callers.
+    pub callers: CallerSettings,
+    /// Its side towards other gateways.
+    pub peers: PeerSettings,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// The budget for second sends, over all gateways.
+    pub retry: RetrySettings,
+    /// The lease under which models are placed.
+    pub lease: LeaseSettings,
+    /// Loads from the weight store.
+    pub loads: LoadSettings,
+    /// How engines are chosen.
+    #[serde(default)]
+    pub routing: RoutingSettings,
+    /// How requests are let in.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
+    /// The least level that is logged.
+    #[serde(default = "default_level")]
+    pub log_level: String,
+}
+
+/// The side towards callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Where requests are taken.
+    pub requests: SocketAddr,
+    /// Where the platform asks whether this gateway is ready.
+    pub ready: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub addresses: SocketAddr,
+    /// For how long callers keep an answer about addresses, in seconds.
+    #[serde(default = "default_keep")]
+    pub address_keep_s: u64,
+    /// How long a stop may take, in seconds.
+    pub stop_s: f64,
+    /// Where metrics are given, if anywhere.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The side towards other gateways.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Where heartbeats are taken, by UDP.
+    pub heartbeats: SocketAddr,
+    /// Where peers read the configuration and the upstreams, by TCP.
+    pub state: SocketAddr,
+    /// Other gateways' state addresses; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// How often heartbeats are sent, in ms.
+    #[serde(default = "default_heartbeat")]
+    pub every_ms: u64,
+    /// After how long a silent gateway is taken for gone, in ms.
+    #[serde(default = "default_silence")]
+    pub silent_ms: u64,
+}
+
+/// The platform.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The store's address.
+    pub store: SocketAddr,
+}
+
+/// The budget for second sends, over all gateways.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Second sends for each request.
+    pub ratio: f64,
+    /// Second sends beyond that, in a window.
+    pub slack: f64,
+    /// The window's length, in seconds.
+    pub window_s: f64,
+    /// How many gateways there may ever be at once.
+    #[serde(default = "default_instances")]
+    pub instances: u32,
+}
+
+impl RetrySettings {
+    /// Returns the budget.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn budget(&self) -> RetryBudget {
+        RetryBudget {
+            ratio: self.ratio,
+            slack: self.slack,
+            window_ms: (self.window_s * 1_000.0) as u64,
+            instances: self.instances,
+        }
+    }
+}
+
+/// The lease under which models are placed.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseSettings {
+    /// How long after an old holder's last order a new one's first may come,
+    /// in ms.
+    pub quiet_ms: u64,
+}
+
+/// Loads from the weight store.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadSettings {
+    /// The span over which loads are counted, in seconds.
+    pub window_s: f64,
+}
+
+const fn default_keep() -> u64 {
+    2
+}
+
+const fn default_heartbeat() -> u64 {
+    250
+}
+
+const fn default_silence() -> u64 {
+    1_300
+}
+
+const fn default_instances() -> u32 {
+    16
+}
+
+fn default_level() -> String {
+    "warn".to_owned()
+}
+
+/// What is wrong with a settings file.
+#[derive(Debug, Error, Diagnostic)]
+#[error("the settings do not hold: {message}")]
+pub struct SettingsError {
+    message: String,
+    #[source_code]
+    text: NamedSource<String>,
+    #[label("here")]
+    span: Option<SourceSpan>,
+    #[help]
+    help: &'static str,
+}
+
+/// Where settings are described.
+const HELP: &str = "docs/OPERATING.md lists every setting of a gateway";
+
+impl Settings {
+    /// Reads settings from their text; `name` is the file's, for errors.
+    ///
+    /// # Errors
+    ///
+    /// If the text is not TOML, lacks a setting, or has one that is unknown
+    /// or out of its range.
+    pub fn from_toml(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let fail = |message: String, span: Option<SourceSpan>| SettingsError {
+            message,
+            text: NamedSource::new(name, text.to_owned()),
+            span,
+            help: HELP,
+        };
+        let settings: Self = toml::from_str(text).map_err(|e| {
+            fail(e.message().to_owned(), e.span().map(Into::into))
+        })?;
+        match settings.fault() {
+            Some(fault) => Err(fail(fault.to_owned(), None)),
+            None => Ok(settings),
+        }
+    }
+
+    /// Reads settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be read, or as [`Settings::from_toml`].
+    pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|error| SettingsError {
+                message: format!("{name} cannot be read: {error}"),
+                text: NamedSource::new(&name, String::new()),
+                span: None,
+                help: "name the file in the variable VALEHOLD_CONFIG",
+            })?;
+        Self::from_toml(&name, &text)
+    }
+
+    fn fault(&self) -> Option<&'static str> {
+        if self.peers.every_ms == 0 {
+            return Some("peers.every_ms is above 0");
+        }
+        if self.peers.silent_ms <= self.peers.every_ms {
+            return Some("peers.silent_ms is above peers.every_ms");
+        }
+        if self.callers.stop_s <= 0.0 {
+            return Some("callers.stop_s is above 0");
+        }
+        if self.retry.ratio < 0.0 || self.retry.slack < 0.0 {
+            return Some("retry.ratio and retry.slack are 0 or above");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/shared.rs
@@ -0,0 +1,95 @@
+//! What control and traffic have in common.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, watch};
+use valehold_core::{fleet::Variant, id::UpstreamId};
+
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    settings::Settings,
+    view::{Life, Load, View},
+};
+
+/// How many wishes may wait for control.
+const WISHES: usize = 256;
+
+/// The work that requests for a variant made, since it was last taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Requests that came.
+    pub requests: f64,
+    /// For how long they keep an engine busy, in ms.
+    pub busy_ms: f64,
+}
+
+/// What control and traffic have in common.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// The instruments.
+    pub metrics: Metrics,
+    /// The newest view; written by control.
+    pub view: ArcSwap<View>,
+    loads: Mutex<BTreeMap<UpstreamId, Load>>,
+    work: Mutex<BTreeMap<Variant, Work>>,
+    wishes: mpsc::Sender<Variant>,
+    life: watch::Sender<Life>,
+}
+
+impl Shared {
+    /// Makes the shared part, and the end at which control takes wishes.
+    pub fn new(
+        settings: Settings,
+        metrics: Metrics,
+    ) -> (Arc<Self>, mpsc::Receiver<Variant>) {
+        let (wishes, taken) = mpsc::channel(WISHES);
+        let shared = Self {
+            settings,
+            clock: Clock::new(),
+            metrics,
+            view: ArcSwap::default(),
+            loads: Mutex::default(),
+            work: Mutex::default(),
+            wishes,
+            life: watch::Sender::new(Life::Starting),
+        };
+        (Arc::new(shared), taken)
+    }
+
+    /// Asks control for a variant that no engine holds.
+    ///
+    /// A wish that finds no room is lost; who waits wishes again.
+    pub fn wish(&self, variant: &Variant) {
+        let _ = self.wishes.try_send(variant.clone());
+    }
+
+    /// What this gateway has under way at each upstream.
+    pub fn loads(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Load>> {
+        // Plain numbers: any value that a panic left is a valid one.
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The work that came since control last took it.
+    pub fn work(&self) -> MutexGuard<'_, BTreeMap<Variant, Work>> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets how far this gateway's life has come.
+    pub fn set_life(&self, life: Life) {
+        self.life.send_replace(life);
+    }
+
+    /// Watches how far this gateway's life has come.
+    pub fn watch_life(&self) -> watch::Receiver<Life> {
+        self.life.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -0,0 +1,224 @@
+//! Passing an upstream's answer on to the caller.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::stream;
+use http::{HeaderValue, Response, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use tokio::time::Instant;
+use valehold_core::{
+    fleet::{
+        Repetition, Upstream,
+        event::{EventOrder, EventPassage, EventSplitter},
+    },
+    id::UpstreamId,
+};
+
+use super::{
+    Body, BrokenOff,
+    exchange::{Exchange, Passable},
+    send::{BegunAnswer, Rest, SendFailure},
+    state::{App, UnderWay},
+};
+use crate::view::Life;
+
+/// After which pause a resumable stream is taken up at another engine.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// An upstream's stream, from which whole events are taken.
+pub(super) struct Relay {
+    upstream: Upstream,
+    body: Incoming,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    rest: Option<Rest>,
+    splitter: EventSplitter,
+    under_way: UnderWay,
+    /// Events that were taken and not passed on yet.
+    held: Option<Bytes>,
+}
+
+/// What came next of a stream.
+enum Next {
+    Events(Bytes),
+    End,
+}
+
+impl Relay {
+    pub(super) fn new(
+        upstream: Upstream,
+        begun: BegunAnswer,
+        under_way: UnderWay,
+    ) -> Self {
+        Self {
+            upstream,
+            body: begun.body,
+            sender: Some(begun.sender),
+            rest: begun.rest,
+            splitter: EventSplitter::default(),
+            under_way,
+            held: None,
+        }
+    }
+
+    /// Waits for the first events.
+    pub(super) async fn first_events(
+        &mut self,
+        app: &App,
+        order: &mut EventOrder,
+        by: Instant,
+    ) -> Result<Bytes, SendFailure> {
+        let taking = self.next(app, order);
+        let taken = tokio::time::timeout_at(by, taking).await;
+        let Ok(Ok(next)) = taken else { return Err(SendFailure::broken()) };
+        self.under_way.prompt_read();
+        match next {
+            Next::Events(bytes) => Ok(bytes),
+            // A whole stream without events is one, too.
+            Next::End => Ok(Bytes::new()),
+        }
+    }
+
+    /// Keeps events until the answer is passed on.
+    pub(super) fn hold(&mut self, events: Bytes) {
+        self.held = Some(events);
+    }
+
+    async fn next(
+        &mut self,
+        app: &App,
+        order: &mut EventOrder,
+    ) -> Result<Next, BrokenOff> {
+        if let Some(held) = self.held.take() {
+            return Ok(Next::Events(held));
+        }
+        loop {
+            let events = self.whole_events(order)?;
+            if !events.is_empty() {
+                return Ok(Next::Events(events));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.splitter.push(bytes);
+                    }
+                }
+                Some(Err(error)) => {
+                    log::debug!("{} broke off: {error}", self.upstream.id);
+                    return Err(BrokenOff);
+                }
+                None if self.splitter.has_rest() => return Err(BrokenOff),
+                None => {
+                    self.let_rest(app);
+                    return Ok(Next::End);
+                }
+            }
+        }
+    }
+
+    fn whole_events(
+        &mut self,
+        order: &mut EventOrder,
+    ) -> Result<Bytes, BrokenOff> {
+        let mut all = BytesMut::new();
+        loop {
+            let event = self.splitter.next_event().map_err(|_| BrokenOff)?;
+            let Some(event) = event else { return Ok(all.freeze()) };
+            match order.judge(event.id) {
+                EventPassage::Pass => all.extend_from_slice(&event.bytes),
+                EventPassage::Repeated => {}
+                EventPassage::Missing => return Err(BrokenOff),
+            }
+        }
+    }
+
+    fn let_rest(&mut self, app: &App) {
+        if let (Some(sender), Some(rest)) = (self.sender.take(), self.rest) {
+            app.pool.rest(&self.upstream.id, sender, rest.stated);
+        }
+    }
+
+    fn upstream_id(&self) -> UpstreamId {
+        self.upstream.id.clone()
+    }
+}
+
+/// A stream on its way to the caller.
+struct Passing {
+    exchange: Exchange,
+    relay: Option<Relay>,
+}
+
+impl Passing {
+    /// Returns the next events; `None` at the end.
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        loop {
+            let relay = self.relay.as_mut()?;
+            let by = pause_until(&self.exchange);
+            let app = self.exchange.app.clone();
+            let taking = relay.next(&app, &mut self.exchange.order);
+            match tokio::time::timeout_at(by, taking).await {
+                Ok(Ok(Next::Events(events))) => return Some(Ok(events)),
+                Ok(Ok(Next::End)) => {
+                    self.relay = None;
+                    return None;
+                }
+                Ok(Err(BrokenOff)) | Err(_) => {}
+            }
+            if let Err(broken) = self.resume().await {
+                self.relay = None;
+                return Some(Err(broken));
+            }
+        }
+    }
+
+    /// Takes the stream up at another engine, if that is allowed.
+    async fn resume(&mut self) -> Result<(), BrokenOff> {
+        let relay = self.relay.take().ok_or(BrokenOff)?;
+        let id = relay.upstream_id();
+        // The engine stops working on it when its connection goes.
+        drop(relay);
+        self.exchange.app.judge(&id, |health, now| health.failed(now));
+        let resumed = self.exchange.resume(&id).await;
+        self.relay = Some(resumed.ok_or(BrokenOff)?);
+        Ok(())
+    }
+}
+
+/// Returns until when the next event has to come.
+fn pause_until(exchange: &Exchange) -> Instant {
+    let job = &exchange.job;
+    match job.route.repetition {
+        Repetition::Resumable => {
+            job.deadline.min(Instant::now() + LONGEST_PAUSE)
+        }
+        _ => job.deadline,
+    }
+}
+
+/// Passes an answer on.
+pub(super) fn pass(passable: Passable, exchange: Exchange) -> Response<Body> {
+    let leaving = exchange.app.shared.view.load().life != Life::Serving;
+    let mut answer = match passable {
+        Passable::Whole { head, body } => {
+            let body = Full::new(body).map_err(BrokenOff::from);
+            Response::from_parts(head, Box::pin(body) as Body)
+        }
+        Passable::Stream { head, relay } => {
+            let passing = Passing { exchange, relay: Some(*relay) };
+            let events = stream::unfold(passing, |mut passing| async {
+                let next = passing.next().await?;
+                Some((next.map(Frame::data), passing))
+            });
+            let body = Box::pin(StreamBody::new(events));
+            Response::from_parts(head, body as Body)
+        }
+    };
+    if leaving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -0,0 +1,247 @@
+//! Which upstream a request goes to.
+
+use valehold_core::{
+    admission,
+    config::MAX_PRIORITY,
+    fleet::{
+        Upstream, Variant,
+        catalog::EngineSpec,
+        choice::{PlainCandidate, choose_plain},
+    },
+    id::UpstreamId,
+    rendezvous,
+    routing::{self, Candidate},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{route::Job, state::App};
+use crate::view::View;
+
+/// How many prompt tokens an engine reads in a second, where it is not busy
+/// with other requests' outputs.
+const READ_TOKENS_PER_SECOND: f64 = 30_000.0;
+
+/// For how long a request keeps a slot, in ms, where slots are scarce.
+const SERVICE_MS: f64 = 600.0;
+
+/// How old peers' word of their load is taken to be, in ms.
+const LOAD_AGE_MS: u64 = 200;
+
+/// What the way to another data centre is taken to cost, in ms: its delay,
+/// and the price of the bytes.
+const FAR_MS: f64 = 4.0;
+
+/// By how much an engine's running requests delay a new one, in ms each.
+const RUNNING_MS: f64 = 1.0;
+
+/// An upstream that was chosen.
+#[derive(Debug, Clone)]
+pub(super) struct Chosen {
+    pub(super) upstream: Upstream,
+    /// Prompt tokens that it has to read.
+    pub(super) read_tokens: u64,
+    /// The hashes of the prompt's leading parts.
+    pub(super) blocks: Vec<u64>,
+}
+
+/// Why none was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoChoice {
+    /// There is none that could take it.
+    NoUpstream,
+    /// No engine holds the model or the adapter.
+    NotHeld,
+    /// Its answer would begin too late; in how many ms to come back.
+    WouldBeLate(u64),
+}
+
+/// Chooses an upstream that was not `tried`.
+pub(super) fn choose(
+    app: &App,
+    job: &Job,
+    tried: &[UpstreamId],
+) -> Result<Chosen, NoChoice> {
+    let view = app.shared.view.load_full();
+    match (job.engine_spec(), &job.request.variant) {
+        (Some(spec), Some(variant)) => {
+            choose_engine(app, &view, job, spec, variant, tried)
+        }
+        _ => choose_process(app, &view, job, tried),
+    }
+}
+
+fn choose_process(
+    app: &App,
+    view: &View,
+    job: &Job,
+    tried: &[UpstreamId],
+) -> Result<Chosen, NoChoice> {
+    let own = &app.shared.settings.data_centre;
+    let loads = app.shared.loads();
+    let mut able: Vec<(bool, PlainCandidate)> = view
+        .listing
+        .of(&job.service_name)
+        .filter(|upstream| !tried.contains(&upstream.id))
+        .map(|upstream| {
+            let load =
+                |all: &std::collections::BTreeMap<_, crate::view::Load>| {
+                    all.get(&upstream.id).map_or(0, |load| load.running)
+                };
+            let candidate = PlainCandidate {
+                upstream: upstream.id.clone(),
+                slots: upstream.slots,
+                running: load(&loads) + load(&view.peer_loads),
+                near: upstream.data_centre == *own,
+                slowness: 1.0,
+            };
+            (app.is_suspect(&upstream.id), candidate)
+        })
+        .collect();
+    if able.iter().any(|(suspect, _)| !suspect) {
+        able.retain(|(suspect, _)| !suspect);
+    }
+    let able: Vec<PlainCandidate> =
+        able.into_iter().map(|(_, candidate)| candidate).collect();
+    let chosen =
+        choose_plain(&able, rand::random()).ok_or(NoChoice::NoUpstream)?;
+    let upstream = view.listing.upstreams.get(&chosen.upstream);
+    let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
+    Ok(Chosen { upstream, read_tokens: 0, blocks: Vec::new() })
+}
+
+fn choose_engine(
+    app: &App,
+    view: &View,
+    job: &Job,
+    spec: &EngineSpec,
+    variant: &Variant,
+    tried: &[UpstreamId],
+) -> Result<Chosen, NoChoice> {
+    let holders: Vec<&Upstream> = view
+        .listing
+        .of(&job.service_name)
+        .filter(|upstream| upstream.holding.has(variant))
+        .collect();
+    if holders.is_empty() {
+        return Err(NoChoice::NotHeld);
+    }
+    let prompt = Prompt::of(job, variant);
+    let home = prompt.home(&holders);
+    let candidates: Vec<Candidate> = holders
+        .iter()
+        .filter(|upstream| !tried.contains(&upstream.id))
+        .map(|upstream| {
+            let is_home = home.as_ref() == Some(&upstream.id);
+            candidate(app, view, spec, upstream, &prompt, is_home)
+        })
+        .collect();
+    let choice = routing::choose(
+        &candidates,
+        prompt.tokens,
+        rand::random(),
+        &app.shared.settings.routing,
+    )
+    .ok_or(NoChoice::NoUpstream)?;
+    let is_first = tried.is_empty();
+    let least_ms = choice
+        .predictions
+        .first()
+        .map_or(choice.predicted_ms, |least| least.total_ms);
+    if is_first {
+        admit(app, job, least_ms)?;
+    }
+    let upstream = view.listing.upstreams.get(&choice.engine);
+    let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
+    let cached = choice
+        .predictions
+        .iter()
+        .find(|prediction| prediction.engine == choice.engine)
+        .map_or(0, |prediction| prediction.cached_tokens);
+    Ok(Chosen {
+        upstream,
+        read_tokens: prompt.tokens.saturating_sub(cached),
+        blocks: prompt.blocks,
+    })
+}
+
+fn admit(app: &App, job: &Job, predicted_ms: f64) -> Result<(), NoChoice> {
+    let priority = MAX_PRIORITY.saturating_sub(job.route.rank);
+    admission::admit(
+        predicted_ms,
+        priority,
+        job.route.objective_ms,
+        &app.shared.settings.admission,
+    )
+    .map_err(NoChoice::WouldBeLate)
+}
+
+fn candidate(
+    app: &App,
+    view: &View,
+    spec: &EngineSpec,
+    upstream: &Upstream,
+    prompt: &Prompt,
+    is_home: bool,
+) -> Candidate {
+    let own = app.shared.loads().get(&upstream.id).copied();
+    let others = view.peer_loads.get(&upstream.id).copied();
+    let load = own.unwrap_or_default().plus(others.unwrap_or_default());
+    let now = app.now();
+    let hinted = app.hints().cached_blocks(&upstream.id, &prompt.blocks, now);
+    let known = if is_home { prompt.shared.max(hinted) } else { hinted };
+    let far = upstream.data_centre != app.shared.settings.data_centre;
+    let way_ms = if far { FAR_MS } else { 0.0 };
+    Candidate {
+        engine: upstream.id.clone(),
+        distance_ms: (way_ms + f64::from(load.running) * RUNNING_MS) / 2.0,
+        suspect: app.is_suspect(&upstream.id),
+        slots: spec.slots,
+        prefill_tokens_per_second: READ_TOKENS_PER_SECOND,
+        running: load.running,
+        waiting_tokens: load.waiting_tokens,
+        service_ms: SERVICE_MS,
+        report_age_ms: LOAD_AGE_MS,
+        cached_tokens: prompt.tokens_of(known),
+    }
+}
+
+/// A prompt, as far as the choice of an engine needs it.
+struct Prompt {
+    tokens: u64,
+    /// The hash of each part with all before it, for this variant.
+    blocks: Vec<u64>,
+    part_tokens: Vec<u64>,
+    /// How many leading parts other requests may share.
+    shared: usize,
+}
+
+impl Prompt {
+    fn of(job: &Job, variant: &Variant) -> Self {
+        let request = &job.request;
+        let mut chained = xxh3_64_with_seed(variant.to_string().as_bytes(), 0);
+        let mut blocks = Vec::with_capacity(request.parts.len());
+        for part in &request.parts {
+            chained = xxh3_64_with_seed(&part.digest.to_le_bytes(), chained);
+            blocks.push(chained);
+        }
+        Self {
+            tokens: request.prompt_tokens,
+            blocks,
+            part_tokens: request.parts.iter().map(|p| p.tokens).collect(),
+            shared: request.parts.len().saturating_sub(1),
+        }
+    }
+
+    fn tokens_of(&self, parts: usize) -> u64 {
+        self.part_tokens.iter().take(parts).sum()
+    }
+
+    /// Returns the engine at which requests with the same beginning meet.
+    fn home(&self, holders: &[&Upstream]) -> Option<UpstreamId> {
+        let last = self.shared.checked_sub(1)?;
+        let key = self.blocks.get(last)?.to_string();
+        let names: Vec<&str> =
+            holders.iter().map(|upstream| upstream.id.as_str()).collect();
+        rendezvous::owner(&key, &names).map(UpstreamId::new)
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -0,0 +1,364 @@
+//! Leading a request from its route to its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::time::Instant;
+use valehold_core::{
+    Verdict,
+    fleet::{Repetition, Variant, event::EventOrder},
+    id::UpstreamId,
+    reason::{RefusalReason, RetryReason},
+};
+
+use super::{
+    Body,
+    answer::{self, Relay},
+    choose::{Chosen, NoChoice, choose},
+    refusal::Refusal,
+    route::Job,
+    send::{BegunAnswer, SendFailure, is_promise, send},
+    state::{App, UnderWay},
+};
+use crate::shared::Work;
+
+/// The most bytes of an answer that is passed on whole.
+const MOST_ANSWER_BYTES: usize = 16 << 20;
+
+/// How many upstreams are tried, counting those that were not reached.
+const MOST_TRIES: usize = 4;
+
+/// The least time that another send is worth.
+const LEAST_LEFT: Duration = Duration::from_millis(30);
+
+/// How often a request that waits for an adapter looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(8);
+
+/// After how many looks the wish is repeated.
+const WISH_EVERY: u32 = 12;
+
+/// How long an engine takes from an order about an adapter to having it.
+const ADAPTER_SETTLES: Duration = Duration::from_millis(30);
+
+/// The part of its objective that a request may wait for its model.
+const WAIT_PART: f64 = 0.22;
+
+/// In how many ms to come back when no upstream takes a request.
+const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
+
+/// In how many ms to come back when a model is not loaded.
+const NOT_HELD_COME_BACK_MS: u64 = 1_000;
+
+/// How many times its objective a resumable stream may take to begin while
+/// another engine could take it.
+const BEGIN_OBJECTIVES: u32 = 2;
+
+/// How busy a token of output keeps an engine, in ms.
+const OUTPUT_TOKEN_MS: f64 = 0.1;
+
+/// How busy a token of prompt keeps an engine, in ms.
+const PROMPT_TOKEN_MS: f64 = 1.0 / 38.0;
+
+/// One request's way to an answer.
+pub(super) struct Exchange {
+    pub(super) app: Rc<App>,
+    pub(super) job: Job,
+    /// What the caller has of a stream.
+    pub(super) order: EventOrder,
+    tried: Vec<UpstreamId>,
+    /// Sends that may have arrived.
+    sends: u32,
+    verdict: Verdict,
+}
+
+/// An answer that can be passed on.
+pub(super) enum Passable {
+    /// A whole one.
+    Whole { head: http::response::Parts, body: Bytes },
+    /// A stream, from its first event on.
+    Stream { head: http::response::Parts, relay: Box<Relay> },
+}
+
+/// Leads a request to its answer.
+pub(super) async fn lead(app: Rc<App>, job: Job) -> Response<Body> {
+    app.shared.metrics.requested();
+    let id = job.request.id.clone();
+    note_work(&app, &job);
+    let after = job.request.after_event;
+    let exchange = Exchange {
+        app: app.clone(),
+        job,
+        order: EventOrder::after(after),
+        tried: Vec::new(),
+        sends: 0,
+        verdict: Verdict::NotRun,
+    };
+    match exchange.run().await {
+        Ok((passable, exchange)) => answer::pass(passable, exchange),
+        Err(refusal) => refusal.into_answer(&app, id.as_ref()),
+    }
+}
+
+/// Tells control which work a request makes.
+fn note_work(app: &App, job: &Job) {
+    let Some(variant) = &job.request.variant else { return };
+    #[allow(clippy::cast_precision_loss)]
+    let tokens = |count: u64| count as f64;
+    let parts = &job.request.parts;
+    let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+    // Most of what is shared is cached where requests meet.
+    let read = tokens(job.request.prompt_tokens.saturating_sub(shared))
+        + tokens(shared) * 0.25;
+    let busy_ms = read * PROMPT_TOKEN_MS
+        + tokens(job.request.output_tokens) * OUTPUT_TOKEN_MS;
+    let mut work = app.shared.work();
+    let work = work.entry(variant.clone()).or_default();
+    *work = Work {
+        requests: work.requests + 1.0,
+        busy_ms: work.busy_ms + busy_ms,
+    };
+}
+
+impl Exchange {
+    /// Sends the request until there is an answer to pass on.
+    async fn run(mut self) -> Result<(Passable, Self), Refusal> {
+        for _ in 0..MOST_TRIES {
+            let chosen = self.choose_or_wait().await?;
+            match self.attempt(&chosen).await {
+                Ok(passable) => return Ok((passable, self)),
+                Err(failure) => self.failed(&chosen, failure)?,
+            }
+        }
+        Err(self.give_up(RefusalReason::UpstreamFailed, None))
+    }
+
+    /// Chooses an upstream; waits a little for a model that is not held.
+    async fn choose_or_wait(&mut self) -> Result<Chosen, Refusal> {
+        let objective = Duration::from_millis(self.job.route.objective_ms);
+        let until = Instant::now() + objective.mul_f64(WAIT_PART);
+        let until = until.min(self.job.deadline);
+        let mut looks: u32 = 0;
+        loop {
+            let no_choice = match choose(&self.app, &self.job, &self.tried) {
+                Ok(chosen) => {
+                    if looks > 0 {
+                        tokio::time::sleep(ADAPTER_SETTLES).await;
+                    }
+                    return Ok(chosen);
+                }
+                Err(no_choice) => no_choice,
+            };
+            match no_choice {
+                NoChoice::WouldBeLate(come_back_ms) => {
+                    let reason = RefusalReason::WouldBeLate;
+                    return Err(self.give_up(reason, Some(come_back_ms)));
+                }
+                NoChoice::NoUpstream if self.tried.is_empty() => {}
+                NoChoice::NoUpstream => {
+                    let reason = RefusalReason::UpstreamFailed;
+                    return Err(self.give_up(reason, None));
+                }
+                NoChoice::NotHeld => self.wish(looks),
+            }
+            if Instant::now() >= until {
+                let reason = RefusalReason::NoUpstream;
+                let come_back = NOT_HELD_COME_BACK_MS;
+                return Err(self.give_up(reason, Some(come_back)));
+            }
+            looks += 1;
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    fn wish(&self, looks: u32) {
+        let variant: Option<&Variant> = self.job.request.variant.as_ref();
+        if let (Some(variant), true) = (variant, looks % WISH_EVERY == 0) {
+            self.app.shared.wish(variant);
+        }
+    }
+
+    /// Sends the request once, and takes as much of the answer as is needed
+    /// to pass it on.
+    async fn attempt(
+        &mut self,
+        chosen: &Chosen,
+    ) -> Result<Passable, SendFailure> {
+        let (app, job) = (self.app.clone(), &self.job);
+        if self.sends == 0 {
+            app.first_send(&job.service_name);
+        }
+        let upstream = &chosen.upstream;
+        let under_way = app.under_way(&upstream.id, chosen.read_tokens);
+        let by = self.answer_by();
+        let after = self.order.last();
+        let begun = send(&app, job, upstream, after, by).await?;
+        let streams = job.route.streaming && begun.head.status.is_success();
+        if streams {
+            return self.begin_stream(chosen, begun, under_way, by).await;
+        }
+        let (head, body) = take_whole(&app, upstream, begun, by).await?;
+        drop(under_way);
+        self.judge_whole(&upstream.id, head, body)
+    }
+
+    /// Returns until when an answer has to begin. Where another upstream
+    /// could take the request, some time is left for it.
+    fn answer_by(&self) -> Instant {
+        let job = &self.job;
+        let objective = Duration::from_millis(job.route.objective_ms);
+        let patience = match job.route.repetition {
+            Repetition::Once => return job.deadline,
+            Repetition::Safe => objective,
+            Repetition::Resumable => objective * BEGIN_OBJECTIVES,
+        };
+        if self.sends + 1 >= job.route.attempts {
+            return job.deadline;
+        }
+        job.deadline.min(Instant::now() + patience)
+    }
+
+    async fn begin_stream(
+        &mut self,
+        chosen: &Chosen,
+        begun: BegunAnswer,
+        under_way: UnderWay,
+        by: Instant,
+    ) -> Result<Passable, SendFailure> {
+        let head = begun.head.clone();
+        let upstream = chosen.upstream.clone();
+        let mut relay = Relay::new(upstream, begun, under_way);
+        let app = self.app.clone();
+        let first = relay.first_events(&app, &mut self.order, by).await?;
+        let id = &chosen.upstream.id;
+        app.judge(id, |health, now| health.succeeded(now));
+        app.hints().note(id, &chosen.blocks, app.now());
+        relay.hold(first);
+        Ok(Passable::Stream { head, relay: Box::new(relay) })
+    }
+
+    fn judge_whole(
+        &self,
+        upstream: &UpstreamId,
+        mut head: http::response::Parts,
+        body: Bytes,
+    ) -> Result<Passable, SendFailure> {
+        let failed = head.status.is_server_error();
+        self.app.judge(upstream, |health, now| match failed {
+            true => health.failed(now),
+            false => health.succeeded(now),
+        });
+        let repeatable = self.job.route.repetition.is_allowed();
+        if failed && repeatable && self.may_follow(Verdict::MayHaveRun) {
+            return Err(SendFailure {
+                reason: RetryReason::RepeatableCall,
+                ..SendFailure::broken()
+            });
+        }
+        if is_promise(head.status) && !repeatable {
+            // Only the upstream's word makes it a promise, and there is none.
+            head.status = StatusCode::BAD_GATEWAY;
+            self.app.dialect.unsign(&mut head.headers);
+        }
+        Ok(Passable::Whole { head, body })
+    }
+
+    /// Takes in a failed send; an error ends the request.
+    fn failed(
+        &mut self,
+        chosen: &Chosen,
+        failure: SendFailure,
+    ) -> Result<(), Refusal> {
+        let id = &chosen.upstream.id;
+        if failure.verdict != Verdict::NotRun {
+            self.app.judge(id, |health, now| health.failed(now));
+        }
+        self.tried.push(id.clone());
+        if failure.arrived {
+            self.sends += 1;
+        }
+        self.verdict = self.verdict.worst(failure.verdict);
+        let free = !failure.arrived && self.sends == 0;
+        if free || self.take_second_send(failure.verdict) {
+            self.app.shared.metrics.retried(failure.reason);
+            return Ok(());
+        }
+        let come_back = failure
+            .come_back
+            .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
+    }
+
+    /// Tells whether another send may follow, but for the budget.
+    pub(super) fn may_follow(&self, verdict: Verdict) -> bool {
+        let job = &self.job;
+        let allowed =
+            verdict == Verdict::NotRun || job.route.repetition.is_allowed();
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        allowed && self.sends < job.route.attempts && left > LEAST_LEFT
+    }
+
+    fn take_second_send(&self, verdict: Verdict) -> bool {
+        self.may_follow(verdict)
+            && self.app.may_send_again(&self.job.service_name)
+    }
+
+    /// Sends a broken stream's request to another upstream, which goes on
+    /// after the last event that was passed on.
+    pub(super) async fn resume(
+        &mut self,
+        broken: &UpstreamId,
+    ) -> Option<Relay> {
+        self.tried.push(broken.clone());
+        self.sends += 1;
+        if !self.take_second_send(Verdict::MayHaveRun) {
+            return None;
+        }
+        let chosen = choose(&self.app, &self.job, &self.tried).ok()?;
+        self.app.shared.metrics.retried(RetryReason::StreamResumed);
+        match self.attempt(&chosen).await {
+            Ok(Passable::Stream { relay, .. }) => Some(*relay),
+            _ => None,
+        }
+    }
+
+    fn give_up(
+        &self,
+        reason: RefusalReason,
+        come_back_ms: Option<u64>,
+    ) -> Refusal {
+        let is_late = Instant::now() + LEAST_LEFT >= self.job.deadline;
+        let reason = match reason {
+            RefusalReason::UpstreamFailed if is_late => {
+                RefusalReason::TimedOut
+            }
+            reason => reason,
+        };
+        match self.verdict {
+            Verdict::NotRun => Refusal::not_run(
+                reason,
+                come_back_ms.unwrap_or(NO_UPSTREAM_COME_BACK_MS),
+            ),
+            _ => Refusal::may_have_run(reason),
+        }
+    }
+}
+
+/// Takes a whole answer.
+async fn take_whole(
+    app: &App,
+    upstream: &valehold_core::fleet::Upstream,
+    begun: BegunAnswer,
+    by: Instant,
+) -> Result<(http::response::Parts, Bytes), SendFailure> {
+    let taking = Limited::new(begun.body, MOST_ANSWER_BYTES).collect();
+    let taken = tokio::time::timeout_at(by, taking).await;
+    let Ok(Ok(collected)) = taken else {
+        return Err(SendFailure::broken());
+    };
+    if let Some(rest) = begun.rest {
+        app.pool.rest(&upstream.id, begun.sender, rest.stated);
+    }
+    Ok((begun.head, collected.to_bytes()))
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/face.rs
@@ -0,0 +1,96 @@
+//! Requests as they come from connections, and calls to the gateway itself.
+
+use std::{
+    collections::BTreeSet, convert::Infallible, net::SocketAddr, rc::Rc,
+};
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use valehold_core::id::DataCentreId;
+use valehold_ports::port::fleet::OwnCall;
+
+use super::{Body, exchange, refusal::plain, route, state::App};
+use crate::view::{Life, ReadyMember};
+
+/// How many addresses are given at the most.
+const MOST_ADDRESSES: usize = 64;
+
+/// How many gateways in a caller's own data centre are enough for it.
+const ENOUGH_NEAR: usize = 2;
+
+/// Which of a gateway's doors a connection came by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    /// Callers' requests.
+    Requests,
+    /// Calls to the gateway itself.
+    Own,
+    /// Metrics.
+    Metrics,
+}
+
+/// Answers one request.
+pub(super) async fn answer(
+    app: Rc<App>,
+    door: Door,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    Ok(match door {
+        Door::Requests => pass_on(app, request).await,
+        Door::Own => own(&app, &request),
+        Door::Metrics => plain(StatusCode::OK, app.shared.metrics.text()),
+    })
+}
+
+async fn pass_on(app: Rc<App>, request: Request<Incoming>) -> Response<Body> {
+    match route::find(&app, request).await {
+        Ok(job) => exchange::lead(app, job).await,
+        Err((id, refusal)) => refusal.into_answer(&app, id.as_ref()),
+    }
+}
+
+fn own(app: &App, request: &Request<Incoming>) -> Response<Body> {
+    match app.dialect.own_call(request.uri()) {
+        OwnCall::Ready => ready(app),
+        OwnCall::Addresses { data_centre } => {
+            addresses(app, data_centre.as_ref())
+        }
+        OwnCall::Unknown => plain(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn ready(app: &App) -> Response<Body> {
+    match app.shared.view.load().life {
+        Life::Serving => plain(StatusCode::OK, ""),
+        _ => plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+    }
+}
+
+fn addresses(app: &App, near: Option<&DataCentreId>) -> Response<Body> {
+    let view = app.shared.view.load();
+    let addresses = addresses_for(&view.ready, near);
+    if addresses.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
+    let keep_s = app.shared.settings.callers.address_keep_s;
+    let body = app.dialect.write_addresses(&addresses, keep_s);
+    let mut answer = plain(StatusCode::OK, body);
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+/// Returns the addresses for a caller: near ones if there are enough.
+fn addresses_for(
+    ready: &[ReadyMember],
+    near: Option<&DataCentreId>,
+) -> BTreeSet<SocketAddr> {
+    let is_near = |member: &&ReadyMember| Some(&member.data_centre) == near;
+    let enough = ready.iter().filter(is_near).count() >= ENOUGH_NEAR;
+    ready
+        .iter()
+        .filter(|member| !enough || is_near(member))
+        .map(|member| member.requests)
+        .take(MOST_ADDRESSES)
+        .collect()
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -0,0 +1,48 @@
+//! Callers' requests, on a thread of their own.
+//!
+//! A request goes straight through these modules: [`face`] takes it from the
+//! connection and answers calls to the gateway itself, `route` finds what the
+//! configuration says of it, `choose` an upstream, `send` brings it there,
+//! and `answer` passes the whole answer back, event by event where it is a
+//! stream. `exchange` leads it from one to the next.
+
+mod answer;
+mod choose;
+mod exchange;
+pub mod face;
+mod pool;
+mod refusal;
+mod route;
+mod send;
+mod server;
+mod state;
+
+use std::{convert::Infallible, pin::Pin};
+
+use bytes::Bytes;
+
+pub use self::{
+    server::{Doors, serve},
+    state::App,
+};
+
+/// An answer was broken off: the caller must not take it for whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+impl From<Infallible> for BrokenOff {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// The body of an answer.
+pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = BrokenOff>>>;
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -0,0 +1,138 @@
+//! Connections to upstreams.
+
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, time::Instant};
+use valehold_core::id::UpstreamId;
+
+/// How long a connection may take.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// How long sent bytes may stay unconfirmed.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// After how long of silence a connection is probed, and again.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// For how long a connection rests if the upstream does not say.
+const REST: Duration = Duration::from_millis(2_500);
+
+/// How much earlier than the upstream says a connection is given up.
+const REST_MARGIN: Duration = Duration::from_millis(700);
+
+/// How many connections to an upstream rest at the most.
+const MOST_RESTING: usize = 12;
+
+/// A connection that can take one request at a time.
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) is_new: bool,
+}
+
+struct Resting {
+    sender: SendRequest<Full<Bytes>>,
+    until: Instant,
+}
+
+/// Connections that rest between requests.
+#[derive(Default)]
+pub(super) struct Pool {
+    resting: RefCell<BTreeMap<UpstreamId, Vec<Resting>>>,
+}
+
+impl Pool {
+    /// Takes a resting connection, or makes one.
+    ///
+    /// # Errors
+    ///
+    /// If none can be made: nothing was sent.
+    pub(super) async fn take(
+        &self,
+        upstream: &UpstreamId,
+        address: SocketAddr,
+    ) -> std::io::Result<Connection> {
+        if let Some(sender) = self.take_resting(upstream) {
+            return Ok(Connection { sender, is_new: false });
+        }
+        let sender = connect(address).await?;
+        Ok(Connection { sender, is_new: true })
+    }
+
+    fn take_resting(
+        &self,
+        upstream: &UpstreamId,
+    ) -> Option<SendRequest<Full<Bytes>>> {
+        let now = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        let connections = resting.get_mut(upstream)?;
+        connections.retain(|one| now < one.until && !one.sender.is_closed());
+        let ready = connections.iter().rposition(|c| c.sender.is_ready())?;
+        Some(connections.remove(ready).sender)
+    }
+
+    /// Lets a connection rest whose answer was taken whole.
+    pub(super) fn rest(
+        &self,
+        upstream: &UpstreamId,
+        sender: SendRequest<Full<Bytes>>,
+        stated: Option<Duration>,
+    ) {
+        let rest =
+            stated.map_or(REST, |stated| stated.saturating_sub(REST_MARGIN));
+        if rest.is_zero() {
+            return;
+        }
+        let until = Instant::now() + rest;
+        let mut resting = self.resting.borrow_mut();
+        let connections = resting.entry(upstream.clone()).or_default();
+        if connections.len() < MOST_RESTING {
+            connections.push(Resting { sender, until });
+        }
+    }
+
+    /// Closes what rested too long, and connections to upstreams that are
+    /// not `known`.
+    pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
+        let now = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        resting.retain(|id, connections| {
+            connections
+                .retain(|one| now < one.until && !one.sender.is_closed());
+            known(id) && !connections.is_empty()
+        });
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+) -> std::io::Result<SendRequest<Full<Bytes>>> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(CONNECT, connecting)
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        // How a request on it ended is told by its answer.
+        if let Err(error) = connection.await {
+            log::debug!("a connection to an upstream ended: {error}");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -0,0 +1,131 @@
+//! What the configuration says of a request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Uri, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use valehold_core::{
+    fleet::{Catalog, Route, Service, catalog::EngineSpec},
+    id::ServiceName,
+    reason::RefusalReason,
+};
+use valehold_ports::port::fleet::CallerRequest;
+
+use super::{refusal::Refusal, state::App};
+
+/// In how many ms to come back to a gateway that knows no configuration.
+const NOT_READY_COME_BACK_MS: u64 = 500;
+
+/// How long a caller may be thought to wait if it does not say, in ms.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+
+/// A request that a route takes, read whole.
+pub(super) struct Job {
+    /// Its head, as the caller sent it.
+    pub(super) head: Parts,
+    /// Its body.
+    pub(super) body: Bytes,
+    /// What it says of itself.
+    pub(super) request: CallerRequest,
+    /// The route that takes it.
+    pub(super) route: Route,
+    /// The service that answers it.
+    pub(super) service_name: ServiceName,
+    /// The service's declaration.
+    pub(super) service: Service,
+    /// When its head was read.
+    pub(super) began: Instant,
+    /// By when it gets its final answer.
+    pub(super) deadline: Instant,
+}
+
+impl Job {
+    /// Returns what the service's engines can do, if it runs models.
+    pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
+        self.service.engine.as_ref()
+    }
+
+    /// Returns how long it is held already, in ms.
+    pub(super) fn held_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Finds a request's route, and reads the request whole.
+pub(super) async fn find(
+    app: &App,
+    request: Request<Incoming>,
+) -> Result<Job, (Option<Bytes>, Refusal)> {
+    let began = Instant::now();
+    let (head, body) = request.into_parts();
+    let said = app.dialect.read_request(&head.headers);
+    let id = said.id.clone();
+    let view = app.shared.view.load_full();
+    let Some(catalog) = view.catalog.clone() else {
+        let reason = RefusalReason::NotReady;
+        return Err((id, Refusal::not_run(reason, NOT_READY_COME_BACK_MS)));
+    };
+    let (route, service_name, service) = take_route(&catalog, &head)
+        .map_err(|refusal| (id.clone(), refusal))?;
+    let deadline_ms = said.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let held_ms = match route.timeout_ms {
+        0 => deadline_ms,
+        timeout_ms => deadline_ms.min(timeout_ms),
+    };
+    let deadline = began + std::time::Duration::from_millis(held_ms);
+    let limit = catalog.limits.body_bytes;
+    let body = read_body(body, limit, deadline)
+        .await
+        .map_err(|refusal| (id, refusal))?;
+    Ok(Job {
+        head,
+        body,
+        request: said,
+        route,
+        service_name,
+        service,
+        began,
+        deadline,
+    })
+}
+
+fn take_route(
+    catalog: &Arc<Catalog>,
+    head: &Parts,
+) -> Result<(Route, ServiceName, Service), Refusal> {
+    let unknown = || Refusal::not_run(RefusalReason::UnknownModel, 0);
+    let host = host(head).ok_or_else(unknown)?;
+    let route = catalog.find(host, head.uri.path()).ok_or_else(unknown)?;
+    let name = route.service(rand::random()).ok_or_else(unknown)?;
+    let service = catalog.services.get(name).ok_or_else(unknown)?;
+    Ok((route.clone(), name.clone(), service.clone()))
+}
+
+/// Returns the host that a request names, without its port.
+fn host(head: &Parts) -> Option<&str> {
+    let named = head.headers.get(header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let host = named.or_else(|| Uri::host(&head.uri))?;
+    Some(host.rsplit_once(':').map_or(host, |(host, _)| host))
+}
+
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, limit).collect();
+    let Ok(read) = tokio::time::timeout_at(deadline, reading).await else {
+        return Err(Refusal::not_run(RefusalReason::SlowCaller, 0));
+    };
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(Refusal::not_run(RefusalReason::BodyTooLarge, 0))
+        }
+        Err(_) => Err(Refusal::not_run(RefusalReason::BadRequest, 0)),
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -0,0 +1,234 @@
+//! Bringing a request to an upstream, and what its answer's head says.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, Request, Response, StatusCode, header,
+    response::Parts,
+};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use tokio::time::Instant;
+use valehold_core::{Verdict, fleet::Upstream, reason::RetryReason};
+use valehold_ports::port::fleet::Sending;
+
+use super::{route::Job, state::App};
+
+/// How many connections in a row may turn out closed before the request was
+/// written.
+const MOST_CLOSED: usize = 3;
+
+/// The less urgent a route, the later its requests: one step for each rank.
+const LEAST_URGENT: u8 = 9;
+
+/// Headers that pertain to one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// A send that brought no answer to pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct SendFailure {
+    /// Whether the request may have run.
+    pub(super) verdict: Verdict,
+    /// Whether the upstream may have received it.
+    pub(super) arrived: bool,
+    /// What is counted if another send follows.
+    pub(super) reason: RetryReason,
+    /// When the upstream asks to come back.
+    pub(super) come_back: Option<Duration>,
+}
+
+impl SendFailure {
+    /// Nothing left this gateway.
+    fn not_sent() -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            arrived: false,
+            reason: RetryReason::ConnectFailed,
+            come_back: None,
+        }
+    }
+
+    /// The upstream says that it did not run the request.
+    fn refused(come_back: Option<Duration>) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            arrived: true,
+            reason: RetryReason::RefusedByUpstream,
+            come_back,
+        }
+    }
+
+    /// It was sent, and nothing tells that it did not run.
+    pub(super) fn broken() -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            arrived: true,
+            reason: RetryReason::FailedBeforeOutput,
+            come_back: None,
+        }
+    }
+}
+
+/// An answer that began.
+pub(super) struct BegunAnswer {
+    pub(super) head: Parts,
+    pub(super) body: Incoming,
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// For how long the connection may rest; `None` if it is not kept.
+    pub(super) rest: Option<Rest>,
+}
+
+/// How long a connection may rest after its answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rest {
+    /// What the upstream stated, if anything.
+    pub(super) stated: Option<Duration>,
+}
+
+/// Sends a request, and waits for the head of the answer until `by`.
+pub(super) async fn send(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+    after_event: Option<u64>,
+    by: Instant,
+) -> Result<BegunAnswer, SendFailure> {
+    let sending = Sending {
+        upstream: upstream.id.clone(),
+        left: job.deadline.saturating_duration_since(Instant::now()),
+        urgency: job
+            .engine_spec()
+            .map(|_| job.route.rank.saturating_mul(3).min(LEAST_URGENT)),
+        after_event,
+    };
+    let mut request = write_request(app, job, &sending);
+    for _ in 0..MOST_CLOSED {
+        let taken = app.pool.take(&upstream.id, upstream.address).await;
+        let mut connection = taken.map_err(|error| {
+            log::debug!("no connection to {}: {error}", upstream.id);
+            app.judge(&upstream.id, |health, now| health.unreachable(now));
+            SendFailure::not_sent()
+        })?;
+        let answering = connection.sender.try_send_request(request);
+        let answered = tokio::time::timeout_at(by, answering).await;
+        match answered {
+            Err(_) => return Err(SendFailure::broken()),
+            Ok(Ok(answer)) => {
+                return begun(app, job, answer, connection.sender);
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                // It was never written: the connection was closed already.
+                Some(unsent) if !connection.is_new => request = unsent,
+                Some(_) => return Err(SendFailure::not_sent()),
+                None => {
+                    log::debug!(
+                        "{} broke off: {}",
+                        upstream.id,
+                        error.error()
+                    );
+                    return Err(SendFailure::broken());
+                }
+            },
+        }
+    }
+    Err(SendFailure::not_sent())
+}
+
+fn write_request(
+    app: &App,
+    job: &Job,
+    sending: &Sending,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    *request.uri_mut() = path_only(&job.head.uri);
+    let headers = request.headers_mut();
+    *headers = job.head.headers.clone();
+    strip(headers);
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+    let had_body = job.head.headers.contains_key(header::CONTENT_LENGTH)
+        || job.head.headers.contains_key(header::TRANSFER_ENCODING);
+    if had_body {
+        headers.insert(header::CONTENT_LENGTH, job.body.len().into());
+    }
+    app.dialect.write_request(headers, sending);
+    request
+}
+
+fn path_only(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), http::Uri::from)
+}
+
+/// Takes off what pertains to one connection only.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// Judges the head of an answer.
+fn begun(
+    app: &App,
+    job: &Job,
+    answer: Response<Incoming>,
+    sender: SendRequest<Full<Bytes>>,
+) -> Result<BegunAnswer, SendFailure> {
+    let (mut head, body) = answer.into_parts();
+    let said = app.dialect.read_answer(head.status, &head.headers);
+    if said.id != job.request.id {
+        // Another request's answer: the connection goes with it.
+        return Err(SendFailure::broken());
+    }
+    if said.not_run {
+        return Err(SendFailure::refused(come_back(&head.headers)));
+    }
+    let is_foreign = head.headers.contains_key(header::CONTENT_ENCODING)
+        || (head.status.is_success() && !said.signed);
+    if is_foreign {
+        return Err(SendFailure::broken());
+    }
+    let closes = head
+        .headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    strip(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    let rest = (!closes).then_some(Rest { stated: said.rest });
+    Ok(BegunAnswer { head, body, sender, rest })
+}
+
+fn come_back(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+/// Tells whether a status promises that the request has not run.
+pub(super) fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -0,0 +1,148 @@
+//! What the traffic thread keeps.
+
+use std::{
+    cell::{RefCell, RefMut},
+    collections::BTreeMap,
+    sync::Arc,
+};
+
+use valehold_core::{
+    Millis,
+    fleet::{health::Health, share::RetryShare},
+    id::{ServiceName, UpstreamId},
+    prefix::PrefixHints,
+};
+use valehold_ports::port::fleet::Dialect;
+
+use super::pool::Pool;
+use crate::{shared::Shared, view::Load};
+
+/// For how long a hint about an engine's cached prompts is kept, in ms.
+const KEEP_HINTS_MS: u64 = 30_000;
+
+/// How many hints are kept.
+const MOST_HINTS: usize = 16_384;
+
+/// What the traffic thread keeps.
+pub struct App {
+    /// What it shares with control.
+    pub shared: Arc<Shared>,
+    /// How requests and answers are written.
+    pub dialect: Arc<dyn Dialect>,
+    pub(super) pool: Pool,
+    health: RefCell<BTreeMap<UpstreamId, Health>>,
+    shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
+    hints: RefCell<PrefixHints>,
+}
+
+impl App {
+    /// Makes the state of a gateway that has served nothing.
+    pub fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Self {
+        Self {
+            shared,
+            dialect,
+            pool: Pool::default(),
+            health: RefCell::default(),
+            shares: RefCell::default(),
+            hints: RefCell::new(PrefixHints::new(KEEP_HINTS_MS, MOST_HINTS)),
+        }
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.shared.clock.now()
+    }
+
+    /// Changes an upstream's health.
+    pub(super) fn judge(
+        &self,
+        upstream: &UpstreamId,
+        change: impl FnOnce(&mut Health, Millis),
+    ) {
+        let now = self.now();
+        let mut health = self.health.borrow_mut();
+        change(health.entry(upstream.clone()).or_default(), now);
+    }
+
+    pub(super) fn is_suspect(&self, upstream: &UpstreamId) -> bool {
+        let now = self.now();
+        let health = self.health.borrow();
+        health.get(upstream).is_some_and(|health| health.is_suspect(now))
+    }
+
+    /// Notes a request's first send to a service.
+    pub(super) fn first_send(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_share(service, |share| share.first_send(now));
+    }
+
+    /// Takes a second send out of this gateway's share.
+    pub(super) fn may_send_again(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        self.with_share(service, |share| share.try_again(now))
+    }
+
+    fn with_share<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryShare) -> T,
+    ) -> T {
+        let mut shares = self.shares.borrow_mut();
+        let budget = self.shared.settings.retry.budget();
+        let share = shares
+            .entry(service.clone())
+            .or_insert_with(|| RetryShare::new(budget));
+        act(share)
+    }
+
+    pub(super) fn hints(&self) -> RefMut<'_, PrefixHints> {
+        self.hints.borrow_mut()
+    }
+
+    /// Notes that a request is under way at an upstream, until the guard
+    /// goes.
+    pub(super) fn under_way(
+        &self,
+        upstream: &UpstreamId,
+        tokens: u64,
+    ) -> UnderWay {
+        let one = Load { running: 1, waiting_tokens: tokens };
+        let mut loads = self.shared.loads();
+        let load = loads.entry(upstream.clone()).or_default();
+        *load = load.plus(one);
+        UnderWay {
+            shared: self.shared.clone(),
+            upstream: upstream.clone(),
+            waiting: tokens,
+        }
+    }
+}
+
+/// A request that is under way at an upstream.
+pub(super) struct UnderWay {
+    shared: Arc<Shared>,
+    upstream: UpstreamId,
+    waiting: u64,
+}
+
+impl UnderWay {
+    /// Notes that the prompt was read: the first event came.
+    pub(super) fn prompt_read(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let mut loads = self.shared.loads();
+        if let Some(load) = loads.get_mut(&self.upstream) {
+            load.waiting_tokens = load.waiting_tokens.saturating_sub(waiting);
+        }
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        let mut loads = self.shared.loads();
+        let Some(load) = loads.get_mut(&self.upstream) else { return };
+        load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting);
+        load.running = load.running.saturating_sub(1);
+        if *load == Load::default() {
+            loads.remove(&self.upstream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/view.rs
@@ -0,0 +1,80 @@
+//! What control publishes for traffic to read.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use valehold_core::{
+    fleet::{Catalog, Listing},
+    id::{DataCentreId, UpstreamId},
+};
+
+/// How far a gateway's life has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Life {
+    /// It knows no configuration or no upstreams yet.
+    Starting,
+    /// It serves callers.
+    Serving,
+    /// It was told to stop, and serves who still comes.
+    Leaving,
+    /// It finishes what it has and takes nothing new.
+    Finishing,
+}
+
+/// What is under way at an upstream.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+pub struct Load {
+    /// Requests without their whole answer.
+    pub running: u32,
+    /// Prompt tokens of those without a first event.
+    pub waiting_tokens: u64,
+}
+
+impl Load {
+    /// Adds another load.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            waiting_tokens: self.waiting_tokens + other.waiting_tokens,
+        }
+    }
+}
+
+/// A gateway that callers may be sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadyMember {
+    /// Where it takes requests.
+    pub requests: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreId,
+}
+
+/// What traffic knows. It is replaced as a whole.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// This gateway's life.
+    pub life: Life,
+    /// The configuration in force.
+    pub catalog: Option<Arc<Catalog>>,
+    /// The upstreams.
+    pub listing: Arc<Listing>,
+    /// What other gateways have under way.
+    pub peer_loads: BTreeMap<UpstreamId, Load>,
+    /// Every gateway that is ready, this one among them.
+    pub ready: Vec<ReadyMember>,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            life: Life::Starting,
+            catalog: None,
+            listing: Arc::default(),
+            peer_loads: BTreeMap::new(),
+            ready: Vec::new(),
+        }
+    }
+}
--- a/crates/valehold-instance/examples/capacity.rs
+++ b/crates/valehold-instance/examples/capacity.rs
@@ -37,7 +37,7 @@
     peer::{Ask, Heartbeat, Reply, encode},
     snapshot::EngineRoute,
 };
-use valehold_platform::port::EngineStatus;
+use valehold_ports::port::EngineStatus;
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
--- a/crates/valehold-instance/src/control/cell.rs
+++ b/crates/valehold-instance/src/control/cell.rs
@@ -15,7 +15,7 @@
     order::Order,
     placement::ModelDemand,
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError,
     port::{CommitOutcome, Row, Transaction, decode, encode},
 };
--- a/crates/valehold-instance/src/control/cell/held.rs
+++ b/crates/valehold-instance/src/control/cell/held.rs
@@ -15,7 +15,7 @@
     order::{Order, Stamp},
     placement::{Action, EngineView, ModelDemand, Planner, StepKind},
 };
-use valehold_platform::port::{Transaction, encode};
+use valehold_ports::port::{Transaction, encode};
 
 use super::keys::{epoch_key, order_key};
 use crate::control::{Context, Input, upstreams::Upstreams};
--- a/crates/valehold-instance/src/control/config.rs
+++ b/crates/valehold-instance/src/control/config.rs
@@ -6,7 +6,7 @@
     Millis,
     config::{Config, Head, Revision},
 };
-use valehold_platform::{PortError, port::decode};
+use valehold_ports::{PortError, port::decode};
 
 use super::{Context, Input};
 use crate::revisions;
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -20,7 +20,7 @@
     demand::Estimator,
     id::UpstreamId,
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError,
     port::{CacheEvents, CommitOutcome, EngineStatus, Listed, Row},
 };
--- a/crates/valehold-instance/src/control/peers.rs
+++ b/crates/valehold-instance/src/control/peers.rs
@@ -16,7 +16,7 @@
     placement::ModelDemand,
     rendezvous,
 };
-use valehold_platform::port::{Listed, ListedKind};
+use valehold_ports::port::{Listed, ListedKind};
 
 use super::{Context, Input};
 use crate::{
--- a/crates/valehold-instance/src/control/upstreams.rs
+++ b/crates/valehold-instance/src/control/upstreams.rs
@@ -14,7 +14,7 @@
     id::{Artifact, DataCentreId, ServiceName, UpstreamId},
     membership::Membership,
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError,
     port::{CacheEvents, EngineStatus, Listed, ListedKind, ListedState},
 };
--- /dev/null
+++ b/crates/valehold-instance/src/gateway.rs
@@ -0,0 +1,95 @@
+//! `valehold-instance gateway`: a gateway before the users' platform.
+
+use std::{
+    collections::BTreeMap, path::PathBuf, process::ExitCode, sync::Arc,
+};
+
+use platform::{PlatformDialect, PlatformEngines, PlatformStore};
+use tokio::signal::unix::{SignalKind, signal};
+use valehold_gateway::{Gateway, Ports, Settings};
+use valehold_instance::{Error, logging};
+
+/// The variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "VALEHOLD_CONFIG";
+
+/// Runs a gateway until it has stopped.
+pub(crate) fn main(arguments: pico_args::Arguments) -> ExitCode {
+    match start(arguments).and_then(|(path, gateway)| Ok(run(&path, gateway)?))
+    {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(super::BAD_USAGE)
+        }
+    }
+}
+
+fn start(
+    mut arguments: pico_args::Arguments,
+) -> miette::Result<(PathBuf, Gateway)> {
+    let named: Option<PathBuf> = arguments
+        .opt_value_from_str("--settings")
+        .map_err(|e| miette::miette!("{e}"))?;
+    if let Some(unknown) = arguments.finish().first() {
+        return Err(miette::miette!("unknown {unknown:?}"));
+    }
+    let path = match named {
+        Some(path) => path,
+        None => std::env::var_os(SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .ok_or_else(|| {
+                miette::miette!(
+                    help = "name the file with --settings FILE",
+                    "{SETTINGS_VARIABLE} is not set"
+                )
+            })?,
+    };
+    let settings = Settings::from_file(&path)?;
+    logging::start(&settings.log_level, false, &BTreeMap::new())?;
+    let ports = Ports {
+        store: Arc::new(PlatformStore::new(settings.platform.store)),
+        engines: Arc::new(PlatformEngines::new()),
+        dialect: Arc::new(PlatformDialect),
+    };
+    let gateway = Gateway::start(settings, ports)
+        .map_err(|e| Error::new("starting a gateway", e))?;
+    Ok((path, gateway))
+}
+
+fn run(path: &std::path::Path, gateway: Gateway) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Error::new("waiting for signals", e))?;
+    runtime
+        .block_on(follow_signals(path, &gateway))
+        .map_err(|e| Error::new("waiting for signals", e))?;
+    gateway.join().map_err(|e| Error::new("running", e))
+}
+
+/// Takes in changed settings until it is told to stop.
+async fn follow_signals(
+    path: &std::path::Path,
+    gateway: &Gateway,
+) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut changed = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = changed.recv() => read_again(path, gateway),
+        }
+    }
+    gateway.stop();
+    Ok(())
+}
+
+/// Reads the settings again. Only seeds may change while a gateway runs.
+fn read_again(path: &std::path::Path, gateway: &Gateway) {
+    match Settings::from_file(path) {
+        Ok(settings) => gateway.set_seeds(settings.peers.seeds),
+        Err(error) => log::error!("the settings stay as they are: {error}"),
+    }
+}
--- a/crates/valehold-instance/src/instance.rs
+++ b/crates/valehold-instance/src/instance.rs
@@ -10,7 +10,7 @@
     task::LocalSet,
 };
 use valehold_core::chart::library;
-use valehold_platform::{
+use valehold_ports::{
     budget::BudgetedTable,
     http::{ClientSettings, HttpEngines, HttpPlatform, HttpServices},
 };
--- a/crates/valehold-instance/src/logging.rs
+++ b/crates/valehold-instance/src/logging.rs
@@ -1,21 +1,25 @@
 //! The log: one line a decision, on standard error.
 
-use std::io;
+use std::{collections::BTreeMap, io};
 
 use log::LevelFilter;
 use serde_json::json;
 
-use crate::{error::Error, settings::LogSettings};
+use crate::error::Error;
 
-/// Sets the log up.
+/// Sets the log up: the least level, whether lines are JSON, and levels by
+/// module.
 ///
 /// # Errors
 ///
 /// If a level is unknown, or a log was set up before.
-pub fn start(settings: &LogSettings) -> Result<(), Error> {
-    let json = settings.json;
+pub fn start(
+    least: &str,
+    json: bool,
+    modules: &BTreeMap<String, String>,
+) -> Result<(), Error> {
     let mut dispatch = fern::Dispatch::new()
-        .level(level(&settings.level)?)
+        .level(level(least)?)
         .format(move |out, message, record| {
             let (level, target) = (record.level(), record.target());
             if json {
@@ -30,7 +34,7 @@
             }
         })
         .chain(io::stderr());
-    for (module, at) in &settings.modules {
+    for (module, at) in modules {
         dispatch = dispatch.level_for(module.clone(), level(at)?);
     }
     dispatch.apply().map_err(|e| Error::new("setting up the log", e))
--- a/crates/valehold-instance/src/main.rs
+++ b/crates/valehold-instance/src/main.rs
@@ -1,5 +1,7 @@
 //! `valehold-instance`: runs one entry instance until it is told to stop.
 
+mod gateway;
+
 use std::{path::PathBuf, process::ExitCode};
 
 use tokio::signal::unix::{SignalKind, signal};
@@ -9,6 +11,10 @@
 Runs one entry instance of valehold.
 
 Usage: valehold-instance --settings FILE
+       valehold-instance gateway [--settings FILE]
+
+`gateway` runs a gateway before the users' platform instead; its settings
+file is named by the variable VALEHOLD_CONFIG where no option names one.
 
 Options:
   --settings FILE  the instance's settings, in TOML; see docs/OPERATING.md
@@ -25,7 +31,17 @@
 const BAD_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let settings = match arguments() {
+    let mut arguments = pico_args::Arguments::from_env();
+    if let Ok(Some(command)) = arguments.subcommand() {
+        return match command.as_str() {
+            "gateway" => gateway::main(arguments),
+            other => {
+                eprintln!("valehold-instance: unknown command {other:?}");
+                ExitCode::from(BAD_USAGE)
+            }
+        };
+    }
+    let settings = match parse(arguments) {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
         Err(report) => {
@@ -43,8 +59,9 @@
 }
 
 /// Reads the arguments; `None` if there is nothing to run.
-fn arguments() -> miette::Result<Option<Settings>> {
-    let mut arguments = pico_args::Arguments::from_env();
+fn parse(
+    mut arguments: pico_args::Arguments,
+) -> miette::Result<Option<Settings>> {
     if arguments.contains("--help") {
         print!("{HELP}");
         return Ok(None);
@@ -66,7 +83,8 @@
 }
 
 fn run(settings: Settings) -> Result<(), Error> {
-    logging::start(&settings.log)?;
+    let log = &settings.log;
+    logging::start(&log.level, log.json, &log.modules)?;
     let instance = Instance::start(settings)?;
     let addresses = instance.addresses();
     println!("callers = {}", addresses.callers);
--- a/crates/valehold-instance/src/once.rs
+++ b/crates/valehold-instance/src/once.rs
@@ -20,7 +20,7 @@
     id::{ServiceName, WorkspaceId},
     ledger::{ClaimRow, RecordedAnswer},
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError, PortErrorKind,
     port::{CommitOutcome, Transaction, decode, encode},
     store::Store,
--- a/crates/valehold-instance/src/revisions.rs
+++ b/crates/valehold-instance/src/revisions.rs
@@ -13,7 +13,7 @@
     Verdict,
     config::{Config, Files, Head, Number, Revision, merge},
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError, PortErrorKind,
     port::{CommitOutcome, Objects, Transaction, decode, encode},
     store::Store,
--- a/crates/valehold-instance/src/shared.rs
+++ b/crates/valehold-instance/src/shared.rs
@@ -13,7 +13,7 @@
     id::{Artifact, UpstreamId},
     prefix::PrefixHints,
 };
-use valehold_platform::{
+use valehold_ports::{
     port::{Engines, InstanceList, Objects, Services, Table},
     store::Store,
 };
--- a/crates/valehold-instance/src/traffic/answer.rs
+++ b/crates/valehold-instance/src/traffic/answer.rs
@@ -10,7 +10,7 @@
     retry::FailedAttempt,
     stream::{Passage, Payload, StreamGate},
 };
-use valehold_platform::{PortError, port::FrameStream};
+use valehold_ports::{PortError, port::FrameStream};
 
 use super::{App, outstanding::UnderWay};
 use crate::{shared::Report, snapshot::EngineRoute};
--- a/crates/valehold-instance/src/traffic/generate.rs
+++ b/crates/valehold-instance/src/traffic/generate.rs
@@ -14,7 +14,7 @@
     routing::{self, Candidate, Choice, WhyChosen},
     stream::{Passage, Payload, StreamGate},
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError, PortErrorKind,
     port::{FrameStream, GenerateRequest, PromptKind},
 };
--- a/crates/valehold-instance/src/traffic/handlers.rs
+++ b/crates/valehold-instance/src/traffic/handlers.rs
@@ -12,7 +12,7 @@
     reason::RefusalReason,
     stream::{EndMark, Payload},
 };
-use valehold_platform::{PortError, port::PromptKind};
+use valehold_ports::{PortError, port::PromptKind};
 use viz::{Body, Request, Response};
 
 use super::{
--- a/crates/valehold-instance/src/traffic/server.rs
+++ b/crates/valehold-instance/src/traffic/server.rs
@@ -9,7 +9,7 @@
 };
 use tokio::{net::TcpListener, sync::watch};
 use valehold_core::chart::library::InstanceState;
-use valehold_platform::port::PromptKind;
+use valehold_ports::port::PromptKind;
 use viz::{Request, Responder, Response, Router, Tree};
 
 use super::{App, handlers, pages, services};
--- a/crates/valehold-instance/src/traffic/services.rs
+++ b/crates/valehold-instance/src/traffic/services.rs
@@ -13,7 +13,7 @@
     reason::{RefusalReason, RetryReason},
     retry::FailedAttempt,
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError,
     port::{ServiceAnswer, ServiceCall},
 };
--- a/crates/valehold-instance/src/traffic/shape.rs
+++ b/crates/valehold-instance/src/traffic/shape.rs
@@ -8,7 +8,7 @@
     reason::RefusalReason,
     stream::{EndMark, FinishReason, Payload},
 };
-use valehold_platform::port::PromptKind;
+use valehold_ports::port::PromptKind;
 
 use super::refusal::Refused;
 use crate::once::wall_seconds;
--- a/crates/valehold-platform/src/http/client.rs
+++ b/crates/valehold-ports/src/http/client.rs
@@ -18,6 +18,15 @@
 /// The header by which an upstream says that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
+/// After how long a resting connection is probed, and again.
+const SILENCE_PROBE: Duration = Duration::from_secs(1);
+
+/// How many probes in a row may get no answer.
+const SILENCE_PROBES: u32 = 2;
+
+/// How long sent bytes may stay unconfirmed.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// How long the client waits, and how much it takes.
 #[derive(Debug, Clone, Copy)]
 pub struct ClientSettings {
@@ -44,7 +53,7 @@
 
 /// Whether a connection may serve several requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Connections {
+pub enum Connections {
     /// Kept and used again.
     Kept,
     /// One for each request, so that a failure to connect proves that this
@@ -52,20 +61,24 @@
     OneEach,
 }
 
+/// A client for whole answers, and for answers as they come.
 #[derive(Debug, Clone)]
-pub(super) struct HttpClient {
+pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
     settings: ClientSettings,
 }
 
 impl HttpClient {
-    pub(super) fn new(
-        settings: ClientSettings,
-        connections: Connections,
-    ) -> Self {
+    /// Makes a client.
+    pub fn new(settings: ClientSettings, connections: Connections) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(settings.connect_timeout));
+        // A machine without power or behind a cut says nothing: probes tell.
+        connector.set_keepalive(Some(SILENCE_PROBE));
+        connector.set_keepalive_interval(Some(SILENCE_PROBE));
+        connector.set_keepalive_retries(Some(SILENCE_PROBES));
+        connector.set_tcp_user_timeout(Some(SILENCE_LIMIT));
         let mut builder = Client::builder(TokioExecutor::new());
         // The library would send a request again on its own when a kept
         // connection turns out closed. Whether to is decided elsewhere.
@@ -77,7 +90,11 @@
     }
 
     /// Sends a request and waits for the beginning of the answer.
-    pub(super) async fn begin(
+    ///
+    /// # Errors
+    ///
+    /// If there is none in time, or the other side did not run it.
+    pub async fn begin(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, PortError> {
@@ -95,7 +112,11 @@
     }
 
     /// Sends a request and takes the whole answer.
-    pub(super) async fn whole(
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::begin`], or if the answer breaks off.
+    pub async fn whole(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, PortError> {
@@ -110,7 +131,11 @@
     }
 
     /// Sends a request and reads a JSON answer; `None` for "not found".
-    pub(super) async fn json<T: DeserializeOwned>(
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::whole`], or if the answer is not what it should be.
+    pub async fn json<T: DeserializeOwned>(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Option<T>, PortError> {
@@ -126,7 +151,11 @@
 }
 
 /// Makes an address and a path into a URI.
-pub(super) fn uri(address: SocketAddr, path: &str) -> Result<Uri, PortError> {
+///
+/// # Errors
+///
+/// If the path is none.
+pub fn uri(address: SocketAddr, path: &str) -> Result<Uri, PortError> {
     Uri::builder()
         .scheme("http")
         .authority(address.to_string())
@@ -136,7 +165,11 @@
 }
 
 /// Makes a request without a body.
-pub(super) fn bare(
+///
+/// # Errors
+///
+/// If the method is none.
+pub fn bare(
     method: &str,
     uri: Uri,
 ) -> Result<Request<Full<Bytes>>, PortError> {
@@ -148,7 +181,11 @@
 }
 
 /// Makes a request whose body is JSON.
-pub(super) fn with_json<T: Serialize>(
+///
+/// # Errors
+///
+/// If the value cannot be written as JSON.
+pub fn with_json<T: Serialize>(
     uri: Uri,
     value: &T,
 ) -> Result<Request<Full<Bytes>>, PortError> {
@@ -163,7 +200,11 @@
 }
 
 /// Makes an error of a status that is not a success.
-pub(super) fn check_status(status: StatusCode) -> Result<(), PortError> {
+///
+/// # Errors
+///
+/// If it is none.
+pub fn check_status(status: StatusCode) -> Result<(), PortError> {
     if status.is_success() {
         return Ok(());
     }
@@ -172,7 +213,8 @@
     Err(PortError::new(kind, Verdict::MayHaveRun, message))
 }
 
-pub(super) fn not_sendable(message: &str) -> PortError {
+/// Makes the error of a request that could not be written.
+pub fn not_sendable(message: &str) -> PortError {
     let kind = PortErrorKind::Malformed;
     PortError::new(kind, Verdict::NotRun, message)
 }
--- a/crates/valehold-platform/src/http/mod.rs
+++ b/crates/valehold-ports/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! The ports over HTTP, in the wire format of this project's stand-ins.
 
-mod client;
+pub mod client;
 mod engine;
 mod platform;
 mod service;
--- /dev/null
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -0,0 +1,245 @@
+//! A platform that keeps the configuration, lists upstreams, and holds the
+//! lease; engines that take orders; and the headers that all of them use.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
+use valehold_core::{
+    fleet::{Catalog, Holding, Listing, Upstream, Variant},
+    id::{DataCentreId, InstanceId, UpstreamId},
+    lease::{LeaseRow, VersionedLease},
+};
+
+use super::Answer;
+
+/// What a watch on the configuration gave.
+#[derive(Debug, Clone)]
+pub enum CatalogNews {
+    /// Nothing changed; go on from this version of the store.
+    Nothing {
+        /// The store's version.
+        version: u64,
+    },
+    /// A configuration was accepted.
+    Accepted {
+        /// The store's version.
+        version: u64,
+        /// The configuration.
+        catalog: Box<Catalog>,
+    },
+    /// The store forgot its history: read anew.
+    HistoryGone,
+}
+
+/// What a watch on the upstreams gave.
+#[derive(Debug, Clone)]
+pub enum ListingNews {
+    /// What changed since the version that was asked for.
+    Changed {
+        /// The version of the store from which to go on.
+        next: u64,
+        /// The version of the newest change; `None` if nothing changed.
+        version: Option<u64>,
+        /// Upstreams that are new or differ.
+        changed: Vec<Upstream>,
+        /// Upstreams that are gone.
+        gone: Vec<UpstreamId>,
+    },
+    /// The store forgot its history: read anew.
+    HistoryGone,
+}
+
+/// How a conditional write of the lease ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseWrite {
+    /// It took effect; the row has this version.
+    Won(u64),
+    /// Another's row stood there.
+    Lost,
+}
+
+/// The store of a platform.
+pub trait FleetStore: Send + Sync {
+    /// Reads the newest configuration, with the store's version.
+    fn read_catalog(&self) -> Answer<'_, CatalogNews>;
+
+    /// Waits for a configuration after a version of the store.
+    fn await_catalog(&self, after: u64) -> Answer<'_, CatalogNews>;
+
+    /// Reads all upstreams.
+    fn read_listing(&self) -> Answer<'_, Listing>;
+
+    /// Waits for changes of upstreams after a version of the store.
+    fn await_listing(&self, after: u64) -> Answer<'_, ListingNews>;
+
+    /// Reads the lease's row.
+    fn read_lease(&self) -> Answer<'_, VersionedLease>;
+
+    /// Writes the lease's row if its version is still `version`.
+    fn write_lease<'a>(
+        &'a self,
+        version: u64,
+        row: &'a LeaseRow,
+    ) -> Answer<'a, LeaseWrite>;
+}
+
+/// What an engine says of itself, as of a moment ago.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// What it holds, adapters on their way among them.
+    pub holding: Holding,
+    /// Whether it carries out an order about a model.
+    pub busy: bool,
+}
+
+/// What an order wants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderWish {
+    /// The model, or an adapter beside its model, is to be loaded.
+    Load(Variant),
+    /// The model, or the adapter, is to be given up.
+    Unload(Variant),
+}
+
+/// An order to one start of one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// The engine, by the name of its start: another start refuses.
+    pub engine: UpstreamId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// What is wanted.
+    pub wish: OrderWish,
+    /// How many orders the engine must have taken before this one.
+    pub expected_sequence: u64,
+    /// Who holds the lease.
+    pub holder: InstanceId,
+    /// The lease's epoch, which only rises.
+    pub epoch: u64,
+}
+
+/// What an engine said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order came first, or is being carried out.
+    Conflict,
+    /// A later epoch was seen, the engine is another one, or the order makes
+    /// no sense to it.
+    Refused,
+}
+
+/// Engines that hold models.
+pub trait FleetEngines: Send + Sync {
+    /// Asks an engine what it holds.
+    fn report(&self, engine: SocketAddr) -> Answer<'_, EngineReport>;
+
+    /// Gives an order. Without an answer it may be carried out, also later.
+    fn order<'a>(&'a self, order: &'a EngineOrder)
+    -> Answer<'a, OrderOutcome>;
+}
+
+/// What a caller's request says of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CallerRequest {
+    /// Its identifier, as the caller wrote it.
+    pub id: Option<Bytes>,
+    /// How long the caller waits, in ms.
+    pub deadline_ms: Option<u64>,
+    /// What is to answer it, if a model is.
+    pub variant: Option<Variant>,
+    /// The tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// The tokens that the caller expects at most.
+    pub output_tokens: u64,
+    /// The parts of its prompt, in order.
+    pub parts: Vec<PromptPart>,
+    /// The last event that the caller has already.
+    pub after_event: Option<u64>,
+}
+
+/// A part of a prompt that requests may share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// What is the same for the same text.
+    pub digest: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// What an instance adds to a request for an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sending {
+    /// The start of the upstream that is meant; any other one refuses.
+    pub upstream: UpstreamId,
+    /// How long the caller still waits.
+    pub left: Duration,
+    /// How urgent it is, 0 being the most, for engines.
+    pub urgency: Option<u8>,
+    /// The last event that the caller has, if the stream is taken up again.
+    pub after_event: Option<u64>,
+}
+
+/// What an upstream's answer says beside its status and body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamAnswer {
+    /// The identifier of the request that it answers.
+    pub id: Option<Bytes>,
+    /// Whether it carries the upstream's signature.
+    pub signed: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// For how long the connection may rest, as the upstream says.
+    pub rest: Option<Duration>,
+}
+
+/// A call to the instance itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OwnCall {
+    /// Whether it is ready for callers.
+    Ready,
+    /// Which addresses a caller in a data centre is to use.
+    Addresses {
+        /// Where the caller is.
+        data_centre: Option<DataCentreId>,
+    },
+    /// Anything else.
+    Unknown,
+}
+
+/// How requests, answers and calls are written.
+pub trait Dialect: Send + Sync {
+    /// Reads what a caller's request says of itself.
+    fn read_request(&self, headers: &HeaderMap) -> CallerRequest;
+
+    /// Writes what an instance adds to a request for an upstream.
+    fn write_request(&self, headers: &mut HeaderMap, sending: &Sending);
+
+    /// Reads what an upstream's answer says of itself.
+    fn read_answer(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> UpstreamAnswer;
+
+    /// Takes an upstream's signature off an answer that is not its own.
+    fn unsign(&self, headers: &mut HeaderMap);
+
+    /// Writes the identifier of the request that an answer belongs to.
+    fn write_answer(&self, headers: &mut HeaderMap, id: &Bytes);
+
+    /// Reads a call to the instance itself.
+    fn own_call(&self, uri: &Uri) -> OwnCall;
+
+    /// Writes the answer to a caller that asked for addresses.
+    fn write_addresses(
+        &self,
+        addresses: &BTreeSet<SocketAddr>,
+        keep_s: u64,
+    ) -> Bytes;
+}
--- a/crates/valehold-platform/src/port/mod.rs
+++ b/crates/valehold-ports/src/port/mod.rs
@@ -1,6 +1,7 @@
 //! The interfaces to the outside, and the types that cross them.
 
 mod engine;
+pub mod fleet;
 mod list;
 mod object;
 mod service;
--- a/crates/valehold-platform/tests/contract.rs
+++ b/crates/valehold-ports/tests/contract.rs
@@ -10,7 +10,7 @@
     id::{Artifact, RequestId, UpstreamId},
     order::{Order, Stamp, Wanted},
 };
-use valehold_platform::{
+use valehold_ports::{
     PortError, PortErrorKind,
     http::{ClientSettings, HttpEngines, HttpPlatform, HttpServices},
     port::{
@@ -253,13 +253,13 @@
     let server = platform.serve().await.unwrap();
     let client = HttpPlatform::new(server.address(), settings());
     platform.lag_list(Duration::from_secs(3600));
-    let listed = valehold_platform::port::Listed {
+    let listed = valehold_ports::port::Listed {
         name: "e".to_owned(),
-        kind: valehold_platform::port::ListedKind::Engine,
+        kind: valehold_ports::port::ListedKind::Engine,
         address: server.address(),
         peer_address: None,
         data_centre: "dc".into(),
-        state: valehold_platform::port::ListedState::Live,
+        state: valehold_ports::port::ListedState::Live,
     };
     platform.set_listed(listed);
     expect_that!(client.list().await.unwrap().len(), eq(0));
--- a/crates/valehold-platform/tests/store.rs
+++ b/crates/valehold-ports/tests/store.rs
@@ -14,7 +14,7 @@
 };
 use tokio::time::Instant;
 use valehold_core::{Verdict, id::InstanceId};
-use valehold_platform::{
+use valehold_ports::{
     PortError,
     budget::BudgetedTable,
     port::{Answer, CommitOutcome, Row, Table, Transaction},
--- a/crates/valehold-standin/src/engine/generate.rs
+++ b/crates/valehold-standin/src/engine/generate.rs
@@ -17,7 +17,7 @@
     prefix::estimated_tokens,
     stream::{EndMark, FinishReason, Frame, Payload},
 };
-use valehold_platform::port::GenerateRequest;
+use valehold_ports::port::GenerateRequest;
 use viz::{Body, Response};
 
 use super::{EngineStandin, lock};
--- a/crates/valehold-standin/src/engine/mod.rs
+++ b/crates/valehold-standin/src/engine/mod.rs
@@ -18,7 +18,7 @@
     order::Order,
     prefix::{block_hashes, prompt_text},
 };
-use valehold_platform::port::{
+use valehold_ports::port::{
     CacheEvent, CacheEvents, EngineStatus, GenerateRequest,
 };
 use viz::{IntoResponse, Request, RequestExt, Response, Router, StatusCode};
--- a/crates/valehold-standin/src/fault.rs
+++ b/crates/valehold-standin/src/fault.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use valehold_platform::http::NOT_RUN_HEADER;
+use valehold_ports::http::NOT_RUN_HEADER;
 use viz::{Body, Response, StatusCode};
 
 #[derive(Debug, Default)]
--- a/crates/valehold-standin/src/lib.rs
+++ b/crates/valehold-standin/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Tests and `valehold try` run them in the place of the real ones. Each
 //! keeps only what the decisions depend on, speaks the wire format of
-//! `valehold_platform::http`, and has fault switches, see [`Faults`].
+//! `valehold_ports::http`, and has fault switches, see [`Faults`].
 
 mod engine;
 pub mod experiment;
--- a/crates/valehold-standin/src/platform.rs
+++ b/crates/valehold-standin/src/platform.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use tokio::time::Instant;
-use valehold_platform::port::{
+use valehold_ports::port::{
     CommitOutcome, Listed, ListedState, Row, Transaction,
 };
 use viz::{Body, IntoResponse, Request, RequestExt, Response, Router};
--- a/crates/valehold-standin/src/site.rs
+++ b/crates/valehold-standin/src/site.rs
@@ -6,7 +6,7 @@
     config::{Config, Engine},
     id::{DataCentreId, UpstreamId},
 };
-use valehold_platform::port::{Listed, ListedKind, ListedState};
+use valehold_ports::port::{Listed, ListedKind, ListedState};
 
 use crate::{
     engine::{EngineSettings, EngineStandin},
