Orders by the engines' own counts, adapters ordered once

Cause: a server's row counts heartbeats in its seq, which was taken for the orders that the engine took; orders met 409, and stale holdings led to a load beyond the engine's adapter places (LIMIT). One wish also went to several engines while an order was under way. Change: only reports count orders; what the holder says carries a stamp and goes over the list until the list is newer; adapters that came lately do not make way; replicas follow the number of adapters asked for.

--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -1,6 +1,6 @@
 //! On which engine an adapter is loaded, and what makes way for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
     catalog::EngineSpec,
@@ -18,8 +18,8 @@
     pub engine: &'a UpstreamId,
     /// What it holds.
     pub holding: &'a Holding,
-    /// How busy it is, from 0.
-    pub load: f64,
+    /// Adapters that came only lately and do not make way yet.
+    pub young: &'a BTreeSet<Variant>,
 }
 
 /// What to do so that an adapter gets to an engine.
@@ -64,7 +64,7 @@
         return Some(AdapterStep::Load(host.engine.clone()));
     }
     let victims = able.iter().filter_map(|host| {
-        let (victim, used) = least_used(host.holding, use_of)?;
+        let (victim, used) = least_used(host, use_of)?;
         Some((host, victim, used))
     });
     let (host, victim, _) =
@@ -81,7 +81,7 @@
 /// Returns the memory that an engine's models and adapters take, in MB.
 pub fn taken_mb(holding: &Holding, spec: &EngineSpec) -> u64 {
     let one = |(name, adapters): (&ModelName, &_)| {
-        let adapters: &std::collections::BTreeSet<AdapterName> = adapters;
+        let adapters: &BTreeSet<AdapterName> = adapters;
         spec.model(name).map_or(0, |model| {
             model.size_mb + model.adapter_mb * adapters.len() as u64
         })
@@ -90,13 +90,15 @@
 }
 
 fn least_used(
-    holding: &Holding,
+    host: &AdapterHost<'_>,
     use_of: &BTreeMap<Variant, f64>,
 ) -> Option<(Variant, f64)> {
-    let all = holding.models.iter().flat_map(|(model, adapters)| {
+    let models = host.holding.models.iter();
+    let all = models.flat_map(|(model, adapters)| {
         adapters.iter().map(|a| Variant::adapted(model.as_str(), a.as_str()))
     });
-    all.map(|variant| {
+    let old = all.filter(|variant| !host.young.contains(variant));
+    old.map(|variant| {
         let used = use_of.get(&variant).copied().unwrap_or(0.0);
         (variant, used)
     })
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -48,7 +48,8 @@
 /// What an engine holds, as of a number of orders that it has taken.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
-    /// How many orders it has taken since its start.
+    /// How many orders it has taken since its start; 0 in the list, which
+    /// does not say.
     pub sequence: u64,
     /// Its models, each with the adapters that are there or on their way.
     pub models: BTreeMap<ModelName, BTreeSet<AdapterName>>,
@@ -107,13 +108,4 @@
             .values()
             .filter(move |u| u.service == *service && !u.leaving)
     }
-
-    /// Takes in what an engine holds, unless something newer is known.
-    pub fn update_holding(&mut self, id: &UpstreamId, holding: &Holding) {
-        if let Some(upstream) = self.upstreams.get_mut(id)
-            && upstream.holding.sequence < holding.sequence
-        {
-            upstream.holding = holding.clone();
-        }
-    }
 }
--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -62,13 +62,21 @@
 /// its engines before it gets another one.
 pub const TARGET_BUSY: f64 = 0.3;
 
+/// The demand for one model.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ModelNeed {
+    /// Engines that its requests keep wholly busy.
+    pub busy: f64,
+    /// How many of its adapters are asked for.
+    pub adapters: usize,
+}
+
 /// Decides the next steps, at most one for each engine.
 ///
-/// `demand` is in engines kept wholly busy; `loads` is how many loads the
-/// weight store allows now.
+/// `loads` is how many loads the weight store allows now.
 pub fn plan(
     spec: &EngineSpec,
-    demand: &BTreeMap<ModelName, f64>,
+    demand: &BTreeMap<ModelName, ModelNeed>,
     engines: &[EngineState],
     loads: usize,
 ) -> Vec<ReplicaStep> {
@@ -94,12 +102,15 @@
 }
 
 impl Planner<'_> {
-    fn want(&mut self, demand: &BTreeMap<ModelName, f64>) {
+    fn want(&mut self, demand: &BTreeMap<ModelName, ModelNeed>) {
         let most = self.engines.iter().filter(|e| e.sound).count().max(1);
         for model in &self.spec.models {
-            let busy = demand.get(&model.name).copied().unwrap_or(0.0);
+            let need = demand.get(&model.name).copied().unwrap_or_default();
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let needed = (busy / TARGET_BUSY).ceil() as usize;
+            let for_load = (need.busy / TARGET_BUSY).ceil() as usize;
+            let slots = self.spec.adapter_slots.max(1);
+            let for_adapters = need.adapters.div_ceil(slots);
+            let needed = for_load.max(for_adapters);
             self.wanted.insert(model.name.clone(), needed.clamp(1, most));
         }
     }
@@ -112,11 +123,11 @@
         }
     }
 
-    fn follow_demand(&mut self, demand: &BTreeMap<ModelName, f64>) {
+    fn follow_demand(&mut self, demand: &BTreeMap<ModelName, ModelNeed>) {
         let wanted = self.wanted.clone();
         let mut short = self.models_below(|m| wanted[m]);
         let pressure = |model: &ModelName| {
-            let busy = demand.get(model).copied().unwrap_or(0.0);
+            let busy = demand.get(model).map_or(0.0, |need| need.busy);
             #[allow(clippy::cast_precision_loss)]
             let held = self.holders(model).max(1) as f64;
             busy / held
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -76,11 +76,7 @@
     /// A write of the lease ended.
     LeaseWritten(SentLease, Result<LeaseWrite, PortError>),
     /// An engine reported.
-    Reported {
-        engine: UpstreamId,
-        asked: Millis,
-        report: Result<EngineReport, PortError>,
-    },
+    Reported { engine: UpstreamId, report: Result<EngineReport, PortError> },
     /// An order ended.
     Ordered(GivenOrder, OrderEnd),
     /// A datagram came.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -28,6 +28,7 @@
     Millis,
     fleet::{Catalog, Holding, Listing, Variant},
     id::UpstreamId,
+    order::Stamp,
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore, ListingNews};
 
@@ -50,8 +51,8 @@
 /// How often time passes for control.
 const TICK: Duration = Duration::from_millis(50);
 
-/// How long what the holder says of an engine goes before the list, in ms.
-const KEEP_HOLDING_MS: u64 = 8_000;
+/// By how much the list may lag behind what the holder says, in ms.
+const LIST_LAGS_MS: u64 = 2_500;
 
 /// How long the store has to bring a configuration that a peer has, in ms.
 const WAIT_FOR_CATALOG_MS: u64 = 250;
@@ -90,6 +91,14 @@
     listing: Option<Millis>,
 }
 
+/// What the holder said of an engine.
+#[derive(Debug)]
+struct Told {
+    holding: Holding,
+    stamp: Stamp,
+    at: Millis,
+}
+
 /// Control of one gateway.
 pub struct Control {
     shared: Arc<Shared>,
@@ -101,12 +110,14 @@
     demand: Demand,
     life: Life,
     catalog: Option<Arc<Catalog>>,
+    /// The list as the platform gives it.
+    rows: Listing,
     /// The list, with what the holder said of engines.
     listing: Arc<Listing>,
     listing_known: Rc<Cell<u64>>,
     has_listing: bool,
     /// What the holder said engines hold, and when.
-    told: BTreeMap<UpstreamId, (Holding, Millis)>,
+    told: BTreeMap<UpstreamId, Told>,
     state_client: StateClient,
     reading_state: bool,
     behind: Behind,
@@ -167,6 +178,7 @@
             demand: Demand::default(),
             life: Life::Starting,
             catalog: None,
+            rows: Listing::default(),
             listing: Arc::default(),
             listing_known: known,
             has_listing: false,
@@ -233,7 +245,6 @@
             let work = std::mem::take(&mut *self.shared.work());
             self.demand.take(work, now);
             self.send_heartbeats(now);
-            self.expire_told(now);
             self.publish(now);
         }
     }
@@ -322,11 +333,16 @@
                 self.lease.borrow_mut().read_done(read, now);
             }
             Input::LeaseWritten(write, written) => {
+                let took = write.takes;
                 self.lease.borrow_mut().write_done(write, written, now);
+                let epoch = self.lease.borrow().held_epoch(now);
+                if let (true, Some(epoch)) = (took, epoch) {
+                    self.placer.begin_epoch(epoch);
+                }
                 let holds = self.lease.borrow().held_epoch(now).is_some();
                 self.shared.metrics.holds_lease(holds);
             }
-            Input::Reported { engine, report, .. } => {
+            Input::Reported { engine, report } => {
                 self.placer.reported(&engine, report, now);
                 self.spread_news(now);
             }
@@ -375,47 +391,35 @@
     fn take_told(&mut self, holdings: Vec<EngineHolding>, now: Millis) {
         let mut changed = false;
         for one in holdings {
-            let known = self.listing.upstreams.get(&one.engine);
-            let is_newer = known.is_some_and(|upstream| {
-                upstream.holding.sequence < one.holding.sequence
-            });
-            if is_newer {
-                changed = true;
-                self.told.insert(one.engine, (one.holding, now));
+            let known = self.told.get(&one.engine);
+            let is_older = known.is_some_and(|known| known.stamp > one.stamp);
+            if is_older || !self.rows.upstreams.contains_key(&one.engine) {
+                continue;
             }
+            changed |= known.is_none_or(|known| known.holding != one.holding);
+            let (holding, stamp) = (one.holding, one.stamp);
+            self.told.insert(one.engine, Told { holding, stamp, at: now });
         }
         if changed {
-            self.relist(None, now);
+            self.relist(now);
         }
     }
 
     /// Tells peers, and traffic here, what engines hold since orders.
     fn spread_news(&mut self, now: Millis) {
-        let news = self.placer.news(now);
+        let mut news = self.placer.news(now);
+        news.retain(|one| {
+            let known = self.told.get(&one.engine);
+            known.is_none_or(|known| known.stamp < one.stamp)
+        });
         if news.is_empty() {
             return;
         }
-        let newer: Vec<EngineHolding> = news
-            .into_iter()
-            .filter(|one| {
-                let known = self.listing.upstreams.get(&one.engine);
-                known.is_some_and(|upstream| {
-                    upstream.holding.sequence < one.holding.sequence
-                })
-            })
-            .collect();
-        if newer.is_empty() {
-            return;
-        }
-        let message = Message::Holdings(newer.clone());
+        let message = Message::Holdings(news.clone());
         for target in self.roster.targets() {
             self.send(target, &message);
         }
-        self.take_told(newer, now);
-    }
-
-    fn expire_told(&mut self, now: Millis) {
-        self.told.retain(|_, (_, at)| now.since(*at) < KEEP_HOLDING_MS);
+        self.take_told(news, now);
     }
 
     fn configure(&mut self, catalog: Catalog, now: Millis) {
@@ -432,11 +436,12 @@
     }
 
     fn list(&mut self, listing: Listing, now: Millis) {
-        if listing.version < self.listing_known.get() {
+        if listing.version < self.rows.version {
             return;
         }
         self.has_listing = true;
-        self.relist(Some(listing), now);
+        self.rows = listing;
+        self.relist(now);
         self.live();
     }
 
@@ -445,27 +450,35 @@
             return;
         };
         let Some(version) = version else { return };
-        if version < self.listing_known.get() {
+        if version < self.rows.version {
             return;
         }
-        let mut listing = (*self.listing).clone();
-        listing.version = version;
+        self.rows.version = version;
         for upstream in changed {
-            listing.upstreams.insert(upstream.id.clone(), upstream);
+            let told = self.told.get(&upstream.id);
+            let is_old =
+                told.is_some_and(|told| now.since(told.at) >= LIST_LAGS_MS);
+            if is_old {
+                self.told.remove(&upstream.id);
+            }
+            self.rows.upstreams.insert(upstream.id.clone(), upstream);
         }
         for id in gone {
-            listing.upstreams.remove(&id);
+            self.rows.upstreams.remove(&id);
+            self.told.remove(&id);
         }
-        self.relist(Some(listing), now);
+        self.relist(now);
     }
 
     /// Puts what the holder said over the list, and publishes both.
-    fn relist(&mut self, listing: Option<Listing>, now: Millis) {
-        let mut listing = listing.unwrap_or_else(|| (*self.listing).clone());
-        self.listing_known.set(listing.version);
-        self.placer.listed(&listing);
-        for (engine, (holding, _)) in &self.told {
-            listing.update_holding(engine, holding);
+    fn relist(&mut self, now: Millis) {
+        self.listing_known.set(self.rows.version);
+        self.placer.listed(&self.rows);
+        let mut listing = self.rows.clone();
+        for (engine, told) in &self.told {
+            if let Some(upstream) = listing.upstreams.get_mut(engine) {
+                upstream.holding = told.holding.clone();
+            }
         }
         self.listing = Arc::new(listing);
         self.publish(now);
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -20,10 +20,11 @@
         Holding, Listing, Variant,
         adapters::{AdapterHost, AdapterStep, place_adapter, taken_mb},
         catalog::EngineSpec,
-        replicas::{self, EngineState, ReplicaStep},
+        replicas::{self, EngineState, ModelNeed, ReplicaStep},
         window::Window,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
+    order::Stamp,
 };
 use valehold_ports::{
     PortError,
@@ -51,6 +52,12 @@
 /// for what they say. Reports lag by less than so many questions take.
 const MOST_OLD_REPORTS: u32 = 6;
 
+/// For how long an adapter does not make way for another, in ms.
+const YOUNG_MS: u64 = 2_500;
+
+/// Requests a second from which on an adapter counts as asked for.
+const ASKED_FOR: f64 = 0.03;
+
 /// How long a wish stays without being repeated, in ms.
 const KEEP_WISH_MS: u64 = 1_000;
 
@@ -85,7 +92,15 @@
     /// Reports in a row from before what is known.
     old_reports: u32,
     held_before: BTreeSet<ModelName>,
+    /// When peers were first told of what it holds now.
     changed: Option<Millis>,
+    /// Orders what peers are told of it.
+    stamp: Stamp,
+    /// Adapters that it was told to load lately, and when.
+    arrivals: BTreeMap<Variant, Millis>,
+    young: BTreeSet<Variant>,
+    /// What the list said last.
+    listed: Holding,
 }
 
 impl Entry {
@@ -100,6 +115,19 @@
             && now >= self.left_alone_until
     }
 
+    /// Notes that peers are to be told what it holds now.
+    fn change(&mut self, now: Millis, last: &mut Stamp) {
+        last.sequence += 1;
+        self.stamp = *last;
+        self.changed = Some(now);
+    }
+
+    /// Lets adapters that came a while ago make way for others.
+    fn grow_up(&mut self, now: Millis) {
+        self.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
+        self.young = self.arrivals.keys().cloned().collect();
+    }
+
     fn note_held(&mut self) {
         let models = self.holding.models.keys().cloned();
         self.held_before.extend(models);
@@ -122,9 +150,13 @@
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
     wishes: BTreeMap<Variant, Millis>,
+    /// Adapters about which orders are under way.
+    ordered_now: BTreeSet<Variant>,
     loads: BTreeMap<ServiceName, Window>,
     load_window_s: f64,
     planned: Millis,
+    /// The last stamp that was given.
+    stamp: Stamp,
 }
 
 impl Placer {
@@ -140,9 +172,11 @@
             authority,
             entries: BTreeMap::new(),
             wishes: BTreeMap::new(),
+            ordered_now: BTreeSet::new(),
             loads: BTreeMap::new(),
             load_window_s,
             planned: Millis::default(),
+            stamp: Stamp::default(),
         }
     }
 
@@ -167,10 +201,16 @@
                 old_reports: 0,
                 held_before: BTreeSet::new(),
                 changed: None,
+                stamp: Stamp::default(),
+                arrivals: BTreeMap::new(),
+                young: BTreeSet::new(),
+                listed: upstream.holding.clone(),
             });
             entry.leaving = upstream.leaving;
-            if upstream.holding.sequence > entry.holding.sequence {
-                entry.holding = upstream.holding.clone();
+            if entry.listed != upstream.holding {
+                entry.listed = upstream.holding.clone();
+                // Another one's orders, or none: the engine itself tells.
+                entry.uncertain |= entry.listed.models != entry.holding.models;
             }
             entry.note_held();
         }
@@ -178,9 +218,24 @@
 
     /// Takes in that a request waits for a variant.
     pub(super) fn wished(&mut self, variant: Variant, now: Millis) {
+        // Who wishes for what is there has not been told.
+        for entry in self.entries.values_mut() {
+            if entry.holding.has(&variant) && !entry.uncertain {
+                entry.changed = Some(now);
+            }
+        }
         self.wishes.insert(variant, now);
     }
 
+    /// Begins an epoch: another one may have given orders before.
+    pub(super) fn begin_epoch(&mut self, epoch: u64) {
+        self.stamp = Stamp { epoch, sequence: 0 };
+        for entry in self.entries.values_mut() {
+            entry.uncertain = true;
+            entry.holding.sequence = 0;
+        }
+    }
+
     /// Returns what engines hold since the last orders.
     pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
         let is_news = |entry: &Entry| {
@@ -192,6 +247,7 @@
             .map(|(id, entry)| EngineHolding {
                 engine: id.clone(),
                 holding: entry.holding.clone(),
+                stamp: entry.stamp,
             })
             .collect()
     }
@@ -209,11 +265,14 @@
         if (self.authority.epoch)().is_none() {
             return;
         }
+        for entry in self.entries.values_mut() {
+            entry.grow_up(now);
+        }
         self.ask_where_due(service, now);
-        self.place_adapters(now, service, spec, use_of, loads);
+        self.place_adapters(now, service, spec, use_of);
         if now.since(self.planned) >= PLAN_EVERY_MS {
             self.planned = now;
-            self.place_models(now, service, spec, demand, loads);
+            self.place_models(now, service, spec, demand, use_of, loads);
         }
     }
 
@@ -243,7 +302,7 @@
         let (engine, address) = (id.clone(), entry.address);
         tokio::task::spawn_local(async move {
             let report = engines.report(address).await;
-            let input = Input::Reported { engine, asked: now, report };
+            let input = Input::Reported { engine, report };
             let _ = inputs.send(input);
         });
     }
@@ -281,8 +340,8 @@
             entry.loading = None;
         }
         if report.holding != entry.holding {
-            entry.changed = Some(now);
             entry.holding = report.holding;
+            entry.change(now, &mut self.stamp);
         }
         entry.note_held();
     }
@@ -293,7 +352,6 @@
         service: &ServiceName,
         spec: &EngineSpec,
         use_of: &BTreeMap<Variant, f64>,
-        loads: &BTreeMap<UpstreamId, Load>,
     ) {
         self.wishes.retain(|_, at| now.since(*at) < KEEP_WISH_MS);
         let wishes: Vec<Variant> = self.wishes.keys().cloned().collect();
@@ -303,6 +361,9 @@
             {
                 continue;
             }
+            if self.ordered_now.contains(&variant) {
+                continue;
+            }
             let held = self.entries.values().any(|entry| {
                 entry.service == *service
                     && entry.is_sound()
@@ -312,10 +373,10 @@
                 self.wishes.remove(&variant);
                 continue;
             }
-            let step =
-                self.adapter_step(now, service, spec, &variant, use_of, loads);
+            let step = self.adapter_step(now, service, spec, &variant, use_of);
             match step {
                 Some(AdapterStep::Load(engine)) => {
+                    self.ordered_now.insert(variant.clone());
                     self.order(&engine, OrderWish::Load(variant));
                 }
                 Some(AdapterStep::MakeRoom { engine, victim }) => {
@@ -333,7 +394,6 @@
         spec: &EngineSpec,
         variant: &Variant,
         use_of: &BTreeMap<Variant, f64>,
-        loads: &BTreeMap<UpstreamId, Load>,
     ) -> Option<AdapterStep> {
         let hosts: Vec<AdapterHost<'_>> = self
             .entries
@@ -342,7 +402,7 @@
             .map(|(id, entry)| AdapterHost {
                 engine: id,
                 holding: &entry.holding,
-                load: load_of(loads, id),
+                young: &entry.young,
             })
             .collect();
         place_adapter(variant, &hosts, spec, use_of)
@@ -354,11 +414,18 @@
         service: &ServiceName,
         spec: &EngineSpec,
         demand: &BTreeMap<Variant, f64>,
+        use_of: &BTreeMap<Variant, f64>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        let mut by_model: BTreeMap<ModelName, f64> = BTreeMap::new();
+        let mut by_model: BTreeMap<ModelName, ModelNeed> = BTreeMap::new();
         for (variant, busy) in demand {
-            *by_model.entry(variant.model.clone()).or_default() += busy;
+            let need = by_model.entry(variant.model.clone()).or_default();
+            need.busy += busy;
+            let asked_for =
+                use_of.get(variant).is_some_and(|u| *u > ASKED_FOR);
+            if variant.adapter.is_some() && asked_for {
+                need.adapters += 1;
+            }
         }
         let states: Vec<EngineState> = self
             .entries
@@ -443,7 +510,7 @@
             // is there, whatever becomes of the order.
             entry.holding.models.remove(&variant.model);
             entry.holding.sequence += 1;
-            entry.changed = Some(now);
+            entry.change(now, &mut self.stamp);
         }
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
         let authority = self.authority.clone();
@@ -488,11 +555,12 @@
         end: &OrderEnd,
         now: Millis,
     ) {
+        let (OrderWish::Load(variant) | OrderWish::Unload(variant)) =
+            &order.wish;
+        self.ordered_now.remove(variant);
+        let is_model = variant.adapter.is_none();
         let Some(entry) = self.entries.get_mut(&order.engine) else { return };
         entry.under_way = false;
-        let is_model = match &order.wish {
-            OrderWish::Load(v) | OrderWish::Unload(v) => v.adapter.is_none(),
-        };
         match end {
             OrderEnd::Answered(
                 OrderOutcome::Accepted | OrderOutcome::Holds,
@@ -501,8 +569,8 @@
                 entry.uncertain =
                     is_model && matches!(order.wish, OrderWish::Unload(_));
                 entry.holding.sequence = order.expected_sequence + 1;
-                entry.changed = Some(now);
-                apply(entry, &order.wish);
+                apply(entry, &order.wish, now);
+                entry.change(now, &mut self.stamp);
             }
             OrderEnd::Answered(
                 OrderOutcome::Conflict | OrderOutcome::Refused,
@@ -526,10 +594,9 @@
 /// the next report counts, whatever it says.
 fn forget_guess(entry: &mut Entry, order: &GivenOrder) {
     entry.holding.sequence = order.expected_sequence;
-    entry.changed = None;
 }
 
-fn apply(entry: &mut Entry, wish: &OrderWish) {
+fn apply(entry: &mut Entry, wish: &OrderWish, now: Millis) {
     let models = &mut entry.holding.models;
     match wish {
         OrderWish::Load(Variant { model, adapter: None }) => {
@@ -538,6 +605,8 @@
         }
         OrderWish::Load(Variant { model, adapter: Some(adapter) }) => {
             models.entry(model.clone()).or_default().insert(adapter.clone());
+            let variant = Variant::adapted(model.as_str(), adapter.as_str());
+            entry.arrivals.insert(variant, now);
         }
         OrderWish::Unload(Variant { model, adapter: None }) => {
             models.remove(model);
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -6,6 +6,7 @@
 use valehold_core::{
     fleet::{Holding, Variant},
     id::{DataCentreId, InstanceId, UpstreamId},
+    order::Stamp,
 };
 
 use crate::view::{Life, Load};
@@ -40,6 +41,8 @@
     pub engine: UpstreamId,
     /// What it holds.
     pub holding: Holding,
+    /// Orders what holders say of one engine.
+    pub stamp: Stamp,
 }
 
 /// A gateway's word about itself.
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -36,8 +36,6 @@
     pub(super) service_name: ServiceName,
     /// The service's declaration.
     pub(super) service: Service,
-    /// When its head was read.
-    pub(super) began: Instant,
     /// By when it gets its final answer.
     pub(super) deadline: Instant,
 }
@@ -47,11 +45,6 @@
     pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
         self.service.engine.as_ref()
     }
-
-    /// Returns how long it is held already, in ms.
-    pub(super) fn held_ms(&self) -> u64 {
-        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
 }
 
 /// Finds a request's route, and reads the request whole.
@@ -87,7 +80,6 @@
         route,
         service_name,
         service,
-        began,
         deadline,
     })
 }
