A lease that outlives short outages, and adapters brought ahead

Cause: when the holder lost the store, nobody gave orders for nine seconds: its term, a contender's term and the quiet time followed one another, and every adapter that was not loaded was refused meanwhile. Change: a longer term; a holder that fails while others hear the store gives its epoch up by its own word, with the quiet time that is left; a restarted machine takes its own lease back; the row says from when on orders may go. Free places are filled with adapters that no engine holds. Callers keep addresses 1 s, and a leaving gateway serves three times as long.

--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -72,6 +72,33 @@
     Some(AdapterStep::MakeRoom { engine: host.engine.clone(), victim })
 }
 
+/// Finds an adapter that no engine holds, and an engine with a free place
+/// for it.
+///
+/// Models that are asked for more go first, `use_of` being their demand.
+pub fn next_to_bring(
+    hosts: &[AdapterHost<'_>],
+    spec: &EngineSpec,
+    is_held: impl Fn(&Variant) -> bool,
+    use_of: impl Fn(&ModelName) -> f64,
+) -> Option<(UpstreamId, Variant)> {
+    let mut models: Vec<_> =
+        spec.models.iter().filter(|m| !m.adapters.is_empty()).collect();
+    models.sort_by(|a, b| use_of(&b.name).total_cmp(&use_of(&a.name)));
+    models.into_iter().find_map(|model| {
+        let host = hosts
+            .iter()
+            .filter(|host| host.holding.models.contains_key(&model.name))
+            .filter(|host| has_room(host.holding, &model.name, spec))
+            .min_by_key(|host| host.holding.adapters())?;
+        let variants = model.adapters.iter().map(|adapter| {
+            Variant::adapted(model.name.as_str(), adapter.as_str())
+        });
+        let missing = variants.into_iter().find(|v| !is_held(v))?;
+        Some((host.engine.clone(), missing))
+    })
+}
+
 fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
     let size = spec.model(model).map_or(0, |model| model.adapter_mb);
     let taken = taken_mb(holding, spec);
--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ModelName, ServiceName};
+use crate::id::{AdapterName, ModelName, ServiceName};
 
 /// Whether a request may be sent to an upstream more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +79,8 @@
     pub name: ModelName,
     /// The memory of its weights, in MB.
     pub size_mb: u64,
+    /// Its adapters.
+    pub adapters: Vec<AdapterName>,
     /// The memory of one of its adapters, in MB.
     pub adapter_mb: u64,
     /// How long a load from the weight store takes, in ms.
--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -60,7 +60,7 @@
 
 /// The part of an engine's time that a model's requests may take on each of
 /// its engines before it gets another one.
-pub const TARGET_BUSY: f64 = 0.3;
+pub const TARGET_BUSY: f64 = 0.15;
 
 /// The demand for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -32,6 +32,10 @@
     pub epoch: u64,
     /// Counts the renewals, so that every write changes the row.
     pub renewals: u64,
+    /// From when on its holder, or the next one after a row that nobody
+    /// holds, may give orders: in ms on the store's clock.
+    #[serde(default)]
+    pub orders_from: u64,
 }
 
 /// A row with the version that the platform gives it; 0 stands for no row.
@@ -86,6 +90,10 @@
     /// From when the current term counts.
     held_from: Millis,
     epoch: u64,
+    /// Whether a row with this instance's name is free to it.
+    retakes_own: bool,
+    /// An epoch that its holder gave up by its own word.
+    given_up: Option<u64>,
 }
 
 impl LeaseKeeper {
@@ -98,9 +106,35 @@
             seen: None,
             held_from: Millis::default(),
             epoch: 0,
+            retakes_own: false,
+            given_up: None,
         }
     }
 
+    /// Lets a restarted instance take back at once what it held before.
+    ///
+    /// That is right where no two processes ever bear one name at a time.
+    #[must_use]
+    pub fn retaking_own(mut self) -> Self {
+        self.retakes_own = true;
+        self
+    }
+
+    /// Takes in a holder's own word that it gave an epoch up.
+    pub fn given_up(&mut self, epoch: u64) {
+        self.given_up = Some(epoch);
+    }
+
+    /// Gives up what is held, without a word to the platform.
+    ///
+    /// Returns the epoch, which this instance will not use again.
+    pub fn give_up(&mut self, now: Millis) -> Option<u64> {
+        let epoch = self.held_epoch(now)?;
+        self.follow(LeaseEvent::StepDown);
+        self.seen = None;
+        Some(epoch)
+    }
+
     /// Returns the epoch if the lease is held at `now`.
     ///
     /// Ask right before each act under the lease, with the time read after
@@ -197,10 +231,12 @@
             return LeaseStep::Read;
         };
         let renewals = lease.row.as_ref().map_or(0, |row| row.renewals) + 1;
+        let orders_from = lease.row.as_ref().map_or(0, |r| r.orders_from);
         let row = LeaseRow {
             holder: Some(self.me.clone()),
             epoch: self.epoch,
             renewals,
+            orders_from,
         };
         LeaseStep::Write { version: lease.version, row, takes: false }
     }
@@ -210,22 +246,24 @@
             return LeaseStep::Read;
         };
         let held = lease.row.as_ref().is_some_and(|row| {
-            // What this start of this instance let lapse, and nobody took
-            // since, it may take back at once.
-            let own = row.holder.as_ref() == Some(&self.me)
-                && row.epoch == self.epoch;
-            row.holder.is_some() && !own
+            let own = row.holder.as_ref() == Some(&self.me);
+            let is_free =
+                (own && self.retakes_own) || self.given_up == Some(row.epoch);
+            row.holder.is_some() && !is_free
         });
         if held && now.since(*since) < self.terms.term_ms {
             return LeaseStep::Read;
         }
         let version = lease.version;
-        let (epoch, renewals) =
-            lease.row.as_ref().map_or((0, 0), |r| (r.epoch, r.renewals));
+        let (epoch, renewals, orders_from) = lease
+            .row
+            .as_ref()
+            .map_or((0, 0, 0), |r| (r.epoch, r.renewals, r.orders_from));
         let row = LeaseRow {
             holder: Some(self.me.clone()),
             epoch: epoch + 1,
             renewals: renewals + 1,
+            orders_from,
         };
         self.follow(LeaseEvent::RowUnchangedForTerm);
         LeaseStep::Write { version, row, takes: true }
--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -24,11 +24,12 @@
 /// Pauses after failures, longer and longer.
 struct Pauses {
     next: Duration,
+    inputs: Inputs,
 }
 
 impl Pauses {
-    fn new() -> Self {
-        Self { next: LEAST_PAUSE }
+    fn new(inputs: Inputs) -> Self {
+        Self { next: LEAST_PAUSE, inputs }
     }
 
     fn succeeded(&mut self) {
@@ -37,6 +38,7 @@
 
     async fn failed(&mut self, doing: &str, error: &PortError) {
         log::debug!("{doing}: {error}");
+        let _ = self.inputs.send(Input::StoreFailed);
         let jitter = 0.75 + 0.5 * rand::random::<f64>();
         tokio::time::sleep(self.next.mul_f64(jitter)).await;
         self.next = (self.next * 2).min(GREATEST_PAUSE);
@@ -48,7 +50,7 @@
     store: Arc<dyn FleetStore>,
     inputs: Inputs,
 ) {
-    let mut pauses = Pauses::new();
+    let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
     while !inputs.is_closed() {
         let news = match after {
@@ -88,7 +90,7 @@
     inputs: Inputs,
     known: Rc<Cell<u64>>,
 ) {
-    let mut pauses = Pauses::new();
+    let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
     while !inputs.is_closed() {
         let Some(from) = after else {
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -6,12 +6,12 @@
     Millis,
     fleet::{Catalog, Listing},
     id::UpstreamId,
-    lease::VersionedLease,
 };
 use valehold_ports::{
     PortError,
     port::fleet::{
-        EngineReport, LeaseWrite, ListingNews, OrderOutcome, OrderWish,
+        EngineReport, LeaseSight, LeaseWrite, ListingNews, OrderOutcome,
+        OrderWish,
     },
 };
 
@@ -65,6 +65,8 @@
 pub(super) enum Input {
     /// The store answered a read of the configuration or a watch on it.
     CatalogHeard(Option<Box<Catalog>>),
+    /// The store did not answer a read or a watch.
+    StoreFailed,
     /// All upstreams were read.
     ListingRead(Listing),
     /// Upstreams changed.
@@ -72,7 +74,7 @@
     /// A peer gave its state.
     PeerState(Result<PeerState, PortError>),
     /// The lease's row was read.
-    LeaseRead(Result<VersionedLease, PortError>),
+    LeaseRead(Result<LeaseSight, PortError>),
     /// A write of the lease ended.
     LeaseWritten(SentLease, Result<LeaseWrite, PortError>),
     /// An engine reported.
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -2,6 +2,11 @@
 //!
 //! Engines do not check fences, so a new holder keeps quiet until whatever
 //! the old one sent has arrived and the bound between holders has passed.
+//! From when on orders may be given stands in the row, on the store's clock,
+//! so that a machine that held the lease before it restarted goes on at once.
+//!
+//! A holder that cannot reach the store while others can gives the lease up
+//! by its own word, and another need not wait for its term to end.
 
 use std::sync::Arc;
 
@@ -9,44 +14,103 @@
 use valehold_core::{
     Millis,
     id::InstanceId,
-    lease::{LeaseKeeper, LeaseStep, LeaseTerms, VersionedLease},
+    lease::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease},
 };
 use valehold_ports::{
     PortError,
-    port::fleet::{FleetStore, LeaseWrite},
+    port::fleet::{FleetStore, LeaseSight, LeaseWrite},
 };
 
 use super::input::{Input, SentLease};
+use crate::peers::message::LeaseWord;
 
 /// The lease's terms: contenders wait for the whole term, a holder stops
-/// well before, so that its last order has arrived by then.
+/// well before.
 const TERMS: LeaseTerms =
-    LeaseTerms { term_ms: 2_600, margin_ms: 600, renew_after_ms: 700 };
+    LeaseTerms { term_ms: 4_600, margin_ms: 600, renew_after_ms: 700 };
 
 /// How long an order may be on its way, in ms.
 const ORDER_FLIGHT_MS: u64 = 800;
 
-/// How long a contender waits between two looks at the row, in ms.
-const LOOK_EVERY_MS: u64 = 400;
+/// By how much two readings of the store's clock may differ, in ms.
+const CLOCK_SLACK_MS: u64 = 500;
+
+/// How long a gateway waits between two calls about the lease, in ms.
+const CALL_EVERY_MS: u64 = 250;
 
 /// How long nobody may be heard to hold the lease before the first gateway
 /// contends for it, in ms.
-const VACANT_MS: u64 = 400;
+const VACANT_MS: u64 = 100;
 
 /// How much longer each further gateway waits, in ms.
-const VACANT_EACH_MS: u64 = 900;
+const VACANT_EACH_MS: u64 = 250;
+
+/// After how long without a renewal a holder gives up what others could
+/// hold, in ms.
+const GIVE_UP_AFTER_MS: u64 = 1_500;
+
+/// What other gateways say.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Around {
+    /// Whether another one is heard to hold the lease.
+    pub(super) holder_heard: bool,
+    /// Whether another one hears the store.
+    pub(super) store_heard: bool,
+    /// This gateway's place among all, from 0.
+    pub(super) place: usize,
+}
+
+/// A holder's word that it gave an epoch up.
+#[derive(Debug, Clone, Copy)]
+struct GivenUp {
+    epoch: u64,
+    /// From when on another's orders may come.
+    quiet_until: Millis,
+}
+
+/// The store's clock, read at one moment.
+#[derive(Debug, Clone, Copy)]
+struct StoreClock {
+    store_ms: u64,
+    read: Millis,
+}
+
+impl StoreClock {
+    /// Returns the store's time at a local one, or a little less.
+    fn store_time(self, local: Millis) -> u64 {
+        match local >= self.read {
+            true => self.store_ms + local.since(self.read),
+            false => self.store_ms.saturating_sub(self.read.since(local)),
+        }
+    }
+
+    /// Returns when it is a time of the store here, or a little later.
+    fn local_time(self, store_ms: u64) -> Millis {
+        self.read + store_ms.saturating_sub(self.store_ms)
+    }
+}
 
 /// This gateway's part in the lease.
 pub(super) struct LeaseDuty {
+    me: InstanceId,
     keeper: LeaseKeeper,
     store: Arc<dyn FleetStore>,
     inputs: mpsc::UnboundedSender<Input>,
     quiet_ms: u64,
     under_way: bool,
-    looked: Millis,
+    called: Millis,
+    renewed: Millis,
     vacant_since: Option<Millis>,
-    /// The epoch that was held last, and from when its orders may go.
-    held: Option<(u64, Millis)>,
+    clock: Option<StoreClock>,
+    /// From when on the epoch that is held, or is being taken, allows orders.
+    orders_from: Millis,
+    /// When an order was sent last in the epoch that is held.
+    ordered: Option<Millis>,
+    /// The row's version when its holder was heard last.
+    heard: Option<(u64, Millis)>,
+    other_gave_up: Option<GivenUp>,
+    gave_up: Option<GivenUp>,
+    version: u64,
 }
 
 impl LeaseDuty {
@@ -57,14 +121,22 @@
         inputs: mpsc::UnboundedSender<Input>,
     ) -> Self {
         Self {
-            keeper: LeaseKeeper::new(me, TERMS),
+            keeper: LeaseKeeper::new(me.clone(), TERMS).retaking_own(),
+            me,
             store,
             inputs,
             quiet_ms,
             under_way: false,
-            looked: Millis::default(),
+            called: Millis::default(),
+            renewed: Millis::default(),
             vacant_since: None,
-            held: None,
+            clock: None,
+            orders_from: Millis::default(),
+            ordered: None,
+            heard: None,
+            other_gave_up: None,
+            gave_up: None,
+            version: 0,
         }
     }
 
@@ -76,55 +148,97 @@
     /// Returns the epoch if orders may be given.
     pub(super) fn order_epoch(&self, now: Millis) -> Option<u64> {
         let epoch = self.keeper.held_epoch(now)?;
-        let (held, from) = self.held?;
-        (held == epoch && now >= from).then_some(epoch)
+        (now >= self.orders_from).then_some(epoch)
     }
 
-    /// Does what is due. `holder_heard` tells whether another one is heard
-    /// to hold the lease, `place` is this gateway's place among all.
-    pub(super) fn tick(
-        &mut self,
-        now: Millis,
-        holder_heard: bool,
-        place: usize,
-    ) {
-        if self.under_way {
+    /// Returns the epoch if an order may be given, and notes that one is.
+    pub(super) fn take_order_epoch(&mut self, now: Millis) -> Option<u64> {
+        let epoch = self.order_epoch(now)?;
+        self.ordered = Some(now);
+        Some(epoch)
+    }
+
+    /// Returns what peers are told.
+    pub(super) fn word(&self, now: Millis) -> Option<LeaseWord> {
+        if let Some(epoch) = self.held_epoch(now) {
+            let version = self.version;
+            return Some(LeaseWord::Holds { epoch, version });
+        }
+        self.gave_up.map(|given_up| LeaseWord::GaveUp {
+            epoch: given_up.epoch,
+            quiet_ms: given_up.quiet_until.since(now),
+        })
+    }
+
+    /// Takes in what a peer says.
+    pub(super) fn heard(&mut self, word: LeaseWord, now: Millis) {
+        match word {
+            LeaseWord::Holds { version, .. } => {
+                self.heard = Some((version, now));
+            }
+            LeaseWord::GaveUp { epoch, quiet_ms } => {
+                let quiet_until = now + quiet_ms;
+                self.other_gave_up = Some(GivenUp { epoch, quiet_until });
+                self.keeper.given_up(epoch);
+            }
+        }
+    }
+
+    /// Does what is due.
+    pub(super) fn tick(&mut self, now: Millis, around: Around) {
+        if let Some(epoch) = self.held_epoch(now) {
+            self.vacant_since = None;
+            let is_late = now.since(self.renewed) >= GIVE_UP_AFTER_MS;
+            if is_late && around.store_heard {
+                self.give_up(epoch, now);
+                return;
+            }
+        }
+        let rested = now.since(self.called) >= CALL_EVERY_MS;
+        if self.under_way || !rested {
             return;
         }
         if self.held_epoch(now).is_some() {
-            self.vacant_since = None;
             self.act(now);
             return;
         }
-        if holder_heard {
+        if around.holder_heard {
             self.vacant_since = None;
             return;
         }
         let since = *self.vacant_since.get_or_insert(now);
-        // Who held it last is asked first: its orders need no quiet time.
-        let wait = match self.held {
-            Some(_) => 0,
-            None => VACANT_MS + VACANT_EACH_MS * place as u64,
-        };
-        let due = now.since(self.looked) >= LOOK_EVERY_MS;
-        if due && now.since(since) >= wait {
-            self.looked = now;
-            self.act(now);
+        let wait = VACANT_MS + VACANT_EACH_MS * around.place as u64;
+        if now.since(since) >= wait {
+            self.read(now);
         }
     }
 
+    fn give_up(&mut self, epoch: u64, now: Millis) {
+        log::info!("gives up the lease in epoch {epoch}");
+        let quiet_until = self.quiet_until(now);
+        self.keeper.give_up(now);
+        self.gave_up = Some(GivenUp { epoch, quiet_until });
+        self.vacant_since = Some(now);
+    }
+
+    /// Returns from when on the next holder's orders may come, if this one
+    /// gives no more.
+    fn quiet_until(&self, now: Millis) -> Millis {
+        let bound = self.quiet_ms + ORDER_FLIGHT_MS;
+        let after = self.ordered.map_or(now, |ordered| ordered + bound);
+        after.max(self.orders_from)
+    }
+
     fn act(&mut self, now: Millis) {
-        match self.keeper.step(now) {
-            LeaseStep::Read if self.held_epoch(now).is_some() => {}
-            LeaseStep::Read => self.read(),
-            LeaseStep::Write { version, row, takes } => {
-                self.write(SentLease { version, row, takes, sent: now });
-            }
+        if let LeaseStep::Write { version, row, takes } = self.keeper.step(now)
+        {
+            self.write(SentLease { version, row, takes, sent: now });
         }
     }
 
-    fn read(&mut self) {
+    fn read(&mut self, now: Millis) {
         self.under_way = true;
+        self.called = now;
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let read = store.read_lease().await;
@@ -132,8 +246,13 @@
         });
     }
 
-    fn write(&mut self, write: SentLease) {
+    fn write(&mut self, mut write: SentLease) {
         self.under_way = true;
+        self.called = write.sent;
+        if let Some(clock) = self.clock {
+            let from = clock.store_time(self.orders_from);
+            write.row.orders_from = from + CLOCK_SLACK_MS;
+        }
         let (store, inputs) = (self.store.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let written = store.write_lease(write.version, &write.row).await;
@@ -144,21 +263,48 @@
     /// Takes in the row.
     pub(super) fn read_done(
         &mut self,
-        read: Result<VersionedLease, PortError>,
+        read: Result<LeaseSight, PortError>,
         now: Millis,
     ) {
         self.under_way = false;
-        match read {
-            Ok(lease) => {
-                self.keeper.row_read(lease, now);
-                // A row that nobody holds is taken without another look.
-                if let LeaseStep::Write { version, row, takes } =
-                    self.keeper.step(now)
-                {
-                    self.write(SentLease { version, row, takes, sent: now });
-                }
+        let sight = match read {
+            Ok(sight) => sight,
+            Err(error) => {
+                log::debug!("reading the lease: {error}");
+                return;
+            }
+        };
+        self.clock = Some(StoreClock { store_ms: sight.now_ms, read: now });
+        let row = sight.lease.row.clone();
+        // A row that stands as its holder told stands since then.
+        let since = match self.heard {
+            Some((version, at)) if version == sight.lease.version => at,
+            _ => now,
+        };
+        self.keeper.row_read(sight.lease, since);
+        if let LeaseStep::Write { version, row: taken, takes } =
+            self.keeper.step(now)
+        {
+            self.orders_from = self.first_order(row.as_ref(), now);
+            self.ordered = None;
+            self.write(SentLease { version, row: taken, takes, sent: now });
+        }
+    }
+
+    /// Returns from when on orders may be given, if the lease is taken over
+    /// what the row says.
+    fn first_order(&self, row: Option<&LeaseRow>, now: Millis) -> Millis {
+        let (Some(row), Some(clock)) = (row, self.clock) else { return now };
+        let stated = clock.local_time(row.orders_from);
+        let Some(holder) = &row.holder else { return stated };
+        if *holder == self.me {
+            return stated;
+        }
+        match self.other_gave_up {
+            Some(given_up) if given_up.epoch == row.epoch => {
+                given_up.quiet_until.max(now)
             }
-            Err(error) => log::debug!("reading the lease: {error}"),
+            _ => now + self.quiet_ms + ORDER_FLIGHT_MS - TERMS.margin_ms,
         }
     }
 
@@ -171,7 +317,10 @@
     ) {
         self.under_way = false;
         match written {
-            Ok(LeaseWrite::Won(version)) => self.won(write, version, now),
+            Ok(LeaseWrite::Won { version, now_ms }) => {
+                self.clock = Some(StoreClock { store_ms: now_ms, read: now });
+                self.won(write, version, now);
+            }
             Ok(LeaseWrite::Lost) => self.keeper.write_lost(write.takes),
             Err(error) => {
                 log::debug!("writing the lease: {error}");
@@ -184,33 +333,33 @@
     }
 
     fn won(&mut self, write: SentLease, version: u64, now: Millis) {
-        let epoch = write.row.epoch;
+        if write.row.holder.is_none() {
+            return;
+        }
         if write.takes {
-            let from = self.orders_from(epoch, now);
-            log::info!("holds the lease in epoch {epoch}");
-            self.held = Some((epoch, from));
+            log::info!("holds the lease in epoch {}", write.row.epoch);
+            self.gave_up = None;
+        } else if self.held_epoch(now).is_none() {
+            // Given up in the meantime.
+            return;
         }
+        self.renewed = write.sent;
+        self.version = version;
         let row = Some(write.row);
         let lease = VersionedLease { version, row };
         self.keeper.write_won(lease, write.takes, write.sent, now);
     }
 
-    /// Tells from when on orders may be given in an epoch just taken.
-    fn orders_from(&self, epoch: u64, now: Millis) -> Millis {
-        match self.held {
-            // Nobody held it in between.
-            Some((held, from)) if held + 1 == epoch => from,
-            // Nobody ever held it.
-            None if epoch == 1 => now,
-            _ => now + self.quiet_ms + ORDER_FLIGHT_MS,
-        }
-    }
-
     /// Gives the lease up, since this gateway leaves.
     pub(super) fn step_down(&mut self, now: Millis) {
+        let quiet_until = self.quiet_until(now);
+        if let Some(epoch) = self.held_epoch(now) {
+            self.gave_up = Some(GivenUp { epoch, quiet_until });
+        }
         if let Some(LeaseStep::Write { version, row, takes }) =
             self.keeper.step_down(now)
         {
+            self.orders_from = quiet_until;
             self.write(SentLease { version, row, takes, sent: now });
         }
     }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -27,7 +27,7 @@
 use valehold_core::{
     Millis,
     fleet::{Catalog, Holding, Listing, Variant},
-    id::UpstreamId,
+    id::{InstanceId, UpstreamId},
     order::Stamp,
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore, ListingNews};
@@ -35,15 +35,19 @@
 use self::{
     demand::Demand,
     input::Input,
-    lease::LeaseDuty,
+    lease::{Around, LeaseDuty},
     placer::{Authority, Placer},
 };
 use crate::{
     peers::{
         Heartbeat, Message, Roster,
-        message::{EngineHolding, MAX_DATAGRAM, UpstreamLoad, VariantDemand},
+        message::{
+            EngineHolding, LeaseWord, MAX_DATAGRAM, UpstreamLoad,
+            VariantDemand,
+        },
         state::{self, StateClient},
     },
+    settings::Settings,
     shared::Shared,
     view::{Life, Load, ReadyMember, View},
 };
@@ -121,6 +125,7 @@
     state_client: StateClient,
     reading_state: bool,
     behind: Behind,
+    store_fails: bool,
     start: u64,
     sequence: u64,
     beat: Millis,
@@ -147,16 +152,18 @@
         tokio::task::spawn_local(receive(socket.clone(), inputs.clone()));
         let settings = &shared.settings;
         let lease = Rc::new(RefCell::new(LeaseDuty::new(
-            settings.instance.clone(),
+            holder_name(settings),
             settings.lease.quiet_ms,
             store,
             inputs.clone(),
         )));
         let authority = Authority {
-            holder: settings.instance.clone(),
+            holder: holder_name(settings),
             epoch: {
                 let (lease, clock) = (lease.clone(), shared.clock);
-                Rc::new(move || lease.borrow().order_epoch(clock.now()))
+                Rc::new(move || {
+                    lease.borrow_mut().take_order_epoch(clock.now())
+                })
             },
         };
         let placer = Placer::new(
@@ -186,6 +193,7 @@
             state_client: StateClient::new(),
             reading_state: false,
             behind: Behind::default(),
+            store_fails: true,
             start: rand::random(),
             sequence: 0,
             beat: Millis::default(),
@@ -232,10 +240,13 @@
         let now = self.now();
         self.roster.tick(now);
         if self.life == Life::Serving {
-            let heard = self.roster.holder(now).is_some();
             let own = &self.shared.settings.instance;
-            let place = self.roster.place_of(own, now);
-            self.lease.borrow_mut().tick(now, heard, place);
+            let around = Around {
+                holder_heard: self.roster.holder(now).is_some(),
+                store_heard: self.roster.hears_store(now),
+                place: self.roster.place_of(own, now),
+            };
+            self.lease.borrow_mut().tick(now, around);
         }
         self.place(now);
         self.catch_up(now);
@@ -310,13 +321,21 @@
     fn take(&mut self, input: Input) {
         let now = self.now();
         match input {
+            Input::StoreFailed => self.store_fails = true,
             Input::CatalogHeard(catalog) => {
+                self.store_fails = false;
                 if let Some(catalog) = catalog {
                     self.configure(*catalog, now);
                 }
             }
-            Input::ListingRead(listing) => self.list(listing, now),
-            Input::ListingChanged(news) => self.list_changes(news, now),
+            Input::ListingRead(listing) => {
+                self.store_fails = false;
+                self.list(listing, now);
+            }
+            Input::ListingChanged(news) => {
+                self.store_fails = false;
+                self.list_changes(news, now);
+            }
             Input::PeerState(state) => {
                 self.reading_state = false;
                 match state {
@@ -360,6 +379,9 @@
         match Message::decode(bytes) {
             Ok(Message::Heartbeat(heartbeat)) => {
                 let holdings = heartbeat.holdings.clone();
+                if let Some(word) = heartbeat.lease {
+                    self.lease.borrow_mut().heard(word, now);
+                }
                 let is_new = self.roster.heard(from, *heartbeat, now);
                 self.take_told(holdings, now);
                 if is_new {
@@ -522,7 +544,8 @@
     fn heartbeat(&mut self, now: Millis) -> Message {
         self.sequence += 1;
         let settings = &self.shared.settings;
-        let epoch = self.lease.borrow().held_epoch(now);
+        let lease = self.lease.borrow().word(now);
+        let holds = matches!(lease, Some(LeaseWord::Holds { .. }));
         let loads = self.shared.loads();
         let is_idle = |load: &Load| *load == Load::default();
         Message::Heartbeat(Box::new(Heartbeat {
@@ -535,7 +558,8 @@
             state: settings.peers.state,
             catalog: self.catalog.as_ref().map_or(0, |c| c.version),
             listing: self.listing_known.get(),
-            epoch,
+            lease,
+            store_fails: self.store_fails,
             known: self.roster.known(now),
             loads: loads
                 .iter()
@@ -546,9 +570,9 @@
                 })
                 .collect(),
             demand: self.demand.list(),
-            holdings: match epoch {
-                Some(_) => self.placer.news(now),
-                None => Vec::new(),
+            holdings: match holds {
+                true => self.placer.news(now),
+                false => Vec::new(),
             },
         }))
     }
@@ -586,6 +610,12 @@
     all.iter().map(one).collect()
 }
 
+/// Names a machine: its name may come back at another address.
+fn holder_name(settings: &Settings) -> InstanceId {
+    let address = settings.peers.heartbeats.ip();
+    InstanceId::new(format!("{}@{address}", settings.instance))
+}
+
 /// Makes seeds' heartbeat addresses: gateways use the same ports.
 fn seeds(own: SocketAddr, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
     let port = own.port();
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -18,7 +18,9 @@
     Millis,
     fleet::{
         Holding, Listing, Variant,
-        adapters::{AdapterHost, AdapterStep, place_adapter, taken_mb},
+        adapters::{
+            AdapterHost, AdapterStep, next_to_bring, place_adapter, taken_mb,
+        },
         catalog::EngineSpec,
         replicas::{self, EngineState, ModelNeed, ReplicaStep},
         window::Window,
@@ -58,6 +60,10 @@
 /// Requests a second from which on an adapter counts as asked for.
 const ASKED_FOR: f64 = 0.03;
 
+/// How many orders about adapters are under way at once while places are
+/// filled.
+const MOST_BROUGHT_AT_ONCE: usize = 3;
+
 /// How long a wish stays without being repeated, in ms.
 const KEEP_WISH_MS: u64 = 1_000;
 
@@ -139,7 +145,8 @@
 pub(super) struct Authority {
     /// The holder.
     pub(super) holder: InstanceId,
-    /// Returns the epoch, if orders may be given at this moment.
+    /// Returns the epoch, if an order may be given at this moment, and notes
+    /// that one is.
     pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
 }
 
@@ -262,14 +269,12 @@
         use_of: &BTreeMap<Variant, f64>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        if (self.authority.epoch)().is_none() {
-            return;
-        }
         for entry in self.entries.values_mut() {
             entry.grow_up(now);
         }
         self.ask_where_due(service, now);
         self.place_adapters(now, service, spec, use_of);
+        self.bring_adapters(now, service, spec, use_of);
         if now.since(self.planned) >= PLAN_EVERY_MS {
             self.planned = now;
             self.place_models(now, service, spec, demand, use_of, loads);
@@ -387,16 +392,42 @@
         }
     }
 
-    fn adapter_step(
-        &self,
+    /// Fills free places with adapters that no engine holds, so that they
+    /// are there when they are asked for.
+    fn bring_adapters(
+        &mut self,
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        variant: &Variant,
         use_of: &BTreeMap<Variant, f64>,
-    ) -> Option<AdapterStep> {
-        let hosts: Vec<AdapterHost<'_>> = self
-            .entries
+    ) {
+        while self.ordered_now.len() < MOST_BROUGHT_AT_ONCE {
+            let mut by_model: BTreeMap<&ModelName, f64> = BTreeMap::new();
+            for (variant, used) in use_of {
+                *by_model.entry(&variant.model).or_default() += used;
+            }
+            let hosts = self.hosts(now, service);
+            let is_held = |variant: &Variant| {
+                self.ordered_now.contains(variant)
+                    || self.entries.values().any(|entry| {
+                        entry.is_sound() && entry.holding.has(variant)
+                    })
+            };
+            let found = next_to_bring(&hosts, spec, is_held, |model| {
+                by_model.get(model).copied().unwrap_or(0.0)
+            });
+            let Some((engine, variant)) = found else { return };
+            self.ordered_now.insert(variant.clone());
+            self.order(&engine, OrderWish::Load(variant));
+        }
+    }
+
+    fn hosts(
+        &self,
+        now: Millis,
+        service: &ServiceName,
+    ) -> Vec<AdapterHost<'_>> {
+        self.entries
             .iter()
             .filter(|(_, e)| e.service == *service && e.may_order(now))
             .map(|(id, entry)| AdapterHost {
@@ -404,7 +435,18 @@
                 holding: &entry.holding,
                 young: &entry.young,
             })
-            .collect();
+            .collect()
+    }
+
+    fn adapter_step(
+        &self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        variant: &Variant,
+        use_of: &BTreeMap<Variant, f64>,
+    ) -> Option<AdapterStep> {
+        let hosts = self.hosts(now, service);
         place_adapter(variant, &hosts, spec, use_of)
     }
 
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -45,6 +45,25 @@
     pub stamp: Stamp,
 }
 
+/// What a gateway says of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseWord {
+    /// It holds it.
+    Holds {
+        /// The epoch.
+        epoch: u64,
+        /// The row's version after its last renewal.
+        version: u64,
+    },
+    /// It held it, and will not use this epoch again.
+    GaveUp {
+        /// The epoch.
+        epoch: u64,
+        /// In how many ms another holder's first order may come.
+        quiet_ms: u64,
+    },
+}
+
 /// A gateway's word about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -66,8 +85,10 @@
     pub catalog: u64,
     /// The version of its list of upstreams; 0 before the first.
     pub listing: u64,
-    /// The epoch in which it holds the lease, if it does.
-    pub epoch: Option<u64>,
+    /// What it says of the lease.
+    pub lease: Option<LeaseWord>,
+    /// Whether the platform's store does not answer it.
+    pub store_fails: bool,
     /// Where the gateways that it knows take heartbeats.
     pub known: Vec<SocketAddr>,
     /// What it has under way.
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -11,7 +11,7 @@
     id::{InstanceId, UpstreamId},
 };
 
-use super::message::Heartbeat;
+use super::message::{Heartbeat, LeaseWord};
 use crate::view::{Life, Load, ReadyMember};
 
 /// For how long a silent gateway is still sent heartbeats, in ms.
@@ -152,11 +152,19 @@
 
     /// Returns where the holder of the lease takes wishes, if there is one.
     pub fn holder(&self, now: Millis) -> Option<SocketAddr> {
-        let holds = self
-            .live(now)
-            .filter(|peer| peer.heartbeat.epoch.is_some())
-            .max_by_key(|peer| peer.heartbeat.epoch)?;
-        Some(holds.address)
+        let epoch = |peer: &&Peer| match peer.heartbeat.lease {
+            Some(LeaseWord::Holds { epoch, .. }) => Some(epoch),
+            _ => None,
+        };
+        let holders = self.live(now).filter(|peer| epoch(peer).is_some());
+        holders.max_by_key(epoch).map(|peer| peer.address)
+    }
+
+    /// Tells whether some gateway that serves hears the store.
+    pub fn hears_store(&self, now: Millis) -> bool {
+        let serving = |peer: &&Peer| peer.heartbeat.life == Life::Serving;
+        let mut serving = self.live(now).filter(serving);
+        serving.any(|peer| !peer.heartbeat.store_fails)
     }
 
     /// Returns a live peer whose configuration is newer, the newest first.
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -135,7 +135,7 @@
 }
 
 const fn default_keep() -> u64 {
-    2
+    1
 }
 
 const fn default_heartbeat() -> u64 {
--- a/crates/valehold-gateway/src/traffic/refusal.rs
+++ b/crates/valehold-gateway/src/traffic/refusal.rs
@@ -58,6 +58,11 @@
         id: Option<&Bytes>,
     ) -> Response<Body> {
         app.shared.metrics.refused(self.reason);
+        log::debug!(
+            "refused: {} {}",
+            self.reason.code(),
+            self.verdict.as_str()
+        );
         let mut answer = plain(self.status(), self.reason.code());
         let headers = answer.headers_mut();
         headers.insert(REASON, HeaderValue::from_static(self.reason.code()));
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -19,12 +19,17 @@
 /// How often resting connections to upstreams are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// The part of the time for a stop in which callers who still hold this
-/// gateway's address are served as before.
-const LINGER_PART: f64 = 0.72;
+/// For how many times as long as they are told some callers keep an address.
+const KEEPS: u32 = 3;
+
+/// How much longer than that this gateway is there for them.
+const LINGER_SLACK: Duration = Duration::from_millis(100);
+
+/// The greatest part of the time for a stop in which requests are taken.
+const MOST_LINGER_PART: f64 = 0.6;
 
 /// The part of the time for a stop after which nothing is waited for.
-const STOP_PART: f64 = 0.95;
+const STOP_PART: f64 = 0.97;
 
 /// The doors of a gateway.
 pub struct Doors {
@@ -98,8 +103,12 @@
         let _ = self.life.wait_for(|life| *life == Life::Leaving).await;
         let began = Instant::now();
         let shared = &self.app.shared;
-        let stop = Duration::from_secs_f64(shared.settings.callers.stop_s);
-        tokio::time::sleep_until(began + stop.mul_f64(LINGER_PART)).await;
+        let callers = &shared.settings.callers;
+        let stop = Duration::from_secs_f64(callers.stop_s);
+        let keep = Duration::from_secs(callers.address_keep_s);
+        let linger =
+            (keep * KEEPS + LINGER_SLACK).min(stop.mul_f64(MOST_LINGER_PART));
+        tokio::time::sleep_until(began + linger).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
         let end = began + stop.mul_f64(STOP_PART);
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -51,11 +51,25 @@
     HistoryGone,
 }
 
+/// The lease's row, with the store's time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseSight {
+    /// The row.
+    pub lease: VersionedLease,
+    /// The store's steady clock, in ms.
+    pub now_ms: u64,
+}
+
 /// How a conditional write of the lease ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseWrite {
-    /// It took effect; the row has this version.
-    Won(u64),
+    /// It took effect.
+    Won {
+        /// The row's version.
+        version: u64,
+        /// The store's steady clock, in ms.
+        now_ms: u64,
+    },
     /// Another's row stood there.
     Lost,
 }
@@ -75,7 +89,7 @@
     fn await_listing(&self, after: u64) -> Answer<'_, ListingNews>;
 
     /// Reads the lease's row.
-    fn read_lease(&self) -> Answer<'_, VersionedLease>;
+    fn read_lease(&self) -> Answer<'_, LeaseSight>;
 
     /// Writes the lease's row if its version is still `version`.
     fn write_lease<'a>(
