Adapters in use do not make way

Change: peers tell how many requests run for each variant; what runs stays; an engine at which an order met another is left alone longer each time.

--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -18,8 +18,8 @@
     pub engine: &'a UpstreamId,
     /// What it holds.
     pub holding: &'a Holding,
-    /// Adapters that came only lately and do not make way yet.
-    pub young: &'a BTreeSet<Variant>,
+    /// Adapters that do not make way: they came lately, or are in use.
+    pub kept: &'a BTreeSet<Variant>,
 }
 
 /// What to do so that an adapter gets to an engine.
@@ -124,7 +124,7 @@
     let all = models.flat_map(|(model, adapters)| {
         adapters.iter().map(|a| Variant::adapted(model.as_str(), a.as_str()))
     });
-    let old = all.filter(|variant| !host.young.contains(variant));
+    let old = all.filter(|variant| !host.kept.contains(variant));
     old.map(|variant| {
         let used = use_of.get(&variant).copied().unwrap_or(0.0);
         (variant, used)
--- a/crates/valehold-gateway/src/control/demand.rs
+++ b/crates/valehold-gateway/src/control/demand.rs
@@ -39,14 +39,23 @@
         self.rates.retain(|_, rate| rate.requests > LEAST);
     }
 
-    /// Returns the demand for each variant.
+    /// Returns the demand for each variant; `running` tells how many of its
+    /// requests are under way.
     #[allow(clippy::cast_possible_truncation)]
-    pub(super) fn list(&self) -> Vec<VariantDemand> {
-        let one = |(variant, rate): (&Variant, &Work)| VariantDemand {
-            variant: variant.clone(),
+    pub(super) fn list(
+        &self,
+        running: &BTreeMap<Variant, u32>,
+    ) -> Vec<VariantDemand> {
+        let mut rates = self.rates.clone();
+        for variant in running.keys() {
+            rates.entry(variant.clone()).or_default();
+        }
+        let one = |(variant, rate): (Variant, Work)| VariantDemand {
             requests: rate.requests as f32,
             busy: rate.busy_ms as f32,
+            running: running.get(&variant).copied().unwrap_or(0),
+            variant,
         };
-        self.rates.iter().map(one).collect()
+        rates.into_iter().map(one).collect()
     }
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -41,10 +41,7 @@
 use crate::{
     peers::{
         Heartbeat, Message, Roster,
-        message::{
-            EngineHolding, LeaseWord, MAX_DATAGRAM, UpstreamLoad,
-            VariantDemand,
-        },
+        message::{EngineHolding, LeaseWord, MAX_DATAGRAM, UpstreamLoad},
         state::{self, StateClient},
     },
     settings::Settings,
@@ -267,12 +264,10 @@
             return;
         };
         let mut all = BTreeMap::new();
-        for one in self.demand.list() {
+        for one in self.demand.list(&self.shared.running()) {
             all.insert(one.variant.clone(), one);
         }
         self.roster.add_demand(&mut all, now);
-        let busy = each(&all, |one| one.busy);
-        let requests = each(&all, |one| one.requests);
         let mut loads = self.roster.loads(now);
         for (id, load) in self.shared.loads().iter() {
             let sum = loads.entry(id.clone()).or_default();
@@ -280,7 +275,7 @@
         }
         for (name, service) in &catalog.services {
             let Some(spec) = &service.engine else { continue };
-            self.placer.tick(now, name, spec, &busy, &requests, &loads);
+            self.placer.tick(now, name, spec, &all, &loads);
         }
     }
 
@@ -569,7 +564,7 @@
                     load: *load,
                 })
                 .collect(),
-            demand: self.demand.list(),
+            demand: self.demand.list(&self.shared.running()),
             holdings: match holds {
                 true => self.placer.news(now),
                 false => Vec::new(),
@@ -600,16 +595,6 @@
     }
 }
 
-fn each(
-    all: &BTreeMap<Variant, VariantDemand>,
-    value: impl Fn(&VariantDemand) -> f32,
-) -> BTreeMap<Variant, f64> {
-    let one = |(variant, demand): (&Variant, &VariantDemand)| {
-        (variant.clone(), f64::from(value(demand)))
-    };
-    all.iter().map(one).collect()
-}
-
 /// Names a machine: its name may come back at another address.
 fn holder_name(settings: &Settings) -> InstanceId {
     let address = settings.peers.heartbeats.ip();
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -36,7 +36,10 @@
 };
 
 use super::input::{GivenOrder, Input, OrderEnd};
-use crate::{peers::message::EngineHolding, view::Load};
+use crate::{
+    peers::message::{EngineHolding, VariantDemand},
+    view::Load,
+};
 
 /// How often the plan is made, in ms.
 const PLAN_EVERY_MS: u64 = 400;
@@ -47,6 +50,13 @@
 /// How long an engine is left alone after an order failed, in ms.
 const AFTER_FAILURE_MS: u64 = 400;
 
+/// How long an engine is left alone after an order met another one, in ms;
+/// twice as long each further time.
+const AFTER_CONFLICT_MS: u64 = 100;
+
+/// How many times that is doubled at the most.
+const MOST_DOUBLINGS: u32 = 4;
+
 /// After how many failures in a row an engine is taken for gone.
 const GONE_AFTER: u32 = 2;
 
@@ -58,7 +68,7 @@
 const YOUNG_MS: u64 = 2_500;
 
 /// Requests a second from which on an adapter counts as asked for.
-const ASKED_FOR: f64 = 0.03;
+const ASKED_FOR: f32 = 0.03;
 
 /// How many orders about adapters are under way at once while places are
 /// filled.
@@ -97,6 +107,8 @@
     failures: u32,
     /// Reports in a row from before what is known.
     old_reports: u32,
+    /// Orders in a row that met another one.
+    conflicts: u32,
     held_before: BTreeSet<ModelName>,
     /// When peers were first told of what it holds now.
     changed: Option<Millis>,
@@ -104,7 +116,7 @@
     stamp: Stamp,
     /// Adapters that it was told to load lately, and when.
     arrivals: BTreeMap<Variant, Millis>,
-    young: BTreeSet<Variant>,
+    kept: BTreeSet<Variant>,
     /// What the list said last.
     listed: Holding,
 }
@@ -128,10 +140,18 @@
         self.changed = Some(now);
     }
 
-    /// Lets adapters that came a while ago make way for others.
-    fn grow_up(&mut self, now: Millis) {
+    /// Notes which adapters do not make way for others: those that came
+    /// lately, and those in use, for which an unload would wait.
+    fn keep(
+        &mut self,
+        demand: &BTreeMap<Variant, VariantDemand>,
+        now: Millis,
+    ) {
         self.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
-        self.young = self.arrivals.keys().cloned().collect();
+        let young = self.arrivals.keys().cloned();
+        let in_use = demand.iter().filter(|(_, one)| one.running > 0);
+        let in_use = in_use.map(|(variant, _)| variant.clone());
+        self.kept = young.chain(in_use).collect();
     }
 
     fn note_held(&mut self) {
@@ -206,11 +226,12 @@
                 left_alone_until: Millis::default(),
                 failures: 0,
                 old_reports: 0,
+                conflicts: 0,
                 held_before: BTreeSet::new(),
                 changed: None,
                 stamp: Stamp::default(),
                 arrivals: BTreeMap::new(),
-                young: BTreeSet::new(),
+                kept: BTreeSet::new(),
                 listed: upstream.holding.clone(),
             });
             entry.leaving = upstream.leaving;
@@ -265,19 +286,22 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, f64>,
-        use_of: &BTreeMap<Variant, f64>,
+        demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
+        let use_of: BTreeMap<Variant, f64> = demand
+            .iter()
+            .map(|(variant, one)| (variant.clone(), one.requests.into()))
+            .collect();
         for entry in self.entries.values_mut() {
-            entry.grow_up(now);
+            entry.keep(demand, now);
         }
         self.ask_where_due(service, now);
-        self.place_adapters(now, service, spec, use_of);
-        self.bring_adapters(now, service, spec, use_of);
+        self.place_adapters(now, service, spec, &use_of);
+        self.bring_adapters(now, service, spec, &use_of);
         if now.since(self.planned) >= PLAN_EVERY_MS {
             self.planned = now;
-            self.place_models(now, service, spec, demand, use_of, loads);
+            self.place_models(now, service, spec, demand, loads);
         }
     }
 
@@ -433,7 +457,7 @@
             .map(|(id, entry)| AdapterHost {
                 engine: id,
                 holding: &entry.holding,
-                young: &entry.young,
+                kept: &entry.kept,
             })
             .collect()
     }
@@ -455,16 +479,14 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, f64>,
-        use_of: &BTreeMap<Variant, f64>,
+        demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
         let mut by_model: BTreeMap<ModelName, ModelNeed> = BTreeMap::new();
-        for (variant, busy) in demand {
+        for (variant, one) in demand {
             let need = by_model.entry(variant.model.clone()).or_default();
-            need.busy += busy;
-            let asked_for =
-                use_of.get(variant).is_some_and(|u| *u > ASKED_FOR);
+            need.busy += f64::from(one.busy);
+            let asked_for = one.requests > ASKED_FOR;
             if variant.adapter.is_some() && asked_for {
                 need.adapters += 1;
             }
@@ -608,8 +630,14 @@
                 OrderOutcome::Accepted | OrderOutcome::Holds,
             ) => {
                 entry.failures = 0;
-                entry.uncertain =
-                    is_model && matches!(order.wish, OrderWish::Unload(_));
+                entry.conflicts = 0;
+                // An unload that is not done at once waits for requests.
+                entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
+                    && (is_model
+                        || matches!(
+                            end,
+                            OrderEnd::Answered(OrderOutcome::Accepted)
+                        ));
                 entry.holding.sequence = order.expected_sequence + 1;
                 apply(entry, &order.wish, now);
                 entry.change(now, &mut self.stamp);
@@ -619,7 +647,9 @@
             )
             | OrderEnd::NotSent => {
                 entry.uncertain = true;
-                entry.left_alone_until = now + AFTER_FAILURE_MS / 4;
+                let shift = entry.conflicts.min(MOST_DOUBLINGS);
+                entry.conflicts += 1;
+                entry.left_alone_until = now + (AFTER_CONFLICT_MS << shift);
                 forget_guess(entry, &order);
             }
             OrderEnd::Unanswered(error) => {
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -32,6 +32,8 @@
     pub requests: f32,
     /// Engines that it keeps wholly busy.
     pub busy: f32,
+    /// Requests that are under way.
+    pub running: u32,
 }
 
 /// What an engine holds, as the holder of the lease knows it.
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -145,6 +145,7 @@
                 .and_modify(|all| {
                     all.requests += one.requests;
                     all.busy += one.busy;
+                    all.running += one.running;
                 })
                 .or_insert_with(|| one.clone());
         }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -41,6 +41,7 @@
     pub view: ArcSwap<View>,
     loads: Mutex<BTreeMap<UpstreamId, Load>>,
     work: Mutex<BTreeMap<Variant, Work>>,
+    running: Mutex<BTreeMap<Variant, u32>>,
     wishes: mpsc::Sender<Variant>,
     life: watch::Sender<Life>,
 }
@@ -59,6 +60,7 @@
             view: ArcSwap::default(),
             loads: Mutex::default(),
             work: Mutex::default(),
+            running: Mutex::default(),
             wishes,
             life: watch::Sender::new(Life::Starting),
         };
@@ -83,6 +85,11 @@
         self.work.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How many requests for each variant this gateway has under way.
+    pub fn running(&self) -> MutexGuard<'_, BTreeMap<Variant, u32>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets how far this gateway's life has come.
     pub fn set_life(&self, life: Life) {
         self.life.send_replace(life);
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -190,7 +190,9 @@
             app.first_send(&job.service_name);
         }
         let upstream = &chosen.upstream;
-        let under_way = app.under_way(&upstream.id, chosen.read_tokens);
+        let variant = job.request.variant.as_ref();
+        let under_way =
+            app.under_way(&upstream.id, variant, chosen.read_tokens);
         let by = self.answer_by();
         let after = self.order.last();
         let begun = send(&app, job, upstream, after, by).await?;
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -8,7 +8,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::{health::Health, share::RetryShare},
+    fleet::{Variant, health::Health, share::RetryShare},
     id::{ServiceName, UpstreamId},
     prefix::PrefixHints,
 };
@@ -103,8 +103,13 @@
     pub(super) fn under_way(
         &self,
         upstream: &UpstreamId,
+        variant: Option<&Variant>,
         tokens: u64,
     ) -> UnderWay {
+        if let Some(variant) = variant {
+            let mut running = self.shared.running();
+            *running.entry(variant.clone()).or_default() += 1;
+        }
         let one = Load { running: 1, waiting_tokens: tokens };
         let mut loads = self.shared.loads();
         let load = loads.entry(upstream.clone()).or_default();
@@ -112,6 +117,7 @@
         UnderWay {
             shared: self.shared.clone(),
             upstream: upstream.clone(),
+            variant: variant.cloned(),
             waiting: tokens,
         }
     }
@@ -121,6 +127,7 @@
 pub(super) struct UnderWay {
     shared: Arc<Shared>,
     upstream: UpstreamId,
+    variant: Option<Variant>,
     waiting: u64,
 }
 
@@ -137,6 +144,14 @@
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
+        if let Some(variant) = &self.variant {
+            let mut running = self.shared.running();
+            let left = running.get(variant).map_or(0, |count| count - 1);
+            match left {
+                0 => running.remove(variant),
+                left => running.insert(variant.clone(), left),
+            };
+        }
         let mut loads = self.shared.loads();
         let Some(load) = loads.get_mut(&self.upstream) else { return };
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting);
