Places shared out by demand, and copies loaded first

Cause: four loads in five seconds were used of more than ten allowed, wanted replicas did not follow what there is to share, and engines' own copies of weights counted as loads from the store. Change: the places of all engines are shared out, one for each model, then those that adapters need, then always one for the model that is pressed hardest; a replica moves only where it is worth it; copies that an engine reports load first and do not count against the store's rate.

--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -26,8 +26,9 @@
     pub busy: bool,
     /// Whether it takes work: it is there, answers, and does not leave.
     pub sound: bool,
-    /// Models that it held before, which it loads sooner.
-    pub held_before: BTreeSet<ModelName>,
+    /// Models of which it keeps copies: it loads them sooner, and without
+    /// the weight store.
+    pub copies: BTreeSet<ModelName>,
     /// How busy it is, from 0.
     pub load: f64,
 }
@@ -48,6 +49,8 @@
         engine: UpstreamId,
         /// The model.
         model: ModelName,
+        /// Whether it comes from the weight store.
+        from_store: bool,
     },
     /// The engine gives the model up.
     Unload {
@@ -58,9 +61,13 @@
     },
 }
 
-/// The part of an engine's time that a model's requests may take on each of
-/// its engines before it gets another one.
-pub const TARGET_BUSY: f64 = 0.15;
+/// Below this part of an engine's time for each of its engines, a model needs
+/// no further one.
+pub const ENOUGH_BUSY: f64 = 0.06;
+
+/// By how much harder pressed than the giver a model must be for a replica to
+/// move from one to the other.
+const WORTH_A_MOVE: f64 = 1.5;
 
 /// The demand for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -82,19 +89,21 @@
 ) -> Vec<ReplicaStep> {
     let mut planner = Planner {
         spec,
+        demand,
         engines: engines.to_vec(),
         wanted: BTreeMap::new(),
         steps: Vec::new(),
         loads,
     };
-    planner.want(demand);
+    planner.want();
     planner.restore();
-    planner.follow_demand(demand);
+    planner.follow_demand();
     planner.steps
 }
 
 struct Planner<'a> {
     spec: &'a EngineSpec,
+    demand: &'a BTreeMap<ModelName, ModelNeed>,
     engines: Vec<EngineState>,
     wanted: BTreeMap<ModelName, usize>,
     steps: Vec<ReplicaStep>,
@@ -102,40 +111,73 @@
 }
 
 impl Planner<'_> {
-    fn want(&mut self, demand: &BTreeMap<ModelName, ModelNeed>) {
+    /// Shares the engines' places out: one for each model, then those that
+    /// adapters need, then always one for the model that is pressed hardest.
+    fn want(&mut self) {
         let most = self.engines.iter().filter(|e| e.sound).count().max(1);
+        let mut left =
+            (most * self.places()).saturating_sub(self.spec.models.len());
         for model in &self.spec.models {
-            let need = demand.get(&model.name).copied().unwrap_or_default();
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let for_load = (need.busy / TARGET_BUSY).ceil() as usize;
+            let need = self.need(&model.name);
             let slots = self.spec.adapter_slots.max(1);
-            let for_adapters = need.adapters.div_ceil(slots);
-            let needed = for_load.max(for_adapters);
-            self.wanted.insert(model.name.clone(), needed.clamp(1, most));
+            let for_adapters = need.adapters.div_ceil(slots).clamp(1, most);
+            let extra = (for_adapters - 1).min(left);
+            left -= extra;
+            self.wanted.insert(model.name.clone(), 1 + extra);
+        }
+        while left > 0 {
+            let pressed = self
+                .wanted
+                .iter()
+                .filter(|(_, count)| **count < most)
+                .map(|(model, count)| (self.pressure(model, *count), model))
+                .max_by(|(a, _), (b, _)| a.total_cmp(b));
+            let Some((pressure, model)) = pressed else { return };
+            if pressure < ENOUGH_BUSY {
+                return;
+            }
+            let model = model.clone();
+            *self.wanted.entry(model).or_default() += 1;
+            left -= 1;
         }
     }
 
+    /// Returns how many models an engine holds at the least.
+    fn places(&self) -> usize {
+        let largest = self.spec.models.iter().map(|m| m.size_mb).max();
+        let places = self.spec.weights_mb / largest.unwrap_or(1).max(1);
+        usize::try_from(places).unwrap_or(usize::MAX).max(1)
+    }
+
+    fn need(&self, model: &ModelName) -> ModelNeed {
+        self.demand.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns how busy a model keeps each of so many engines.
+    #[allow(clippy::cast_precision_loss)]
+    fn pressure(&self, model: &ModelName, engines: usize) -> f64 {
+        self.need(model).busy / engines.max(1) as f64
+    }
+
     /// Gives each model that no sound engine holds an engine.
     fn restore(&mut self) {
         let lost: Vec<ModelName> = self.models_below(|_| 1);
         for model in lost {
-            self.add_replica(&model);
+            self.add_replica(&model, f64::INFINITY);
         }
     }
 
-    fn follow_demand(&mut self, demand: &BTreeMap<ModelName, ModelNeed>) {
+    fn follow_demand(&mut self) {
         let wanted = self.wanted.clone();
-        let mut short = self.models_below(|m| wanted[m]);
-        let pressure = |model: &ModelName| {
-            let busy = demand.get(model).map_or(0.0, |need| need.busy);
-            #[allow(clippy::cast_precision_loss)]
-            let held = self.holders(model).max(1) as f64;
-            busy / held
-        };
-        short.sort_by(|a, b| pressure(b).total_cmp(&pressure(a)));
-        for model in short {
+        let mut short: Vec<(f64, ModelName)> = self
+            .models_below(|model| wanted[model])
+            .into_iter()
+            .map(|m| (self.pressure(&m, self.holders(&m)), m))
+            .collect();
+        short.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        for (pressure, model) in short {
             if self.holders(&model) > 0 {
-                self.add_replica(&model);
+                self.add_replica(&model, pressure);
             }
         }
     }
@@ -153,13 +195,12 @@
         self.engines.iter().filter(holds).count()
     }
 
-    fn add_replica(&mut self, model: &ModelName) {
-        if self.loads == 0 {
-            return;
-        }
+    /// Loads a model, or makes room for it; `pressure` is how busy it keeps
+    /// each of its engines.
+    fn add_replica(&mut self, model: &ModelName, pressure: f64) {
         match self.roomy_engine(model) {
             Some(index) => self.load(index, model),
-            None => self.make_room(model),
+            None => self.make_room(model, pressure),
         }
     }
 
@@ -176,7 +217,7 @@
         able.min_by(|a, b| {
             let rank = |index: &usize| {
                 let engine = &self.engines[*index];
-                let new = !engine.held_before.contains(model);
+                let new = !engine.copies.contains(model);
                 (new, zones.contains(&engine.data_centre))
             };
             let load = |index: &usize| self.engines[*index].load;
@@ -191,15 +232,24 @@
 
     fn load(&mut self, index: usize, model: &ModelName) {
         let engine = &mut self.engines[index];
+        let from_store = !engine.copies.contains(model);
+        if from_store && self.loads == 0 {
+            return;
+        }
+        if from_store {
+            self.loads -= 1;
+        }
         engine.loading = Some(model.clone());
         engine.busy = true;
-        self.loads -= 1;
-        let engine = engine.id.clone();
-        self.steps.push(ReplicaStep::Load { engine, model: model.clone() });
+        self.steps.push(ReplicaStep::Load {
+            engine: engine.id.clone(),
+            model: model.clone(),
+            from_store,
+        });
     }
 
     /// Takes away the model that can best be spared, where that makes room.
-    fn make_room(&mut self, model: &ModelName) {
+    fn make_room(&mut self, model: &ModelName, pressure: f64) {
         let size = self.size(model);
         let mut best: Option<(usize, ModelName, (usize, bool))> = None;
         for (index, engine) in self.engines.iter().enumerate() {
@@ -210,11 +260,15 @@
             for held in engine.holding.models.keys() {
                 let surplus = self.surplus(held);
                 let freed = self.held_mb(&engine.holding, held);
-                if surplus == 0 || taken - freed + size > self.spec.weights_mb
+                let left = self.resident(held).saturating_sub(1);
+                let then = self.pressure(held, left);
+                if surplus == 0
+                    || pressure < then * WORTH_A_MOVE
+                    || taken - freed + size > self.spec.weights_mb
                 {
                     continue;
                 }
-                let known = engine.held_before.contains(model);
+                let known = engine.copies.contains(model);
                 let rank = (surplus, known);
                 let better = best.as_ref().is_none_or(|(at, _, r)| {
                     rank > *r
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -80,9 +80,9 @@
 /// How long what an engine holds is told to peers after a change, in ms.
 const TELL_MS: u64 = 3_000;
 
-/// The part of the allowed loads that is used, since the next holder counts
-/// anew.
-const USED_LOADS: f64 = 0.45;
+/// The part of a window in which only as much of its loads begins. The next
+/// holder counts anew, and what the last one began still counts.
+const BURST_PART: f64 = 0.4;
 
 /// How long requests get to turn away from a model before it is unloaded.
 const TURN_AWAY: Duration = Duration::from_millis(150);
@@ -109,7 +109,8 @@
     old_reports: u32,
     /// Orders in a row that met another one.
     conflicts: u32,
-    held_before: BTreeSet<ModelName>,
+    /// Models of which it keeps copies.
+    copies: BTreeSet<ModelName>,
     /// When peers were first told of what it holds now.
     changed: Option<Millis>,
     /// Orders what peers are told of it.
@@ -153,11 +154,6 @@
         let in_use = in_use.map(|(variant, _)| variant.clone());
         self.kept = young.chain(in_use).collect();
     }
-
-    fn note_held(&mut self) {
-        let models = self.holding.models.keys().cloned();
-        self.held_before.extend(models);
-    }
 }
 
 /// What the lease allows an order to carry.
@@ -170,6 +166,20 @@
     pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
 }
 
+/// The loads that began lately.
+#[derive(Debug)]
+struct Loads {
+    long: Window,
+    short: Window,
+}
+
+impl Loads {
+    fn note(&mut self, now: Millis) {
+        self.long.note(now);
+        self.short.note(now);
+    }
+}
+
 /// Gives orders to engines.
 pub(super) struct Placer {
     engines: Arc<dyn FleetEngines>,
@@ -179,7 +189,7 @@
     wishes: BTreeMap<Variant, Millis>,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
-    loads: BTreeMap<ServiceName, Window>,
+    loads: BTreeMap<ServiceName, Loads>,
     load_window_s: f64,
     planned: Millis,
     /// The last stamp that was given.
@@ -227,7 +237,7 @@
                 failures: 0,
                 old_reports: 0,
                 conflicts: 0,
-                held_before: BTreeSet::new(),
+                copies: BTreeSet::new(),
                 changed: None,
                 stamp: Stamp::default(),
                 arrivals: BTreeMap::new(),
@@ -240,7 +250,6 @@
                 // Another one's orders, or none: the engine itself tells.
                 entry.uncertain |= entry.listed.models != entry.holding.models;
             }
-            entry.note_held();
         }
     }
 
@@ -372,7 +381,7 @@
             entry.holding = report.holding;
             entry.change(now, &mut self.stamp);
         }
-        entry.note_held();
+        entry.copies = report.copies;
     }
 
     fn place_adapters(
@@ -502,15 +511,20 @@
                 loading: entry.loading.clone(),
                 busy: entry.busy || !entry.may_order(now),
                 sound: entry.is_sound(),
-                held_before: entry.held_before.clone(),
+                copies: entry.copies.clone(),
                 load: load_of(loads, id),
             })
             .collect();
+        if log::log_enabled!(log::Level::Debug) {
+            log_needs(&by_model, &states);
+        }
         let allowed = self.loads_left(now, service, spec);
         for step in replicas::plan(spec, &by_model, &states, allowed) {
             match step {
-                ReplicaStep::Load { engine, model } => {
-                    self.loads_of(service).note(now);
+                ReplicaStep::Load { engine, model, from_store } => {
+                    if from_store {
+                        self.loads_of(service).note(now);
+                    }
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Load(variant);
                     self.order_checked(&engine, wish, spec, now);
@@ -524,27 +538,29 @@
         }
     }
 
-    #[allow(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss
-    )]
+    /// Returns how many loads may begin now.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn loads_left(
         &mut self,
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
     ) -> usize {
-        let allowed = spec.loads_per_second * self.load_window_s * USED_LOADS;
-        let used = self.loads_of(service).count(now);
-        (allowed as usize).max(1).saturating_sub(used)
+        let in_window = spec.loads_per_second * self.load_window_s;
+        let allowed = |part: f64| ((in_window * part) as usize).max(1);
+        let loads = self.loads_of(service);
+        let left = allowed(1.0).saturating_sub(loads.long.count(now));
+        let burst = allowed(BURST_PART).saturating_sub(loads.short.count(now));
+        left.min(burst)
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn loads_of(&mut self, service: &ServiceName) -> &mut Window {
-        let span_ms = (self.load_window_s * 1_000.0) as u64;
-        let loads = &mut self.loads;
-        loads.entry(service.clone()).or_insert_with(|| Window::new(span_ms))
+    fn loads_of(&mut self, service: &ServiceName) -> &mut Loads {
+        let span_ms = self.load_window_s * 1_000.0;
+        self.loads.entry(service.clone()).or_insert_with(|| Loads {
+            long: Window::new(span_ms as u64),
+            short: Window::new((span_ms * BURST_PART) as u64),
+        })
     }
 
     /// Gives an order on what is known.
@@ -662,6 +678,16 @@
     }
 }
 
+/// Logs what each model needs and has.
+fn log_needs(needs: &BTreeMap<ModelName, ModelNeed>, engines: &[EngineState]) {
+    for (model, need) in needs {
+        let holds = |e: &&EngineState| e.holding.models.contains_key(model);
+        let held = engines.iter().filter(holds).count();
+        let ModelNeed { busy, adapters } = need;
+        log::debug!("{model}: busy {busy:.2}, {adapters} adapters, {held}");
+    }
+}
+
 /// Goes back to before an order of which the effect is not known, so that
 /// the next report counts, whatever it says.
 fn forget_guess(entry: &mut Entry, order: &GivenOrder) {
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use valehold_core::{
     fleet::{Catalog, Holding, Listing, Upstream, Variant},
-    id::{DataCentreId, InstanceId, UpstreamId},
+    id::{DataCentreId, InstanceId, ModelName, UpstreamId},
     lease::{LeaseRow, VersionedLease},
 };
 
@@ -104,6 +104,9 @@
 pub struct EngineReport {
     /// What it holds, adapters on their way among them.
     pub holding: Holding,
+    /// Models of which it keeps copies, which it loads sooner and without
+    /// the weight store.
+    pub copies: BTreeSet<ModelName>,
     /// Whether it carries out an order about a model.
     pub busy: bool,
 }
