--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/event.rs
@@ -0,0 +1,85 @@
+//! Only whole events pass, in order, however their bytes come.
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::{
+    fleet::event::{EventOrder, EventPassage, EventSplitter},
+    testing::cases,
+};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: word {id}\n\n")
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn bytes_may_come_in_any_pieces(
+        count in 0_u64..8,
+        cut in 0_usize..20,
+        pieces in prop::collection::vec(1_usize..9, 1..80),
+    ) {
+        let whole: String = (1..=count).map(event).collect();
+        let half = &event(count + 1)[..cut.min(event(1).len() - 1)];
+        let bytes = format!("{whole}{half}");
+        let mut splitter = EventSplitter::default();
+        let mut passed = String::new();
+        let mut ids = Vec::new();
+        let mut rest = bytes.as_bytes();
+        let mut sizes = pieces.iter().cycle();
+        while !rest.is_empty() {
+            let size = (*sizes.next().unwrap()).min(rest.len());
+            let (piece, later) = rest.split_at(size);
+            splitter.push(piece);
+            rest = later;
+            while let Some(event) = splitter.next_event().unwrap() {
+                passed.push_str(std::str::from_utf8(&event.bytes).unwrap());
+                ids.push(event.id.unwrap());
+            }
+        }
+        prop_assert_eq!(passed, whole);
+        prop_assert_eq!(ids, (1..=count).collect::<Vec<_>>());
+        prop_assert_eq!(splitter.has_rest(), !half.is_empty());
+    }
+
+    #[test]
+    fn each_event_passes_once_and_in_order(
+        last in prop::option::of(0_u64..5),
+        ids in prop::collection::vec(0_u64..12, 0..40),
+    ) {
+        let mut order = EventOrder::after(last);
+        let mut passed: Vec<u64> = last.into_iter().collect();
+        for id in ids {
+            match order.judge(Some(id)) {
+                EventPassage::Pass => passed.push(id),
+                EventPassage::Repeated => {
+                    prop_assert!(id <= *passed.last().unwrap());
+                }
+                EventPassage::Missing => {
+                    prop_assert!(id > *passed.last().unwrap() + 1);
+                }
+            }
+        }
+        prop_assert!(passed.windows(2).all(|pair| pair[1] == pair[0] + 1));
+        prop_assert_eq!(order.last(), passed.last().copied());
+    }
+}
+
+#[gtest]
+fn lines_may_end_in_two_ways() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 4\r\ndata: x\r\n\r\nid: 5\r\n");
+    let event = splitter.next_event().unwrap().unwrap();
+    expect_that!(event.id, some(eq(4)));
+    expect_that!(splitter.next_event(), ok(none()));
+    expect_true!(splitter.has_rest());
+}
+
+#[gtest]
+fn what_never_ends_is_no_event() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; 2 << 20]);
+    expect_that!(splitter.next_event(), err(anything()));
+}
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -0,0 +1,206 @@
+//! Every model stays reachable, and memory is never ordered beyond.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::{
+    fleet::{
+        Holding, ModelSpec,
+        adapters::taken_mb,
+        catalog::EngineSpec,
+        replicas::{EngineState, ModelNeed, ReplicaStep, plan},
+    },
+    id::{AdapterName, DataCentreId, ModelName, UpstreamId},
+    testing::cases,
+};
+
+/// Makes a declaration of so many models, of which three fit an engine.
+pub(super) fn spec(models: usize) -> EngineSpec {
+    let model = |number: usize| ModelSpec {
+        name: ModelName::new(format!("m{number}")),
+        size_mb: 70,
+        adapters: (1..=4)
+            .map(|number| AdapterName::new(format!("a{number}")))
+            .collect(),
+        adapter_mb: 1,
+        load_ms: 4_000,
+    };
+    EngineSpec {
+        slots: 64,
+        cache_tokens: 100_000,
+        weights_mb: 220,
+        adapter_slots: 2,
+        loads_per_second: 2.0,
+        models: (0..models).map(model).collect(),
+    }
+}
+
+/// Makes a holding of models with adapters.
+pub(super) fn holding(models: &[(&str, &[&str])]) -> Holding {
+    let one = |(model, adapters): &(&str, &[&str])| {
+        let adapters = adapters.iter().map(AdapterName::new).collect();
+        (ModelName::new(model), adapters)
+    };
+    Holding { sequence: 0, models: models.iter().map(one).collect() }
+}
+
+fn engine(number: usize, models: &BTreeSet<usize>) -> EngineState {
+    let name =
+        |model: &usize| (ModelName::new(format!("m{model}")), BTreeSet::new());
+    EngineState {
+        id: UpstreamId::new(format!("e{number}")),
+        data_centre: DataCentreId::new("north"),
+        holding: Holding {
+            sequence: 0,
+            models: models.iter().map(name).collect(),
+        },
+        loading: None,
+        busy: false,
+        sound: true,
+        copies: BTreeSet::new(),
+        load: 0.0,
+    }
+}
+
+fn needs(busy: &[f64]) -> BTreeMap<ModelName, ModelNeed> {
+    let one = |(number, busy): (usize, &f64)| {
+        let need = ModelNeed { busy: *busy, adapters: 0 };
+        (ModelName::new(format!("m{number}")), need)
+    };
+    busy.iter().enumerate().map(one).collect()
+}
+
+/// Carries a step out at once.
+fn carry_out(engines: &mut [EngineState], step: &ReplicaStep) {
+    let (ReplicaStep::Load { engine, .. }
+    | ReplicaStep::Unload { engine, .. }) = step;
+    let engine = engines.iter_mut().find(|e| e.id == *engine).unwrap();
+    match step {
+        ReplicaStep::Load { model, .. } => {
+            engine.holding.models.insert(model.clone(), BTreeSet::new());
+        }
+        ReplicaStep::Unload { model, .. } => {
+            engine.holding.models.remove(model);
+        }
+    }
+}
+
+fn holders(engines: &[EngineState], model: &ModelName) -> usize {
+    let holds =
+        |e: &&EngineState| e.sound && e.holding.models.contains_key(model);
+    engines.iter().filter(holds).count()
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn plans_keep_every_model_and_every_bound(
+        held in prop::collection::vec(
+            prop::collection::btree_set(0_usize..6, 0..=3), 3..8,
+        ),
+        sound in prop::collection::vec(prop::bool::weighted(0.8), 8),
+        busy in prop::collection::vec(0.0_f64..3.0, 6),
+        loads in 0_usize..4,
+    ) {
+        let spec = spec(6);
+        let mut engines: Vec<EngineState> = held
+            .iter()
+            .enumerate()
+            .map(|(number, models)| engine(number, models))
+            .collect();
+        for (engine, sound) in engines.iter_mut().zip(&sound) {
+            engine.sound = *sound;
+        }
+        let demand = needs(&busy);
+        for _ in 0..12 {
+            let before: Vec<usize> = spec
+                .models
+                .iter()
+                .map(|model| holders(&engines, &model.name))
+                .collect();
+            let steps = plan(&spec, &demand, &engines, loads);
+            let from_store = |step: &&ReplicaStep| {
+                matches!(step, ReplicaStep::Load { from_store: true, .. })
+            };
+            prop_assert!(steps.iter().filter(from_store).count() <= loads);
+            for step in &steps {
+                carry_out(&mut engines, step);
+            }
+            for (model, before) in spec.models.iter().zip(before) {
+                let now = holders(&engines, &model.name);
+                prop_assert!(now >= before.min(1), "{} was lost", model.name);
+            }
+            for engine in &engines {
+                prop_assert!(taken_mb(&engine.holding, &spec) <= 220);
+            }
+        }
+    }
+
+    #[test]
+    fn plans_come_to_rest(
+        busy in prop::collection::vec(0.0_f64..3.0, 6),
+    ) {
+        let spec = spec(6);
+        let one = |number| engine(number, &BTreeSet::from([number % 6]));
+        let mut engines: Vec<EngineState> = (0..6).map(one).collect();
+        let demand = needs(&busy);
+        let mut steps = Vec::new();
+        for _ in 0..60 {
+            steps = plan(&spec, &demand, &engines, 3);
+            for step in &steps {
+                carry_out(&mut engines, step);
+            }
+        }
+        prop_assert!(steps.is_empty(), "still {steps:?}");
+    }
+}
+
+#[gtest]
+fn a_lost_model_is_loaded_where_a_copy_is() {
+    let spec = spec(2);
+    let mut engines: Vec<EngineState> =
+        (0..3).map(|number| engine(number, &BTreeSet::from([0]))).collect();
+    engines[2].copies.insert(ModelName::new("m1"));
+    let steps = plan(&spec, &BTreeMap::new(), &engines, 0);
+    let expected = ReplicaStep::Load {
+        engine: UpstreamId::new("e2"),
+        model: ModelName::new("m1"),
+        from_store: false,
+    };
+    expect_that!(steps, elements_are![eq(&expected)]);
+}
+
+#[gtest]
+fn a_pressed_model_takes_places_of_an_idle_one() {
+    let spec = spec(4);
+    let full = BTreeSet::from([0, 1, 2]);
+    let mut engines: Vec<EngineState> =
+        (0..4).map(|number| engine(number, &full)).collect();
+    engines[3] = engine(3, &BTreeSet::from([0, 1, 3]));
+    let demand = needs(&[0.0, 0.0, 0.0, 2.0]);
+    for _ in 0..20 {
+        for step in plan(&spec, &demand, &engines, 2) {
+            carry_out(&mut engines, &step);
+        }
+    }
+    expect_that!(holders(&engines, &ModelName::new("m3")), eq(4));
+}
+
+#[gtest]
+fn models_get_engines_for_their_adapters() {
+    let spec = spec(2);
+    let mut engines: Vec<EngineState> = (0..4)
+        .map(|number| engine(number, &BTreeSet::from([number % 2])))
+        .collect();
+    let need = ModelNeed { busy: 0.01, adapters: 7 };
+    let demand = BTreeMap::from([(ModelName::new("m0"), need)]);
+    for _ in 0..20 {
+        for step in plan(&spec, &demand, &engines, 2) {
+            carry_out(&mut engines, &step);
+        }
+    }
+    expect_that!(holders(&engines, &ModelName::new("m0")), eq(4));
+}
--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -1,10 +1,14 @@
 //! One running gateway.
 
-use std::{net::SocketAddr, sync::Arc, thread::JoinHandle};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc as std_mpsc},
+    thread::JoinHandle,
+};
 
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     task::LocalSet,
 };
 use valehold_core::{chart::library, fleet::Variant};
@@ -57,10 +61,10 @@
             stop: stopping,
             seeds: new_seeds,
         };
-        let (started, starting) = oneshot::channel();
+        let (started, starting) = std_mpsc::channel();
         spawn("control", move || control.run(started))?;
         wait(starting)?;
-        let (started, starting) = oneshot::channel();
+        let (started, starting) = std_mpsc::channel();
         let dialect = ports.dialect;
         let traffic =
             spawn("traffic", move || run_traffic(shared, dialect, started))?;
@@ -90,10 +94,11 @@
     }
 }
 
-type Started = oneshot::Sender<Result<(), Error>>;
+type Started = std_mpsc::Sender<Result<(), Error>>;
 
-fn wait(starting: oneshot::Receiver<Result<(), Error>>) -> Result<(), Error> {
-    starting.blocking_recv().map_err(|e| Error::new("starting", e))?
+/// Waits until a thread has started, or says why not.
+fn wait(starting: std_mpsc::Receiver<Result<(), Error>>) -> Result<(), Error> {
+    starting.recv().map_err(|e| Error::new("starting", e))?
 }
 
 fn spawn(
