--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -100,9 +100,9 @@
 }
 
 fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
-    let size = spec.model(model).map_or(0, |model| model.adapter_mb);
+    let size = spec.model(model).map_or(0, |model| model.adapter_size_mb);
     let taken = taken_mb(holding, spec);
-    holding.adapters() < spec.adapter_slots && taken + size <= spec.weights_mb
+    holding.adapters() < spec.adapter_places && taken + size <= spec.memory_mb
 }
 
 /// Returns the memory that an engine's models and adapters take, in MB.
@@ -110,7 +110,7 @@
     let one = |(name, adapters): (&ModelName, &_)| {
         let adapters: &BTreeSet<AdapterName> = adapters;
         spec.model(name).map_or(0, |model| {
-            model.size_mb + model.adapter_mb * adapters.len() as u64
+            model.size_mb + model.adapter_size_mb * adapters.len() as u64
         })
     };
     holding.models.iter().map(one).sum()
--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -39,7 +39,7 @@
     /// The host that callers name.
     pub host: String,
     /// The beginning of the paths that it takes.
-    pub path_prefix: String,
+    pub prefix: String,
     /// The services that answer it.
     pub targets: Vec<Target>,
     /// Whether its requests may run more than once.
@@ -47,9 +47,9 @@
     /// Whether its answers are streams of events.
     pub streaming: bool,
     /// The longest time a request may be held, in ms.
-    pub timeout_ms: u64,
+    pub longest_ms: u64,
     /// The time within which an answer is to begin, in ms.
-    pub objective_ms: u64,
+    pub begin_within_ms: u64,
     /// Its rank; 0 is the most urgent.
     pub rank: u8,
     /// The most upstreams that one request may be sent to.
@@ -82,7 +82,7 @@
     /// Its adapters.
     pub adapters: Vec<AdapterName>,
     /// The memory of one of its adapters, in MB.
-    pub adapter_mb: u64,
+    pub adapter_size_mb: u64,
     /// How long a load from the weight store takes, in ms.
     pub load_ms: u64,
 }
@@ -95,9 +95,9 @@
     /// Tokens that its memory keeps for running and cached prompts.
     pub cache_tokens: u64,
     /// Memory for weights and adapters, in MB.
-    pub weights_mb: u64,
+    pub memory_mb: u64,
     /// Adapters that it can hold.
-    pub adapter_slots: usize,
+    pub adapter_places: usize,
     /// Loads a second that the weight store allows over all engines.
     pub loads_per_second: f64,
     /// The models.
@@ -128,9 +128,9 @@
     /// The largest body of a request, in bytes.
     pub body_bytes: usize,
     /// How long a caller may take to send a head, in ms.
-    pub header_timeout_ms: u64,
+    pub head_within_ms: u64,
     /// How long a connection may rest between requests, in ms.
-    pub idle_timeout_ms: u64,
+    pub rest_ms: u64,
 }
 
 /// One accepted configuration.
@@ -154,14 +154,14 @@
     /// ```
     /// # use valehold_core::fleet::catalog::*;
     /// # let route = |prefix: &str| Route {
-    /// #     host: "a.example".into(), path_prefix: prefix.into(),
+    /// #     host: "a.example".into(), prefix: prefix.into(),
     /// #     targets: vec![], repetition: Repetition::Once,
-    /// #     streaming: false, timeout_ms: 1, objective_ms: 1, rank: 0,
+    /// #     streaming: false, longest_ms: 1, begin_within_ms: 1, rank: 0,
     /// #     attempts: 1,
     /// # };
     /// # let limits = CallerLimits {
-    /// #     header_bytes: 1, body_bytes: 1, header_timeout_ms: 1,
-    /// #     idle_timeout_ms: 1,
+    /// #     header_bytes: 1, body_bytes: 1, head_within_ms: 1,
+    /// #     rest_ms: 1,
     /// # };
     /// let catalog = Catalog {
     ///     version: 1,
@@ -170,15 +170,15 @@
     ///     limits,
     /// };
     /// let found = catalog.find("A.example", "/book/1").unwrap();
-    /// assert_eq!(found.path_prefix, "/book/");
+    /// assert_eq!(found.prefix, "/book/");
     /// assert!(catalog.find("b.example", "/").is_none());
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
             .iter()
             .filter(|route| route.host.eq_ignore_ascii_case(host))
-            .filter(|route| path.starts_with(&route.path_prefix))
-            .max_by_key(|route| route.path_prefix.len())
+            .filter(|route| path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len())
     }
 
     /// Returns a service whose upstreams run models, by name.
--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -119,7 +119,7 @@
             (most * self.places()).saturating_sub(self.spec.models.len());
         for model in &self.spec.models {
             let need = self.need(&model.name);
-            let slots = self.spec.adapter_slots.max(1);
+            let slots = self.spec.adapter_places.max(1);
             let for_adapters = need.adapters.div_ceil(slots).clamp(1, most);
             let extra = (for_adapters - 1).min(left);
             left -= extra;
@@ -145,7 +145,7 @@
     /// Returns how many models an engine holds at the least.
     fn places(&self) -> usize {
         let largest = self.spec.models.iter().map(|m| m.size_mb).max();
-        let places = self.spec.weights_mb / largest.unwrap_or(1).max(1);
+        let places = self.spec.memory_mb / largest.unwrap_or(1).max(1);
         usize::try_from(places).unwrap_or(usize::MAX).max(1)
     }
 
@@ -212,7 +212,7 @@
             self.may_order(engine)
                 && !engine.will_hold(model)
                 && taken_mb(&engine.holding, self.spec) + size
-                    <= self.spec.weights_mb
+                    <= self.spec.memory_mb
         });
         able.min_by(|a, b| {
             let rank = |index: &usize| {
@@ -264,7 +264,7 @@
                 let then = self.pressure(held, left);
                 if surplus == 0
                     || pressure < then * WORTH_A_MOVE
-                    || taken - freed + size > self.spec.weights_mb
+                    || taken - freed + size > self.spec.memory_mb
                 {
                     continue;
                 }
@@ -310,8 +310,8 @@
 
     fn held_mb(&self, holding: &Holding, model: &ModelName) -> u64 {
         let adapters = holding.models.get(model).map_or(0, BTreeSet::len);
-        self.spec
-            .model(model)
-            .map_or(0, |spec| spec.size_mb + spec.adapter_mb * adapters as u64)
+        self.spec.model(model).map_or(0, |spec| {
+            spec.size_mb + spec.adapter_size_mb * adapters as u64
+        })
     }
 }
--- a/crates/valehold-core/src/fleet/tests/catalog.rs
+++ b/crates/valehold-core/src/fleet/tests/catalog.rs
@@ -9,19 +9,19 @@
     testing::cases,
 };
 
-fn route(path_prefix: &str, weights: &[u32]) -> Route {
+fn route(prefix: &str, weights: &[u32]) -> Route {
     let target = |(index, weight): (usize, &u32)| Target {
         service: ServiceName::new(format!("s{index}")),
         weight: *weight,
     };
     Route {
         host: "a.example".into(),
-        path_prefix: path_prefix.into(),
+        prefix: prefix.into(),
         targets: weights.iter().enumerate().map(target).collect(),
         repetition: Repetition::Once,
         streaming: false,
-        timeout_ms: 1_000,
-        objective_ms: 100,
+        longest_ms: 1_000,
+        begin_within_ms: 100,
         rank: 0,
         attempts: 1,
     }
@@ -35,8 +35,8 @@
         limits: CallerLimits {
             header_bytes: 1_000,
             body_bytes: 1_000,
-            header_timeout_ms: 1_000,
-            idle_timeout_ms: 1_000,
+            head_within_ms: 1_000,
+            rest_ms: 1_000,
         },
     }
 }
@@ -46,7 +46,7 @@
     let catalog = catalog(&["/a/", "/a/b/", "/c/"]);
     let found = |path: &str| {
         let route = catalog.find("A.EXAMPLE", path);
-        route.map(|route| route.path_prefix.clone())
+        route.map(|route| route.prefix.clone())
     };
     expect_that!(found("/a/b/c"), some(eq("/a/b/")));
     expect_that!(found("/a/bc"), some(eq("/a/")));
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -24,14 +24,14 @@
         adapters: (1..=4)
             .map(|number| AdapterName::new(format!("a{number}")))
             .collect(),
-        adapter_mb: 1,
+        adapter_size_mb: 1,
         load_ms: 4_000,
     };
     EngineSpec {
         slots: 64,
         cache_tokens: 100_000,
-        weights_mb: 220,
-        adapter_slots: 2,
+        memory_mb: 220,
+        adapter_places: 2,
         loads_per_second: 2.0,
         models: (0..models).map(model).collect(),
     }
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -274,7 +274,7 @@
                 return;
             }
         };
-        self.clock = Some(StoreClock { store_ms: sight.now_ms, read: now });
+        self.clock = Some(StoreClock { store_ms: sight.store_ms, read: now });
         let row = sight.lease.row.clone();
         // A row that stands as its holder told stands since then.
         let since = match self.heard {
@@ -317,8 +317,8 @@
     ) {
         self.under_way = false;
         match written {
-            Ok(LeaseWrite::Won { version, now_ms }) => {
-                self.clock = Some(StoreClock { store_ms: now_ms, read: now });
+            Ok(LeaseWrite::Won { version, store_ms }) => {
+                self.clock = Some(StoreClock { store_ms, read: now });
                 self.won(write, version, now);
             }
             Ok(LeaseWrite::Lost) => self.keeper.write_lost(write.takes),
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -724,7 +724,7 @@
         OrderWish::Load(variant) => {
             let size = spec.model(&variant.model).map(|model| model.size_mb);
             let taken = taken_mb(holding, spec);
-            size.is_some_and(|size| taken + size <= spec.weights_mb)
+            size.is_some_and(|size| taken + size <= spec.memory_mb)
         }
     }
 }
--- a/crates/valehold-gateway/src/error.rs
+++ b/crates/valehold-gateway/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// Why an instance could not start or had to end.
+/// Why a process could not start or had to end.
 #[derive(Debug)]
 pub struct Error {
     message: String,
--- a/crates/valehold-gateway/src/lib.rs
+++ b/crates/valehold-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod settings;
+pub mod settings_file;
 pub mod shared;
 pub mod traffic;
 pub mod view;
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -2,9 +2,7 @@
 
 use std::{net::SocketAddr, path::Path};
 
-use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::Deserialize;
-use thiserror::Error;
 use valehold_core::{
     admission::AdmissionSettings,
     fleet::share::RetryBudget,
@@ -12,6 +10,8 @@
     routing::RoutingSettings,
 };
 
+use crate::settings_file::{self, FileSettings, SettingsError};
+
 /// Everything that a gateway is told when it starts.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -154,22 +154,6 @@
     "warn".to_owned()
 }
 
-/// What is wrong with a settings file.
-#[derive(Debug, Error, Diagnostic)]
-#[error("the settings do not hold: {message}")]
-pub struct SettingsError {
-    message: String,
-    #[source_code]
-    text: NamedSource<String>,
-    #[label("here")]
-    span: Option<SourceSpan>,
-    #[help]
-    help: &'static str,
-}
-
-/// Where settings are described.
-const HELP: &str = "docs/OPERATING.md lists every setting of a gateway";
-
 impl Settings {
     /// Reads settings from their text; `name` is the file's, for errors.
     ///
@@ -178,19 +162,7 @@
     /// If the text is not TOML, lacks a setting, or has one that is unknown
     /// or out of its range.
     pub fn from_toml(name: &str, text: &str) -> Result<Self, SettingsError> {
-        let fail = |message: String, span: Option<SourceSpan>| SettingsError {
-            message,
-            text: NamedSource::new(name, text.to_owned()),
-            span,
-            help: HELP,
-        };
-        let settings: Self = toml::from_str(text).map_err(|e| {
-            fail(e.message().to_owned(), e.span().map(Into::into))
-        })?;
-        match settings.fault() {
-            Some(fault) => Err(fail(fault.to_owned(), None)),
-            None => Ok(settings),
-        }
+        settings_file::from_toml(name, text)
     }
 
     /// Reads settings from a file.
@@ -199,16 +171,16 @@
     ///
     /// If the file cannot be read, or as [`Settings::from_toml`].
     pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
-        let name = path.display().to_string();
-        let text =
-            std::fs::read_to_string(path).map_err(|error| SettingsError {
-                message: format!("{name} cannot be read: {error}"),
-                text: NamedSource::new(&name, String::new()),
-                span: None,
-                help: "name the file in the variable VALEHOLD_CONFIG",
-            })?;
-        Self::from_toml(&name, &text)
+        settings_file::from_file(path)
     }
+}
+
+impl FileSettings for Settings {
+    const HELP: &'static str =
+        "docs/OPERATING.md lists every setting of a gateway";
+
+    const HOW_TO_NAME: &'static str =
+        "name the file in the variable VALEHOLD_CONFIG";
 
     fn fault(&self) -> Option<&'static str> {
         if self.peers.every_ms == 0 {
@@ -223,6 +195,9 @@
         if self.retry.ratio < 0.0 || self.retry.slack < 0.0 {
             return Some("retry.ratio and retry.slack are 0 or above");
         }
+        if self.loads.window_s <= 0.0 || self.retry.window_s <= 0.0 {
+            return Some("loads.window_s and retry.window_s are above 0");
+        }
         None
     }
 }
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -169,7 +169,7 @@
     admission::admit(
         predicted_ms,
         priority,
-        job.route.objective_ms,
+        job.route.begin_within_ms,
         &app.shared.settings.admission,
     )
     .map_err(NoChoice::WouldBeLate)
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -136,7 +136,7 @@
 
     /// Chooses an upstream; waits a little for a model that is not held.
     async fn choose_or_wait(&mut self) -> Result<Chosen, Refusal> {
-        let objective = Duration::from_millis(self.job.route.objective_ms);
+        let objective = Duration::from_millis(self.job.route.begin_within_ms);
         let until = Instant::now() + objective.mul_f64(WAIT_PART);
         let until = until.min(self.job.deadline);
         let mut looks: u32 = 0;
@@ -174,7 +174,8 @@
 
     fn wish(&self, looks: u32) {
         let variant: Option<&Variant> = self.job.request.variant.as_ref();
-        if let (Some(variant), true) = (variant, looks % WISH_EVERY == 0) {
+        let is_due = looks.is_multiple_of(WISH_EVERY);
+        if let (Some(variant), true) = (variant, is_due) {
             self.app.shared.wish(variant);
         }
     }
@@ -209,7 +210,7 @@
     /// could take the request, some time is left for it.
     fn answer_by(&self) -> Instant {
         let job = &self.job;
-        let objective = Duration::from_millis(job.route.objective_ms);
+        let objective = Duration::from_millis(job.route.begin_within_ms);
         let patience = match job.route.repetition {
             Repetition::Once => return job.deadline,
             Repetition::Safe => objective,
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -64,9 +64,9 @@
     let (route, service_name, service) = take_route(&catalog, &head)
         .map_err(|refusal| (id.clone(), refusal))?;
     let deadline_ms = said.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let held_ms = match route.timeout_ms {
+    let held_ms = match route.longest_ms {
         0 => deadline_ms,
-        timeout_ms => deadline_ms.min(timeout_ms),
+        longest_ms => deadline_ms.min(longest_ms),
     };
     let deadline = began + std::time::Duration::from_millis(held_ms);
     let limit = catalog.limits.body_bytes;
--- a/crates/valehold-instance/src/control/mod.rs
+++ b/crates/valehold-instance/src/control/mod.rs
@@ -32,7 +32,7 @@
     upstreams::Upstreams,
 };
 use crate::{
-    error::Error,
+    Error,
     peer::{Answerer, Link, Reply},
     shared::{Report, Shared},
 };
--- a/crates/valehold-instance/src/control/peers.rs
+++ b/crates/valehold-instance/src/control/peers.rs
@@ -20,7 +20,7 @@
 
 use super::{Context, Input};
 use crate::{
-    error::Error,
+    Error,
     peer::{Ask, Heartbeat, HeartbeatReply, Link, Reply},
 };
 
--- a/crates/valehold-instance/src/instance.rs
+++ b/crates/valehold-instance/src/instance.rs
@@ -17,8 +17,8 @@
 use viz::{Responder, Tree};
 
 use crate::{
+    Error,
     control::{Channels, Control},
-    error::Error,
     metrics::Metrics,
     once::Claims,
     operators,
--- a/crates/valehold-instance/src/lib.rs
+++ b/crates/valehold-instance/src/lib.rs
@@ -5,9 +5,7 @@
 //! they read the newest snapshot and report back through a bounded channel.
 //! [`Instance`] puts the two together.
 
-pub mod clock;
 pub mod control;
-pub mod error;
 mod instance;
 pub mod logging;
 pub mod metrics;
@@ -20,8 +18,9 @@
 pub mod snapshot;
 mod traffic;
 
+pub use valehold_gateway::{Clock, Error};
+
 pub use crate::{
-    error::Error,
     instance::{Addresses, Instance},
     settings::Settings,
 };
--- a/crates/valehold-instance/src/logging.rs
+++ b/crates/valehold-instance/src/logging.rs
@@ -5,7 +5,7 @@
 use log::LevelFilter;
 use serde_json::json;
 
-use crate::error::Error;
+use crate::Error;
 
 /// Sets the log up: the least level, whether lines are JSON, and levels by
 /// module.
--- a/crates/valehold-instance/src/metrics.rs
+++ b/crates/valehold-instance/src/metrics.rs
@@ -11,7 +11,7 @@
     reason::{RefusalReason, RetryReason},
 };
 
-use crate::error::Error;
+use crate::Error;
 
 /// Upper bounds of the buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 14] = [
--- a/crates/valehold-instance/src/peer/keys.rs
+++ b/crates/valehold-instance/src/peer/keys.rs
@@ -13,7 +13,7 @@
     server::WebPkiClientVerifier,
 };
 
-use crate::{error::Error, settings::PeerSettings};
+use crate::{Error, settings::PeerSettings};
 
 /// The name that every instance's certificate carries. Who may talk is
 /// decided by the authority that signed, not by a name.
--- a/crates/valehold-instance/src/peer/link.rs
+++ b/crates/valehold-instance/src/peer/link.rs
@@ -14,7 +14,7 @@
     keys::PeerTls,
     message::{Ask, MAX_MESSAGE_BYTES, Reply, decode, encode},
 };
-use crate::{error::Error, settings::PeerSettings};
+use crate::{Error, settings::PeerSettings};
 
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/valehold-instance/src/peer/message.rs
+++ b/crates/valehold-instance/src/peer/message.rs
@@ -15,7 +15,7 @@
     placement::ModelDemand,
 };
 
-use crate::error::Error;
+use crate::Error;
 
 /// The version that this build writes.
 const VERSION: u16 = 1;
--- a/crates/valehold-instance/src/settings.rs
+++ b/crates/valehold-instance/src/settings.rs
@@ -2,9 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, path::Path};
 
-use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::Deserialize;
-use thiserror::Error;
 use valehold_core::{
     admission::AdmissionSettings,
     demand::DemandSettings,
@@ -14,6 +12,8 @@
     routing::RoutingSettings,
 };
 
+use valehold_gateway::settings_file::{self, FileSettings, SettingsError};
+
 /// Everything that one instance is told when it starts.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -196,24 +196,6 @@
     24 * 60 * 60
 }
 
-/// What is wrong with a settings file.
-#[derive(Debug, Error, Diagnostic)]
-#[error(transparent)]
-#[diagnostic(transparent)]
-pub struct SettingsError(Box<SettingsFault>);
-
-#[derive(Debug, Error, Diagnostic)]
-#[error("the settings do not hold: {message}")]
-struct SettingsFault {
-    message: String,
-    #[source_code]
-    text: NamedSource<String>,
-    #[label("here")]
-    span: Option<SourceSpan>,
-    #[help]
-    help: String,
-}
-
 impl Settings {
     /// Reads settings from their text.
     ///
@@ -224,21 +206,7 @@
     /// If the text is not TOML, lacks a setting, or has one that is unknown
     /// or out of its range.
     pub fn from_toml(name: &str, text: &str) -> Result<Self, SettingsError> {
-        let fail = |message: String, span: Option<SourceSpan>| {
-            SettingsError(Box::new(SettingsFault {
-                message,
-                text: NamedSource::new(name, text.to_owned()),
-                span,
-                help: "docs/OPERATING.md lists every setting".to_owned(),
-            }))
-        };
-        let settings: Self = toml::from_str(text).map_err(|e| {
-            fail(e.message().to_owned(), e.span().map(Into::into))
-        })?;
-        match settings.fault() {
-            Some(fault) => Err(fail(fault.to_owned(), None)),
-            None => Ok(settings),
-        }
+        settings_file::from_toml(name, text)
     }
 
     /// Reads settings from a file.
@@ -247,17 +215,14 @@
     ///
     /// If the file cannot be read, or as [`Settings::from_toml`].
     pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
-        let name = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::from_toml(&name, &text),
-            Err(error) => Err(SettingsError(Box::new(SettingsFault {
-                message: format!("{name} cannot be read: {error}"),
-                text: NamedSource::new(name, String::new()),
-                span: None,
-                help: "give the file with --settings FILE".to_owned(),
-            }))),
-        }
+        settings_file::from_file(path)
     }
+}
+
+impl FileSettings for Settings {
+    const HELP: &'static str = "docs/OPERATING.md lists every setting";
+
+    const HOW_TO_NAME: &'static str = "give the file with --settings FILE";
 
     fn fault(&self) -> Option<&'static str> {
         if self.callers.threads == 0 {
--- a/crates/valehold-instance/src/shared.rs
+++ b/crates/valehold-instance/src/shared.rs
@@ -18,9 +18,7 @@
     store::Store,
 };
 
-use crate::{
-    clock::Clock, metrics::Metrics, settings::Settings, snapshot::Snapshot,
-};
+use crate::{Clock, metrics::Metrics, settings::Settings, snapshot::Snapshot};
 
 /// For how long a hint about an engine's prefix cache is kept.
 const KEEP_HINTS_MS: u64 = 300_000;
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -57,7 +57,7 @@
     /// The row.
     pub lease: VersionedLease,
     /// The store's steady clock, in ms.
-    pub now_ms: u64,
+    pub store_ms: u64,
 }
 
 /// How a conditional write of the lease ended.
@@ -68,7 +68,7 @@
         /// The row's version.
         version: u64,
         /// The store's steady clock, in ms.
-        now_ms: u64,
+        store_ms: u64,
     },
     /// Another's row stood there.
     Lost,
