Observers of the list and hubs of heartbeats

Change: the three greatest by rank watch the list and push its changes, with the version before them, so that a lost push is seen; above 14 gateways each tells three hubs, which send summaries to all.

--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     fmt,
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
@@ -89,13 +90,26 @@
     pub holding: Holding,
 }
 
+/// Changes of the platform's list from one version to a later one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListingDelta {
+    /// The version that they start from: every later change is among them.
+    pub before: u64,
+    /// The version of the newest of them.
+    pub version: u64,
+    /// Upstreams that are new or differ.
+    pub changed: Vec<Arc<Upstream>>,
+    /// Upstreams that are gone.
+    pub gone: Vec<UpstreamId>,
+}
+
 /// All upstreams as of one version of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The version; a greater one is newer.
     pub version: u64,
     /// The upstreams.
-    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    pub upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
 }
 
 impl Listing {
@@ -103,9 +117,24 @@
     pub fn of<'a>(
         &'a self,
         service: &'a ServiceName,
-    ) -> impl Iterator<Item = &'a Upstream> {
+    ) -> impl Iterator<Item = &'a Arc<Upstream>> {
         self.upstreams
             .values()
             .filter(move |u| u.service == *service && !u.leaving)
     }
+
+    /// Takes changes in, if they are newer and none before them is missing.
+    pub fn apply(&mut self, delta: &ListingDelta) -> bool {
+        if delta.before > self.version || delta.version <= self.version {
+            return false;
+        }
+        self.version = delta.version;
+        for upstream in &delta.changed {
+            self.upstreams.insert(upstream.id.clone(), upstream.clone());
+        }
+        for id in &delta.gone {
+            self.upstreams.remove(id);
+        }
+        true
+    }
 }
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -20,5 +20,5 @@
 
 pub use self::{
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
-    listing::{Holding, Listing, Upstream, Variant},
+    listing::{Holding, Listing, ListingDelta, Upstream, Variant},
 };
--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -81,19 +81,33 @@
     }
 }
 
-/// Follows the upstreams until control ends.
-///
-/// `known` is the version that control has; a peer may have given a newer
-/// one than this watch.
+/// What control tells the watch on the upstreams.
+#[derive(Debug, Default)]
+pub(super) struct ListingOrders {
+    /// The version that control has; a peer may have given a newer one than
+    /// this watch.
+    pub(super) known: Cell<u64>,
+    /// Whether this gateway watches for those that do not.
+    pub(super) observes: Cell<bool>,
+}
+
+/// Follows the upstreams while this gateway is an observer, until control
+/// ends.
 pub(super) async fn follow_listing(
     store: Arc<dyn FleetStore>,
     inputs: Inputs,
-    known: Rc<Cell<u64>>,
+    orders: Rc<ListingOrders>,
 ) {
     let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
     while !inputs.is_closed() {
-        let Some(from) = after else {
+        if !orders.observes.get() {
+            tokio::time::sleep(BETWEEN_CHANGES).await;
+            continue;
+        }
+        let known = orders.known.get();
+        let from = after.max((known > 0).then_some(known));
+        let Some(from) = from else {
             match store.read_listing().await {
                 Ok(listing) => {
                     pauses.succeeded();
@@ -104,10 +118,9 @@
             }
             continue;
         };
-        match store.await_listing(from.max(known.get())).await {
+        match store.await_listing(from).await {
             Ok(ListingNews::HistoryGone) => {
-                after = None;
-                tokio::time::sleep(BETWEEN_CHANGES).await;
+                read_all(&*store, &inputs, &mut after, &mut pauses).await;
             }
             Ok(news) => {
                 pauses.succeeded();
@@ -121,3 +134,20 @@
         }
     }
 }
+
+/// Reads all upstreams, since the history of changes is gone.
+async fn read_all(
+    store: &dyn FleetStore,
+    inputs: &Inputs,
+    after: &mut Option<u64>,
+    pauses: &mut Pauses,
+) {
+    match store.read_listing().await {
+        Ok(listing) => {
+            *after = Some(listing.version);
+            let _ = inputs.send(Input::ListingRead(listing));
+            tokio::time::sleep(BETWEEN_CHANGES).await;
+        }
+        Err(error) => pauses.failed("reading upstreams", &error).await,
+    }
+}
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -22,7 +22,7 @@
 };
 
 use super::input::{Input, SentLease};
-use crate::peers::message::LeaseWord;
+use crate::peers::message::{LeaseRumour, LeaseWord};
 
 /// The lease's terms: contenders wait for the whole term, a holder stops
 /// well before.
@@ -171,10 +171,12 @@
     }
 
     /// Takes in what a peer says.
-    pub(super) fn heard(&mut self, word: LeaseWord, now: Millis) {
-        match word {
+    pub(super) fn heard(&mut self, rumour: LeaseRumour, now: Millis) {
+        match rumour.word {
             LeaseWord::Holds { version, .. } => {
-                self.heard = Some((version, now));
+                // Later than it was said, so that its term counts whole.
+                let known = self.heard.filter(|(v, _)| *v >= version);
+                self.heard = known.or(Some((version, now)));
             }
             LeaseWord::GaveUp { epoch, quiet_ms } => {
                 let quiet_until = now + quiet_ms;
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -11,11 +11,7 @@
 mod placer;
 
 use std::{
-    cell::{Cell, RefCell},
-    collections::BTreeMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc,
     time::Duration,
 };
 
@@ -26,14 +22,16 @@
 };
 use valehold_core::{
     Millis,
-    fleet::{Catalog, Holding, Listing, Variant},
+    fleet::{Catalog, Holding, Listing, ListingDelta, Variant},
     id::{InstanceId, UpstreamId},
     order::Stamp,
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore, ListingNews};
+use xxhash_rust::xxh3::xxh3_64;
 
 use self::{
     demand::Demand,
+    feeds::ListingOrders,
     input::Input,
     lease::{Around, LeaseDuty},
     placer::{Authority, Placer},
@@ -41,7 +39,11 @@
 use crate::{
     peers::{
         Heartbeat, Message, Roster,
-        message::{EngineHolding, LeaseWord, MAX_DATAGRAM, UpstreamLoad},
+        message::{
+            EngineHolding, LeaseRumour, LeaseWord, MAX_DATAGRAM, Rank,
+            UpstreamLoad,
+        },
+        roster::Own,
         state::{self, StateClient},
     },
     settings::Settings,
@@ -62,6 +64,12 @@
 /// heard of, in ms.
 const WAIT_FOR_LISTING_MS: u64 = 600;
 
+/// How many times rarer heartbeats are where hubs sum them up.
+const BEATS_WITH_HUBS: u64 = 2;
+
+/// The last place that a contender for the lease waits for.
+const LAST_PLACE: usize = 6;
+
 /// How many inputs are taken before time passes.
 const INPUTS_AT_ONCE: usize = 64;
 
@@ -115,7 +123,7 @@
     rows: Listing,
     /// The list, with what the holder said of engines.
     listing: Arc<Listing>,
-    listing_known: Rc<Cell<u64>>,
+    listing_orders: Rc<ListingOrders>,
     has_listing: bool,
     /// What the holder said engines hold, and when.
     told: BTreeMap<UpstreamId, Told>,
@@ -134,7 +142,8 @@
         let (inputs, taken) = mpsc::unbounded_channel();
         let socket = Rc::new(parts.heartbeats);
         let shared = parts.shared;
-        let known = Rc::new(Cell::new(0));
+        let listing_orders = Rc::new(ListingOrders::default());
+        listing_orders.observes.set(true);
         let store = parts.store;
         tokio::task::spawn_local(state::serve(shared.clone(), parts.state));
         tokio::task::spawn_local(feeds::follow_catalog(
@@ -144,7 +153,7 @@
         tokio::task::spawn_local(feeds::follow_listing(
             store.clone(),
             inputs.clone(),
-            known.clone(),
+            listing_orders.clone(),
         ));
         tokio::task::spawn_local(receive(socket.clone(), inputs.clone()));
         let settings = &shared.settings;
@@ -171,7 +180,10 @@
         );
         let control = Self {
             roster: Roster::new(
-                settings.peers.heartbeats,
+                Own {
+                    heartbeats: settings.peers.heartbeats,
+                    rank: rank(settings),
+                },
                 settings.peers.silent_ms,
                 seeds(settings.peers.heartbeats, &settings.peers.seeds),
             ),
@@ -184,7 +196,7 @@
             catalog: None,
             rows: Listing::default(),
             listing: Arc::default(),
-            listing_known: known,
+            listing_orders,
             has_listing: false,
             told: BTreeMap::new(),
             state_client: StateClient::new(),
@@ -237,18 +249,18 @@
         let now = self.now();
         self.roster.tick(now);
         if self.life == Life::Serving {
-            let own = &self.shared.settings.instance;
             let around = Around {
                 holder_heard: self.roster.holder(now).is_some(),
                 store_heard: self.roster.hears_store(now),
-                place: self.roster.place_of(own, now),
+                place: self.roster.place(now).min(LAST_PLACE),
             };
             self.lease.borrow_mut().tick(now, around);
         }
         self.place(now);
         self.catch_up(now);
-        let every = self.shared.settings.peers.every_ms;
-        if now.since(self.beat) >= every {
+        let observes = self.roster.observes(self.store_fails, now);
+        self.listing_orders.observes.set(observes);
+        if now.since(self.beat) >= self.beat_ms(now) {
             self.beat = now;
             let work = std::mem::take(&mut *self.shared.work());
             self.demand.take(work, now);
@@ -257,6 +269,15 @@
         }
     }
 
+    /// Returns how often heartbeats are sent.
+    fn beat_ms(&self, now: Millis) -> u64 {
+        let every_ms = self.shared.settings.peers.every_ms;
+        match self.roster.has_hubs(now) {
+            true => every_ms * BEATS_WITH_HUBS,
+            false => every_ms,
+        }
+    }
+
     /// Places models and adapters, if this gateway may give orders.
     fn place(&mut self, now: Millis) {
         let may_order = self.lease.borrow().order_epoch(now).is_some();
@@ -268,8 +289,9 @@
             all.insert(one.variant.clone(), one);
         }
         self.roster.add_demand(&mut all, now);
-        let mut loads = self.roster.loads(now);
-        for (id, load) in self.shared.loads().iter() {
+        let own = self.shared.loads().clone();
+        let mut loads = self.roster.loads(&own, now);
+        for (id, load) in &own {
             let sum = loads.entry(id.clone()).or_default();
             *sum = sum.plus(*load);
         }
@@ -284,7 +306,7 @@
     fn catch_up(&mut self, now: Millis) {
         let version = self.catalog.as_ref().map_or(0, |c| c.version);
         let catalog = self.roster.with_newer_catalog(version, now);
-        let known = self.listing_known.get();
+        let known = self.rows.version;
         let listing = self.roster.with_newer_listing(known, now);
         let waited = |since: &mut Option<Millis>, peer: Option<_>, wait| {
             match peer {
@@ -375,7 +397,8 @@
             Ok(Message::Heartbeat(heartbeat)) => {
                 let holdings = heartbeat.holdings.clone();
                 if let Some(word) = heartbeat.lease {
-                    self.lease.borrow_mut().heard(word, now);
+                    let rumour = LeaseRumour { from, word, age_ms: 0 };
+                    self.lease.borrow_mut().heard(rumour, now);
                 }
                 let is_new = self.roster.heard(from, *heartbeat, now);
                 self.take_told(holdings, now);
@@ -390,6 +413,15 @@
                 self.place(now);
             }
             Ok(Message::Holdings(holdings)) => self.take_told(holdings, now),
+            Ok(Message::Listed(delta)) => {
+                self.take_delta(&delta, now);
+            }
+            Ok(Message::Summary(summary)) => {
+                self.roster.summed_up(from, *summary, now);
+                for rumour in self.roster.rumours(now) {
+                    self.lease.borrow_mut().heard(rumour, now);
+                }
+            }
             Err(error) => log::debug!("a datagram of {from}: {error}"),
         }
     }
@@ -433,9 +465,7 @@
             return;
         }
         let message = Message::Holdings(news.clone());
-        for target in self.roster.targets() {
-            self.send(target, &message);
-        }
+        self.send_all(&message, now);
         self.take_told(news, now);
     }
 
@@ -462,39 +492,48 @@
         self.live();
     }
 
+    /// Takes in what the store's watch brought, and passes it on.
     fn list_changes(&mut self, news: ListingNews, now: Millis) {
         let ListingNews::Changed { version, changed, gone, .. } = news else {
             return;
         };
         let Some(version) = version else { return };
-        if version < self.rows.version {
-            return;
+        let before = self.rows.version;
+        let delta = ListingDelta { before, version, changed, gone };
+        if self.take_delta(&delta, now) {
+            self.send_all(&Message::Listed(delta), now);
+        }
+    }
+
+    /// Takes in changes of the list; tells whether they were new.
+    fn take_delta(&mut self, delta: &ListingDelta, now: Millis) -> bool {
+        if !self.has_listing || !self.rows.apply(delta) {
+            return false;
         }
-        self.rows.version = version;
-        for upstream in changed {
-            let told = self.told.get(&upstream.id);
+        let changed = delta.changed.iter().map(|upstream| &upstream.id);
+        for id in changed {
+            let told = self.told.get(id);
             let is_old =
                 told.is_some_and(|told| now.since(told.at) >= LIST_LAGS_MS);
             if is_old {
-                self.told.remove(&upstream.id);
+                self.told.remove(id);
             }
-            self.rows.upstreams.insert(upstream.id.clone(), upstream);
         }
-        for id in gone {
-            self.rows.upstreams.remove(&id);
-            self.told.remove(&id);
+        for id in &delta.gone {
+            self.told.remove(id);
         }
         self.relist(now);
+        true
     }
 
     /// Puts what the holder said over the list, and publishes both.
     fn relist(&mut self, now: Millis) {
-        self.listing_known.set(self.rows.version);
+        self.listing_orders.known.set(self.rows.version);
         self.placer.listed(&self.rows);
         let mut listing = self.rows.clone();
         for (engine, told) in &self.told {
             if let Some(upstream) = listing.upstreams.get_mut(engine) {
-                upstream.holding = told.holding.clone();
+                Arc::make_mut(upstream).holding = told.holding.clone();
             }
         }
         self.listing = Arc::new(listing);
@@ -531,28 +570,29 @@
             life: self.life,
             catalog: self.catalog.clone(),
             listing: self.listing.clone(),
-            peer_loads: self.roster.loads(now),
+            peer_loads: self.roster.loads(&self.shared.loads(), now),
             ready,
         }));
     }
 
-    fn heartbeat(&mut self, now: Millis) -> Message {
+    fn heartbeat(&mut self, now: Millis) -> Heartbeat {
         self.sequence += 1;
         let settings = &self.shared.settings;
         let lease = self.lease.borrow().word(now);
         let holds = matches!(lease, Some(LeaseWord::Holds { .. }));
         let loads = self.shared.loads();
         let is_idle = |load: &Load| *load == Load::default();
-        Message::Heartbeat(Box::new(Heartbeat {
+        Heartbeat {
             instance: settings.instance.clone(),
             start: self.start,
             sequence: self.sequence,
             data_centre: settings.data_centre.clone(),
             life: self.life,
+            rank: rank(settings),
             requests: settings.callers.requests,
             state: settings.peers.state,
             catalog: self.catalog.as_ref().map_or(0, |c| c.version),
-            listing: self.listing_known.get(),
+            listing: self.rows.version,
             lease,
             store_fails: self.store_fails,
             known: self.roster.known(now),
@@ -569,19 +609,38 @@
                 true => self.placer.news(now),
                 false => Vec::new(),
             },
-        }))
+        }
     }
 
+    /// Tells others of this gateway; as a hub, also what it hears.
     fn send_heartbeats(&mut self, now: Millis) {
-        let message = self.heartbeat(now);
-        for target in self.roster.targets() {
+        let heartbeat = self.heartbeat(now);
+        if self.roster.is_hub(now) {
+            let summary = self.roster.sum_up(&heartbeat, now);
+            self.send_all(&Message::Summary(Box::new(summary)), now);
+        }
+        let message = Message::Heartbeat(Box::new(heartbeat));
+        for target in self.roster.heartbeat_targets(now) {
             self.send(target, &message);
         }
     }
 
     fn send_heartbeat_to(&mut self, target: SocketAddr, now: Millis) {
-        let message = self.heartbeat(now);
-        self.send(target, &message);
+        let heartbeat = self.heartbeat(now);
+        self.send(target, &Message::Heartbeat(Box::new(heartbeat)));
+    }
+
+    /// Sends a message to every gateway that is there.
+    fn send_all(&self, message: &Message, now: Millis) {
+        let targets = self.roster.live_targets(now);
+        match message.encode() {
+            Ok(bytes) => {
+                for target in targets {
+                    let _ = self.socket.try_send_to(&bytes, target);
+                }
+            }
+            Err(error) => log::warn!("a datagram was not sent: {error}"),
+        }
     }
 
     fn send(&self, to: SocketAddr, message: &Message) {
@@ -595,6 +654,14 @@
     }
 }
 
+/// Returns how suited this gateway is to work for the others.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn rank(settings: &Settings) -> Rank {
+    let strength = (settings.peers.strength * 100.0) as u16;
+    let name = settings.instance.as_str().as_bytes();
+    Rank { strength, tie: xxh3_64(name) as u32 }
+}
+
 /// Names a machine: its name may come back at another address.
 fn holder_name(settings: &Settings) -> InstanceId {
     let address = settings.peers.heartbeats.ip();
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Holding, Variant},
+    fleet::{Holding, ListingDelta, Variant},
     id::{DataCentreId, InstanceId, UpstreamId},
     order::Stamp,
 };
@@ -79,6 +79,8 @@
     pub data_centre: DataCentreId,
     /// How far its life has come.
     pub life: Life,
+    /// How suited it is to work for the others.
+    pub rank: Rank,
     /// Where it takes requests.
     pub requests: SocketAddr,
     /// Where peers read its state.
@@ -101,6 +103,81 @@
     pub holdings: Vec<EngineHolding>,
 }
 
+/// How suited a gateway is to work for the others: to observe the platform's
+/// list, to sum up, to hold the lease. The greatest comes first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+pub struct Rank {
+    /// Its share of a processor, in hundredths.
+    pub strength: u16,
+    /// Tells gateways of equal strength apart.
+    pub tie: u32,
+}
+
+/// What a hub hears of one gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberWord {
+    /// How suited it is to work for the others.
+    pub rank: Rank,
+    /// Where it takes heartbeats.
+    pub heartbeats: SocketAddr,
+    /// Where it takes requests.
+    pub requests: SocketAddr,
+    /// The data centre that it stands in: its place in the summary's list.
+    pub data_centre: u8,
+    /// Whether callers may be sent to it.
+    pub serves: bool,
+}
+
+/// What a hub hears of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRumour {
+    /// Who said it: where it takes heartbeats.
+    pub from: SocketAddr,
+    /// What it said.
+    pub word: LeaseWord,
+    /// How long ago, in ms.
+    pub age_ms: u64,
+}
+
+/// What a hub hears from all gateways.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The hub's rank.
+    pub hub: Rank,
+    /// The data centres of its members.
+    pub data_centres: Vec<DataCentreId>,
+    /// Every gateway that it hears, itself among them.
+    pub members: Vec<MemberWord>,
+    /// What all of them have under way.
+    pub loads: Vec<UpstreamLoad>,
+    /// What is said of the lease.
+    pub lease: Vec<LeaseRumour>,
+    /// The newest configuration that it hears of, and where it is.
+    pub catalog: Newest,
+    /// The newest list of upstreams that it hears of, and where it is.
+    pub listing: Newest,
+}
+
+/// The newest version of something that is heard of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Newest {
+    /// The version.
+    pub version: u64,
+    /// Where the state with it can be read.
+    pub state: SocketAddr,
+}
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -110,6 +187,10 @@
     Wish(Variant),
     /// From the holder: what engines hold since its last orders.
     Holdings(Vec<EngineHolding>),
+    /// From an observer: changes of the platform's list.
+    Listed(ListingDelta),
+    /// From a hub: what it hears from all.
+    Summary(Box<Summary>),
 }
 
 impl Message {
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -1,4 +1,8 @@
 //! The gateways that this one has heard of.
+//!
+//! Where there are few, each hears every other. Where there are many, each
+//! tells a few hubs, the greatest by rank, and every hub sends a summary of
+//! what it hears to all.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,14 +15,29 @@
     id::{InstanceId, UpstreamId},
 };
 
-use super::message::{Heartbeat, LeaseWord};
+use super::message::{
+    Heartbeat, LeaseRumour, LeaseWord, MemberWord, Newest, Rank, Summary,
+    UpstreamLoad, VariantDemand,
+};
 use crate::view::{Life, Load, ReadyMember};
 
 /// For how long a silent gateway is still sent heartbeats, in ms.
 const FORGET_AFTER_MS: u64 = 60_000;
 
 /// How many gateways' addresses a heartbeat carries at the most.
-const MOST_KNOWN: usize = 64;
+const MOST_KNOWN: usize = 16;
+
+/// Up to how many gateways each hears every other.
+const MOST_WITHOUT_HUBS: usize = 14;
+
+/// How many hubs there are, where there are any.
+const HUBS: usize = 3;
+
+/// How many gateways watch the platform's list for all.
+const OBSERVERS: usize = 3;
+
+/// How often seeds are sent heartbeats once others are known, in beats.
+const SEEDS_EVERY: u64 = 8;
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -27,36 +46,58 @@
     heard: Millis,
 }
 
+#[derive(Debug, Clone)]
+struct HeardSummary {
+    summary: Summary,
+    heard: Millis,
+}
+
+/// What this gateway is among the others.
+#[derive(Debug, Clone)]
+pub struct Own {
+    /// Where it takes heartbeats.
+    pub heartbeats: SocketAddr,
+    /// How suited it is to work for the others.
+    pub rank: Rank,
+}
+
 /// The gateways that this one has heard of.
 #[derive(Debug)]
 pub struct Roster {
-    own: SocketAddr,
+    own: Own,
     silent_ms: u64,
     peers: BTreeMap<InstanceId, Peer>,
+    /// Summaries, by their hubs' addresses.
+    summaries: BTreeMap<SocketAddr, HeardSummary>,
     /// Addresses that were named, and when last.
     named: BTreeMap<SocketAddr, Millis>,
     seeds: BTreeSet<SocketAddr>,
+    beats: u64,
 }
 
 impl Roster {
     /// Makes the roster of a gateway that has heard of nobody.
     pub fn new(
-        own: SocketAddr,
+        own: Own,
         silent_ms: u64,
         seeds: impl IntoIterator<Item = SocketAddr>,
     ) -> Self {
-        Self {
+        let mut roster = Self {
             own,
             silent_ms,
             peers: BTreeMap::new(),
+            summaries: BTreeMap::new(),
             named: BTreeMap::new(),
-            seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
-        }
+            seeds: BTreeSet::new(),
+            beats: 0,
+        };
+        roster.set_seeds(seeds);
+        roster
     }
 
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        let own = self.own;
+        let own = self.own.heartbeats;
         self.seeds = seeds.into_iter().filter(|seed| *seed != own).collect();
     }
 
@@ -68,7 +109,7 @@
         now: Millis,
     ) -> bool {
         for address in &heartbeat.known {
-            if *address != self.own {
+            if *address != self.own.heartbeats {
                 self.named.entry(*address).or_insert(now);
             }
         }
@@ -92,38 +133,179 @@
         is_new
     }
 
+    /// Takes in a hub's summary.
+    pub fn summed_up(
+        &mut self,
+        from: SocketAddr,
+        summary: Summary,
+        now: Millis,
+    ) {
+        for member in &summary.members {
+            if member.heartbeats != self.own.heartbeats {
+                self.named.insert(member.heartbeats, now);
+            }
+        }
+        self.summaries.insert(from, HeardSummary { summary, heard: now });
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
         let young = |heard: Millis| now.since(heard) < FORGET_AFTER_MS;
         self.peers.retain(|_, peer| young(peer.heard));
         self.named.retain(|_, heard| young(*heard));
+        self.summaries.retain(|_, one| young(one.heard));
+    }
+
+    /// Returns where this beat's heartbeat goes.
+    pub fn heartbeat_targets(&mut self, now: Millis) -> BTreeSet<SocketAddr> {
+        self.beats += 1;
+        if !self.has_hubs(now) {
+            return self.targets();
+        }
+        let mut targets: BTreeSet<SocketAddr> =
+            self.hubs(now).into_iter().collect();
+        targets.extend(self.holder(now));
+        if self.beats.is_multiple_of(SEEDS_EVERY) {
+            targets.extend(&self.seeds);
+        }
+        targets.remove(&self.own.heartbeats);
+        targets
     }
 
-    /// Returns where heartbeats go.
+    /// Returns every address at which a gateway may be.
     pub fn targets(&self) -> BTreeSet<SocketAddr> {
         let named = self.named.keys().copied();
         named.chain(self.seeds.iter().copied()).collect()
     }
 
+    /// Returns every gateway that is heard of as there now.
+    pub fn live_targets(&self, now: Millis) -> BTreeSet<SocketAddr> {
+        let mut targets: BTreeSet<SocketAddr> =
+            self.live(now).map(|peer| peer.address).collect();
+        targets.extend(self.words(now).map(|word| word.heartbeats));
+        targets.remove(&self.own.heartbeats);
+        targets
+    }
+
     /// Returns the addresses that a heartbeat carries.
     pub fn known(&self, now: Millis) -> Vec<SocketAddr> {
         let live = self.live(now).map(|peer| peer.address);
         live.take(MOST_KNOWN).collect()
     }
 
+    /// Tells whether there are so many gateways that hubs sum up.
+    pub fn has_hubs(&self, now: Millis) -> bool {
+        self.ranked(now).len() > MOST_WITHOUT_HUBS
+    }
+
+    /// Tells whether this gateway sums up for the others.
+    pub fn is_hub(&self, now: Millis) -> bool {
+        self.has_hubs(now) && self.hubs(now).contains(&self.own.heartbeats)
+    }
+
+    fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
+        let ranked = self.ranked(now);
+        ranked.into_iter().rev().take(HUBS).map(|(_, at)| at).collect()
+    }
+
+    /// Returns all that are heard of, this one among them, the greatest last.
+    fn ranked(&self, now: Millis) -> BTreeSet<(Rank, SocketAddr)> {
+        let mut all: BTreeSet<(Rank, SocketAddr)> = self
+            .live(now)
+            .filter(|peer| peer.heartbeat.life != Life::Leaving)
+            .map(|peer| (peer.heartbeat.rank, peer.address))
+            .collect();
+        let words = self.words(now);
+        all.extend(words.map(|word| (word.rank, word.heartbeats)));
+        all.insert((self.own.rank, self.own.heartbeats));
+        all
+    }
+
+    /// Returns the members of the newest summary.
+    fn words(&self, now: Millis) -> impl Iterator<Item = &MemberWord> {
+        let newest = self.newest_summary(now);
+        newest.into_iter().flat_map(|summary| &summary.members)
+    }
+
+    fn newest_summary(&self, now: Millis) -> Option<&Summary> {
+        let live = self.live_summaries(now);
+        let newest = live.max_by_key(|one| (one.heard, one.summary.hub));
+        newest.map(|one| &one.summary)
+    }
+
+    fn live_summaries(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = &HeardSummary> {
+        let silent_ms = self.silent_ms;
+        self.summaries
+            .values()
+            .filter(move |one| now.since(one.heard) < silent_ms)
+    }
+
+    /// Tells whether this gateway watches the platform's list for others.
+    ///
+    /// Those do that are heard directly, hear the store themselves, and are
+    /// the greatest by rank.
+    pub fn observes(&self, own_store_fails: bool, now: Millis) -> bool {
+        if own_store_fails {
+            return true;
+        }
+        let greater = self.live(now).filter(|peer| {
+            peer.heartbeat.life == Life::Serving
+                && !peer.heartbeat.store_fails
+                && peer.heartbeat.rank > self.own.rank
+        });
+        greater.count() < OBSERVERS
+    }
+
     /// Returns the gateways that callers may be sent to, but for this one.
     pub fn ready(&self, now: Millis) -> Vec<ReadyMember> {
-        self.live(now)
+        let direct = self
+            .live(now)
             .filter(|peer| peer.heartbeat.life == Life::Serving)
             .map(|peer| ReadyMember {
                 requests: peer.heartbeat.requests,
                 data_centre: peer.heartbeat.data_centre.clone(),
-            })
-            .collect()
+            });
+        let mut ready: Vec<ReadyMember> = direct.collect();
+        let heard: BTreeSet<SocketAddr> =
+            self.live(now).map(|peer| peer.address).collect();
+        let Some(summary) = self.newest_summary(now) else { return ready };
+        let summed = summary.members.iter().filter(|word| {
+            word.serves
+                && word.heartbeats != self.own.heartbeats
+                && !heard.contains(&word.heartbeats)
+        });
+        ready.extend(summed.filter_map(|word| {
+            let place = usize::from(word.data_centre);
+            let data_centre = summary.data_centres.get(place)?.clone();
+            Some(ReadyMember { requests: word.requests, data_centre })
+        }));
+        ready
     }
 
     /// Returns what the others have under way at each upstream.
-    pub fn loads(&self, now: Millis) -> BTreeMap<UpstreamId, Load> {
+    ///
+    /// `own` is what this gateway has, which summaries hold as well.
+    pub fn loads(
+        &self,
+        own: &BTreeMap<UpstreamId, Load>,
+        now: Millis,
+    ) -> BTreeMap<UpstreamId, Load> {
+        let direct = self.direct_loads(now);
+        let Some(summary) = self.newest_summary(now) else { return direct };
+        if self.is_hub(now) {
+            return direct;
+        }
+        let others = summary.loads.iter().map(|one| {
+            let own = own.get(&one.upstream).copied().unwrap_or_default();
+            (one.upstream.clone(), one.load.minus(own))
+        });
+        others.collect()
+    }
+
+    fn direct_loads(&self, now: Millis) -> BTreeMap<UpstreamId, Load> {
         let mut sum: BTreeMap<UpstreamId, Load> = BTreeMap::new();
         let live = self.live(now).flat_map(|peer| &peer.heartbeat.loads);
         for one in live {
@@ -136,7 +318,7 @@
     /// Adds the demand that came to the others to this one's.
     pub fn add_demand(
         &self,
-        sum: &mut BTreeMap<Variant, super::message::VariantDemand>,
+        sum: &mut BTreeMap<Variant, VariantDemand>,
         now: Millis,
     ) {
         let live = self.live(now).flat_map(|peer| &peer.heartbeat.demand);
@@ -153,12 +335,36 @@
 
     /// Returns where the holder of the lease takes wishes, if there is one.
     pub fn holder(&self, now: Millis) -> Option<SocketAddr> {
-        let epoch = |peer: &&Peer| match peer.heartbeat.lease {
-            Some(LeaseWord::Holds { epoch, .. }) => Some(epoch),
-            _ => None,
-        };
-        let holders = self.live(now).filter(|peer| epoch(peer).is_some());
-        holders.max_by_key(epoch).map(|peer| peer.address)
+        let rumours = self.rumours(now);
+        let held = rumours.into_iter().filter_map(|one| match one.word {
+            LeaseWord::Holds { epoch, .. } => Some((epoch, one.from)),
+            LeaseWord::GaveUp { .. } => None,
+        });
+        held.max().map(|(_, holder)| holder)
+    }
+
+    /// Returns what is said of the lease, directly or in a summary.
+    pub fn rumours(&self, now: Millis) -> Vec<LeaseRumour> {
+        let direct = self.live(now).filter_map(|peer| {
+            Some(LeaseRumour {
+                from: peer.address,
+                word: peer.heartbeat.lease?,
+                age_ms: now.since(peer.heard),
+            })
+        });
+        let mut all: Vec<LeaseRumour> = direct.collect();
+        let silent_ms = self.silent_ms;
+        for one in self.live_summaries(now) {
+            let since = now.since(one.heard);
+            let later = one.summary.lease.iter().map(|rumour| LeaseRumour {
+                age_ms: rumour.age_ms + since,
+                ..*rumour
+            });
+            all.extend(later.filter(|rumour| {
+                rumour.age_ms < silent_ms && rumour.from != self.own.heartbeats
+            }));
+        }
+        all
     }
 
     /// Tells whether some gateway that serves hears the store.
@@ -168,36 +374,90 @@
         serving.any(|peer| !peer.heartbeat.store_fails)
     }
 
-    /// Returns a live peer whose configuration is newer, the newest first.
+    /// Returns where a newer configuration can be read.
     pub fn with_newer_catalog(
         &self,
         version: u64,
         now: Millis,
     ) -> Option<SocketAddr> {
-        let newest =
-            self.live(now).max_by_key(|peer| peer.heartbeat.catalog)?;
-        let newer = newest.heartbeat.catalog > version;
-        newer.then_some(newest.heartbeat.state)
+        let newest = self.newest(now, |peer| peer.heartbeat.catalog);
+        let summed = self.live_summaries(now).map(|one| one.summary.catalog);
+        newer_than(version, newest.into_iter().chain(summed))
     }
 
-    /// Returns a live peer whose list of upstreams is newer.
+    /// Returns where a newer list of upstreams can be read.
     pub fn with_newer_listing(
         &self,
         version: u64,
         now: Millis,
     ) -> Option<SocketAddr> {
-        let newest =
-            self.live(now).max_by_key(|peer| peer.heartbeat.listing)?;
-        let newer = newest.heartbeat.listing > version;
-        newer.then_some(newest.heartbeat.state)
+        let newest = self.newest(now, |peer| peer.heartbeat.listing);
+        let summed = self.live_summaries(now).map(|one| one.summary.listing);
+        newer_than(version, newest.into_iter().chain(summed))
     }
 
-    /// Returns this gateway's place among those that serve, from 0.
-    pub fn place_of(&self, own: &InstanceId, now: Millis) -> usize {
-        self.live(now)
-            .filter(|peer| peer.heartbeat.life == Life::Serving)
-            .filter(|peer| peer.heartbeat.instance < *own)
-            .count()
+    fn newest(
+        &self,
+        now: Millis,
+        version: impl Fn(&Peer) -> u64,
+    ) -> Option<Newest> {
+        let peer = self.live(now).max_by_key(|peer| version(peer))?;
+        let state = peer.heartbeat.state;
+        Some(Newest { version: version(peer), state })
+    }
+
+    /// Returns this gateway's place among all by rank, from 0.
+    pub fn place(&self, now: Millis) -> usize {
+        let ranked = self.ranked(now);
+        ranked.iter().filter(|(rank, _)| *rank > self.own.rank).count()
+    }
+
+    /// Makes a hub's summary; `own` is this gateway's own heartbeat.
+    pub fn sum_up(&self, own: &Heartbeat, now: Millis) -> Summary {
+        let mut data_centres = Vec::new();
+        let mut members = Vec::new();
+        let all = self
+            .live(now)
+            .map(|peer| (peer.address, &peer.heartbeat))
+            .chain([(self.own.heartbeats, own)]);
+        for (heartbeats, heartbeat) in all {
+            members.push(MemberWord {
+                rank: heartbeat.rank,
+                heartbeats,
+                requests: heartbeat.requests,
+                data_centre: place_in(
+                    &mut data_centres,
+                    &heartbeat.data_centre,
+                ),
+                serves: heartbeat.life == Life::Serving,
+            });
+        }
+        let mut loads = self.direct_loads(now);
+        for one in &own.loads {
+            let load = loads.entry(one.upstream.clone()).or_default();
+            *load = load.plus(one.load);
+        }
+        let newest = |own_version, version: fn(&Peer) -> u64| {
+            let own = Newest { version: own_version, state: own.state };
+            let other = self.newest(now, version);
+            other.filter(|o| o.version > own_version).unwrap_or(own)
+        };
+        let own_word = own.lease.map(|word| LeaseRumour {
+            from: self.own.heartbeats,
+            word,
+            age_ms: 0,
+        });
+        let lease = self.rumours(now).into_iter().chain(own_word).collect();
+        let as_load = |(upstream, load)| UpstreamLoad { upstream, load };
+        Summary {
+            hub: self.own.rank,
+            data_centres,
+            members,
+            loads: loads.into_iter().map(as_load).collect(),
+            lease,
+            catalog: newest(own.catalog, |peer| peer.heartbeat.catalog),
+            listing: newest(own.listing, |peer| peer.heartbeat.listing),
+        }
     }
 
     fn live(&self, now: Millis) -> impl Iterator<Item = &Peer> {
@@ -207,3 +467,24 @@
             .filter(move |peer| now.since(peer.heard) < silent_ms)
     }
 }
+
+fn newer_than(
+    version: u64,
+    all: impl Iterator<Item = Newest>,
+) -> Option<SocketAddr> {
+    let newest = all.max_by_key(|one| one.version)?;
+    (newest.version > version).then_some(newest.state)
+}
+
+/// Returns the place of a data centre in a list, adding it if it is new.
+fn place_in(
+    all: &mut Vec<valehold_core::id::DataCentreId>,
+    one: &valehold_core::id::DataCentreId,
+) -> u8 {
+    let place = all.iter().position(|known| known == one);
+    let place = place.unwrap_or_else(|| {
+        all.push(one.clone());
+        all.len() - 1
+    });
+    u8::try_from(place).unwrap_or(u8::MAX)
+}
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -73,6 +73,10 @@
     /// Other gateways' state addresses; they may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// This machine's share of a processor. Stronger gateways work for the
+    /// others.
+    #[serde(default = "one")]
+    pub strength: f64,
     /// How often heartbeats are sent, in ms.
     #[serde(default = "default_heartbeat")]
     pub every_ms: u64,
@@ -134,6 +138,10 @@
     pub window_s: f64,
 }
 
+const fn one() -> f64 {
+    1.0
+}
+
 const fn default_keep() -> u64 {
     1
 }
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -1,6 +1,6 @@
 //! Passing an upstream's answer on to the caller.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
@@ -30,7 +30,7 @@
 
 /// An upstream's stream, from which whole events are taken.
 pub(super) struct Relay {
-    upstream: Upstream,
+    upstream: Arc<Upstream>,
     body: Incoming,
     sender: Option<SendRequest<Full<Bytes>>>,
     rest: Option<Rest>,
@@ -48,7 +48,7 @@
 
 impl Relay {
     pub(super) fn new(
-        upstream: Upstream,
+        upstream: Arc<Upstream>,
         begun: BegunAnswer,
         under_way: UnderWay,
     ) -> Self {
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -1,5 +1,7 @@
 //! Which upstream a request goes to.
 
+use std::sync::Arc;
+
 use valehold_core::{
     admission,
     config::MAX_PRIORITY,
@@ -37,7 +39,7 @@
 /// An upstream that was chosen.
 #[derive(Debug, Clone)]
 pub(super) struct Chosen {
-    pub(super) upstream: Upstream,
+    pub(super) upstream: Arc<Upstream>,
     /// Prompt tokens that it has to read.
     pub(super) read_tokens: u64,
     /// The hashes of the prompt's leading parts.
@@ -117,7 +119,7 @@
     variant: &Variant,
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
-    let holders: Vec<&Upstream> = view
+    let holders: Vec<&Arc<Upstream>> = view
         .listing
         .of(&job.service_name)
         .filter(|upstream| upstream.holding.has(variant))
@@ -237,7 +239,7 @@
     }
 
     /// Returns the engine at which requests with the same beginning meet.
-    fn home(&self, holders: &[&Upstream]) -> Option<UpstreamId> {
+    fn home(&self, holders: &[&Arc<Upstream>]) -> Option<UpstreamId> {
         let last = self.shared.checked_sub(1)?;
         let key = self.blocks.get(last)?.to_string();
         let names: Vec<&str> =
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -41,6 +41,16 @@
             waiting_tokens: self.waiting_tokens + other.waiting_tokens,
         }
     }
+
+    /// Takes another load away, as far as there is any.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        let tokens = self.waiting_tokens;
+        Self {
+            running: self.running.saturating_sub(other.running),
+            waiting_tokens: tokens.saturating_sub(other.waiting_tokens),
+        }
+    }
 }
 
 /// A gateway that callers may be sent to.
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -1,7 +1,7 @@
 //! A platform that keeps the configuration, lists upstreams, and holds the
 //! lease; engines that take orders; and the headers that all of them use.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, Uri};
@@ -43,7 +43,7 @@
         /// The version of the newest change; `None` if nothing changed.
         version: Option<u64>,
         /// Upstreams that are new or differ.
-        changed: Vec<Upstream>,
+        changed: Vec<Arc<Upstream>>,
         /// Upstreams that are gone.
         gone: Vec<UpstreamId>,
     },
