--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -17,7 +17,7 @@
 const GREATEST_PAUSE: Duration = Duration::from_millis(700);
 
 /// Between two answers of a watch, so that changes come in bunches.
-const BETWEEN_CHANGES: Duration = Duration::from_millis(80);
+const BETWEEN_CHANGES: Duration = Duration::from_millis(150);
 
 type Inputs = mpsc::UnboundedSender<Input>;
 
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -137,6 +137,8 @@
     pub data_centre: u8,
     /// Whether callers may be sent to it.
     pub serves: bool,
+    /// Whether the platform's store answers it.
+    pub hears_store: bool,
 }
 
 /// What a hub hears of the lease.
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -251,14 +251,26 @@
         if own_store_fails {
             return true;
         }
-        let greater = self.live(now).filter(|peer| {
-            peer.heartbeat.life == Life::Serving
-                && !peer.heartbeat.store_fails
-                && peer.heartbeat.rank > self.own.rank
-        });
+        let watching = self.hearing_store(now);
+        let greater = watching.iter().filter(|rank| **rank > self.own.rank);
         greater.count() < OBSERVERS
     }
 
+    /// Returns the others that serve and hear the store.
+    fn hearing_store(&self, now: Millis) -> BTreeSet<Rank> {
+        let direct = self.live(now).filter(|peer| {
+            let heartbeat = &peer.heartbeat;
+            heartbeat.life == Life::Serving && !heartbeat.store_fails
+        });
+        let summed =
+            self.words(now).filter(|word| word.serves && word.hears_store);
+        let mut all: BTreeSet<Rank> =
+            direct.map(|peer| peer.heartbeat.rank).collect();
+        all.extend(summed.map(|word| word.rank));
+        all.remove(&self.own.rank);
+        all
+    }
+
     /// Returns the gateways that callers may be sent to, but for this one.
     pub fn ready(&self, now: Millis) -> Vec<ReadyMember> {
         let direct = self
@@ -369,9 +381,7 @@
 
     /// Tells whether some gateway that serves hears the store.
     pub fn hears_store(&self, now: Millis) -> bool {
-        let serving = |peer: &&Peer| peer.heartbeat.life == Life::Serving;
-        let mut serving = self.live(now).filter(serving);
-        serving.any(|peer| !peer.heartbeat.store_fails)
+        !self.hearing_store(now).is_empty()
     }
 
     /// Returns where a newer configuration can be read.
@@ -430,6 +440,7 @@
                     &heartbeat.data_centre,
                 ),
                 serves: heartbeat.life == Life::Serving,
+                hears_store: !heartbeat.store_fails,
             });
         }
         let mut loads = self.direct_loads(now);
