--- a/crates/valehold-gateway/src/control/demand.rs
+++ b/crates/valehold-gateway/src/control/demand.rs
@@ -7,7 +7,7 @@
 use crate::{peers::message::VariantDemand, shared::Work};
 
 /// Over how many ms demand is smoothed.
-const SMOOTHED_MS: f64 = 5_000.0;
+const SMOOTHED_MS: f64 = 2_500.0;
 
 /// Demand below this many requests a second is forgotten.
 const LEAST: f64 = 0.002;
