Long prompts go past engines with many running requests

Cause: reading a long prompt slows the outputs of all that run beside it past the pause that a route allows. Change: the prediction adds a part of the reading time for each running request; an upstream's last 500 is passed on unchanged.

--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -36,6 +36,10 @@
 /// By how much an engine's running requests delay a new one, in ms each.
 const RUNNING_MS: f64 = 1.0;
 
+/// What reading a prompt costs each request that runs beside it, since its
+/// outputs come more slowly meanwhile: a part of the time of reading.
+const DELAYED_PART: f64 = 0.03;
+
 /// An upstream that was chosen.
 #[derive(Debug, Clone)]
 pub(super) struct Chosen {
@@ -193,9 +197,14 @@
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
     let far = upstream.data_centre != app.shared.settings.data_centre;
     let way_ms = if far { FAR_MS } else { 0.0 };
+    let cached_tokens = prompt.tokens_of(known);
+    let read_tokens = prompt.tokens.saturating_sub(cached_tokens);
+    #[allow(clippy::cast_precision_loss)]
+    let read_ms = read_tokens as f64 / READ_TOKENS_PER_SECOND * 1_000.0;
+    let each_ms = RUNNING_MS + read_ms * DELAYED_PART;
     Candidate {
         engine: upstream.id.clone(),
-        distance_ms: (way_ms + f64::from(load.running) * RUNNING_MS) / 2.0,
+        distance_ms: (way_ms + f64::from(load.running) * each_ms) / 2.0,
         suspect: app.is_suspect(&upstream.id),
         slots: spec.slots,
         prefill_tokens_per_second: READ_TOKENS_PER_SECOND,
@@ -203,7 +212,7 @@
         waiting_tokens: load.waiting_tokens,
         service_ms: SERVICE_MS,
         report_age_ms: LOAD_AGE_MS,
-        cached_tokens: prompt.tokens_of(known),
+        cached_tokens,
     }
 }
 
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -253,7 +253,9 @@
             false => health.succeeded(now),
         });
         let repeatable = self.job.route.repetition.is_allowed();
-        if failed && repeatable && self.may_follow(Verdict::MayHaveRun) {
+        let is_last = self.sends + 1 >= self.job.route.attempts;
+        let another = !is_last && self.may_follow(Verdict::MayHaveRun);
+        if failed && another {
             return Err(SendFailure {
                 reason: RetryReason::RepeatableCall,
                 ..SendFailure::broken()
