--- a/crates/valehold-core/src/lease/tests.rs
+++ b/crates/valehold-core/src/lease/tests.rs
@@ -21,6 +21,20 @@
     Arrive { instance: usize, answered: bool },
     /// The write is lost.
     Lose(usize),
+    /// A holder gives its epoch up, and says so to one other.
+    GiveUp { instance: usize, told: usize },
+    /// An instance starts anew; what it had sent may still arrive.
+    Restart(usize),
+}
+
+/// Steps of instances that bear their names alone and give up by word.
+fn step_with_words() -> impl Strategy<Value = Step> {
+    let two = (0..INSTANCES, 0..INSTANCES);
+    prop_oneof![
+        8 => step(),
+        2 => two.prop_map(|(instance, told)| Step::GiveUp { instance, told }),
+        1 => (0..INSTANCES).prop_map(Step::Restart),
+    ]
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -49,6 +63,8 @@
     row: Option<LeaseRow>,
     keepers: Vec<LeaseKeeper>,
     pending: Vec<Option<Pending>>,
+    /// Writes of instances that started anew since.
+    orphans: Vec<Pending>,
 }
 
 impl World {
@@ -62,6 +78,37 @@
             row: None,
             keepers: (0..INSTANCES).map(keeper).collect(),
             pending: (0..INSTANCES).map(|_| None).collect(),
+            orphans: Vec::new(),
+        }
+    }
+
+    /// Makes instances that take back at once what they held.
+    fn retaking_own(mut self) -> Self {
+        let keepers = self.keepers.into_iter();
+        self.keepers = keepers.map(LeaseKeeper::retaking_own).collect();
+        self
+    }
+
+    fn restart(&mut self, instance: usize) {
+        self.orphans.extend(self.pending[instance].take());
+        let me = InstanceId::new(format!("i{instance}"));
+        self.keepers[instance] = LeaseKeeper::new(me, TERMS).retaking_own();
+    }
+
+    fn give_up(&mut self, instance: usize, told: usize) {
+        let now = self.clock(instance);
+        if let Some(epoch) = self.keepers[instance].give_up(now) {
+            self.orphans.extend(self.pending[instance].take());
+            self.keepers[told].given_up(epoch);
+        }
+    }
+
+    /// A write of an instance that started anew arrives.
+    fn orphan_arrives(&mut self) {
+        let Some(write) = self.orphans.pop() else { return };
+        if write.version == self.version {
+            self.version += 1;
+            self.row = Some(write.row);
         }
     }
 
@@ -81,7 +128,10 @@
                 if let Some(lost) = self.pending[*instance].take() {
                     self.keepers[*instance].write_lost(lost.takes);
                 }
+                self.orphan_arrives();
             }
+            Step::GiveUp { instance, told } => self.give_up(*instance, *told),
+            Step::Restart(instance) => self.restart(*instance),
         }
     }
 
@@ -148,6 +198,49 @@
     }
 }
 
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn at_most_one_holds_though_some_give_up_and_restart(
+        steps in prop::collection::vec(step_with_words(), 1..300),
+    ) {
+        let mut world = World::new(TERMS).retaking_own();
+        for step in &steps {
+            world.take(step);
+            prop_assert!(world.holders() <= 1, "after {step:?}");
+        }
+    }
+}
+
+#[gtest]
+fn what_was_given_up_by_word_is_taken_at_once() {
+    let mut world = World::new(TERMS).retaking_own();
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    world.take(&Step::GiveUp { instance: 0, told: 1 });
+    expect_that!(world.holders(), eq(0));
+    world.take(&Step::Act(1));
+    world.take(&Step::Act(1));
+    world.take(&Step::Arrive { instance: 1, answered: true });
+    expect_that!(world.holders(), eq(1));
+    expect_that!(world.row.as_ref().map(|row| row.epoch), some(eq(2)));
+}
+
+#[gtest]
+fn a_restarted_instance_takes_its_own_back_under_a_new_epoch() {
+    let mut world = World::new(TERMS).retaking_own();
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    world.take(&Step::Restart(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Act(0));
+    world.take(&Step::Arrive { instance: 0, answered: true });
+    expect_that!(world.keepers[0].held_epoch(world.clock(0)), some(eq(2)));
+}
+
 #[gtest]
 fn the_lease_is_taken_once_the_row_stood_still_for_a_term() {
     let mut world = World::new(TERMS);
