--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use valehold_ports::{
     PortError,
-    port::fleet::{CatalogNews, FleetStore, ListingNews},
+    port::fleet::{CatalogNews, FleetStore, ListingNews, WatchSpan},
 };
 
 use super::input::Input;
@@ -46,16 +46,30 @@
 }
 
 /// Follows the configuration until control ends.
+///
+/// Observers look again every few seconds. The others hear from them of what
+/// a watch of their own that hangs does not bring.
 pub(super) async fn follow_catalog(
     store: Arc<dyn FleetStore>,
     inputs: Inputs,
+    orders: Rc<WatchOrders>,
 ) {
     let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
     while !inputs.is_closed() {
         let news = match after {
             None => store.read_catalog().await,
-            Some(after) => store.await_catalog(after).await,
+            Some(after) => {
+                let span = match orders.observes.get() {
+                    true => WatchSpan::Brief,
+                    false => WatchSpan::Long,
+                };
+                tokio::select! {
+                    news = store.await_catalog(after, span) => news,
+                    // A long watch may hang: others rely on this one now.
+                    () = orders.turned.notified() => continue,
+                }
+            }
         };
         let heard = match news {
             Ok(CatalogNews::Accepted { version, catalog }) => {
@@ -81,14 +95,26 @@
     }
 }
 
-/// What control tells the watch on the upstreams.
+/// What control tells the watches.
 #[derive(Debug, Default)]
-pub(super) struct ListingOrders {
+pub(super) struct WatchOrders {
     /// The version that control has; a peer may have given a newer one than
     /// this watch.
     pub(super) known: Cell<u64>,
     /// Whether this gateway watches for those that do not.
     pub(super) observes: Cell<bool>,
+    /// Tells that it has just become an observer.
+    pub(super) turned: Notify,
+}
+
+impl WatchOrders {
+    /// Sets whether this gateway watches for others.
+    pub(super) fn set_observes(&self, observes: bool) {
+        if observes && !self.observes.replace(observes) {
+            self.turned.notify_one();
+        }
+        self.observes.set(observes);
+    }
 }
 
 /// Follows the upstreams while this gateway is an observer, until control
@@ -96,7 +122,7 @@
 pub(super) async fn follow_listing(
     store: Arc<dyn FleetStore>,
     inputs: Inputs,
-    orders: Rc<ListingOrders>,
+    orders: Rc<WatchOrders>,
 ) {
     let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
@@ -118,7 +144,7 @@
             }
             continue;
         };
-        match store.await_listing(from).await {
+        match store.await_listing(from, WatchSpan::Brief).await {
             Ok(ListingNews::HistoryGone) => {
                 read_all(&*store, &inputs, &mut after, &mut pauses).await;
             }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -31,7 +31,7 @@
 
 use self::{
     demand::Demand,
-    feeds::ListingOrders,
+    feeds::WatchOrders,
     input::Input,
     lease::{Around, LeaseDuty},
     placer::{Authority, Placer},
@@ -123,7 +123,7 @@
     rows: Listing,
     /// The list, with what the holder said of engines.
     listing: Arc<Listing>,
-    listing_orders: Rc<ListingOrders>,
+    watch_orders: Rc<WatchOrders>,
     has_listing: bool,
     /// What the holder said engines hold, and when.
     told: BTreeMap<UpstreamId, Told>,
@@ -142,18 +142,19 @@
         let (inputs, taken) = mpsc::unbounded_channel();
         let socket = Rc::new(parts.heartbeats);
         let shared = parts.shared;
-        let listing_orders = Rc::new(ListingOrders::default());
-        listing_orders.observes.set(true);
+        let watch_orders = Rc::new(WatchOrders::default());
+        watch_orders.observes.set(true);
         let store = parts.store;
         tokio::task::spawn_local(state::serve(shared.clone(), parts.state));
         tokio::task::spawn_local(feeds::follow_catalog(
             store.clone(),
             inputs.clone(),
+            watch_orders.clone(),
         ));
         tokio::task::spawn_local(feeds::follow_listing(
             store.clone(),
             inputs.clone(),
-            listing_orders.clone(),
+            watch_orders.clone(),
         ));
         tokio::task::spawn_local(receive(socket.clone(), inputs.clone()));
         let settings = &shared.settings;
@@ -196,7 +197,7 @@
             catalog: None,
             rows: Listing::default(),
             listing: Arc::default(),
-            listing_orders,
+            watch_orders,
             has_listing: false,
             told: BTreeMap::new(),
             state_client: StateClient::new(),
@@ -259,7 +260,7 @@
         self.place(now);
         self.catch_up(now);
         let observes = self.roster.observes(self.store_fails, now);
-        self.listing_orders.observes.set(observes);
+        self.watch_orders.set_observes(observes);
         if now.since(self.beat) >= self.beat_ms(now) {
             self.beat = now;
             let work = std::mem::take(&mut *self.shared.work());
@@ -528,7 +529,7 @@
 
     /// Puts what the holder said over the list, and publishes both.
     fn relist(&mut self, now: Millis) {
-        self.listing_orders.known.set(self.rows.version);
+        self.watch_orders.known.set(self.rows.version);
         self.placer.listed(&self.rows);
         let mut listing = self.rows.clone();
         for (engine, told) in &self.told {
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -74,19 +74,39 @@
     Lost,
 }
 
+/// For how long a watch on the store waits for a change.
+///
+/// A store that fell silent forgets who watches. Nothing tells a watch that
+/// hangs from one that has nothing to say, but its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchSpan {
+    /// A few seconds, for those that watch for others.
+    Brief,
+    /// As long as calls should be few.
+    Long,
+}
+
 /// The store of a platform.
 pub trait FleetStore: Send + Sync {
     /// Reads the newest configuration, with the store's version.
     fn read_catalog(&self) -> Answer<'_, CatalogNews>;
 
     /// Waits for a configuration after a version of the store.
-    fn await_catalog(&self, after: u64) -> Answer<'_, CatalogNews>;
+    fn await_catalog(
+        &self,
+        after: u64,
+        span: WatchSpan,
+    ) -> Answer<'_, CatalogNews>;
 
     /// Reads all upstreams.
     fn read_listing(&self) -> Answer<'_, Listing>;
 
     /// Waits for changes of upstreams after a version of the store.
-    fn await_listing(&self, after: u64) -> Answer<'_, ListingNews>;
+    fn await_listing(
+        &self,
+        after: u64,
+        span: WatchSpan,
+    ) -> Answer<'_, ListingNews>;
 
     /// Reads the lease's row.
     fn read_lease(&self) -> Answer<'_, LeaseSight>;
