Placement waits less, and callers are told when to come back

Cause: lost orders were found out after more than a second, and each counted against the store's rate though the next order made it void; requests for what is not loaded were told to come back before it could be.

--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -132,14 +132,36 @@
                 .filter(|(_, count)| **count < most)
                 .map(|(model, count)| (self.pressure(model, *count), model))
                 .max_by(|(a, _), (b, _)| a.total_cmp(b));
-            let Some((pressure, model)) = pressed else { return };
+            let Some((pressure, model)) = pressed else { break };
             if pressure < ENOUGH_BUSY {
-                return;
+                break;
             }
             let model = model.clone();
             *self.wanted.entry(model).or_default() += 1;
             left -= 1;
         }
+        self.want_room_for_adapters(left, most);
+    }
+
+    /// Gives what is left to models whose adapters have no place, so that
+    /// they are there before they are asked for.
+    fn want_room_for_adapters(&mut self, mut left: usize, most: usize) {
+        let slots = self.spec.adapter_places.max(1);
+        while left > 0 {
+            let homeless = self.spec.models.iter().filter_map(|model| {
+                let count = self.wanted.get(&model.name).copied()?;
+                let without =
+                    model.adapters.len().checked_sub(slots * count)?;
+                (without > 0 && count < most).then_some((without, &model.name))
+            });
+            let Some((_, model)) = homeless.max_by_key(|(count, _)| *count)
+            else {
+                return;
+            };
+            let model = model.clone();
+            *self.wanted.entry(model).or_default() += 1;
+            left -= 1;
+        }
     }
 
     /// Returns how many models an engine holds at the least.
--- a/crates/valehold-core/src/fleet/window.rs
+++ b/crates/valehold-core/src/fleet/window.rs
@@ -22,6 +22,12 @@
         self.times.push_back(now);
     }
 
+    /// Takes back the last events that were noted: they did not happen.
+    pub fn take_back(&mut self, count: usize) {
+        let left = self.times.len().saturating_sub(count);
+        self.times.truncate(left);
+    }
+
     /// Counts the events that are still within the window.
     pub fn count(&mut self, now: Millis) -> usize {
         while let Some(first) = self.times.front() {
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -27,7 +27,7 @@
 /// The lease's terms: contenders wait for the whole term, a holder stops
 /// well before.
 const TERMS: LeaseTerms =
-    LeaseTerms { term_ms: 4_600, margin_ms: 600, renew_after_ms: 700 };
+    LeaseTerms { term_ms: 3_600, margin_ms: 600, renew_after_ms: 700 };
 
 /// How long an order may be on its way, in ms.
 const ORDER_FLIGHT_MS: u64 = 800;
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -567,8 +567,10 @@
                 data_centre: settings.data_centre.clone(),
             });
         }
+        let holds = self.lease.borrow().held_epoch(now).is_some();
         self.shared.view.store(Arc::new(View {
             life: self.life,
+            has_holder: holds || self.roster.holder(now).is_some(),
             catalog: self.catalog.clone(),
             listing: self.listing.clone(),
             peer_loads: self.roster.loads(&self.shared.loads(), now),
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -42,13 +42,13 @@
 };
 
 /// How often the plan is made, in ms.
-const PLAN_EVERY_MS: u64 = 400;
+const PLAN_EVERY_MS: u64 = 250;
 
 /// How often an engine that is busy is asked, in ms.
-const ASK_EVERY_MS: u64 = 400;
+const ASK_EVERY_MS: u64 = 300;
 
 /// How long an engine is left alone after an order failed, in ms.
-const AFTER_FAILURE_MS: u64 = 400;
+const AFTER_FAILURE_MS: u64 = 200;
 
 /// How long an engine is left alone after an order met another one, in ms;
 /// twice as long each further time.
@@ -85,7 +85,7 @@
 const BURST_PART: f64 = 0.4;
 
 /// How long requests get to turn away from a model before it is unloaded.
-const TURN_AWAY: Duration = Duration::from_millis(150);
+const TURN_AWAY: Duration = Duration::from_millis(100);
 
 /// What is known of one engine.
 #[derive(Debug, Clone)]
@@ -109,6 +109,9 @@
     old_reports: u32,
     /// Orders in a row that met another one.
     conflicts: u32,
+    /// Loads that were ordered after as many orders as now, without an
+    /// answer: the next order that is taken makes them void.
+    lost_loads: usize,
     /// Models of which it keeps copies.
     copies: BTreeSet<ModelName>,
     /// When peers were first told of what it holds now.
@@ -178,6 +181,11 @@
         self.long.note(now);
         self.short.note(now);
     }
+
+    fn take_back(&mut self, count: usize) {
+        self.long.take_back(count);
+        self.short.take_back(count);
+    }
 }
 
 /// Gives orders to engines.
@@ -237,6 +245,7 @@
                 failures: 0,
                 old_reports: 0,
                 conflicts: 0,
+                lost_loads: 0,
                 copies: BTreeSet::new(),
                 changed: None,
                 stamp: Stamp::default(),
@@ -377,6 +386,10 @@
         if !report.busy {
             entry.loading = None;
         }
+        if report.holding.sequence != entry.holding.sequence {
+            // One of the lost ones was taken, or another holder's.
+            entry.lost_loads = 0;
+        }
         if report.holding != entry.holding {
             entry.holding = report.holding;
             entry.change(now, &mut self.stamp);
@@ -647,6 +660,10 @@
             ) => {
                 entry.failures = 0;
                 entry.conflicts = 0;
+                let void = std::mem::take(&mut entry.lost_loads);
+                if let Some(loads) = self.loads.get_mut(&entry.service) {
+                    loads.take_back(void);
+                }
                 // An unload that is not done at once waits for requests.
                 entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
                     && (is_model
@@ -672,6 +689,9 @@
                 log::debug!("an order to {} was lost: {error}", order.engine);
                 entry.uncertain = true;
                 entry.left_alone_until = now + AFTER_FAILURE_MS;
+                if is_model && matches!(order.wish, OrderWish::Load(_)) {
+                    entry.lost_loads += 1;
+                }
                 forget_guess(entry, &order);
             }
         }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -48,8 +48,18 @@
 /// In how many ms to come back when no upstream takes a request.
 const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
 
-/// In how many ms to come back when a model is not loaded.
-const NOT_HELD_COME_BACK_MS: u64 = 1_000;
+/// In how many ms to come back for an adapter that is not loaded.
+const ADAPTER_COME_BACK_MS: u64 = 800;
+
+/// In how many ms to come back for a model that is not loaded: a load from
+/// the weight store takes about so long.
+const MODEL_COME_BACK_MS: u64 = 3_500;
+
+/// In how many ms to come back while nobody may give orders.
+const NO_HOLDER_COME_BACK_MS: u64 = 3_500;
+
+/// The part of its time that a caller is told to wait at the most.
+const MOST_COME_BACK: f64 = 0.3;
 
 /// How many times its objective a resumable stream may take to begin while
 /// another engine could take it.
@@ -164,7 +174,7 @@
             }
             if Instant::now() >= until {
                 let reason = RefusalReason::NoUpstream;
-                let come_back = NOT_HELD_COME_BACK_MS;
+                let come_back = self.come_back_ms(no_choice);
                 return Err(self.give_up(reason, Some(come_back)));
             }
             looks += 1;
@@ -172,6 +182,25 @@
         }
     }
 
+    /// Returns in how many ms what is missing may be there.
+    fn come_back_ms(&self, no_choice: NoChoice) -> u64 {
+        if no_choice != NoChoice::NotHeld {
+            return NO_UPSTREAM_COME_BACK_MS;
+        }
+        let view = self.app.shared.view.load();
+        let variant = self.job.request.variant.as_ref();
+        let holds_model = variant.is_some_and(|variant| {
+            let model = Variant::plain(variant.model.as_str());
+            let mut of = view.listing.of(&self.job.service_name);
+            of.any(|upstream| upstream.holding.has(&model))
+        });
+        match (view.has_holder, holds_model) {
+            (false, _) => NO_HOLDER_COME_BACK_MS,
+            (true, true) => ADAPTER_COME_BACK_MS,
+            (true, false) => MODEL_COME_BACK_MS,
+        }
+    }
+
     fn wish(&self, looks: u32) {
         let variant: Option<&Variant> = self.job.request.variant.as_ref();
         let is_due = looks.is_multiple_of(WISH_EVERY);
@@ -328,6 +357,14 @@
         }
     }
 
+    /// Returns how long the caller can be told to wait.
+    fn most_wait_ms(&self) -> u64 {
+        let now = Instant::now();
+        let left = self.job.deadline.saturating_duration_since(now);
+        let most = left.mul_f64(MOST_COME_BACK);
+        u64::try_from(most.as_millis()).unwrap_or(u64::MAX).max(1)
+    }
+
     fn give_up(
         &self,
         reason: RefusalReason,
@@ -341,10 +378,11 @@
             reason => reason,
         };
         match self.verdict {
-            Verdict::NotRun => Refusal::not_run(
-                reason,
-                come_back_ms.unwrap_or(NO_UPSTREAM_COME_BACK_MS),
-            ),
+            Verdict::NotRun => {
+                let come_back =
+                    come_back_ms.unwrap_or(NO_UPSTREAM_COME_BACK_MS);
+                Refusal::not_run(reason, come_back.min(self.most_wait_ms()))
+            }
             _ => Refusal::may_have_run(reason),
         }
     }
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -73,6 +73,8 @@
     pub listing: Arc<Listing>,
     /// What other gateways have under way.
     pub peer_loads: BTreeMap<UpstreamId, Load>,
+    /// Whether some gateway is heard to hold the lease.
+    pub has_holder: bool,
     /// Every gateway that is ready, this one among them.
     pub ready: Vec<ReadyMember>,
 }
@@ -84,6 +86,7 @@
             catalog: None,
             listing: Arc::default(),
             peer_loads: BTreeMap::new(),
+            has_holder: false,
             ready: Vec::new(),
         }
     }
