Silence ends no answer that nobody else can give

Change: an upstream is left for its silence only when another can take over at that moment, within the share; an upstream's own 500 is passed on where no second send is left; a resume that fails tries on.

--- a/crates/valehold-core/src/fleet/share.rs
+++ b/crates/valehold-core/src/fleet/share.rs
@@ -50,14 +50,18 @@
         self.requests.note(now);
     }
 
+    /// Tells whether there is a second send left in the share.
+    pub fn can_again(&mut self, now: Millis) -> bool {
+        self.again.count(now) < self.allowed(now)
+    }
+
     /// Takes a second send out of the share, if there is one left.
     pub fn try_again(&mut self, now: Millis) -> bool {
-        let used = self.again.count(now);
-        if used + 1 > self.allowed(now) {
-            return false;
+        let can = self.can_again(now);
+        if can {
+            self.again.note(now);
         }
-        self.again.note(now);
-        true
+        can
     }
 
     #[allow(
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -8,10 +8,9 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
-use tokio::time::Instant;
 use valehold_core::{
     fleet::{
-        Repetition, Upstream,
+        Upstream,
         event::{EventOrder, EventPassage, EventSplitter},
     },
     id::UpstreamId,
@@ -25,8 +24,9 @@
 };
 use crate::view::Life;
 
-/// After which pause a resumable stream is taken up at another engine.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// After which pause a resumable stream is taken up at another engine, if one
+/// can.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// An upstream's stream, from which whole events are taken.
 pub(super) struct Relay {
@@ -68,11 +68,9 @@
         &mut self,
         app: &App,
         order: &mut EventOrder,
-        by: Instant,
     ) -> Result<Bytes, SendFailure> {
-        let taking = self.next(app, order);
-        let taken = tokio::time::timeout_at(by, taking).await;
-        let Ok(Ok(next)) = taken else { return Err(SendFailure::broken()) };
+        let next = self.next(app, order).await;
+        let next = next.map_err(|BrokenOff| SendFailure::broken())?;
         self.under_way.prompt_read();
         match next {
             Next::Events(bytes) => Ok(bytes),
@@ -156,16 +154,20 @@
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         loop {
             let relay = self.relay.as_mut()?;
-            let by = pause_until(&self.exchange);
             let app = self.exchange.app.clone();
-            let taking = relay.next(&app, &mut self.exchange.order);
-            match tokio::time::timeout_at(by, taking).await {
-                Ok(Ok(Next::Events(events))) => return Some(Ok(events)),
-                Ok(Ok(Next::End)) => {
+            let mut order = self.exchange.order;
+            let id = relay.upstream_id();
+            let taking = relay.next(&app, &mut order);
+            let taken =
+                self.exchange.patiently(&id, LONGEST_PAUSE, taking).await;
+            self.exchange.order = order;
+            match taken {
+                Some(Ok(Next::Events(events))) => return Some(Ok(events)),
+                Some(Ok(Next::End)) => {
                     self.relay = None;
                     return None;
                 }
-                Ok(Err(BrokenOff)) | Err(_) => {}
+                Some(Err(BrokenOff)) | None => {}
             }
             if let Err(broken) = self.resume().await {
                 self.relay = None;
@@ -180,24 +182,12 @@
         let id = relay.upstream_id();
         // The engine stops working on it when its connection goes.
         drop(relay);
-        self.exchange.app.judge(&id, |health, now| health.failed(now));
         let resumed = self.exchange.resume(&id).await;
         self.relay = Some(resumed.ok_or(BrokenOff)?);
         Ok(())
     }
 }
 
-/// Returns until when the next event has to come.
-fn pause_until(exchange: &Exchange) -> Instant {
-    let job = &exchange.job;
-    match job.route.repetition {
-        Repetition::Resumable => {
-            job.deadline.min(Instant::now() + LONGEST_PAUSE)
-        }
-        _ => job.deadline,
-    }
-}
-
 /// Passes an answer on.
 pub(super) fn pass(passable: Passable, exchange: Exchange) -> Response<Body> {
     let leaving = exchange.app.shared.view.load().life != Life::Serving;
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use valehold_core::{
     Verdict,
-    fleet::{Repetition, Variant, event::EventOrder},
+    fleet::{Repetition, Upstream, Variant, event::EventOrder},
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
@@ -20,7 +20,7 @@
     refusal::Refusal,
     route::Job,
     send::{BegunAnswer, SendFailure, is_promise, send},
-    state::{App, UnderWay},
+    state::App,
 };
 use crate::shared::Work;
 
@@ -215,59 +215,72 @@
         &mut self,
         chosen: &Chosen,
     ) -> Result<Passable, SendFailure> {
-        let (app, job) = (self.app.clone(), &self.job);
+        let app = self.app.clone();
         if self.sends == 0 {
-            app.first_send(&job.service_name);
+            app.first_send(&self.job.service_name);
         }
-        let upstream = &chosen.upstream;
-        let variant = job.request.variant.as_ref();
-        let under_way =
-            app.under_way(&upstream.id, variant, chosen.read_tokens);
-        let by = self.answer_by();
-        let after = self.order.last();
-        let begun = send(&app, job, upstream, after, by).await?;
-        let streams = job.route.streaming && begun.head.status.is_success();
-        if streams {
-            return self.begin_stream(chosen, begun, under_way, by).await;
+        let id = &chosen.upstream.id;
+        let mut order = self.order;
+        let patience = self.patience();
+        let beginning = begin(&app, &self.job, chosen, &mut order);
+        let begun = self.patiently(id, patience, beginning).await;
+        let begun = begun.ok_or_else(SendFailure::broken)??;
+        self.order = order;
+        match begun {
+            Passable::Whole { head, body } => self.judge_whole(id, head, body),
+            stream @ Passable::Stream { .. } => {
+                app.judge(id, |health, now| health.succeeded(now));
+                app.hints().note(id, &chosen.blocks, app.now());
+                Ok(stream)
+            }
         }
-        let (head, body) = take_whole(&app, upstream, begun, by).await?;
-        drop(under_way);
-        self.judge_whole(&upstream.id, head, body)
     }
 
-    /// Returns until when an answer has to begin. Where another upstream
-    /// could take the request, some time is left for it.
-    fn answer_by(&self) -> Instant {
-        let job = &self.job;
-        let objective = Duration::from_millis(job.route.begin_within_ms);
-        let patience = match job.route.repetition {
-            Repetition::Once => return job.deadline,
-            Repetition::Safe => objective,
+    /// Returns how long an answer may take to begin where another upstream
+    /// could give it.
+    fn patience(&self) -> Duration {
+        let objective = Duration::from_millis(self.job.route.begin_within_ms);
+        match self.job.route.repetition {
             Repetition::Resumable => objective * BEGIN_OBJECTIVES,
-        };
-        if self.sends + 1 >= job.route.attempts {
-            return job.deadline;
+            Repetition::Safe | Repetition::Once => objective,
         }
-        job.deadline.min(Instant::now() + patience)
     }
 
-    async fn begin_stream(
-        &mut self,
-        chosen: &Chosen,
-        begun: BegunAnswer,
-        under_way: UnderWay,
-        by: Instant,
-    ) -> Result<Passable, SendFailure> {
-        let head = begun.head.clone();
-        let upstream = chosen.upstream.clone();
-        let mut relay = Relay::new(upstream, begun, under_way);
-        let app = self.app.clone();
-        let first = relay.first_events(&app, &mut self.order, by).await?;
-        let id = &chosen.upstream.id;
-        app.judge(id, |health, now| health.succeeded(now));
-        app.hints().note(id, &chosen.blocks, app.now());
-        relay.hold(first);
-        Ok(Passable::Stream { head, relay: Box::new(relay) })
+    /// Waits for something of an upstream; `None` means to leave it.
+    ///
+    /// Its silence alone ends no answer: only where another one can go on is
+    /// it left, and at the deadline.
+    pub(super) async fn patiently<F: Future>(
+        &self,
+        upstream: &UpstreamId,
+        patience: Duration,
+        waiting: F,
+    ) -> Option<F::Output> {
+        let mut waiting = std::pin::pin!(waiting);
+        let patience = patience.max(LEAST_LEFT);
+        loop {
+            let by = self.job.deadline.min(Instant::now() + patience);
+            let came = tokio::time::timeout_at(by, waiting.as_mut()).await;
+            match came {
+                Ok(output) => return Some(output),
+                Err(_) if Instant::now() >= self.job.deadline => return None,
+                Err(_) if self.can_move_from(upstream) => return None,
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Tells whether another upstream could take the request over now.
+    fn can_move_from(&self, upstream: &UpstreamId) -> bool {
+        let job = &self.job;
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let mut tried = self.tried.clone();
+        tried.push(upstream.clone());
+        job.route.repetition.is_allowed()
+            && self.sends + 1 < job.route.attempts
+            && left > LEAST_LEFT
+            && self.app.can_send_again(&job.service_name)
+            && choose(&self.app, job, &tried).is_ok()
     }
 
     fn judge_whole(
@@ -282,9 +295,7 @@
             false => health.succeeded(now),
         });
         let repeatable = self.job.route.repetition.is_allowed();
-        let is_last = self.sends + 1 >= self.job.route.attempts;
-        let another = !is_last && self.may_follow(Verdict::MayHaveRun);
-        if failed && another {
+        if failed && self.can_move_from(upstream) {
             return Err(SendFailure {
                 reason: RetryReason::RepeatableCall,
                 ..SendFailure::broken()
@@ -338,23 +349,31 @@
             && self.app.may_send_again(&self.job.service_name)
     }
 
-    /// Sends a broken stream's request to another upstream, which goes on
+    /// Sends a broken stream's request to other upstreams, until one goes on
     /// after the last event that was passed on.
     pub(super) async fn resume(
         &mut self,
         broken: &UpstreamId,
     ) -> Option<Relay> {
+        self.app.judge(broken, |health, now| health.failed(now));
         self.tried.push(broken.clone());
         self.sends += 1;
-        if !self.take_second_send(Verdict::MayHaveRun) {
-            return None;
-        }
-        let chosen = choose(&self.app, &self.job, &self.tried).ok()?;
-        self.app.shared.metrics.retried(RetryReason::StreamResumed);
-        match self.attempt(&chosen).await {
-            Ok(Passable::Stream { relay, .. }) => Some(*relay),
-            _ => None,
+        for _ in 0..MOST_TRIES {
+            if !self.take_second_send(Verdict::MayHaveRun) {
+                return None;
+            }
+            let chosen = choose(&self.app, &self.job, &self.tried).ok()?;
+            self.app.shared.metrics.retried(RetryReason::StreamResumed);
+            match self.attempt(&chosen).await {
+                Ok(Passable::Stream { relay, .. }) => return Some(*relay),
+                Ok(Passable::Whole { .. }) => return None,
+                Err(failure) => {
+                    self.tried.push(chosen.upstream.id.clone());
+                    self.sends += u32::from(failure.arrived);
+                }
+            }
         }
+        None
     }
 
     /// Returns how long the caller can be told to wait.
@@ -388,20 +407,38 @@
     }
 }
 
-/// Takes a whole answer.
+/// Sends a request, and takes its whole answer or a stream's first events.
+async fn begin(
+    app: &App,
+    job: &Job,
+    chosen: &Chosen,
+    order: &mut EventOrder,
+) -> Result<Passable, SendFailure> {
+    let upstream = &chosen.upstream;
+    let variant = job.request.variant.as_ref();
+    let under_way = app.under_way(&upstream.id, variant, chosen.read_tokens);
+    let begun = send(app, job, upstream, order.last()).await?;
+    let head = begun.head.clone();
+    if !(job.route.streaming && head.status.is_success()) {
+        let body = take_whole(app, upstream, begun).await?;
+        return Ok(Passable::Whole { head, body });
+    }
+    let mut relay = Relay::new(upstream.clone(), begun, under_way);
+    let first = relay.first_events(app, order).await?;
+    relay.hold(first);
+    Ok(Passable::Stream { head, relay: Box::new(relay) })
+}
+
+/// Takes the body of a whole answer.
 async fn take_whole(
     app: &App,
-    upstream: &valehold_core::fleet::Upstream,
+    upstream: &Upstream,
     begun: BegunAnswer,
-    by: Instant,
-) -> Result<(http::response::Parts, Bytes), SendFailure> {
+) -> Result<Bytes, SendFailure> {
     let taking = Limited::new(begun.body, MOST_ANSWER_BYTES).collect();
-    let taken = tokio::time::timeout_at(by, taking).await;
-    let Ok(Ok(collected)) = taken else {
-        return Err(SendFailure::broken());
-    };
+    let taken = taking.await.map_err(|_| SendFailure::broken())?;
     if let Some(rest) = begun.rest {
         app.pool.rest(&upstream.id, begun.sender, rest.stated);
     }
-    Ok((begun.head, collected.to_bytes()))
+    Ok(taken.to_bytes())
 }
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -94,13 +94,12 @@
     pub(super) stated: Option<Duration>,
 }
 
-/// Sends a request, and waits for the head of the answer until `by`.
+/// Sends a request, and waits for the head of the answer.
 pub(super) async fn send(
     app: &App,
     job: &Job,
     upstream: &Upstream,
     after_event: Option<u64>,
-    by: Instant,
 ) -> Result<BegunAnswer, SendFailure> {
     let sending = Sending {
         upstream: upstream.id.clone(),
@@ -119,13 +118,9 @@
             SendFailure::not_sent()
         })?;
         let answering = connection.sender.try_send_request(request);
-        let answered = tokio::time::timeout_at(by, answering).await;
-        match answered {
-            Err(_) => return Err(SendFailure::broken()),
-            Ok(Ok(answer)) => {
-                return begun(app, job, answer, connection.sender);
-            }
-            Ok(Err(mut error)) => match error.take_message() {
+        match answering.await {
+            Ok(answer) => return begun(app, job, answer, connection.sender),
+            Err(mut error) => match error.take_message() {
                 // It was never written: the connection was closed already.
                 Some(unsent) if !connection.is_new => request = unsent,
                 Some(_) => return Err(SendFailure::not_sent()),
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -81,6 +81,12 @@
         self.with_share(service, |share| share.try_again(now))
     }
 
+    /// Tells whether a second send is left in this gateway's share.
+    pub(super) fn can_send_again(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        self.with_share(service, |share| share.can_again(now))
+    }
+
     fn with_share<T>(
         &self,
         service: &ServiceName,
