--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -22,14 +22,15 @@
 /// For how many times as long as they are told some callers keep an address.
 const KEEPS: u32 = 3;
 
-/// How much longer than that this gateway is there for them.
-const LINGER_SLACK: Duration = Duration::from_millis(100);
+/// How much sooner than that no more requests are taken, so that the last
+/// ones have the time that a stop allows.
+const LINGER_LESS: Duration = Duration::from_millis(100);
 
 /// The greatest part of the time for a stop in which requests are taken.
 const MOST_LINGER_PART: f64 = 0.6;
 
 /// The part of the time for a stop after which nothing is waited for.
-const STOP_PART: f64 = 0.97;
+const STOP_PART: f64 = 0.93;
 
 /// The doors of a gateway.
 pub struct Doors {
@@ -106,8 +107,9 @@
         let callers = &shared.settings.callers;
         let stop = Duration::from_secs_f64(callers.stop_s);
         let keep = Duration::from_secs(callers.address_keep_s);
-        let linger =
-            (keep * KEEPS + LINGER_SLACK).min(stop.mul_f64(MOST_LINGER_PART));
+        let linger = (keep * KEEPS)
+            .saturating_sub(LINGER_LESS)
+            .min(stop.mul_f64(MOST_LINGER_PART));
         tokio::time::sleep_until(began + linger).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
