Two circles of modules opened

Change: whether models fit (pack) is the configuration's own question and lives there; what an engine can do at once has a module of its own; the experiment's policy and world are modules that its driver and its baselines both use.

--- a/crates/valehold-core/src/config/check.rs
+++ b/crates/valehold-core/src/config/check.rs
@@ -15,14 +15,12 @@
 use super::{
     Config, Deployment, Served, Template,
     files::{DEPLOYMENT_FILE, Files},
+    pack::{EngineRoom, PackFault, pack},
     problem::{Problem, Problems},
     template::Source,
     workspace::{Placed, WorkspaceFile},
 };
-use crate::{
-    id::{ModelName, WorkspaceId},
-    placement::{EngineRoom, PackFault, pack},
-};
+use crate::id::{ModelName, WorkspaceId};
 
 /// The greatest priority a workspace may have.
 pub const MAX_PRIORITY: u8 = 9;
--- a/crates/valehold-core/src/config/deployment.rs
+++ b/crates/valehold-core/src/config/deployment.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    capacity::Capacity,
     id::{Artifact, DataCentreId, ModelName, ServiceName, UpstreamId},
-    placement::Capacity,
 };
 
 /// Everything that `deployment.toml` declares.
--- a/crates/valehold-core/src/config/mod.rs
+++ b/crates/valehold-core/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod check;
 mod deployment;
 mod files;
+pub mod pack;
 mod problem;
 mod revision;
 mod template;
--- a/crates/valehold-core/src/placement/pack.rs
+++ b/crates/valehold-core/src/config/pack.rs
@@ -5,10 +5,8 @@
     fmt,
 };
 
-use crate::{
-    config::Served,
-    id::{Artifact, DataCentreId, ModelName, UpstreamId},
-};
+use super::Served;
+use crate::id::{Artifact, DataCentreId, ModelName, UpstreamId};
 
 /// The memory of one engine that weights may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/valehold-core/src/lib.rs
+++ b/crates/valehold-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod capacity;
 pub mod chart;
 pub mod config;
 pub mod demand;
--- a/crates/valehold-core/src/placement/spread.rs
+++ b/crates/valehold-core/src/placement/spread.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Artifact, UpstreamId};
+use crate::{
+    capacity::Capacity,
+    id::{Artifact, UpstreamId},
+};
 
 /// The load above which an engine begins to answer late, of its capacity.
 const COMFORTABLE_LOAD: f64 = 0.8;
@@ -35,15 +38,6 @@
     }
 }
 
-/// What an engine can do at once.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Capacity {
-    /// Requests that it decodes at once.
-    pub slots: f64,
-    /// Prompt tokens that it reads in a second.
-    pub tokens_read: f64,
-}
-
 /// Demand spread over engines, and what of it is answered in time.
 #[derive(Debug, Clone, Default)]
 pub struct Spread {
--- a/crates/valehold-core/src/placement/tests.rs
+++ b/crates/valehold-core/src/placement/tests.rs
@@ -6,12 +6,15 @@
 use proptest::prelude::*;
 
 use super::{
-    Action, Capacity, EngineRoom, EngineView, ModelDemand, PackFault, Planner,
-    Reason, StepKind, forecast, pack,
+    Action, EngineView, ModelDemand, Planner, Reason, StepKind, forecast,
 };
 use crate::{
     Millis,
-    config::{Served, Weighing},
+    capacity::Capacity,
+    config::{
+        Served, Weighing,
+        pack::{EngineRoom, PackFault, pack},
+    },
     demand::{DemandSettings, Estimator},
     id::{Artifact, DataCentreId, ModelName, UpstreamId},
     testing::few_cases,
--- a/crates/valehold-core/src/placement/view.rs
+++ b/crates/valehold-core/src/placement/view.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Capacity;
 use crate::{
     account::EngineAccount,
+    capacity::Capacity,
     config::{Engine, Served},
     id::{Artifact, DataCentreId, ModelName, UpstreamId},
 };
--- a/crates/valehold-instance/examples/capacity.rs
+++ b/crates/valehold-instance/examples/capacity.rs
@@ -17,6 +17,7 @@
 use valehold_core::{
     Millis,
     account::{EngineAccount, Reported, ReportedArtifact, ResidencyReport},
+    capacity::Capacity,
     chart::library::{InstanceState, RequestState},
     config::{Config, Files, Served, Weighing, key_digest},
     directory::{Entry, order_for},
@@ -29,7 +30,7 @@
     limit::Grantor,
     membership::{Ejection, Membership, Silence},
     order::{Order, Stamp, Wanted},
-    placement::{Capacity, EngineView, ModelDemand, Planner},
+    placement::{EngineView, ModelDemand, Planner},
     prefix::PrefixHints,
     routing::{self, Candidate, RoutingSettings},
 };
--- a/crates/valehold-standin/src/experiment/baselines.rs
+++ b/crates/valehold-standin/src/experiment/baselines.rs
@@ -7,8 +7,9 @@
 };
 
 use super::{
-    driver::{INSTANCES, Policy, World},
+    policy::{INSTANCES, Policy},
     trace::Request,
+    world::World,
 };
 
 /// How often what the scenario brings is looked at.
--- a/crates/valehold-standin/src/experiment/driver.rs
+++ b/crates/valehold-standin/src/experiment/driver.rs
@@ -7,9 +7,9 @@
     Millis,
     account::EngineAccount,
     admission::{self, AdmissionSettings},
-    config::{Config, Served, Weighing, Workspace},
+    config::{Config, Served, Weighing},
     demand::{DemandSettings, Estimator},
-    id::{Artifact, ModelName, UpstreamId},
+    id::{Artifact, UpstreamId},
     limit::TokenBucket,
     order::Stamp,
     placement::{Action, EngineView, Planner, StepKind, forecast},
@@ -20,58 +20,15 @@
 use super::{
     baselines,
     fleet::{Fleet, TOKEN_MS, Timing, Work},
+    policy::{INSTANCES, Policy},
     table::Figures,
     trace::{Request, Scenario, User, requests},
+    world::World,
 };
 
-/// How many entry instances there are.
-pub(super) const INSTANCES: usize = 8;
-
 /// How often placement is planned and engines report their memory.
 const TICK_MS: u64 = 500;
 
-/// How decisions are made.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Policy {
-    /// The decisions of `valehold-core`.
-    Valehold {
-        /// The weighing; the deployment's own where there is none.
-        weighing: Option<Weighing>,
-        /// How engines are chosen.
-        routing: RoutingSettings,
-        /// How requests are let in.
-        admission: AdmissionSettings,
-    },
-    /// Round-robin over a placement that never changes.
-    RoundRobin,
-    /// Least requests in flight over a placement that never changes.
-    LeastInFlight,
-    /// Loading on demand in place of what was least recently used.
-    LoadOnDemand,
-    /// All accelerators as one, with every model there at once.
-    Pooled,
-}
-
-impl Policy {
-    /// Makes the policy of the product, as it ships.
-    pub fn valehold() -> Self {
-        let routing = RoutingSettings::default();
-        let admission = AdmissionSettings::default();
-        Self::Valehold { weighing: None, routing, admission }
-    }
-
-    /// Returns its name in tables.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Valehold { .. } => "valehold",
-            Self::RoundRobin => "round-robin, static",
-            Self::LeastInFlight => "least in flight, static",
-            Self::LoadOnDemand => "load on demand, LRU",
-            Self::Pooled => "pooled (bound)",
-        }
-    }
-}
-
 /// Runs a policy through a scenario.
 pub fn run(
     user: User,
@@ -105,84 +62,6 @@
     world.finish()
 }
 
-/// What a run happens in.
-pub(super) struct World<'a> {
-    pub(super) scenario: Scenario,
-    pub(super) length_ms: u64,
-    pub(super) config: &'a Config,
-    pub(super) fleet: Fleet,
-    pub(super) figures: Figures,
-    pub(super) random: StdRng,
-}
-
-impl World<'_> {
-    /// Returns which part of the run has passed, from 0 to 1.
-    #[allow(clippy::cast_precision_loss)]
-    pub(super) fn part(&self, now: Millis) -> f64 {
-        now.get() as f64 / self.length_ms as f64
-    }
-
-    /// Lets what the scenario brings apply_scenario.
-    pub(super) fn apply_scenario(&mut self, now: Millis) {
-        let part = self.part(now);
-        let lost = |index: usize, place: &str| match self.scenario {
-            Scenario::EngineLost => part >= 0.3 && index == 0,
-            Scenario::DataCentreLost => {
-                (0.3..0.7).contains(&part) && place == "dc-1"
-            }
-            _ => false,
-        };
-        for (index, engine) in self.fleet.engines.iter_mut().enumerate() {
-            let is_lost = lost(index, engine.data_centre.as_str());
-            if is_lost && engine.alive {
-                engine.lose();
-            } else if !is_lost {
-                engine.alive = true;
-            }
-            engine.forget(now);
-        }
-    }
-
-    pub(super) fn served(&self, model: &ModelName) -> &Served {
-        &self.config.served()[model]
-    }
-
-    /// Returns the workspace that a model's requests come from.
-    pub(super) fn workspace(&self, model: &ModelName) -> &Workspace {
-        let mut workspaces = self.config.workspaces().values();
-        let uses = |w: &&std::sync::Arc<Workspace>| w.models.contains(model);
-        workspaces.find(uses).expect("every served model is used")
-    }
-
-    /// Sends a request to an engine, and notes when it was answered.
-    pub(super) fn send(
-        &mut self,
-        index: usize,
-        request: &Request,
-        at: Millis,
-    ) -> Timing {
-        let target_ms = self.workspace(&request.model).first_token_ms;
-        let engine = &mut self.fleet.engines[index];
-        let timing = engine.take(request.work, at);
-        let first_ms = timing.first_token.since(request.at);
-        self.figures.answered(first_ms, first_ms <= target_ms);
-        timing
-    }
-
-    fn finish(mut self) -> Figures {
-        self.figures.moves = self.fleet.moves;
-        let over = self.fleet.engines.iter().any(|e| e.overcommitted);
-        self.figures.overcommitted = over;
-        #[allow(clippy::cast_precision_loss)]
-        let length_s = self.length_ms as f64 / 1_000.0;
-        self.figures.length_s = length_s;
-        let accelerators = self.config.deployment().engine.iter();
-        let accelerators: u32 = accelerators.map(|e| e.accelerators).sum();
-        self.figures.accelerators = accelerators;
-        self.figures
-    }
-}
-
 /// Places every model once, as the planner does on empty engines.
 fn fill(fleet: &mut Fleet, config: &Config) {
     let engines = config.deployment().engine.iter();
--- a/crates/valehold-standin/src/experiment/mod.rs
+++ b/crates/valehold-standin/src/experiment/mod.rs
@@ -14,12 +14,15 @@
 mod driver;
 mod example;
 mod fleet;
+mod policy;
 mod table;
 mod trace;
+mod world;
 
 pub use self::{
-    driver::{Policy, run},
+    driver::run,
     example::example,
+    policy::Policy,
     table::{Figures, Summary, table},
     trace::{Scenario, User},
 };
