An engine's pace is learnt

Change: first events against predictions, and the time that slots are kept, are learnt for each engine and forgotten by half each 4 s.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod health;
 pub mod listing;
+pub mod pace;
 pub mod replicas;
 pub mod share;
 #[cfg(test)]
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -4,5 +4,6 @@
 mod catalog;
 mod event;
 mod health;
+mod pace;
 mod replicas;
 mod share;
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -8,6 +8,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use tokio::time::Instant;
 use valehold_core::{
     fleet::{
         Upstream,
@@ -36,6 +37,7 @@
     rest: Option<Rest>,
     splitter: EventSplitter,
     under_way: UnderWay,
+    began: Instant,
     /// Events that were taken and not passed on yet.
     held: Option<Bytes>,
 }
@@ -59,6 +61,7 @@
             rest: begun.rest,
             splitter: EventSplitter::default(),
             under_way,
+            began: Instant::now(),
             held: None,
         }
     }
@@ -133,6 +136,8 @@
     }
 
     fn let_rest(&mut self, app: &App) {
+        let took_ms = self.began.elapsed().as_secs_f64() * 1_000.0;
+        app.observe(&self.upstream.id, |pace, now| pace.ended(took_ms, now));
         if let (Some(sender), Some(rest)) = (self.sender.take(), self.rest) {
             app.pool.rest(&self.upstream.id, sender, rest.stated);
         }
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -23,9 +23,6 @@
 /// with other requests' outputs.
 const READ_TOKENS_PER_SECOND: f64 = 30_000.0;
 
-/// For how long a request keeps a slot, in ms, where slots are scarce.
-const SERVICE_MS: f64 = 600.0;
-
 /// How old peers' word of their load is taken to be, in ms.
 const LOAD_AGE_MS: u64 = 200;
 
@@ -46,6 +43,8 @@
     pub(super) upstream: Arc<Upstream>,
     /// Prompt tokens that it has to read.
     pub(super) read_tokens: u64,
+    /// When its first event is predicted if it is no slower than usual, in ms.
+    pub(super) usual_ms: f64,
     /// The hashes of the prompt's leading parts.
     pub(super) blocks: Vec<u64>,
 }
@@ -112,7 +111,7 @@
         choose_plain(&able, rand::random()).ok_or(NoChoice::NoUpstream)?;
     let upstream = view.listing.upstreams.get(&chosen.upstream);
     let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
-    Ok(Chosen { upstream, read_tokens: 0, blocks: Vec::new() })
+    Ok(Chosen { upstream, read_tokens: 0, usual_ms: 0.0, blocks: Vec::new() })
 }
 
 fn choose_engine(
@@ -158,12 +157,16 @@
     }
     let upstream = view.listing.upstreams.get(&choice.engine);
     let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
-    let cached = choice
+    let prediction = choice
         .predictions
         .iter()
         .find(|prediction| prediction.engine == choice.engine)
-        .map_or(0, |prediction| prediction.cached_tokens);
+        .ok_or(NoChoice::NoUpstream)?;
+    let cached = prediction.cached_tokens;
+    let slowness = app.pace(&upstream.id).slowness(app.now());
+    let reading_ms = prediction.queue_ms + prediction.prompt_ms;
     Ok(Chosen {
+        usual_ms: prediction.total_ms - reading_ms + reading_ms / slowness,
         upstream,
         read_tokens: prompt.tokens.saturating_sub(cached),
         blocks: prompt.blocks,
@@ -197,6 +200,7 @@
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
     let far = upstream.data_centre != app.shared.settings.data_centre;
     let way_ms = if far { FAR_MS } else { 0.0 };
+    let pace = app.pace(&upstream.id);
     let cached_tokens = prompt.tokens_of(known);
     let read_tokens = prompt.tokens.saturating_sub(cached_tokens);
     #[allow(clippy::cast_precision_loss)]
@@ -207,10 +211,10 @@
         distance_ms: (way_ms + f64::from(load.running) * each_ms) / 2.0,
         suspect: app.is_suspect(&upstream.id),
         slots: spec.slots,
-        prefill_tokens_per_second: READ_TOKENS_PER_SECOND,
+        prefill_tokens_per_second: READ_TOKENS_PER_SECOND / pace.slowness(now),
         running: load.running,
         waiting_tokens: load.waiting_tokens,
-        service_ms: SERVICE_MS,
+        service_ms: pace.service_ms(now),
         report_age_ms: LOAD_AGE_MS,
         cached_tokens,
     }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -222,14 +222,19 @@
         let id = &chosen.upstream.id;
         let mut order = self.order;
         let patience = self.patience();
+        let sent = Instant::now();
         let beginning = begin(&app, &self.job, chosen, &mut order);
         let begun = self.patiently(id, patience, beginning).await;
         let begun = begun.ok_or_else(SendFailure::broken)??;
+        let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
         self.order = order;
         match begun {
             Passable::Whole { head, body } => self.judge_whole(id, head, body),
             stream @ Passable::Stream { .. } => {
                 app.judge(id, |health, now| health.succeeded(now));
+                app.observe(id, |pace, now| {
+                    pace.began(took_ms, chosen.usual_ms, now);
+                });
                 app.hints().note(id, &chosen.blocks, app.now());
                 Ok(stream)
             }
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -183,6 +183,6 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let view = app.shared.view.load_full();
-        app.pool.sweep(|id| view.listing.upstreams.contains_key(id));
+        app.sweep(|id| view.listing.upstreams.contains_key(id));
     }
 }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -8,7 +8,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Variant, health::Health, share::RetryShare},
+    fleet::{Variant, health::Health, pace::Pace, share::RetryShare},
     id::{ServiceName, UpstreamId},
     prefix::PrefixHints,
 };
@@ -31,6 +31,7 @@
     pub dialect: Arc<dyn Dialect>,
     pub(super) pool: Pool,
     health: RefCell<BTreeMap<UpstreamId, Health>>,
+    paces: RefCell<BTreeMap<UpstreamId, Pace>>,
     shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
     hints: RefCell<PrefixHints>,
 }
@@ -43,6 +44,7 @@
             dialect,
             pool: Pool::default(),
             health: RefCell::default(),
+            paces: RefCell::default(),
             shares: RefCell::default(),
             hints: RefCell::new(PrefixHints::new(KEEP_HINTS_MS, MOST_HINTS)),
         }
@@ -63,6 +65,29 @@
         change(health.entry(upstream.clone()).or_default(), now);
     }
 
+    /// Changes what is known of an engine's pace.
+    pub(super) fn observe(
+        &self,
+        upstream: &UpstreamId,
+        change: impl FnOnce(&mut Pace, Millis),
+    ) {
+        let now = self.now();
+        let mut paces = self.paces.borrow_mut();
+        change(paces.entry(upstream.clone()).or_default(), now);
+    }
+
+    /// Returns what is known of an engine's pace.
+    pub(super) fn pace(&self, upstream: &UpstreamId) -> Pace {
+        self.paces.borrow().get(upstream).copied().unwrap_or_default()
+    }
+
+    /// Forgets upstreams that are gone.
+    pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
+        self.health.borrow_mut().retain(|id, _| known(id));
+        self.paces.borrow_mut().retain(|id, _| known(id));
+        self.pool.sweep(known);
+    }
+
     pub(super) fn is_suspect(&self, upstream: &UpstreamId) -> bool {
         let now = self.now();
         let health = self.health.borrow();
