One piece where two stood

A datagram for many is written once, not once for each target. Behaviour is as it was, but that metrics which cannot be written are empty at the gateway too; no assertion changed.

--- a/crates/valehold-cli/src/command/try.rs
+++ b/crates/valehold-cli/src/command/try.rs
@@ -8,7 +8,7 @@
     id::{DataCentreId, ModelName},
 };
 use valehold_instance::{
-    Instance, Settings, peer::Authority, revisions::ApplyRequest,
+    FileSettings, Instance, Settings, peer::Authority, revisions::ApplyRequest,
 };
 use valehold_standin::{Pace, Site};
 
--- a/crates/valehold-core/src/prefix.rs
+++ b/crates/valehold-core/src/prefix.rs
@@ -42,12 +42,22 @@
 /// assert_eq!(block_hashes(&prompt).len(), 2);
 /// ```
 pub fn block_hashes(prompt: &[u8]) -> Vec<u64> {
-    let mut chained = 0;
-    prompt
-        .chunks_exact(BLOCK_BYTES)
-        .take(MAX_BLOCKS)
-        .map(|block| {
-            chained = xxh3_64_with_seed(block, chained);
+    chained_hashes(0, prompt.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS))
+}
+
+/// Returns each part's hash, which covers all parts before it.
+///
+/// Those of prompts that begin differently differ from the first on if their
+/// seeds do.
+pub fn chained_hashes(
+    seed: u64,
+    parts: impl IntoIterator<Item = impl AsRef<[u8]>>,
+) -> Vec<u64> {
+    let mut chained = seed;
+    parts
+        .into_iter()
+        .map(|part| {
+            chained = xxh3_64_with_seed(part.as_ref(), chained);
             chained
         })
         .collect()
--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -110,10 +110,10 @@
 impl WatchOrders {
     /// Sets whether this gateway watches for others.
     pub(super) fn set_observes(&self, observes: bool) {
-        if observes && !self.observes.replace(observes) {
+        let observed = self.observes.replace(observes);
+        if observes && !observed {
             self.turned.notify_one();
         }
-        self.observes.set(observes);
     }
 }
 
@@ -134,19 +134,16 @@
         let known = orders.known.get();
         let from = after.max((known > 0).then_some(known));
         let Some(from) = from else {
-            match store.read_listing().await {
-                Ok(listing) => {
-                    pauses.succeeded();
-                    after = Some(listing.version);
-                    let _ = inputs.send(Input::ListingRead(listing));
-                }
-                Err(error) => pauses.failed("reading upstreams", &error).await,
-            }
+            after = read_all(&*store, &inputs, &mut pauses).await;
             continue;
         };
         match store.await_listing(from, WatchSpan::Brief).await {
             Ok(ListingNews::HistoryGone) => {
-                read_all(&*store, &inputs, &mut after, &mut pauses).await;
+                let read = read_all(&*store, &inputs, &mut pauses).await;
+                if read.is_some() {
+                    after = read;
+                    tokio::time::sleep(BETWEEN_CHANGES).await;
+                }
             }
             Ok(news) => {
                 pauses.succeeded();
@@ -161,19 +158,22 @@
     }
 }
 
-/// Reads all upstreams, since the history of changes is gone.
+/// Reads all upstreams; returns from which version to watch.
 async fn read_all(
     store: &dyn FleetStore,
     inputs: &Inputs,
-    after: &mut Option<u64>,
     pauses: &mut Pauses,
-) {
+) -> Option<u64> {
     match store.read_listing().await {
         Ok(listing) => {
-            *after = Some(listing.version);
+            pauses.succeeded();
+            let version = listing.version;
             let _ = inputs.send(Input::ListingRead(listing));
-            tokio::time::sleep(BETWEEN_CHANGES).await;
+            Some(version)
+        }
+        Err(error) => {
+            pauses.failed("reading upstreams", &error).await;
+            None
         }
-        Err(error) => pauses.failed("reading upstreams", &error).await,
     }
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -433,7 +433,7 @@
             self.placer.wished(variant, now);
             self.place(now);
         } else if let Some(holder) = self.roster.holder(now) {
-            self.send(holder, &Message::Wish(variant));
+            self.send([holder], &Message::Wish(variant));
         }
     }
 
@@ -623,36 +623,35 @@
             self.send_all(&Message::Summary(Box::new(summary)), now);
         }
         let message = Message::Heartbeat(Box::new(heartbeat));
-        for target in self.roster.heartbeat_targets(now) {
-            self.send(target, &message);
-        }
+        let targets = self.roster.heartbeat_targets(now);
+        self.send(targets, &message);
     }
 
     fn send_heartbeat_to(&mut self, target: SocketAddr, now: Millis) {
         let heartbeat = self.heartbeat(now);
-        self.send(target, &Message::Heartbeat(Box::new(heartbeat)));
+        self.send([target], &Message::Heartbeat(Box::new(heartbeat)));
     }
 
     /// Sends a message to every gateway that is there.
     fn send_all(&self, message: &Message, now: Millis) {
-        let targets = self.roster.live_targets(now);
-        match message.encode() {
-            Ok(bytes) => {
-                for target in targets {
-                    let _ = self.socket.try_send_to(&bytes, target);
-                }
-            }
-            Err(error) => log::warn!("a datagram was not sent: {error}"),
-        }
+        self.send(self.roster.live_targets(now), message);
     }
 
-    fn send(&self, to: SocketAddr, message: &Message) {
-        match message.encode() {
-            // Datagrams may be lost, so one that finds no room may be too.
-            Ok(bytes) => {
-                let _ = self.socket.try_send_to(&bytes, to);
+    fn send(
+        &self,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        message: &Message,
+    ) {
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::warn!("a datagram was not sent: {error}");
+                return;
             }
-            Err(error) => log::warn!("a datagram was not sent: {error}"),
+        };
+        for target in targets {
+            // Datagrams may be lost, so one that finds no room may be too.
+            let _ = self.socket.try_send_to(&bytes, target);
         }
     }
 }
--- a/crates/valehold-gateway/src/lib.rs
+++ b/crates/valehold-gateway/src/lib.rs
@@ -29,4 +29,5 @@
     error::Error,
     gateway::{Gateway, Ports},
     settings::Settings,
+    settings_file::FileSettings,
 };
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, MeterProvider},
+    metrics::{Counter, Gauge, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -10,11 +10,66 @@
 
 use crate::error::Error;
 
-/// The instruments of one gateway.
+/// Where instruments are made, and read as text.
 #[derive(Debug, Clone)]
-pub struct Metrics {
+pub struct Instruments {
     registry: Registry,
     _provider: SdkMeterProvider,
+    /// Makes instruments of other kinds.
+    pub meter: Meter,
+}
+
+impl Instruments {
+    /// Sets the exporter up.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be.
+    pub fn try_new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::new("setting up metrics", e))?;
+        let provider =
+            SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("valehold");
+        Ok(Self { registry, _provider: provider, meter })
+    }
+
+    /// Makes a counter.
+    pub fn counter(
+        &self,
+        name: &'static str,
+        about: &'static str,
+    ) -> Counter<u64> {
+        self.meter.u64_counter(name).with_description(about).build()
+    }
+
+    /// Makes a gauge.
+    pub fn gauge(
+        &self,
+        name: &'static str,
+        about: &'static str,
+    ) -> Gauge<u64> {
+        self.meter.u64_gauge(name).with_description(about).build()
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut out).is_err() {
+            return String::new();
+        }
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
+
+/// The instruments of one gateway.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    instruments: Instruments,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     requests: Counter<u64>,
@@ -30,20 +85,9 @@
     ///
     /// If the exporter cannot be set up.
     pub fn try_new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::new("setting up metrics", e))?;
-        let provider =
-            SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("valehold");
-        let counter = |name, about| {
-            meter.u64_counter(name).with_description(about).build()
-        };
-        let gauge = |name, about| {
-            meter.u64_gauge(name).with_description(about).build()
-        };
+        let instruments = Instruments::try_new()?;
+        let counter = |name, about| instruments.counter(name, about);
+        let gauge = |name, about| instruments.gauge(name, about);
         Ok(Self {
             refusals: counter("valehold_refusals", "Requests refused."),
             retries: counter("valehold_retries", "Sends after another."),
@@ -51,8 +95,7 @@
             orders: counter("valehold_orders", "Orders given to engines."),
             catalog: gauge("valehold_revision", "Configuration in force."),
             holds_lease: gauge("valehold_holds_lease", "1 at the holder."),
-            registry,
-            _provider: provider,
+            instruments,
         })
     }
 
@@ -86,13 +129,8 @@
         self.holds_lease.record(u64::from(holds), &[]);
     }
 
-    /// Writes everything as text.
-    pub fn text(&self) -> String {
-        let mut text = Vec::new();
-        let families = self.registry.gather();
-        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
-            log::warn!("metrics cannot be written: {error}");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        self.instruments.render()
     }
 }
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! A gateway's settings, written in TOML.
 
-use std::{net::SocketAddr, path::Path};
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use valehold_core::{
@@ -10,7 +10,7 @@
     routing::RoutingSettings,
 };
 
-use crate::settings_file::{self, FileSettings, SettingsError};
+use crate::settings_file::FileSettings;
 
 /// Everything that a gateway is told when it starts.
 #[derive(Debug, Clone, Deserialize)]
@@ -162,27 +162,6 @@
     "warn".to_owned()
 }
 
-impl Settings {
-    /// Reads settings from their text; `name` is the file's, for errors.
-    ///
-    /// # Errors
-    ///
-    /// If the text is not TOML, lacks a setting, or has one that is unknown
-    /// or out of its range.
-    pub fn from_toml(name: &str, text: &str) -> Result<Self, SettingsError> {
-        settings_file::from_toml(name, text)
-    }
-
-    /// Reads settings from a file.
-    ///
-    /// # Errors
-    ///
-    /// If the file cannot be read, or as [`Settings::from_toml`].
-    pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
-        settings_file::from_file(path)
-    }
-}
-
 impl FileSettings for Settings {
     const HELP: &'static str =
         "docs/OPERATING.md lists every setting of a gateway";
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -11,10 +11,11 @@
         choice::{PlainCandidate, choose_plain},
     },
     id::UpstreamId,
+    prefix::chained_hashes,
     rendezvous,
     routing::{self, Candidate},
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{route::Job, state::App};
 use crate::view::View;
@@ -233,15 +234,11 @@
 impl Prompt {
     fn of(job: &Job, variant: &Variant) -> Self {
         let request = &job.request;
-        let mut chained = xxh3_64_with_seed(variant.to_string().as_bytes(), 0);
-        let mut blocks = Vec::with_capacity(request.parts.len());
-        for part in &request.parts {
-            chained = xxh3_64_with_seed(&part.digest.to_le_bytes(), chained);
-            blocks.push(chained);
-        }
+        let seed = xxh3_64(variant.to_string().as_bytes());
+        let digests = request.parts.iter().map(|p| p.digest.to_le_bytes());
         Self {
             tokens: request.prompt_tokens,
-            blocks,
+            blocks: chained_hashes(seed, digests),
             part_tokens: request.parts.iter().map(|p| p.tokens).collect(),
             shared: request.parts.len().saturating_sub(1),
         }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 use valehold_core::{
-    Verdict,
+    Millis, Verdict,
     fleet::{Repetition, Upstream, Variant, event::EventOrder},
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
@@ -334,9 +334,8 @@
             self.app.shared.metrics.retried(failure.reason);
             return Ok(());
         }
-        let come_back = failure
-            .come_back
-            .map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        let come_back =
+            failure.come_back.map(|after| Millis::from(after).get());
         Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
     }
 
@@ -386,7 +385,7 @@
         let now = Instant::now();
         let left = self.job.deadline.saturating_duration_since(now);
         let most = left.mul_f64(MOST_COME_BACK);
-        u64::try_from(most.as_millis()).unwrap_or(u64::MAX).max(1)
+        Millis::from(most).get().max(1)
     }
 
     fn give_up(
--- a/crates/valehold-gateway/src/traffic/face.rs
+++ b/crates/valehold-gateway/src/traffic/face.rs
@@ -38,7 +38,7 @@
     Ok(match door {
         Door::Requests => pass_on(app, request).await,
         Door::Own => own(&app, &request),
-        Door::Metrics => plain(StatusCode::OK, app.shared.metrics.text()),
+        Door::Metrics => plain(StatusCode::OK, app.shared.metrics.render()),
     })
 }
 
--- a/crates/valehold-instance/src/gateway.rs
+++ b/crates/valehold-instance/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use platform::{PlatformDialect, PlatformEngines, PlatformStore};
 use tokio::signal::unix::{SignalKind, signal};
-use valehold_gateway::{Gateway, Ports, Settings};
+use valehold_gateway::{FileSettings, Gateway, Ports, Settings};
 use valehold_instance::{Error, logging};
 
 /// The variable that names the settings file.
@@ -57,13 +57,8 @@
 }
 
 fn run(path: &std::path::Path, gateway: Gateway) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| Error::new("waiting for signals", e))?;
-    runtime
-        .block_on(follow_signals(path, &gateway))
-        .map_err(|e| Error::new("waiting for signals", e))?;
+    super::block_on(follow_signals(path, &gateway))?;
+    gateway.stop();
     gateway.join().map_err(|e| Error::new("running", e))
 }
 
@@ -72,18 +67,14 @@
     path: &std::path::Path,
     gateway: &Gateway,
 ) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut changed = signal(SignalKind::hangup())?;
+    let mut stop = std::pin::pin!(super::stop_signal());
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            stopped = stop.as_mut() => return stopped,
             _ = changed.recv() => read_again(path, gateway),
         }
     }
-    gateway.stop();
-    Ok(())
 }
 
 /// Reads the settings again. Only seeds may change while a gateway runs.
--- a/crates/valehold-instance/src/lib.rs
+++ b/crates/valehold-instance/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod snapshot;
 mod traffic;
 
-pub use valehold_gateway::{Clock, Error};
+pub use valehold_gateway::{Clock, Error, FileSettings};
 
 pub use crate::{
     instance::{Addresses, Instance},
--- a/crates/valehold-instance/src/main.rs
+++ b/crates/valehold-instance/src/main.rs
@@ -5,7 +5,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use tokio::signal::unix::{SignalKind, signal};
-use valehold_instance::{Error, Instance, Settings, logging};
+use valehold_instance::{Error, FileSettings, Instance, Settings, logging};
 
 const HELP: &str = "\
 Runs one entry instance of valehold.
@@ -90,17 +90,23 @@
     println!("callers = {}", addresses.callers);
     println!("operators = {}", addresses.operators);
     println!("peers = {}", addresses.peers);
+    block_on(stop_signal())?;
+    instance.stop();
+    instance.join()
+}
+
+/// Waits for signals on a runtime of this thread.
+fn block_on(
+    signals: impl Future<Output = std::io::Result<()>>,
+) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::new("waiting for signals", e))?;
-    runtime
-        .block_on(stop_signal())
-        .map_err(|e| Error::new("waiting for signals", e))?;
-    instance.stop();
-    instance.join()
+    runtime.block_on(signals).map_err(|e| Error::new("waiting for signals", e))
 }
 
+/// Waits until the process is told to stop.
 async fn stop_signal() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/valehold-instance/src/metrics.rs
+++ b/crates/valehold-instance/src/metrics.rs
@@ -2,14 +2,13 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use valehold_core::{
     chart::{Label, library::RequestState},
     reason::{RefusalReason, RetryReason},
 };
+use valehold_gateway::metrics::Instruments;
 
 use crate::Error;
 
@@ -22,8 +21,7 @@
 /// The instruments of one instance.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     requests: Counter<u64>,
@@ -47,20 +45,10 @@
     ///
     /// If the exporter cannot be set up.
     pub fn try_new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::new("setting up metrics", e))?;
-        let provider =
-            SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("valehold");
-        let counter = |name, about| {
-            meter.u64_counter(name).with_description(about).build()
-        };
-        let gauge = |name, about| {
-            meter.u64_gauge(name).with_description(about).build()
-        };
+        let instruments = Instruments::try_new()?;
+        let meter = &instruments.meter;
+        let counter = |name, about| instruments.counter(name, about);
+        let gauge = |name, about| instruments.gauge(name, about);
         let times = |name, about| {
             meter
                 .f64_histogram(name)
@@ -110,8 +98,7 @@
                 "Models and adapters that can be asked of an engine.",
             ),
             holds_cell: gauge("valehold_holds_cell", "1 at the holder."),
-            registry,
-            _provider: provider,
+            instruments,
         })
     }
 
@@ -185,11 +172,6 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
-        let mut out = Vec::new();
-        let families = self.registry.gather();
-        if TextEncoder::new().encode(&families, &mut out).is_err() {
-            return String::new();
-        }
-        String::from_utf8(out).unwrap_or_default()
+        self.instruments.render()
     }
 }
--- a/crates/valehold-instance/src/settings.rs
+++ b/crates/valehold-instance/src/settings.rs
@@ -1,6 +1,6 @@
 //! An instance's settings, written in TOML.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::Deserialize;
 use valehold_core::{
@@ -12,7 +12,7 @@
     routing::RoutingSettings,
 };
 
-use valehold_gateway::settings_file::{self, FileSettings, SettingsError};
+use valehold_gateway::settings_file::FileSettings;
 
 /// Everything that one instance is told when it starts.
 #[derive(Debug, Clone, Deserialize)]
@@ -196,29 +196,6 @@
     24 * 60 * 60
 }
 
-impl Settings {
-    /// Reads settings from their text.
-    ///
-    /// `name` is the file's name, for errors.
-    ///
-    /// # Errors
-    ///
-    /// If the text is not TOML, lacks a setting, or has one that is unknown
-    /// or out of its range.
-    pub fn from_toml(name: &str, text: &str) -> Result<Self, SettingsError> {
-        settings_file::from_toml(name, text)
-    }
-
-    /// Reads settings from a file.
-    ///
-    /// # Errors
-    ///
-    /// If the file cannot be read, or as [`Settings::from_toml`].
-    pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
-        settings_file::from_file(path)
-    }
-}
-
 impl FileSettings for Settings {
     const HELP: &'static str = "docs/OPERATING.md lists every setting";
 
