Work that was done twice is done once

Each request copied its service's declaration, with every model and adapter of it; a job now holds the configuration and asks Catalog::engine_spec, which stood unused. The holder made a map of uses and, for each engine, a set of all adapters in use at every tick, and looked every adapter up at every engine to fill places: it now asks the demand, and gathers what is there once. Hubs were ranked twice for each question about them. Derived state goes: Entry::kept. The tests of adapters hold the same cases, and one more: an adapter that came lately does not make way.

--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -9,6 +9,7 @@
 use crate::{
     id::{AdapterName, ModelName, UpstreamId},
     rendezvous,
+    time::Millis,
 };
 
 /// An engine that could hold an adapter.
@@ -18,8 +19,17 @@
     pub engine: &'a UpstreamId,
     /// What it holds.
     pub holding: &'a Holding,
-    /// Adapters that do not make way: they came lately, or are in use.
-    pub kept: &'a BTreeSet<Variant>,
+    /// Adapters that came only lately, and when; they do not make way yet.
+    pub young: &'a BTreeMap<Variant, Millis>,
+}
+
+/// How an adapter is asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct AdapterUse {
+    /// Requests a second.
+    pub requests: f64,
+    /// Whether requests for it run: an unload would wait for them.
+    pub runs: bool,
 }
 
 /// What to do so that an adapter gets to an engine.
@@ -38,14 +48,14 @@
 
 /// Decides the next step for an adapter that no engine holds.
 ///
-/// `use_of` tells how often a variant was asked for lately. The engines'
-/// order for an adapter is fixed by rendezvous, so that it comes back to
-/// where it was before; an engine with a free place goes first.
+/// `use_of` tells how a variant is asked for. The engines' order for an
+/// adapter is fixed by rendezvous, so that it comes back to where it was
+/// before; an engine with a free place goes first.
 pub fn place_adapter(
     variant: &Variant,
     hosts: &[AdapterHost<'_>],
     spec: &EngineSpec,
-    use_of: &BTreeMap<Variant, f64>,
+    use_of: impl Fn(&Variant) -> AdapterUse,
 ) -> Option<AdapterStep> {
     let key = variant.to_string();
     let mut able: Vec<&AdapterHost<'_>> = hosts
@@ -64,7 +74,7 @@
         return Some(AdapterStep::Load(host.engine.clone()));
     }
     let victims = able.iter().filter_map(|host| {
-        let (victim, used) = least_used(host, use_of)?;
+        let (victim, used) = least_used(host, &use_of)?;
         Some((host, victim, used))
     });
     let (host, victim, _) =
@@ -91,10 +101,10 @@
             .filter(|host| host.holding.models.contains_key(&model.name))
             .filter(|host| has_room(host.holding, &model.name, spec))
             .min_by_key(|host| host.holding.adapters())?;
-        let variants = model.adapters.iter().map(|adapter| {
+        let mut variants = model.adapters.iter().map(|adapter| {
             Variant::adapted(model.name.as_str(), adapter.as_str())
         });
-        let missing = variants.into_iter().find(|v| !is_held(v))?;
+        let missing = variants.find(|variant| !is_held(variant))?;
         Some((host.engine.clone(), missing))
     })
 }
@@ -107,8 +117,7 @@
 
 /// Returns the memory that an engine's models and adapters take, in MB.
 pub fn taken_mb(holding: &Holding, spec: &EngineSpec) -> u64 {
-    let one = |(name, adapters): (&ModelName, &_)| {
-        let adapters: &BTreeSet<AdapterName> = adapters;
+    let one = |(name, adapters): (&ModelName, &BTreeSet<AdapterName>)| {
         spec.model(name).map_or(0, |model| {
             model.size_mb + model.adapter_size_mb * adapters.len() as u64
         })
@@ -118,16 +127,12 @@
 
 fn least_used(
     host: &AdapterHost<'_>,
-    use_of: &BTreeMap<Variant, f64>,
+    use_of: impl Fn(&Variant) -> AdapterUse,
 ) -> Option<(Variant, f64)> {
-    let models = host.holding.models.iter();
-    let all = models.flat_map(|(model, adapters)| {
-        adapters.iter().map(|a| Variant::adapted(model.as_str(), a.as_str()))
-    });
-    let old = all.filter(|variant| !host.kept.contains(variant));
-    old.map(|variant| {
-        let used = use_of.get(&variant).copied().unwrap_or(0.0);
-        (variant, used)
-    })
-    .min_by(|(_, a), (_, b)| a.total_cmp(b))
+    let all = host.holding.adapted();
+    let old = all.filter(|variant| !host.young.contains_key(variant));
+    old.map(|variant| (use_of(&variant), variant))
+        .filter(|(used, _)| !used.runs)
+        .map(|(used, variant)| (variant, used.requests))
+        .min_by(|(_, a), (_, b)| a.total_cmp(b))
 }
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -65,6 +65,16 @@
         })
     }
 
+    /// Returns each of its adapters, with the model.
+    pub fn adapted(&self) -> impl Iterator<Item = Variant> + '_ {
+        self.models.iter().flat_map(|(model, adapters)| {
+            adapters.iter().map(|adapter| Variant {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            })
+        })
+    }
+
     /// Counts the adapters of all models.
     pub fn adapters(&self) -> usize {
         self.models.values().map(BTreeSet::len).sum()
--- a/crates/valehold-core/src/fleet/tests/adapters.rs
+++ b/crates/valehold-core/src/fleet/tests/adapters.rs
@@ -1,14 +1,17 @@
 //! Where an adapter goes, and what makes way.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use googletest::prelude::*;
 
 use super::replicas::{holding, spec};
 use crate::{
+    Millis,
     fleet::{
         Variant,
-        adapters::{AdapterHost, AdapterStep, next_to_bring, place_adapter},
+        adapters::{
+            AdapterHost, AdapterStep, AdapterUse, next_to_bring, place_adapter,
+        },
     },
     id::UpstreamId,
 };
@@ -17,18 +20,21 @@
     Variant::adapted("m0", adapter)
 }
 
+fn unused(_: &Variant) -> AdapterUse {
+    AdapterUse::default()
+}
+
 #[gtest]
 fn a_free_place_goes_first() {
     let (full, free) =
         (holding(&[("m0", &["a1", "a2"])]), holding(&[("m0", &["a3"])]));
     let (one, two) = (UpstreamId::new("e1"), UpstreamId::new("e2"));
-    let kept = BTreeSet::new();
+    let young = BTreeMap::new();
     let hosts = [
-        AdapterHost { engine: &one, holding: &full, kept: &kept },
-        AdapterHost { engine: &two, holding: &free, kept: &kept },
+        AdapterHost { engine: &one, holding: &full, young: &young },
+        AdapterHost { engine: &two, holding: &free, young: &young },
     ];
-    let step =
-        place_adapter(&adapted("a4"), &hosts, &spec(3), &BTreeMap::new());
+    let step = place_adapter(&adapted("a4"), &hosts, &spec(3), unused);
     expect_that!(step, some(eq(&AdapterStep::Load(two.clone()))));
 }
 
@@ -36,16 +42,28 @@
 fn what_is_in_use_does_not_make_way() {
     let full = holding(&[("m0", &["a1", "a2"])]);
     let one = UpstreamId::new("e1");
-    let kept = BTreeSet::from([adapted("a1")]);
-    let hosts = [AdapterHost { engine: &one, holding: &full, kept: &kept }];
-    let use_of = BTreeMap::from([(adapted("a2"), 9.0), (adapted("a1"), 0.1)]);
-    let step = place_adapter(&adapted("a4"), &hosts, &spec(3), &use_of);
+    let young = BTreeMap::new();
+    let hosts = [AdapterHost { engine: &one, holding: &full, young: &young }];
+    let use_of = |running: &'static [&str]| {
+        move |variant: &Variant| {
+            let name = variant.adapter.as_ref().unwrap().as_str();
+            let requests = if name == "a2" { 9.0 } else { 0.1 };
+            AdapterUse { requests, runs: running.contains(&name) }
+        }
+    };
+    let step =
+        place_adapter(&adapted("a4"), &hosts, &spec(3), use_of(&["a1"]));
     let expected =
         AdapterStep::MakeRoom { engine: one.clone(), victim: adapted("a2") };
     expect_that!(step, some(eq(&expected)));
-    let kept = BTreeSet::from([adapted("a1"), adapted("a2")]);
-    let hosts = [AdapterHost { engine: &one, holding: &full, kept: &kept }];
-    let step = place_adapter(&adapted("a4"), &hosts, &spec(3), &use_of);
+    let step =
+        place_adapter(&adapted("a4"), &hosts, &spec(3), use_of(&["a1", "a2"]));
+    expect_that!(step, none());
+    // One that came lately does not make way either.
+    let young = BTreeMap::from([(adapted("a2"), Millis::new(1))]);
+    let hosts = [AdapterHost { engine: &one, holding: &full, young: &young }];
+    let step =
+        place_adapter(&adapted("a4"), &hosts, &spec(3), use_of(&["a1"]));
     expect_that!(step, none());
 }
 
@@ -53,10 +71,9 @@
 fn an_adapter_needs_its_model() {
     let other = holding(&[("m1", &[])]);
     let one = UpstreamId::new("e1");
-    let kept = BTreeSet::new();
-    let hosts = [AdapterHost { engine: &one, holding: &other, kept: &kept }];
-    let step =
-        place_adapter(&adapted("a1"), &hosts, &spec(3), &BTreeMap::new());
+    let young = BTreeMap::new();
+    let hosts = [AdapterHost { engine: &one, holding: &other, young: &young }];
+    let step = place_adapter(&adapted("a1"), &hosts, &spec(3), unused);
     expect_that!(step, none());
 }
 
@@ -64,8 +81,8 @@
 fn free_places_are_filled_for_the_models_most_asked_for() {
     let both = holding(&[("m0", &[]), ("m1", &[])]);
     let one = UpstreamId::new("e1");
-    let kept = BTreeSet::new();
-    let hosts = [AdapterHost { engine: &one, holding: &both, kept: &kept }];
+    let young = BTreeMap::new();
+    let hosts = [AdapterHost { engine: &one, holding: &both, young: &young }];
     let found = next_to_bring(
         &hosts,
         &spec(3),
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -309,21 +309,21 @@
         let catalog = self.roster.with_newer_catalog(version, now);
         let known = self.rows.version;
         let listing = self.roster.with_newer_listing(known, now);
-        let waited = |since: &mut Option<Millis>, peer: Option<_>, wait| {
-            match peer {
-                None => *since = None,
-                Some(_) => {
-                    let since = *since.get_or_insert(now);
-                    return now.since(since) >= wait;
-                }
-            }
-            false
+        let waited = |since: &mut Option<Millis>, is_behind: bool, wait| {
+            *since = is_behind.then(|| since.unwrap_or(now));
+            since.is_some_and(|since| now.since(since) >= wait)
         };
         let behind = &mut self.behind;
-        let by_catalog =
-            waited(&mut behind.catalog, catalog, WAIT_FOR_CATALOG_MS);
-        let by_listing =
-            waited(&mut behind.listing, listing, WAIT_FOR_LISTING_MS);
+        let by_catalog = waited(
+            &mut behind.catalog,
+            catalog.is_some(),
+            WAIT_FOR_CATALOG_MS,
+        );
+        let by_listing = waited(
+            &mut behind.listing,
+            listing.is_some(),
+            WAIT_FOR_LISTING_MS,
+        );
         let peer =
             catalog.filter(|_| by_catalog).or(listing.filter(|_| by_listing));
         let Some(peer) = peer.filter(|_| !self.reading_state) else { return };
@@ -376,8 +376,7 @@
                 if let (true, Some(epoch)) = (took, epoch) {
                     self.placer.begin_epoch(epoch);
                 }
-                let holds = self.lease.borrow().held_epoch(now).is_some();
-                self.shared.metrics.holds_lease(holds);
+                self.shared.metrics.holds_lease(epoch.is_some());
             }
             Input::Reported { engine, report } => {
                 self.placer.reported(&engine, report, now);
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -19,7 +19,8 @@
     fleet::{
         Holding, Listing, Variant,
         adapters::{
-            AdapterHost, AdapterStep, next_to_bring, place_adapter, taken_mb,
+            AdapterHost, AdapterStep, AdapterUse, next_to_bring,
+            place_adapter, taken_mb,
         },
         catalog::EngineSpec,
         replicas::{self, EngineState, ModelNeed, ReplicaStep},
@@ -120,7 +121,6 @@
     stamp: Stamp,
     /// Adapters that it was told to load lately, and when.
     arrivals: BTreeMap<Variant, Millis>,
-    kept: BTreeSet<Variant>,
     /// What the list said last.
     listed: Holding,
 }
@@ -143,20 +143,6 @@
         self.stamp = *last;
         self.changed = Some(now);
     }
-
-    /// Notes which adapters do not make way for others: those that came
-    /// lately, and those in use, for which an unload would wait.
-    fn keep(
-        &mut self,
-        demand: &BTreeMap<Variant, VariantDemand>,
-        now: Millis,
-    ) {
-        self.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
-        let young = self.arrivals.keys().cloned();
-        let in_use = demand.iter().filter(|(_, one)| one.running > 0);
-        let in_use = in_use.map(|(variant, _)| variant.clone());
-        self.kept = young.chain(in_use).collect();
-    }
 }
 
 /// What the lease allows an order to carry.
@@ -250,7 +236,6 @@
                 changed: None,
                 stamp: Stamp::default(),
                 arrivals: BTreeMap::new(),
-                kept: BTreeSet::new(),
                 listed: upstream.holding.clone(),
             });
             entry.leaving = upstream.leaving;
@@ -307,16 +292,12 @@
         demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        let use_of: BTreeMap<Variant, f64> = demand
-            .iter()
-            .map(|(variant, one)| (variant.clone(), one.requests.into()))
-            .collect();
         for entry in self.entries.values_mut() {
-            entry.keep(demand, now);
+            entry.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
         }
         self.ask_where_due(service, now);
-        self.place_adapters(now, service, spec, &use_of);
-        self.bring_adapters(now, service, spec, &use_of);
+        self.place_adapters(now, service, spec, demand);
+        self.bring_adapters(now, service, spec, demand);
         if now.since(self.planned) >= PLAN_EVERY_MS {
             self.planned = now;
             self.place_models(now, service, spec, demand, loads);
@@ -402,7 +383,7 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        use_of: &BTreeMap<Variant, f64>,
+        demand: &BTreeMap<Variant, VariantDemand>,
     ) {
         self.wishes.retain(|_, at| now.since(*at) < KEEP_WISH_MS);
         let wishes: Vec<Variant> = self.wishes.keys().cloned().collect();
@@ -424,7 +405,9 @@
                 self.wishes.remove(&variant);
                 continue;
             }
-            let step = self.adapter_step(now, service, spec, &variant, use_of);
+            let hosts = self.hosts(now, service);
+            let use_of = |variant: &Variant| use_of(demand, variant);
+            let step = place_adapter(&variant, &hosts, spec, use_of);
             match step {
                 Some(AdapterStep::Load(engine)) => {
                     self.ordered_now.insert(variant.clone());
@@ -445,29 +428,38 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        use_of: &BTreeMap<Variant, f64>,
+        demand: &BTreeMap<Variant, VariantDemand>,
     ) {
+        if self.ordered_now.len() >= MOST_BROUGHT_AT_ONCE {
+            return;
+        }
+        let mut asked: BTreeMap<&ModelName, f64> = BTreeMap::new();
+        for (variant, one) in demand {
+            let requests = asked.entry(&variant.model).or_default();
+            *requests += f64::from(one.requests);
+        }
+        let mut there = self.adapters_there();
         while self.ordered_now.len() < MOST_BROUGHT_AT_ONCE {
-            let mut by_model: BTreeMap<&ModelName, f64> = BTreeMap::new();
-            for (variant, used) in use_of {
-                *by_model.entry(&variant.model).or_default() += used;
-            }
             let hosts = self.hosts(now, service);
-            let is_held = |variant: &Variant| {
-                self.ordered_now.contains(variant)
-                    || self.entries.values().any(|entry| {
-                        entry.is_sound() && entry.holding.has(variant)
-                    })
-            };
+            let is_held = |variant: &Variant| there.contains(variant);
             let found = next_to_bring(&hosts, spec, is_held, |model| {
-                by_model.get(model).copied().unwrap_or(0.0)
+                asked.get(model).copied().unwrap_or(0.0)
             });
             let Some((engine, variant)) = found else { return };
+            there.insert(variant.clone());
             self.ordered_now.insert(variant.clone());
             self.order(&engine, OrderWish::Load(variant));
         }
     }
 
+    /// Returns every adapter that a sound engine holds, or about which an
+    /// order is under way.
+    fn adapters_there(&self) -> BTreeSet<Variant> {
+        let sound = self.entries.values().filter(|entry| entry.is_sound());
+        let held = sound.flat_map(|entry| entry.holding.adapted());
+        held.chain(self.ordered_now.iter().cloned()).collect()
+    }
+
     fn hosts(
         &self,
         now: Millis,
@@ -479,23 +471,11 @@
             .map(|(id, entry)| AdapterHost {
                 engine: id,
                 holding: &entry.holding,
-                kept: &entry.kept,
+                young: &entry.arrivals,
             })
             .collect()
     }
 
-    fn adapter_step(
-        &self,
-        now: Millis,
-        service: &ServiceName,
-        spec: &EngineSpec,
-        variant: &Variant,
-        use_of: &BTreeMap<Variant, f64>,
-    ) -> Option<AdapterStep> {
-        let hosts = self.hosts(now, service);
-        place_adapter(variant, &hosts, spec, use_of)
-    }
-
     fn place_models(
         &mut self,
         now: Millis,
@@ -698,6 +678,16 @@
     }
 }
 
+fn use_of(
+    demand: &BTreeMap<Variant, VariantDemand>,
+    variant: &Variant,
+) -> AdapterUse {
+    demand.get(variant).map_or_else(AdapterUse::default, |one| AdapterUse {
+        requests: one.requests.into(),
+        runs: one.running > 0,
+    })
+}
+
 /// Logs what each model needs and has.
 fn log_needs(needs: &BTreeMap<ModelName, ModelNeed>, engines: &[EngineState]) {
     for (model, need) in needs {
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -159,11 +159,10 @@
     /// Returns where this beat's heartbeat goes.
     pub fn heartbeat_targets(&mut self, now: Millis) -> BTreeSet<SocketAddr> {
         self.beats += 1;
-        if !self.has_hubs(now) {
+        let mut targets = self.hubs(now);
+        if targets.is_empty() {
             return self.targets();
         }
-        let mut targets: BTreeSet<SocketAddr> =
-            self.hubs(now).into_iter().collect();
         targets.extend(self.holder(now));
         if self.beats.is_multiple_of(SEEDS_EVERY) {
             targets.extend(&self.seeds);
@@ -195,16 +194,20 @@
 
     /// Tells whether there are so many gateways that hubs sum up.
     pub fn has_hubs(&self, now: Millis) -> bool {
-        self.ranked(now).len() > MOST_WITHOUT_HUBS
+        !self.hubs(now).is_empty()
     }
 
     /// Tells whether this gateway sums up for the others.
     pub fn is_hub(&self, now: Millis) -> bool {
-        self.has_hubs(now) && self.hubs(now).contains(&self.own.heartbeats)
+        self.hubs(now).contains(&self.own.heartbeats)
     }
 
-    fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
+    /// Returns where hubs take heartbeats: nowhere, where gateways are few.
+    fn hubs(&self, now: Millis) -> BTreeSet<SocketAddr> {
         let ranked = self.ranked(now);
+        if ranked.len() <= MOST_WITHOUT_HUBS {
+            return BTreeSet::new();
+        }
         ranked.into_iter().rev().take(HUBS).map(|(_, at)| at).collect()
     }
 
@@ -245,30 +248,28 @@
 
     /// Tells whether this gateway watches the platform's list for others.
     ///
-    /// Those do that are heard directly, hear the store themselves, and are
-    /// the greatest by rank.
+    /// Those do that hear the store themselves and are the greatest by rank,
+    /// and whoever the store does not answer.
     pub fn observes(&self, own_store_fails: bool, now: Millis) -> bool {
         if own_store_fails {
             return true;
         }
-        let watching = self.hearing_store(now);
-        let greater = watching.iter().filter(|rank| **rank > self.own.rank);
-        greater.count() < OBSERVERS
+        let hearing = self.hearing_store(now);
+        let greater = hearing.filter(|rank| *rank > self.own.rank);
+        greater.collect::<BTreeSet<Rank>>().len() < OBSERVERS
     }
 
-    /// Returns the others that serve and hear the store.
-    fn hearing_store(&self, now: Millis) -> BTreeSet<Rank> {
+    /// Returns the others that serve and hear the store, some of them twice.
+    fn hearing_store(&self, now: Millis) -> impl Iterator<Item = Rank> {
         let direct = self.live(now).filter(|peer| {
             let heartbeat = &peer.heartbeat;
             heartbeat.life == Life::Serving && !heartbeat.store_fails
         });
         let summed =
             self.words(now).filter(|word| word.serves && word.hears_store);
-        let mut all: BTreeSet<Rank> =
-            direct.map(|peer| peer.heartbeat.rank).collect();
-        all.extend(summed.map(|word| word.rank));
-        all.remove(&self.own.rank);
-        all
+        let direct = direct.map(|peer| peer.heartbeat.rank);
+        let all = direct.chain(summed.map(|word| word.rank));
+        all.filter(|rank| *rank != self.own.rank)
     }
 
     /// Returns the gateways that callers may be sent to, but for this one.
@@ -305,11 +306,10 @@
         own: &BTreeMap<UpstreamId, Load>,
         now: Millis,
     ) -> BTreeMap<UpstreamId, Load> {
-        let direct = self.direct_loads(now);
-        let Some(summary) = self.newest_summary(now) else { return direct };
-        if self.is_hub(now) {
-            return direct;
-        }
+        let summary = self.newest_summary(now);
+        let Some(summary) = summary.filter(|_| !self.is_hub(now)) else {
+            return self.direct_loads(now);
+        };
         let others = summary.loads.iter().map(|one| {
             let own = own.get(&one.upstream).copied().unwrap_or_default();
             (one.upstream.clone(), one.load.minus(own))
@@ -381,7 +381,7 @@
 
     /// Tells whether some gateway that serves hears the store.
     pub fn hears_store(&self, now: Millis) -> bool {
-        !self.hearing_store(now).is_empty()
+        self.hearing_store(now).next().is_some()
     }
 
     /// Returns where a newer configuration can be read.
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use valehold_core::{
-    fleet::{Catalog, Route, Service, catalog::EngineSpec},
+    fleet::{Catalog, Route, catalog::EngineSpec},
     id::ServiceName,
     reason::RefusalReason,
 };
@@ -34,8 +34,8 @@
     pub(super) route: Route,
     /// The service that answers it.
     pub(super) service_name: ServiceName,
-    /// The service's declaration.
-    pub(super) service: Service,
+    /// The configuration that says so.
+    pub(super) catalog: Arc<Catalog>,
     /// By when it gets its final answer.
     pub(super) deadline: Instant,
 }
@@ -43,7 +43,7 @@
 impl Job {
     /// Returns what the service's engines can do, if it runs models.
     pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
-        self.service.engine.as_ref()
+        self.catalog.engine_spec(&self.service_name)
     }
 }
 
@@ -61,7 +61,7 @@
         let reason = RefusalReason::NotReady;
         return Err((id, Refusal::not_run(reason, NOT_READY_COME_BACK_MS)));
     };
-    let (route, service_name, service) = take_route(&catalog, &head)
+    let (route, service_name) = take_route(&catalog, &head)
         .map_err(|refusal| (id.clone(), refusal))?;
     let deadline_ms = said.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let held_ms = match route.longest_ms {
@@ -79,21 +79,23 @@
         request: said,
         route,
         service_name,
-        service,
+        catalog,
         deadline,
     })
 }
 
 fn take_route(
-    catalog: &Arc<Catalog>,
+    catalog: &Catalog,
     head: &Parts,
-) -> Result<(Route, ServiceName, Service), Refusal> {
+) -> Result<(Route, ServiceName), Refusal> {
     let unknown = || Refusal::not_run(RefusalReason::UnknownModel, 0);
     let host = host(head).ok_or_else(unknown)?;
     let route = catalog.find(host, head.uri.path()).ok_or_else(unknown)?;
     let name = route.service(rand::random()).ok_or_else(unknown)?;
-    let service = catalog.services.get(name).ok_or_else(unknown)?;
-    Ok((route.clone(), name.clone(), service.clone()))
+    if !catalog.services.contains_key(name) {
+        return Err(unknown());
+    }
+    Ok((route.clone(), name.clone()))
 }
 
 /// Returns the host that a request names, without its port.
