What nothing used is gone, and one type for an order that is given

PlainCandidate::slowness was always 1; the declaration's cache tokens, load times and connections were read and sent to peers and asked by nobody; an order had two types that differed by an address. The load of an upstream was added up in two places, and an upstream left in three. Behaviour is as it was; no assertion changed.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -83,8 +83,6 @@
     pub adapters: Vec<AdapterName>,
     /// The memory of one of its adapters, in MB.
     pub adapter_size_mb: u64,
-    /// How long a load from the weight store takes, in ms.
-    pub load_ms: u64,
 }
 
 /// What the engines of a service are able to do.
@@ -92,8 +90,6 @@
 pub struct EngineSpec {
     /// Requests that an engine decodes at once.
     pub slots: u32,
-    /// Tokens that its memory keeps for running and cached prompts.
-    pub cache_tokens: u64,
     /// Memory for weights and adapters, in MB.
     pub memory_mb: u64,
     /// Adapters that it can hold.
@@ -114,8 +110,6 @@
 /// A service, of plain processes or of model engines.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
-    /// Connections that one of its upstreams takes from all callers.
-    pub max_connections: u32,
     /// For model engines, what they are able to do.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/valehold-core/src/fleet/choice.rs
+++ b/crates/valehold-core/src/fleet/choice.rs
@@ -18,8 +18,6 @@
     pub running: u32,
     /// Whether it stands in this instance's data centre.
     pub near: bool,
-    /// How much slower than others it was, 1 being as fast.
-    pub slowness: f64,
 }
 
 /// Chooses a plain upstream, or `None` without candidates.
@@ -51,5 +49,5 @@
     let slots = f64::from(candidate.slots.max(1));
     let load = f64::from(candidate.running + 1) / slots;
     let far = if candidate.near { 0.0 } else { FAR };
-    load * candidate.slowness.max(0.1) + far
+    load + far
 }
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -25,11 +25,9 @@
             .map(|number| AdapterName::new(format!("a{number}")))
             .collect(),
         adapter_size_mb: 1,
-        load_ms: 4_000,
     };
     EngineSpec {
         slots: 64,
-        cache_tokens: 100_000,
         memory_mb: 220,
         adapter_places: 2,
         loads_per_second: 2.0,
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct GivenOrder {
     pub(super) engine: UpstreamId,
+    pub(super) address: SocketAddr,
     pub(super) wish: OrderWish,
     pub(super) expected_sequence: u64,
 }
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -563,7 +563,7 @@
         let authority = self.authority.clone();
         tokio::task::spawn_local(async move {
             let end = give(&*engines, &authority, &order).await;
-            let _ = inputs.send(Input::Ordered(order.given(), end));
+            let _ = inputs.send(Input::Ordered(order, end));
         });
     }
 
@@ -602,7 +602,7 @@
                 true => give(&*engines, &authority, &order).await,
                 false => OrderEnd::NotSent,
             };
-            let _ = inputs.send(Input::Ordered(order.given(), end));
+            let _ = inputs.send(Input::Ordered(order, end));
         });
     }
 
@@ -610,10 +610,10 @@
         &mut self,
         engine: &UpstreamId,
         wish: &OrderWish,
-    ) -> Option<PlannedOrder> {
+    ) -> Option<GivenOrder> {
         let entry = self.entries.get_mut(engine)?;
         entry.under_way = true;
-        Some(PlannedOrder {
+        Some(GivenOrder {
             engine: engine.clone(),
             address: entry.address,
             wish: wish.clone(),
@@ -743,37 +743,18 @@
     loads.get(id).map_or(0.0, |load| f64::from(load.running))
 }
 
-/// An order that is about to be given.
-#[derive(Debug, Clone)]
-struct PlannedOrder {
-    engine: UpstreamId,
-    address: SocketAddr,
-    wish: OrderWish,
-    expected_sequence: u64,
-}
-
-impl PlannedOrder {
-    fn given(self) -> GivenOrder {
-        GivenOrder {
-            engine: self.engine,
-            wish: self.wish,
-            expected_sequence: self.expected_sequence,
-        }
-    }
-}
-
 /// Gives an order, if the lease allows it at this moment.
 async fn give(
     engines: &dyn FleetEngines,
     authority: &Authority,
-    planned: &PlannedOrder,
+    given: &GivenOrder,
 ) -> OrderEnd {
     let Some(epoch) = (authority.epoch)() else { return OrderEnd::NotSent };
     let order = EngineOrder {
-        engine: planned.engine.clone(),
-        address: planned.address,
-        wish: planned.wish.clone(),
-        expected_sequence: planned.expected_sequence,
+        engine: given.engine.clone(),
+        address: given.address,
+        wish: given.wish.clone(),
+        expected_sequence: given.expected_sequence,
         holder: authority.holder.clone(),
         epoch,
     };
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{route::Job, state::App};
-use crate::view::View;
+use crate::view::{Load, View};
 
 /// How many prompt tokens an engine reads in a second, where it is not busy
 /// with other requests' outputs.
@@ -83,22 +83,16 @@
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
     let own = &app.shared.settings.data_centre;
-    let loads = app.shared.loads();
     let mut able: Vec<(bool, PlainCandidate)> = view
         .listing
         .of(&job.service_name)
         .filter(|upstream| !tried.contains(&upstream.id))
         .map(|upstream| {
-            let load =
-                |all: &std::collections::BTreeMap<_, crate::view::Load>| {
-                    all.get(&upstream.id).map_or(0, |load| load.running)
-                };
             let candidate = PlainCandidate {
                 upstream: upstream.id.clone(),
                 slots: upstream.slots,
-                running: load(&loads) + load(&view.peer_loads),
+                running: load_of(app, view, &upstream.id).running,
                 near: upstream.data_centre == *own,
-                slowness: 1.0,
             };
             (app.is_suspect(&upstream.id), candidate)
         })
@@ -185,6 +179,13 @@
     .map_err(NoChoice::WouldBeLate)
 }
 
+/// Returns what all gateways have under way at an upstream.
+fn load_of(app: &App, view: &View, upstream: &UpstreamId) -> Load {
+    let own = app.shared.loads().get(upstream).copied();
+    let others = view.peer_loads.get(upstream).copied();
+    own.unwrap_or_default().plus(others.unwrap_or_default())
+}
+
 fn candidate(
     app: &App,
     view: &View,
@@ -193,9 +194,7 @@
     prompt: &Prompt,
     is_home: bool,
 ) -> Candidate {
-    let own = app.shared.loads().get(&upstream.id).copied();
-    let others = view.peer_loads.get(&upstream.id).copied();
-    let load = own.unwrap_or_default().plus(others.unwrap_or_default());
+    let load = load_of(app, view, &upstream.id);
     let now = app.now();
     let hinted = app.hints().cached_blocks(&upstream.id, &prompt.blocks, now);
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -324,10 +324,7 @@
         if failure.verdict != Verdict::NotRun {
             self.app.judge(id, |health, now| health.failed(now));
         }
-        self.tried.push(id.clone());
-        if failure.arrived {
-            self.sends += 1;
-        }
+        self.leave(id, failure.arrived);
         self.verdict = self.verdict.worst(failure.verdict);
         let free = !failure.arrived && self.sends == 0;
         if free || self.take_second_send(failure.verdict) {
@@ -339,8 +336,14 @@
         Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
     }
 
+    /// Notes that an upstream is done with, and whether it was sent to.
+    fn leave(&mut self, upstream: &UpstreamId, arrived: bool) {
+        self.tried.push(upstream.clone());
+        self.sends += u32::from(arrived);
+    }
+
     /// Tells whether another send may follow, but for the budget.
-    pub(super) fn may_follow(&self, verdict: Verdict) -> bool {
+    fn may_follow(&self, verdict: Verdict) -> bool {
         let job = &self.job;
         let allowed =
             verdict == Verdict::NotRun || job.route.repetition.is_allowed();
@@ -360,8 +363,7 @@
         broken: &UpstreamId,
     ) -> Option<Relay> {
         self.app.judge(broken, |health, now| health.failed(now));
-        self.tried.push(broken.clone());
-        self.sends += 1;
+        self.leave(broken, true);
         for _ in 0..MOST_TRIES {
             if !self.take_second_send(Verdict::MayHaveRun) {
                 return None;
@@ -372,8 +374,7 @@
                 Ok(Passable::Stream { relay, .. }) => return Some(*relay),
                 Ok(Passable::Whole { .. }) => return None,
                 Err(failure) => {
-                    self.tried.push(chosen.upstream.id.clone());
-                    self.sends += u32::from(failure.arrived);
+                    self.leave(&chosen.upstream.id, failure.arrived);
                 }
             }
         }
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -1,6 +1,6 @@
 //! Callers' requests, on a thread of their own.
 //!
-//! A request goes straight through these modules: [`face`] takes it from the
+//! A request goes straight through these modules: `face` takes it from the
 //! connection and answers calls to the gateway itself, `route` finds what the
 //! configuration says of it, `choose` an upstream, `send` brings it there,
 //! and `answer` passes the whole answer back, event by event where it is a
@@ -9,7 +9,7 @@
 mod answer;
 mod choose;
 mod exchange;
-pub mod face;
+mod face;
 mod pool;
 mod refusal;
 mod route;
