Each service of engines is planned

Cause: the time of the last plan was one for all services, where it is each service's own; with two services of engines only the first by name was ever planned. Change: it stands beside the loads of the service that it belongs to.

--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -155,14 +155,15 @@
     pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
 }
 
-/// The loads that began lately.
+/// When one service was planned, and the loads that began lately.
 #[derive(Debug)]
-struct Loads {
+struct Pacing {
+    planned: Millis,
     long: Window,
     short: Window,
 }
 
-impl Loads {
+impl Pacing {
     fn note(&mut self, now: Millis) {
         self.long.note(now);
         self.short.note(now);
@@ -183,9 +184,8 @@
     wishes: BTreeMap<Variant, Millis>,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
-    loads: BTreeMap<ServiceName, Loads>,
+    pacing: BTreeMap<ServiceName, Pacing>,
     load_window_s: f64,
-    planned: Millis,
     /// The last stamp that was given.
     stamp: Stamp,
 }
@@ -204,9 +204,8 @@
             entries: BTreeMap::new(),
             wishes: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
-            loads: BTreeMap::new(),
+            pacing: BTreeMap::new(),
             load_window_s,
-            planned: Millis::default(),
             stamp: Stamp::default(),
         }
     }
@@ -298,8 +297,9 @@
         self.ask_where_due(service, now);
         self.place_adapters(now, service, spec, demand);
         self.bring_adapters(now, service, spec, demand);
-        if now.since(self.planned) >= PLAN_EVERY_MS {
-            self.planned = now;
+        let pacing = self.pacing_of(service);
+        if now.since(pacing.planned) >= PLAN_EVERY_MS {
+            pacing.planned = now;
             self.place_models(now, service, spec, demand, loads);
         }
     }
@@ -516,7 +516,7 @@
             match step {
                 ReplicaStep::Load { engine, model, from_store } => {
                     if from_store {
-                        self.loads_of(service).note(now);
+                        self.pacing_of(service).note(now);
                     }
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Load(variant);
@@ -541,16 +541,17 @@
     ) -> usize {
         let in_window = spec.loads_per_second * self.load_window_s;
         let allowed = |part: f64| ((in_window * part) as usize).max(1);
-        let loads = self.loads_of(service);
-        let left = allowed(1.0).saturating_sub(loads.long.count(now));
-        let burst = allowed(BURST_PART).saturating_sub(loads.short.count(now));
+        let began = self.pacing_of(service);
+        let left = allowed(1.0).saturating_sub(began.long.count(now));
+        let burst = allowed(BURST_PART).saturating_sub(began.short.count(now));
         left.min(burst)
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn loads_of(&mut self, service: &ServiceName) -> &mut Loads {
+    fn pacing_of(&mut self, service: &ServiceName) -> &mut Pacing {
         let span_ms = self.load_window_s * 1_000.0;
-        self.loads.entry(service.clone()).or_insert_with(|| Loads {
+        self.pacing.entry(service.clone()).or_insert_with(|| Pacing {
+            planned: Millis::default(),
             long: Window::new(span_ms as u64),
             short: Window::new((span_ms * BURST_PART) as u64),
         })
@@ -641,8 +642,8 @@
                 entry.failures = 0;
                 entry.conflicts = 0;
                 let void = std::mem::take(&mut entry.lost_loads);
-                if let Some(loads) = self.loads.get_mut(&entry.service) {
-                    loads.take_back(void);
+                if let Some(began) = self.pacing.get_mut(&entry.service) {
+                    began.take_back(void);
                 }
                 // An unload that is not done at once waits for requests.
                 entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
