Places go to the models that press hardest, lost ones press harder with time

Ruled out: a slow store of weights (two to seven loads a second were ordered of 8.5 allowed).

Change: adapters count as far as they are expected to be in use at once, and press as requests do; a lost model presses harder the longer it is gone; the model that is missed least makes way.

--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -1,10 +1,15 @@
 //! How many engines hold each model, and which.
 //!
-//! Every model stays on one engine at least. A model's demand is the part of
-//! one engine's time that its requests take; a model whose engines would be
-//! busier than a target gets another one. Models with more engines than
-//! their demand needs give way. An unload is never given for the last engine
-//! that holds a model.
+//! Every model stays on one engine at least. How hard a model presses on its
+//! engines is the part of their time that its requests take, or the part of
+//! their places for adapters that it needs at once, whichever is more. Places
+//! go to the models that press hardest; those with more engines than that
+//! give way, first where they are missed least. An unload is never given for
+//! the last engine that holds a model.
+//!
+//! A model that no engine holds any more presses harder the longer it is
+//! gone: engines that crash are often back with their copies before another
+//! one has loaded it, and a busy model's engine is not worth that at once.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -69,13 +74,35 @@
 /// move from one to the other.
 const WORTH_A_MOVE: f64 = 1.5;
 
+/// How hard adapters that take all places of a model's engines press, against
+/// requests that keep the engines wholly busy.
+const FULL_PLACES_PRESS: f64 = 0.5;
+
+/// How hard a model presses at the least that no engine holds.
+const LOST_PRESSES: f64 = 0.6;
+
+/// By how much harder it presses with each second.
+const LOST_PRESSES_EACH_S: f64 = 0.4;
+
+/// How many times as hard its requests press, as none of them can run.
+const LOST_REQUESTS_PRESS: f64 = 4.0;
+
+/// What a busy engine weighs when a model is to leave it: the unload waits
+/// for its requests, in the pressure that would be as bad.
+const BUSY_ENGINE_WEIGHS: f64 = 0.3;
+
+/// What it is worth to load a model from a copy, likewise.
+const COPY_IS_WORTH: f64 = 0.3;
+
 /// The demand for one model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ModelNeed {
     /// Engines that its requests keep wholly busy.
     pub busy: f64,
-    /// How many of its adapters are asked for.
-    pub adapters: usize,
+    /// How many of its adapters are expected to be in use at once.
+    pub adapters: f64,
+    /// For how long no engine has held it, in ms.
+    pub lost_ms: u64,
 }
 
 /// Decides the next steps, at most one for each engine.
@@ -111,19 +138,14 @@
 }
 
 impl Planner<'_> {
-    /// Shares the engines' places out: one for each model, then those that
-    /// adapters need, then always one for the model that is pressed hardest.
+    /// Shares the engines' places out: one for each model, then always one
+    /// for the model that presses hardest.
     fn want(&mut self) {
         let most = self.engines.iter().filter(|e| e.sound).count().max(1);
         let mut left =
             (most * self.places()).saturating_sub(self.spec.models.len());
         for model in &self.spec.models {
-            let need = self.need(&model.name);
-            let slots = self.spec.adapter_places.max(1);
-            let for_adapters = need.adapters.div_ceil(slots).clamp(1, most);
-            let extra = (for_adapters - 1).min(left);
-            left -= extra;
-            self.wanted.insert(model.name.clone(), 1 + extra);
+            self.wanted.insert(model.name.clone(), 1);
         }
         while left > 0 {
             let pressed = self
@@ -175,17 +197,35 @@
         self.demand.get(model).copied().unwrap_or_default()
     }
 
-    /// Returns how busy a model keeps each of so many engines.
+    /// Returns how hard a model presses on each of so many engines.
     #[allow(clippy::cast_precision_loss)]
     fn pressure(&self, model: &ModelName, engines: usize) -> f64 {
-        self.need(model).busy / engines.max(1) as f64
+        let need = self.need(model);
+        let engines = engines.max(1) as f64;
+        let places = engines * self.spec.adapter_places.max(1) as f64;
+        let by_adapters = need.adapters / places * FULL_PLACES_PRESS;
+        (need.busy / engines).max(by_adapters)
+    }
+
+    /// Returns how hard a model presses that no engine holds.
+    #[allow(clippy::cast_precision_loss)]
+    fn lost_pressure(&self, model: &ModelName) -> f64 {
+        let need = self.need(model);
+        let lost_s = need.lost_ms as f64 / 1_000.0;
+        LOST_PRESSES
+            + LOST_PRESSES_EACH_S * lost_s
+            + LOST_REQUESTS_PRESS * need.busy
     }
 
-    /// Gives each model that no sound engine holds an engine.
+    /// Gives each model that no sound engine holds an engine, those that are
+    /// missed most first.
     fn restore(&mut self) {
-        let lost: Vec<ModelName> = self.models_below(|_| 1);
-        for model in lost {
-            self.add_replica(&model, f64::INFINITY);
+        let lost = self.models_below(|_| 1);
+        let mut lost: Vec<(f64, ModelName)> =
+            lost.into_iter().map(|m| (self.lost_pressure(&m), m)).collect();
+        lost.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        for (pressure, model) in lost {
+            self.add_replica(&model, pressure);
         }
     }
 
@@ -270,38 +310,32 @@
         });
     }
 
-    /// Takes away the model that can best be spared, where that makes room.
+    /// Takes away the model that is missed least, where that makes room.
     fn make_room(&mut self, model: &ModelName, pressure: f64) {
         let size = self.size(model);
-        let mut best: Option<(usize, ModelName, (usize, bool))> = None;
+        let mut best: Option<(f64, usize, ModelName)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !self.may_order(engine) || engine.will_hold(model) {
                 continue;
             }
             let taken = taken_mb(&engine.holding, self.spec);
             for held in engine.holding.models.keys() {
-                let surplus = self.surplus(held);
                 let freed = self.held_mb(&engine.holding, held);
                 let left = self.resident(held).saturating_sub(1);
                 let then = self.pressure(held, left);
-                if surplus == 0
+                if self.surplus(held) == 0
                     || pressure < then * WORTH_A_MOVE
                     || taken - freed + size > self.spec.memory_mb
                 {
                     continue;
                 }
-                let known = engine.copies.contains(model);
-                let rank = (surplus, known);
-                let better = best.as_ref().is_none_or(|(at, _, r)| {
-                    rank > *r
-                        || (rank == *r && engine.load < self.engines[*at].load)
-                });
-                if better {
-                    best = Some((index, held.clone(), rank));
+                let cost = then + self.moving_cost(engine, model);
+                if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    best = Some((cost, index, held.clone()));
                 }
             }
         }
-        let Some((index, victim, _)) = best else { return };
+        let Some((_, index, victim)) = best else { return };
         let engine = &mut self.engines[index];
         engine.busy = true;
         engine.holding.models.remove(&victim);
@@ -309,6 +343,15 @@
         self.steps.push(ReplicaStep::Unload { engine, model: victim });
     }
 
+    /// Returns what speaks against bringing a model to an engine where
+    /// another one has to leave.
+    fn moving_cost(&self, engine: &EngineState, model: &ModelName) -> f64 {
+        let slots = f64::from(self.spec.slots.max(1));
+        let busy = engine.load / slots * BUSY_ENGINE_WEIGHS;
+        let copy = engine.copies.contains(model);
+        busy - if copy { COPY_IS_WORTH } else { 0.0 }
+    }
+
     /// Counts the engines that a model could lose: not its last one.
     fn surplus(&self, model: &ModelName) -> usize {
         let wanted = self.wanted.get(model).copied().unwrap_or(0);
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -64,7 +64,7 @@
 
 fn needs(busy: &[f64]) -> BTreeMap<ModelName, ModelNeed> {
     let one = |(number, busy): (usize, &f64)| {
-        let need = ModelNeed { busy: *busy, adapters: 0 };
+        let need = ModelNeed { busy: *busy, ..ModelNeed::default() };
         (ModelName::new(format!("m{number}")), need)
     };
     busy.iter().enumerate().map(one).collect()
@@ -193,7 +193,7 @@
     let mut engines: Vec<EngineState> = (0..4)
         .map(|number| engine(number, &BTreeSet::from([number % 2])))
         .collect();
-    let need = ModelNeed { busy: 0.01, adapters: 7 };
+    let need = ModelNeed { busy: 0.01, adapters: 7.0, lost_ms: 0 };
     let demand = BTreeMap::from([(ModelName::new("m0"), need)]);
     for _ in 0..20 {
         for step in plan(&spec, &demand, &engines, 2) {
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -68,8 +68,8 @@
 /// For how long an adapter does not make way for another, in ms.
 const YOUNG_MS: u64 = 2_500;
 
-/// Requests a second from which on an adapter counts as asked for.
-const ASKED_FOR: f32 = 0.03;
+/// For how long a request keeps its adapter in use, in s.
+const ADAPTER_USE_S: f64 = 2.0;
 
 /// How many orders about adapters are under way at once while places are
 /// filled.
@@ -182,6 +182,8 @@
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
     wishes: BTreeMap<Variant, Millis>,
+    /// Models that no sound engine holds, and since when.
+    lost: BTreeMap<ModelName, Millis>,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
     pacing: BTreeMap<ServiceName, Pacing>,
@@ -203,6 +205,7 @@
             authority,
             entries: BTreeMap::new(),
             wishes: BTreeMap::new(),
+            lost: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
             pacing: BTreeMap::new(),
             load_window_s,
@@ -300,10 +303,33 @@
         let pacing = self.pacing_of(service);
         if now.since(pacing.planned) >= PLAN_EVERY_MS {
             pacing.planned = now;
+            self.note_lost(now, service, spec);
             self.place_models(now, service, spec, demand, loads);
         }
     }
 
+    /// Notes which models of a service no sound engine holds.
+    fn note_lost(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+    ) {
+        let of_service =
+            self.entries.values().filter(|e| e.service == *service);
+        let held: BTreeSet<&ModelName> = of_service
+            .filter(|entry| entry.is_sound())
+            .flat_map(|entry| entry.holding.models.keys())
+            .collect();
+        for model in &spec.models {
+            if held.contains(&model.name) {
+                self.lost.remove(&model.name);
+            } else {
+                self.lost.entry(model.name.clone()).or_insert(now);
+            }
+        }
+    }
+
     /// Asks engines of which a report is needed.
     fn ask_where_due(&mut self, service: &ServiceName, now: Millis) {
         let due: Vec<UpstreamId> = self
@@ -488,11 +514,14 @@
         for (variant, one) in demand {
             let need = by_model.entry(variant.model.clone()).or_default();
             need.busy += f64::from(one.busy);
-            let asked_for = one.requests > ASKED_FOR;
-            if variant.adapter.is_some() && asked_for {
-                need.adapters += 1;
+            if variant.adapter.is_some() {
+                need.adapters += expected_in_use(one);
             }
         }
+        for (model, since) in &self.lost {
+            let need = by_model.entry(model.clone()).or_default();
+            need.lost_ms = now.since(*since);
+        }
         let states: Vec<EngineState> = self
             .entries
             .iter()
@@ -679,6 +708,14 @@
     }
 }
 
+/// Returns the chance that an adapter is in use at a moment.
+fn expected_in_use(demand: &VariantDemand) -> f64 {
+    match demand.running {
+        0 => 1.0 - (-f64::from(demand.requests) * ADAPTER_USE_S).exp(),
+        _ => 1.0,
+    }
+}
+
 fn use_of(
     demand: &BTreeMap<Variant, VariantDemand>,
     variant: &Variant,
@@ -694,8 +731,8 @@
     for (model, need) in needs {
         let holds = |e: &&EngineState| e.holding.models.contains_key(model);
         let held = engines.iter().filter(holds).count();
-        let ModelNeed { busy, adapters } = need;
-        log::debug!("{model}: busy {busy:.2}, {adapters} adapters, {held}");
+        let ModelNeed { busy, adapters, .. } = need;
+        log::debug!("{model}: busy {busy:.2}, {adapters:.1} adapters, {held}");
     }
 }
 
