Engines that give a model up get no more requests for it

Cause: an unload of a model waits for its running requests, for up to five seconds.

Change: the holder keeps what an engine gives up out of what it tells, and tells it again while it lasts; a gateway passes over an engine that turned a variant away lately while another one is left; engines that carry an order about a model out get none about adapters; a request whose only engine failed has the holder look after it; demand and loads are added up each 200 ms, not at each input.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod share;
 #[cfg(test)]
 mod tests;
+pub mod turned_away;
 pub mod window;
 
 pub use self::{
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -7,3 +7,4 @@
 mod pace;
 mod replicas;
 mod share;
+mod turned_away;
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/turned_away.rs
@@ -0,0 +1,56 @@
+//! Engines that turned a variant away are passed over for a while.
+
+use googletest::prelude::*;
+
+use crate::{
+    fleet::{
+        Variant,
+        turned_away::{TurnedAway, TurnedAwayMemory},
+    },
+    id::UpstreamId,
+    time::Millis,
+};
+
+fn at(ms: u64) -> Millis {
+    Millis::new(ms)
+}
+
+#[gtest]
+fn a_refusal_of_the_model_concerns_its_adapters() {
+    let engine = UpstreamId::new("e1");
+    let (plain, adapted) =
+        (Variant::plain("m1"), Variant::adapted("m1", "a1"));
+    let mut memory = TurnedAwayMemory::default();
+    memory.note(&engine, &plain, TurnedAway::Busy, at(1_000));
+    expect_true!(memory.is_noted(&engine, &plain, at(1_399)));
+    expect_true!(memory.is_noted(&engine, &adapted, at(1_399)));
+    expect_false!(memory.is_noted(&engine, &plain, at(1_400)));
+    expect_false!(memory.is_noted(&engine, &Variant::plain("m2"), at(1_001)));
+    let other = UpstreamId::new("e2");
+    expect_false!(memory.is_noted(&other, &plain, at(1_001)));
+}
+
+#[gtest]
+fn a_refusal_of_an_adapter_concerns_it_alone() {
+    let engine = UpstreamId::new("e1");
+    let (plain, adapted) =
+        (Variant::plain("m1"), Variant::adapted("m1", "a1"));
+    let mut memory = TurnedAwayMemory::default();
+    memory.note(&engine, &adapted, TurnedAway::NotHeld, at(1_000));
+    expect_true!(memory.is_noted(&engine, &adapted, at(2_499)));
+    expect_false!(memory.is_noted(&engine, &plain, at(1_001)));
+    memory.taken(&engine, &adapted);
+    expect_false!(memory.is_noted(&engine, &adapted, at(1_001)));
+}
+
+#[gtest]
+fn engines_that_are_gone_are_forgotten() {
+    let engine = UpstreamId::new("e1");
+    let variant = Variant::plain("m1");
+    let mut memory = TurnedAwayMemory::default();
+    memory.note(&engine, &variant, TurnedAway::NotHeld, at(1_000));
+    memory.sweep(|_| true, at(1_001));
+    expect_true!(memory.is_noted(&engine, &variant, at(1_002)));
+    memory.sweep(|_| false, at(1_003));
+    expect_false!(memory.is_noted(&engine, &variant, at(1_004)));
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -41,7 +41,7 @@
         Heartbeat, Message, Roster,
         message::{
             EngineHolding, LeaseRumour, LeaseWord, MAX_DATAGRAM, Rank,
-            UpstreamLoad,
+            UpstreamLoad, VariantDemand,
         },
         roster::Own,
         state::{self, StateClient},
@@ -67,6 +67,9 @@
 /// How many times rarer heartbeats are where hubs sum them up.
 const BEATS_WITH_HUBS: u64 = 2;
 
+/// For how long a sum of all gateways' demand and loads is used, in ms.
+const SUM_KEEPS_MS: u64 = 200;
+
 /// The last place that a contender for the lease waits for.
 const LAST_PLACE: usize = 6;
 
@@ -108,6 +111,20 @@
     at: Millis,
 }
 
+/// What all gateways together are asked for and have under way.
+#[derive(Debug, Default)]
+struct Sums {
+    demand: BTreeMap<Variant, VariantDemand>,
+    loads: BTreeMap<UpstreamId, Load>,
+    made: Option<Millis>,
+}
+
+impl Sums {
+    fn is_old(&self, now: Millis) -> bool {
+        self.made.is_none_or(|made| now.since(made) >= SUM_KEEPS_MS)
+    }
+}
+
 /// Control of one gateway.
 pub struct Control {
     shared: Arc<Shared>,
@@ -117,6 +134,7 @@
     lease: Rc<RefCell<LeaseDuty>>,
     placer: Placer,
     demand: Demand,
+    sums: Sums,
     life: Life,
     catalog: Option<Arc<Catalog>>,
     /// The list as the platform gives it.
@@ -193,6 +211,7 @@
             lease,
             placer,
             demand: Demand::default(),
+            sums: Sums::default(),
             life: Life::Starting,
             catalog: None,
             rows: Listing::default(),
@@ -266,10 +285,24 @@
             let work = std::mem::take(&mut *self.shared.work());
             self.demand.take(work, now);
             self.send_heartbeats(now);
+            self.tell_unloading(now);
             self.publish(now);
         }
     }
 
+    /// Tells all peers again which engines give a model up, where not all
+    /// hear this gateway's heartbeats.
+    fn tell_unloading(&mut self, now: Millis) {
+        let holds = self.lease.borrow().held_epoch(now).is_some();
+        if !holds || !self.roster.has_hubs(now) {
+            return;
+        }
+        let unloading = self.placer.unloading();
+        if !unloading.is_empty() {
+            self.send_all(&Message::Holdings(unloading), now);
+        }
+    }
+
     /// Returns how often heartbeats are sent.
     fn beat_ms(&self, now: Millis) -> u64 {
         let every_ms = self.shared.settings.peers.every_ms;
@@ -285,21 +318,30 @@
         let Some(catalog) = self.catalog.clone().filter(|_| may_order) else {
             return;
         };
-        let mut all = BTreeMap::new();
+        if self.sums.is_old(now) {
+            self.sums = self.sum_up(now);
+        }
+        let Sums { demand, loads, .. } = &self.sums;
+        for (name, service) in &catalog.services {
+            let Some(spec) = &service.engine else { continue };
+            self.placer.tick(now, name, spec, demand, loads);
+        }
+    }
+
+    /// Adds up what all gateways are asked for and have under way.
+    fn sum_up(&self, now: Millis) -> Sums {
+        let mut demand = BTreeMap::new();
         for one in self.demand.list(&self.shared.running()) {
-            all.insert(one.variant.clone(), one);
+            demand.insert(one.variant.clone(), one);
         }
-        self.roster.add_demand(&mut all, now);
+        self.roster.add_demand(&mut demand, now);
         let own = self.shared.loads().clone();
         let mut loads = self.roster.loads(&own, now);
         for (id, load) in &own {
             let sum = loads.entry(id.clone()).or_default();
             *sum = sum.plus(*load);
         }
-        for (name, service) in &catalog.services {
-            let Some(spec) = &service.engine else { continue };
-            self.placer.tick(now, name, spec, &all, &loads);
-        }
+        Sums { demand, loads, made: Some(now) }
     }
 
     /// Reads a peer's state if it has had something newer for a while, and
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -97,6 +97,9 @@
     leaving: bool,
     holding: Holding,
     loading: Option<ModelName>,
+    /// A model that it was told to give up; it takes no new requests for it,
+    /// and holds it until those that run are over.
+    unloading: Option<ModelName>,
     /// Whether an order about a model is being carried out.
     busy: bool,
     /// Whether a report has to come before the next order.
@@ -137,6 +140,27 @@
             && now >= self.left_alone_until
     }
 
+    /// Tells whether it takes requests for a variant.
+    fn serves(&self, variant: &Variant) -> bool {
+        self.holding.has(variant)
+            && self.unloading.as_ref() != Some(&variant.model)
+    }
+
+    /// Returns the models that it takes requests for.
+    fn usable_models(&self) -> impl Iterator<Item = &ModelName> {
+        let models = self.holding.models.keys();
+        models.filter(|model| self.unloading.as_ref() != Some(model))
+    }
+
+    /// Returns what it takes requests for.
+    fn usable(&self) -> Holding {
+        let mut usable = self.holding.clone();
+        if let Some(model) = &self.unloading {
+            usable.models.remove(model);
+        }
+        usable
+    }
+
     /// Notes that peers are to be told what it holds now.
     fn change(&mut self, now: Millis, last: &mut Stamp) {
         last.sequence += 1;
@@ -225,6 +249,7 @@
                 leaving: upstream.leaving,
                 holding: upstream.holding.clone(),
                 loading: None,
+                unloading: None,
                 busy: false,
                 uncertain: true,
                 under_way: false,
@@ -253,8 +278,10 @@
     pub(super) fn wished(&mut self, variant: Variant, now: Millis) {
         // Who wishes for what is there has not been told.
         for entry in self.entries.values_mut() {
-            if entry.holding.has(&variant) && !entry.uncertain {
+            if entry.serves(&variant) && !entry.uncertain {
                 entry.changed = Some(now);
+                // It may be gone, too: whoever wishes did not reach it.
+                entry.uncertain = now.since(entry.asked) >= ASK_EVERY_MS;
             }
         }
         self.wishes.insert(variant, now);
@@ -272,14 +299,30 @@
     /// Returns what engines hold since the last orders.
     pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
         let is_news = |entry: &Entry| {
-            entry.changed.is_some_and(|at| now.since(at) < TELL_MS)
+            let changed = entry.changed;
+            changed.is_some_and(|at| now.since(at) < TELL_MS)
+                || entry.unloading.is_some()
         };
         self.entries
             .iter()
             .filter(|(_, entry)| is_news(entry))
             .map(|(id, entry)| EngineHolding {
                 engine: id.clone(),
-                holding: entry.holding.clone(),
+                holding: entry.usable(),
+                stamp: entry.stamp,
+            })
+            .collect()
+    }
+
+    /// Returns what engines take requests for that give a model up: their
+    /// own word in the list says otherwise until they have.
+    pub(super) fn unloading(&self) -> Vec<EngineHolding> {
+        let unloading =
+            self.entries.iter().filter(|(_, e)| e.unloading.is_some());
+        unloading
+            .map(|(id, entry)| EngineHolding {
+                engine: id.clone(),
+                holding: entry.usable(),
                 stamp: entry.stamp,
             })
             .collect()
@@ -319,7 +362,7 @@
             self.entries.values().filter(|e| e.service == *service);
         let held: BTreeSet<&ModelName> = of_service
             .filter(|entry| entry.is_sound())
-            .flat_map(|entry| entry.holding.models.keys())
+            .flat_map(Entry::usable_models)
             .collect();
         for model in &spec.models {
             if held.contains(&model.name) {
@@ -390,15 +433,17 @@
         entry.old_reports = 0;
         entry.uncertain = false;
         entry.busy = report.busy;
+        let told = entry.usable();
         if !report.busy {
             entry.loading = None;
+            entry.unloading = None;
         }
         if report.holding.sequence != entry.holding.sequence {
             // One of the lost ones was taken, or another holder's.
             entry.lost_loads = 0;
         }
-        if report.holding != entry.holding {
-            entry.holding = report.holding;
+        entry.holding = report.holding;
+        if entry.usable() != told {
             entry.change(now, &mut self.stamp);
         }
         entry.copies = report.copies;
@@ -425,7 +470,7 @@
             let held = self.entries.values().any(|entry| {
                 entry.service == *service
                     && entry.is_sound()
-                    && entry.holding.has(&variant)
+                    && entry.serves(&variant)
             });
             if held {
                 self.wishes.remove(&variant);
@@ -482,10 +527,14 @@
     /// order is under way.
     fn adapters_there(&self) -> BTreeSet<Variant> {
         let sound = self.entries.values().filter(|entry| entry.is_sound());
-        let held = sound.flat_map(|entry| entry.holding.adapted());
+        let held = sound.flat_map(|entry| {
+            entry.holding.adapted().filter(|variant| entry.serves(variant))
+        });
         held.chain(self.ordered_now.iter().cloned()).collect()
     }
 
+    /// Returns the engines that take an order about an adapter now: one that
+    /// carries an order about a model out does not.
     fn hosts(
         &self,
         now: Millis,
@@ -494,6 +543,7 @@
         self.entries
             .iter()
             .filter(|(_, e)| e.service == *service && e.may_order(now))
+            .filter(|(_, entry)| !entry.busy)
             .map(|(id, entry)| AdapterHost {
                 engine: id,
                 holding: &entry.holding,
@@ -529,7 +579,7 @@
             .map(|(id, entry)| EngineState {
                 id: id.clone(),
                 data_centre: entry.data_centre.clone(),
-                holding: entry.holding.clone(),
+                holding: entry.usable(),
                 loading: entry.loading.clone(),
                 busy: entry.busy || !entry.may_order(now),
                 sound: entry.is_sound(),
@@ -611,8 +661,7 @@
         if let OrderWish::Unload(variant) = &wish {
             // Peers turn away from it first. A later report tells them what
             // is there, whatever becomes of the order.
-            entry.holding.models.remove(&variant.model);
-            entry.holding.sequence += 1;
+            entry.unloading = Some(variant.model.clone());
             entry.change(now, &mut self.stamp);
         }
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
@@ -740,6 +789,7 @@
 /// the next report counts, whatever it says.
 fn forget_guess(entry: &mut Entry, order: &GivenOrder) {
     entry.holding.sequence = order.expected_sequence;
+    entry.unloading = None;
 }
 
 fn apply(entry: &mut Entry, wish: &OrderWish, now: Millis) {
@@ -755,7 +805,7 @@
             entry.arrivals.insert(variant, now);
         }
         OrderWish::Unload(Variant { model, adapter: None }) => {
-            models.remove(model);
+            entry.unloading = Some(model.clone());
             entry.busy = true;
         }
         OrderWish::Unload(Variant { model, adapter: Some(adapter) }) => {
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -127,9 +127,8 @@
     }
     let prompt = Prompt::of(job, variant);
     let home = prompt.home(&holders);
-    let candidates: Vec<Candidate> = holders
-        .iter()
-        .filter(|upstream| !tried.contains(&upstream.id))
+    let candidates: Vec<Candidate> = able(app, &holders, variant, tried)
+        .into_iter()
         .map(|upstream| {
             let is_home = home.as_ref() == Some(&upstream.id);
             candidate(app, view, spec, upstream, &prompt, is_home)
@@ -168,6 +167,20 @@
     })
 }
 
+/// Returns the holders that were not tried; those that turned the variant
+/// away lately only where no other one is left.
+fn able<'a>(
+    app: &App,
+    holders: &[&'a Arc<Upstream>],
+    variant: &Variant,
+    tried: &[UpstreamId],
+) -> Vec<&'a Arc<Upstream>> {
+    let untried = holders.iter().filter(|h| !tried.contains(&h.id)).copied();
+    let (noted, able): (Vec<_>, Vec<_>) =
+        untried.partition(|holder| app.turned_away(&holder.id, variant));
+    if able.is_empty() { noted } else { able }
+}
+
 fn admit(app: &App, job: &Job, predicted_ms: f64) -> Result<(), NoChoice> {
     let priority = MAX_PRIORITY.saturating_sub(job.route.rank);
     admission::admit(
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -167,6 +167,8 @@
                 }
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
+                    // The holder of the lease looks after those that failed.
+                    self.wish(0);
                     let reason = RefusalReason::UpstreamFailed;
                     return Err(self.give_up(reason, None));
                 }
@@ -232,6 +234,9 @@
             Passable::Whole { head, body } => self.judge_whole(id, head, body),
             stream @ Passable::Stream { .. } => {
                 app.judge(id, |health, now| health.succeeded(now));
+                if let Some(variant) = &self.job.request.variant {
+                    app.note_taken(id, variant);
+                }
                 app.observe(id, |pace, now| {
                     pace.began(took_ms, chosen.usual_ms, now);
                 });
@@ -324,6 +329,7 @@
         if failure.verdict != Verdict::NotRun {
             self.app.judge(id, |health, now| health.failed(now));
         }
+        self.note_turned_away(id, failure);
         self.leave(id, failure.arrived);
         self.verdict = self.verdict.worst(failure.verdict);
         let free = !failure.arrived && self.sends == 0;
@@ -336,6 +342,13 @@
         Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
     }
 
+    fn note_turned_away(&self, engine: &UpstreamId, failure: SendFailure) {
+        let variant = self.job.request.variant.as_ref();
+        if let (Some(variant), Some(why)) = (variant, failure.turned_away) {
+            self.app.note_turned_away(engine, variant, why);
+        }
+    }
+
     /// Notes that an upstream is done with, and whether it was sent to.
     fn leave(&mut self, upstream: &UpstreamId, arrived: bool) {
         self.tried.push(upstream.clone());
@@ -374,6 +387,7 @@
                 Ok(Passable::Stream { relay, .. }) => return Some(*relay),
                 Ok(Passable::Whole { .. }) => return None,
                 Err(failure) => {
+                    self.note_turned_away(&chosen.upstream.id, failure);
                     self.leave(&chosen.upstream.id, failure.arrived);
                 }
             }
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -10,7 +10,11 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use tokio::time::Instant;
-use valehold_core::{Verdict, fleet::Upstream, reason::RetryReason};
+use valehold_core::{
+    Verdict,
+    fleet::{Upstream, turned_away::TurnedAway},
+    reason::RetryReason,
+};
 use valehold_ports::port::fleet::Sending;
 
 use super::{route::Job, state::App};
@@ -44,6 +48,8 @@
     pub(super) reason: RetryReason,
     /// When the upstream asks to come back.
     pub(super) come_back: Option<Duration>,
+    /// Why the upstream says that it did not run the request.
+    pub(super) turned_away: Option<TurnedAway>,
 }
 
 impl SendFailure {
@@ -54,16 +60,18 @@
             arrived: false,
             reason: RetryReason::ConnectFailed,
             come_back: None,
+            turned_away: None,
         }
     }
 
     /// The upstream says that it did not run the request.
-    fn refused(come_back: Option<Duration>) -> Self {
+    fn refused(why: TurnedAway, come_back: Option<Duration>) -> Self {
         Self {
             verdict: Verdict::NotRun,
             arrived: true,
             reason: RetryReason::RefusedByUpstream,
             come_back,
+            turned_away: Some(why),
         }
     }
 
@@ -74,6 +82,7 @@
             arrived: true,
             reason: RetryReason::FailedBeforeOutput,
             come_back: None,
+            turned_away: None,
         }
     }
 }
@@ -193,7 +202,11 @@
         return Err(SendFailure::broken());
     }
     if said.not_run {
-        return Err(SendFailure::refused(come_back(&head.headers)));
+        let why = match head.status {
+            StatusCode::MISDIRECTED_REQUEST => TurnedAway::NotHeld,
+            _ => TurnedAway::Busy,
+        };
+        return Err(SendFailure::refused(why, come_back(&head.headers)));
     }
     let is_foreign = head.headers.contains_key(header::CONTENT_ENCODING)
         || (head.status.is_success() && !said.signed);
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -8,7 +8,13 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Variant, health::Health, pace::Pace, share::RetryShare},
+    fleet::{
+        Variant,
+        health::Health,
+        pace::Pace,
+        share::RetryShare,
+        turned_away::{TurnedAway, TurnedAwayMemory},
+    },
     id::{ServiceName, UpstreamId},
     prefix::PrefixHints,
 };
@@ -34,6 +40,7 @@
     paces: RefCell<BTreeMap<UpstreamId, Pace>>,
     shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
     hints: RefCell<PrefixHints>,
+    turned_away: RefCell<TurnedAwayMemory>,
 }
 
 impl App {
@@ -47,6 +54,7 @@
             paces: RefCell::default(),
             shares: RefCell::default(),
             hints: RefCell::new(PrefixHints::new(KEEP_HINTS_MS, MOST_HINTS)),
+            turned_away: RefCell::default(),
         }
     }
 
@@ -85,6 +93,7 @@
     pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
         self.health.borrow_mut().retain(|id, _| known(id));
         self.paces.borrow_mut().retain(|id, _| known(id));
+        self.turned_away.borrow_mut().sweep(&known, self.now());
         self.pool.sweep(known);
     }
 
@@ -94,6 +103,31 @@
         health.get(upstream).is_some_and(|health| health.is_suspect(now))
     }
 
+    /// Notes that an engine turned a variant away.
+    pub(super) fn note_turned_away(
+        &self,
+        engine: &UpstreamId,
+        variant: &Variant,
+        why: TurnedAway,
+    ) {
+        let now = self.now();
+        self.turned_away.borrow_mut().note(engine, variant, why, now);
+    }
+
+    /// Notes that an engine took a variant.
+    pub(super) fn note_taken(&self, engine: &UpstreamId, variant: &Variant) {
+        self.turned_away.borrow_mut().taken(engine, variant);
+    }
+
+    /// Tells whether an engine turned a variant away lately.
+    pub(super) fn turned_away(
+        &self,
+        engine: &UpstreamId,
+        variant: &Variant,
+    ) -> bool {
+        self.turned_away.borrow().is_noted(engine, variant, self.now())
+    }
+
     /// Notes a request's first send to a service.
     pub(super) fn first_send(&self, service: &ServiceName) {
         let now = self.now();
