Upstreams whose entries lapsed with the store are used until it is clear

Cause: while the store is away upstreams cannot write, and their entries lapse. At its return the list lacked them, and gateways refused what they could have served until the entries were back, which the users say takes about two seconds. The holder also took their models for lost.

Change: an observer that did not hear the store for a second or more says so with the changes it passes on; who is missing then and had not said that it leaves stays in use for 2.2 s, or until it is listed again. That lies within the time in which the store does not count as stable.

--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -111,6 +111,9 @@
     pub changed: Vec<Arc<Upstream>>,
     /// Upstreams that are gone.
     pub gone: Vec<UpstreamId>,
+    /// Whether the store was away until a moment ago, so that some of those
+    /// that are gone may only have lapsed.
+    pub after_outage: bool,
 }
 
 /// All upstreams as of one version of the platform's list.
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod event;
 pub mod health;
+pub mod lapsed;
 pub mod listing;
 pub mod pace;
 pub mod replicas;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod event;
 mod health;
+mod lapsed;
 mod pace;
 mod replicas;
 mod share;
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/lapsed.rs
@@ -0,0 +1,85 @@
+//! Upstreams that lapsed with the store are kept for a while.
+
+use std::sync::Arc;
+
+use googletest::prelude::*;
+
+use crate::{
+    fleet::{
+        Holding, Listing, Upstream,
+        lapsed::{LapsedUpstreams, StorePresence},
+    },
+    id::{DataCentreId, ServiceName, UpstreamId},
+    time::Millis,
+};
+
+fn at(ms: u64) -> Millis {
+    Millis::new(ms)
+}
+
+fn upstream(id: &str, leaving: bool) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: UpstreamId::new(id),
+        service: ServiceName::new("s"),
+        address: ([10, 0, 0, 1], 80).into(),
+        data_centre: DataCentreId::new("north"),
+        slots: 4,
+        leaving,
+        holding: Holding::default(),
+    })
+}
+
+#[gtest]
+fn who_lapsed_is_kept_until_it_is_back_or_gone() {
+    let mut lapsed = LapsedUpstreams::default();
+    let (first, second) = (upstream("u1", false), upstream("u2", false));
+    lapsed.keep(&first, at(1_000));
+    lapsed.keep(&second, at(1_000));
+    let mut listing = Listing::default();
+    lapsed.add_to(&mut listing);
+    expect_that!(listing.upstreams.len(), eq(2));
+    // One is back.
+    let back = Listing {
+        version: 2,
+        upstreams: [(first.id.clone(), first.clone())].into(),
+    };
+    expect_true!(lapsed.pass(&back, at(1_500)));
+    expect_false!(lapsed.contains(&first.id));
+    expect_true!(lapsed.contains(&second.id));
+    // Missing it again does not make the time longer.
+    lapsed.keep(&second, at(3_000));
+    expect_true!(lapsed.pass(&back, at(3_200)));
+    expect_false!(lapsed.contains(&second.id));
+}
+
+#[gtest]
+fn who_said_that_it_leaves_is_not_kept() {
+    let mut lapsed = LapsedUpstreams::default();
+    let leaving = upstream("u1", true);
+    lapsed.keep(&leaving, at(1_000));
+    expect_false!(lapsed.contains(&leaving.id));
+}
+
+#[gtest]
+fn a_store_that_failed_for_a_second_was_away() {
+    let mut store = StorePresence::default();
+    store.heard(at(1_000));
+    store.failed();
+    store.heard(at(1_900));
+    expect_false!(store.has_just_returned(at(1_900)));
+    store.failed();
+    store.heard(at(2_900));
+    expect_true!(store.has_just_returned(at(2_900)));
+    expect_true!(store.has_just_returned(at(5_099)));
+    expect_false!(store.has_just_returned(at(5_100)));
+}
+
+#[gtest]
+fn a_store_that_was_silent_for_longer_than_a_watch_was_away() {
+    let mut store = StorePresence::default();
+    store.heard(at(1_000));
+    store.heard(at(3_300));
+    expect_false!(store.has_just_returned(at(3_300)));
+    store.heard(at(6_100));
+    expect_true!(store.has_just_returned(at(6_100)));
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -22,7 +22,10 @@
 };
 use valehold_core::{
     Millis,
-    fleet::{Catalog, Holding, Listing, ListingDelta, Variant},
+    fleet::{
+        Catalog, Holding, Listing, ListingDelta, Variant,
+        lapsed::{LapsedUpstreams, StorePresence},
+    },
     id::{InstanceId, UpstreamId},
     order::Stamp,
 };
@@ -143,6 +146,8 @@
     listing: Arc<Listing>,
     watch_orders: Rc<WatchOrders>,
     has_listing: bool,
+    lapsed: LapsedUpstreams,
+    store_presence: StorePresence,
     /// What the holder said engines hold, and when.
     told: BTreeMap<UpstreamId, Told>,
     state_client: StateClient,
@@ -218,6 +223,8 @@
             listing: Arc::default(),
             watch_orders,
             has_listing: false,
+            lapsed: LapsedUpstreams::default(),
+            store_presence: StorePresence::default(),
             told: BTreeMap::new(),
             state_client: StateClient::new(),
             reading_state: false,
@@ -268,6 +275,9 @@
     fn tick(&mut self) {
         let now = self.now();
         self.roster.tick(now);
+        if self.lapsed.pass(&self.rows, now) {
+            self.relist(now);
+        }
         if self.life == Life::Serving {
             let around = Around {
                 holder_heard: self.roster.holder(now).is_some(),
@@ -381,19 +391,22 @@
     fn take(&mut self, input: Input) {
         let now = self.now();
         match input {
-            Input::StoreFailed => self.store_fails = true,
+            Input::StoreFailed => {
+                self.store_fails = true;
+                self.store_presence.failed();
+            }
             Input::CatalogHeard(catalog) => {
-                self.store_fails = false;
+                self.store_heard(now);
                 if let Some(catalog) = catalog {
                     self.configure(*catalog, now);
                 }
             }
             Input::ListingRead(listing) => {
-                self.store_fails = false;
+                self.store_heard(now);
                 self.list(listing, now);
             }
             Input::ListingChanged(news) => {
-                self.store_fails = false;
+                self.store_heard(now);
                 self.list_changes(news, now);
             }
             Input::PeerState(state) => {
@@ -434,6 +447,11 @@
         }
     }
 
+    fn store_heard(&mut self, now: Millis) {
+        self.store_fails = false;
+        self.store_presence.heard(now);
+    }
+
     fn datagram(&mut self, from: SocketAddr, bytes: &[u8], now: Millis) {
         match Message::decode(bytes) {
             Ok(Message::Heartbeat(heartbeat)) => {
@@ -484,7 +502,8 @@
         for one in holdings {
             let known = self.told.get(&one.engine);
             let is_older = known.is_some_and(|known| known.stamp > one.stamp);
-            if is_older || !self.rows.upstreams.contains_key(&one.engine) {
+            let is_there = self.listing.upstreams.contains_key(&one.engine);
+            if is_older || !is_there {
                 continue;
             }
             changed |= known.is_none_or(|known| known.holding != one.holding);
@@ -528,6 +547,16 @@
         if listing.version < self.rows.version {
             return;
         }
+        if self.store_presence.has_just_returned(now) {
+            let missing = self
+                .rows
+                .upstreams
+                .values()
+                .filter(|one| !listing.upstreams.contains_key(&one.id));
+            for one in missing {
+                self.lapsed.keep(one, now);
+            }
+        }
         self.has_listing = true;
         self.rows = listing;
         self.relist(now);
@@ -541,7 +570,9 @@
         };
         let Some(version) = version else { return };
         let before = self.rows.version;
-        let delta = ListingDelta { before, version, changed, gone };
+        let after_outage = self.store_presence.has_just_returned(now);
+        let delta =
+            ListingDelta { before, version, changed, gone, after_outage };
         if self.take_delta(&delta, now) {
             self.send_all(&Message::Listed(delta), now);
         }
@@ -549,9 +580,16 @@
 
     /// Takes in changes of the list; tells whether they were new.
     fn take_delta(&mut self, delta: &ListingDelta, now: Millis) -> bool {
+        let gone = delta.gone.iter().filter(|_| delta.after_outage);
+        let lapsed: Vec<_> = gone
+            .filter_map(|id| self.rows.upstreams.get(id).cloned())
+            .collect();
         if !self.has_listing || !self.rows.apply(delta) {
             return false;
         }
+        for one in &lapsed {
+            self.lapsed.keep(one, now);
+        }
         let changed = delta.changed.iter().map(|upstream| &upstream.id);
         for id in changed {
             let told = self.told.get(id);
@@ -561,9 +599,6 @@
                 self.told.remove(id);
             }
         }
-        for id in &delta.gone {
-            self.told.remove(id);
-        }
         self.relist(now);
         true
     }
@@ -571,8 +606,11 @@
     /// Puts what the holder said over the list, and publishes both.
     fn relist(&mut self, now: Millis) {
         self.watch_orders.known.set(self.rows.version);
-        self.placer.listed(&self.rows);
+        self.lapsed.pass(&self.rows, now);
         let mut listing = self.rows.clone();
+        self.lapsed.add_to(&mut listing);
+        self.placer.listed(&listing);
+        self.told.retain(|id, _| listing.upstreams.contains_key(id));
         for (engine, told) in &self.told {
             if let Some(upstream) = listing.upstreams.get_mut(engine) {
                 Arc::make_mut(upstream).holding = told.holding.clone();
@@ -614,6 +652,7 @@
             has_holder: holds || self.roster.holder(now).is_some(),
             catalog: self.catalog.clone(),
             listing: self.listing.clone(),
+            lapsed: self.lapsed.clone(),
             peer_loads: self.roster.loads(&self.shared.loads(), now),
             ready,
         }));
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -108,10 +108,11 @@
         return response;
     }
     let view = shared.view.load();
-    let state = PeerState {
-        catalog: view.catalog.as_deref().cloned(),
-        listing: (*view.listing).clone(),
-    };
+    let mut listing = (*view.listing).clone();
+    // A peer could not tell when those are to be taken as gone.
+    listing.upstreams.retain(|id, _| !view.lapsed.contains(id));
+    let state =
+        PeerState { catalog: view.catalog.as_deref().cloned(), listing };
     match postcard::to_stdvec(&state) {
         Ok(bytes) => *response.body_mut() = Full::from(bytes),
         Err(_) => {
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Catalog, Listing},
+    fleet::{Catalog, Listing, lapsed::LapsedUpstreams},
     id::{DataCentreId, UpstreamId},
 };
 
@@ -71,6 +71,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// The upstreams.
     pub listing: Arc<Listing>,
+    /// Those of them that fell off the list with the store.
+    pub lapsed: LapsedUpstreams,
     /// What other gateways have under way.
     pub peer_loads: BTreeMap<UpstreamId, Load>,
     /// Whether some gateway is heard to hold the lease.
@@ -85,6 +87,7 @@
             life: Life::Starting,
             catalog: None,
             listing: Arc::default(),
+            lapsed: LapsedUpstreams::default(),
             peer_loads: BTreeMap::new(),
             has_holder: false,
             ready: Vec::new(),
