--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -9,6 +9,7 @@
 };
 
 use super::input::Input;
+use crate::peers::roster::Observing;
 
 /// The least pause after a failure.
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
@@ -17,7 +18,11 @@
 const GREATEST_PAUSE: Duration = Duration::from_millis(700);
 
 /// Between two answers of a watch, so that changes come in bunches.
-const BETWEEN_CHANGES: Duration = Duration::from_millis(150);
+const BETWEEN_CHANGES: Duration = Duration::from_millis(200);
+
+/// The same for an observer in reserve: it mostly hears of changes from the
+/// foremost one before.
+const BETWEEN_CHANGES_IN_RESERVE: Duration = Duration::from_millis(700);
 
 type Inputs = mpsc::UnboundedSender<Input>;
 
@@ -60,9 +65,11 @@
         let news = match after {
             None => store.read_catalog().await,
             Some(after) => {
-                let span = match orders.observes.get() {
-                    true => WatchSpan::Brief,
-                    false => WatchSpan::Long,
+                let span = match orders.observing.get() {
+                    Observing::Nothing => WatchSpan::Long,
+                    Observing::Reserve | Observing::Foremost => {
+                        WatchSpan::Brief
+                    }
                 };
                 tokio::select! {
                     news = store.await_catalog(after, span) => news,
@@ -96,25 +103,43 @@
 }
 
 /// What control tells the watches.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct WatchOrders {
     /// The version that control has; a peer may have given a newer one than
     /// this watch.
     pub(super) known: Cell<u64>,
-    /// Whether this gateway watches for those that do not.
-    pub(super) observes: Cell<bool>,
+    /// This gateway's part in watching for those that do not.
+    observing: Cell<Observing>,
     /// Tells that it has just become an observer.
     pub(super) turned: Notify,
 }
 
 impl WatchOrders {
-    /// Sets whether this gateway watches for others.
-    pub(super) fn set_observes(&self, observes: bool) {
-        let observed = self.observes.replace(observes);
-        if observes && !observed {
+    /// Makes the orders of a gateway that knows nobody: it watches itself.
+    pub(super) fn new() -> Self {
+        Self {
+            known: Cell::new(0),
+            observing: Cell::new(Observing::Foremost),
+            turned: Notify::new(),
+        }
+    }
+
+    /// Sets this gateway's part in watching.
+    pub(super) fn set_observing(&self, observing: Observing) {
+        let before = self.observing.replace(observing);
+        let begins = before == Observing::Nothing;
+        if begins && observing != Observing::Nothing {
             self.turned.notify_one();
         }
     }
+
+    /// Returns how long a watch of the list rests after a change.
+    fn rest_after_change(&self) -> Duration {
+        match self.observing.get() {
+            Observing::Reserve => BETWEEN_CHANGES_IN_RESERVE,
+            Observing::Nothing | Observing::Foremost => BETWEEN_CHANGES,
+        }
+    }
 }
 
 /// Follows the upstreams while this gateway is an observer, until control
@@ -127,7 +152,7 @@
     let mut pauses = Pauses::new(inputs.clone());
     let mut after = None;
     while !inputs.is_closed() {
-        if !orders.observes.get() {
+        if orders.observing.get() == Observing::Nothing {
             tokio::time::sleep(BETWEEN_CHANGES).await;
             continue;
         }
@@ -151,7 +176,7 @@
                     after = Some(*next);
                 }
                 let _ = inputs.send(Input::ListingChanged(news));
-                tokio::time::sleep(BETWEEN_CHANGES).await;
+                tokio::time::sleep(orders.rest_after_change()).await;
             }
             Err(error) => pauses.failed("following upstreams", &error).await,
         }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod feeds;
 mod input;
 mod lease;
+mod needs;
 mod placer;
 
 use std::{
@@ -165,8 +166,7 @@
         let (inputs, taken) = mpsc::unbounded_channel();
         let socket = Rc::new(parts.heartbeats);
         let shared = parts.shared;
-        let watch_orders = Rc::new(WatchOrders::default());
-        watch_orders.observes.set(true);
+        let watch_orders = Rc::new(WatchOrders::new());
         let store = parts.store;
         tokio::task::spawn_local(state::serve(shared.clone(), parts.state));
         tokio::task::spawn_local(feeds::follow_catalog(
@@ -288,8 +288,8 @@
         }
         self.place(now);
         self.catch_up(now);
-        let observes = self.roster.observes(self.store_fails, now);
-        self.watch_orders.set_observes(observes);
+        let observing = self.roster.observing(self.store_fails, now);
+        self.watch_orders.set_observing(observing);
         if now.since(self.beat) >= self.beat_ms(now) {
             self.beat = now;
             let work = std::mem::take(&mut *self.shared.work());
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -36,7 +36,10 @@
     },
 };
 
-use super::input::{GivenOrder, Input, OrderEnd};
+use super::{
+    input::{GivenOrder, Input, OrderEnd},
+    needs::needs,
+};
 use crate::{
     peers::message::{EngineHolding, VariantDemand},
     view::Load,
@@ -68,9 +71,6 @@
 /// For how long an adapter does not make way for another, in ms.
 const YOUNG_MS: u64 = 2_500;
 
-/// For how long a request keeps its adapter in use, in s.
-const ADAPTER_USE_S: f64 = 2.0;
-
 /// How many orders about adapters are under way at once while places are
 /// filled.
 const MOST_BROUGHT_AT_ONCE: usize = 3;
@@ -560,18 +560,7 @@
         demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        let mut by_model: BTreeMap<ModelName, ModelNeed> = BTreeMap::new();
-        for (variant, one) in demand {
-            let need = by_model.entry(variant.model.clone()).or_default();
-            need.busy += f64::from(one.busy);
-            if variant.adapter.is_some() {
-                need.adapters += expected_in_use(one);
-            }
-        }
-        for (model, since) in &self.lost {
-            let need = by_model.entry(model.clone()).or_default();
-            need.lost_ms = now.since(*since);
-        }
+        let needs = needs(demand, &self.lost, spec, now);
         let states: Vec<EngineState> = self
             .entries
             .iter()
@@ -588,10 +577,10 @@
             })
             .collect();
         if log::log_enabled!(log::Level::Debug) {
-            log_needs(&by_model, &states);
+            log_needs(&needs, &states);
         }
         let allowed = self.loads_left(now, service, spec);
-        for step in replicas::plan(spec, &by_model, &states, allowed) {
+        for step in replicas::plan(spec, &needs, &states, allowed) {
             match step {
                 ReplicaStep::Load { engine, model, from_store } => {
                     if from_store {
@@ -757,14 +746,6 @@
     }
 }
 
-/// Returns the chance that an adapter is in use at a moment.
-fn expected_in_use(demand: &VariantDemand) -> f64 {
-    match demand.running {
-        0 => 1.0 - (-f64::from(demand.requests) * ADAPTER_USE_S).exp(),
-        _ => 1.0,
-    }
-}
-
 fn use_of(
     demand: &BTreeMap<Variant, VariantDemand>,
     variant: &Variant,
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -52,6 +52,17 @@
     heard: Millis,
 }
 
+/// A gateway's part in watching the platform's list for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observing {
+    /// It hears of the list from others.
+    Nothing,
+    /// It watches in case that the foremost observer misses something.
+    Reserve,
+    /// Its word is the one that others hear first.
+    Foremost,
+}
+
 /// What this gateway is among the others.
 #[derive(Debug, Clone)]
 pub struct Own {
@@ -246,17 +257,21 @@
             .filter(move |one| now.since(one.heard) < silent_ms)
     }
 
-    /// Tells whether this gateway watches the platform's list for others.
+    /// Returns this gateway's part in watching the platform's list.
     ///
-    /// Those do that hear the store themselves and are the greatest by rank,
-    /// and whoever the store does not answer.
-    pub fn observes(&self, own_store_fails: bool, now: Millis) -> bool {
+    /// Those watch it that hear the store themselves and are the greatest by
+    /// rank, and whoever the store does not answer.
+    pub fn observing(&self, own_store_fails: bool, now: Millis) -> Observing {
         if own_store_fails {
-            return true;
+            return Observing::Foremost;
         }
         let hearing = self.hearing_store(now);
         let greater = hearing.filter(|rank| *rank > self.own.rank);
-        greater.collect::<BTreeSet<Rank>>().len() < OBSERVERS
+        match greater.collect::<BTreeSet<Rank>>().len() {
+            0 => Observing::Foremost,
+            place if place < OBSERVERS => Observing::Reserve,
+            _ => Observing::Nothing,
+        }
     }
 
     /// Returns the others that serve and hear the store, some of them twice.
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -11,7 +11,7 @@
     peers::{
         Heartbeat, Roster,
         message::{LeaseWord, Rank, UpstreamLoad},
-        roster::Own,
+        roster::{Observing, Own},
     },
     view::{Life, Load},
 };
@@ -96,18 +96,26 @@
 #[gtest]
 fn three_observe_and_those_that_hear_nothing_for_themselves() {
     let now = Millis::new(500);
-    let observing = (1..=8)
-        .filter(|number| hearing_all(*number, 8, now).observes(false, now));
+    let observing = (1..=8).filter(|number| {
+        let roster = hearing_all(*number, 8, now);
+        roster.observing(false, now) != Observing::Nothing
+    });
     expect_that!(observing.collect::<Vec<_>>(), eq(&vec![6, 7, 8]));
     // Whoever the store turns away looks for itself.
-    expect_true!(hearing_all(1, 8, now).observes(true, now));
-    expect_true!(roster(1).observes(false, now));
+    // The greatest comes first, the others are its reserve.
+    let part = |number| hearing_all(number, 8, now).observing(false, now);
+    expect_that!(part(8), eq(Observing::Foremost));
+    expect_that!(part(7), eq(Observing::Reserve));
+    expect_that!(part(6), eq(Observing::Reserve));
+    let turned_away = hearing_all(1, 8, now).observing(true, now);
+    expect_that!(turned_away, eq(Observing::Foremost));
+    expect_that!(roster(1).observing(false, now), eq(Observing::Foremost));
     // An observer whom the store turns away is replaced.
     let mut other = hearing_all(5, 8, now);
     let mut failing = heartbeat(8, 2);
     failing.store_fails = true;
     other.heard(address(8), failing, now);
-    expect_true!(other.observes(false, now));
+    expect_that!(other.observing(false, now), ne(Observing::Nothing));
 }
 
 #[gtest]
@@ -134,7 +142,7 @@
     expect_that!(other.with_newer_catalog(9, now), none());
     let loads = other.loads(&BTreeMap::new(), now);
     expect_that!(loads.get(&upstream), some(eq(&load)));
-    expect_false!(other.observes(false, now));
+    expect_that!(other.observing(false, now), eq(Observing::Nothing));
     // Heartbeats go to the three hubs, and seeds now and then.
     let targets = other.heartbeat_targets(now);
     expect_that!(targets.len(), eq(3));
@@ -144,7 +152,7 @@
     expect_false!(other.has_hubs(later));
     let targets = other.heartbeat_targets(later);
     expect_that!(targets.len(), eq(usize::from(count) - 1));
-    expect_true!(other.observes(false, later));
+    expect_that!(other.observing(false, later), ne(Observing::Nothing));
 }
 
 #[gtest]
