--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -560,7 +560,7 @@
         demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        let needs = needs(demand, &self.lost, spec, now);
+        let needs = needs(demand, &self.lost, now);
         let states: Vec<EngineState> = self
             .entries
             .iter()
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -326,6 +326,12 @@
         failure: SendFailure,
     ) -> Result<(), Refusal> {
         let id = &chosen.upstream.id;
+        log::debug!(
+            "send failed request={} upstream={id} reason={} ran={}",
+            self.request_id(),
+            failure.reason.code(),
+            failure.verdict.as_str(),
+        );
         if failure.verdict != Verdict::NotRun {
             self.app.judge(id, |health, now| health.failed(now));
         }
@@ -403,6 +409,39 @@
         Millis::from(most).get().max(1)
     }
 
+    /// Returns the request's identifier, as the logs name it.
+    fn request_id(&self) -> std::borrow::Cow<'_, str> {
+        let id = self.job.request.id.as_deref();
+        String::from_utf8_lossy(id.unwrap_or_default())
+    }
+
+    /// Logs what decided that a request is given up.
+    fn log_given_up(&self, reason: RefusalReason) {
+        let job = &self.job;
+        let id = self.request_id();
+        let view = self.app.shared.view.load();
+        let able = view.listing.of(&job.service_name).filter(|upstream| {
+            let variant = job.request.variant.as_ref();
+            variant.is_none_or(|variant| upstream.holding.has(variant))
+        });
+        let able = able.count();
+        let variant = job.request.variant.as_ref();
+        let variant = variant.map(ToString::to_string).unwrap_or_default();
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        log::debug!(
+            "gives up request={id} reason={} ran={} service={} \
+             variant={variant} able={able} tried={:?} sends={} left_ms={} \
+             list={}",
+            reason.code(),
+            self.verdict.as_str(),
+            job.service_name,
+            self.tried,
+            self.sends,
+            left.as_millis(),
+            view.listing.version,
+        );
+    }
+
     fn give_up(
         &self,
         reason: RefusalReason,
@@ -415,6 +454,9 @@
             }
             reason => reason,
         };
+        if log::log_enabled!(log::Level::Debug) {
+            self.log_given_up(reason);
+        }
         match self.verdict {
             Verdict::NotRun => {
                 let come_back =
