What the holder knows of one engine is a module of its own; pages

Cause: placer.rs had grown beyond 800 lines; a list of engines that give a model up was made twice; models that are lost were not told apart by service, and one holder's count of how long went on into its next epoch.

Change: control/entry.rs; Placer::told for both lists; models lost are kept by service and begin anew with an epoch. Tests of the planner: a lost model presses harder with time, the model that is missed least makes way.

--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -202,3 +202,39 @@
     }
     expect_that!(holders(&engines, &ModelName::new("m0")), eq(4));
 }
+
+/// Makes three engines full of busy models, and one model that is lost.
+fn full_of_busy_models(lost_ms: u64) -> Vec<ReplicaStep> {
+    let spec = spec(4);
+    let full = BTreeSet::from([0, 1, 2]);
+    let engines: Vec<EngineState> =
+        (0..2).map(|number| engine(number, &full)).collect();
+    let mut demand = needs(&[2.0, 2.0, 2.0, 0.0]);
+    let lost = ModelNeed { lost_ms, ..ModelNeed::default() };
+    demand.insert(ModelName::new("m3"), lost);
+    plan(&spec, &demand, &engines, 2)
+}
+
+#[gtest]
+fn a_lost_model_presses_harder_with_time() {
+    // A busy model's engine is not worth it at once, but later.
+    expect_that!(full_of_busy_models(0), elements_are![]);
+    let later = full_of_busy_models(10_000);
+    expect_true!(matches!(later[..], [ReplicaStep::Unload { .. }]));
+}
+
+#[gtest]
+fn the_model_that_is_missed_least_makes_way() {
+    let spec = spec(4);
+    let full = BTreeSet::from([0, 1, 2]);
+    let mut engines: Vec<EngineState> =
+        (0..2).map(|number| engine(number, &full)).collect();
+    engines[0].load = 40.0;
+    let demand = needs(&[0.9, 0.02, 0.9, 0.0]);
+    let steps = plan(&spec, &demand, &engines, 2);
+    let expected = ReplicaStep::Unload {
+        engine: UpstreamId::new("e1"),
+        model: ModelName::new("m1"),
+    };
+    expect_that!(steps, elements_are![eq(&expected)]);
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -0,0 +1,183 @@
+//! What the holder of the lease knows of one engine.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use valehold_core::{
+    Millis,
+    fleet::{Holding, Upstream, Variant},
+    id::{DataCentreId, ModelName, ServiceName},
+    order::Stamp,
+};
+use valehold_ports::port::fleet::OrderWish;
+
+/// After how many failures in a row an engine is taken for gone.
+const GONE_AFTER: u32 = 2;
+
+/// For how long an adapter does not make way for another, in ms.
+const YOUNG_MS: u64 = 2_500;
+
+/// What is known of one engine.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    pub(super) service: ServiceName,
+    pub(super) address: SocketAddr,
+    pub(super) data_centre: DataCentreId,
+    pub(super) leaving: bool,
+    pub(super) holding: Holding,
+    pub(super) loading: Option<ModelName>,
+    /// A model that it was told to give up; it takes no new requests for it,
+    /// and holds it until those that run are over.
+    pub(super) unloading: Option<ModelName>,
+    /// Whether an order about a model is being carried out.
+    pub(super) busy: bool,
+    /// Whether a report has to come before the next order.
+    pub(super) uncertain: bool,
+    /// Whether a report or an order is under way.
+    pub(super) under_way: bool,
+    pub(super) asked: Millis,
+    pub(super) left_alone_until: Millis,
+    pub(super) failures: u32,
+    /// Reports in a row from before what is known.
+    pub(super) old_reports: u32,
+    /// Orders in a row that met another one.
+    pub(super) conflicts: u32,
+    /// Loads that were ordered after as many orders as now, without an
+    /// answer: the next order that is taken makes them void.
+    pub(super) lost_loads: usize,
+    /// Models of which it keeps copies.
+    pub(super) copies: BTreeSet<ModelName>,
+    /// When peers were first told of what it holds now.
+    pub(super) changed: Option<Millis>,
+    /// Orders what peers are told of it.
+    pub(super) stamp: Stamp,
+    /// Adapters that it was told to load lately, and when.
+    pub(super) arrivals: BTreeMap<Variant, Millis>,
+    /// What the list said last.
+    pub(super) listed: Holding,
+}
+
+impl Entry {
+    /// Makes the entry of an engine that has not reported yet.
+    pub(super) fn new(upstream: &Upstream) -> Self {
+        Self {
+            service: upstream.service.clone(),
+            address: upstream.address,
+            data_centre: upstream.data_centre.clone(),
+            leaving: upstream.leaving,
+            holding: upstream.holding.clone(),
+            loading: None,
+            unloading: None,
+            busy: false,
+            uncertain: true,
+            under_way: false,
+            asked: Millis::default(),
+            left_alone_until: Millis::default(),
+            failures: 0,
+            old_reports: 0,
+            conflicts: 0,
+            lost_loads: 0,
+            copies: BTreeSet::new(),
+            changed: None,
+            stamp: Stamp::default(),
+            arrivals: BTreeMap::new(),
+            listed: upstream.holding.clone(),
+        }
+    }
+
+    /// Takes in what the list says.
+    pub(super) fn list(&mut self, upstream: &Upstream) {
+        self.leaving = upstream.leaving;
+        if self.listed != upstream.holding {
+            self.listed = upstream.holding.clone();
+            // Another one's orders, or none: the engine itself tells.
+            self.uncertain |= self.listed.models != self.holding.models;
+        }
+    }
+
+    /// Tells whether it answers and stays.
+    pub(super) fn is_sound(&self) -> bool {
+        !self.leaving && self.failures < GONE_AFTER
+    }
+
+    pub(super) fn may_order(&self, now: Millis) -> bool {
+        self.is_sound()
+            && !self.under_way
+            && !self.uncertain
+            && now >= self.left_alone_until
+    }
+
+    /// Tells whether it takes requests for a variant.
+    pub(super) fn serves(&self, variant: &Variant) -> bool {
+        self.holding.has(variant)
+            && self.unloading.as_ref() != Some(&variant.model)
+    }
+
+    /// Returns the models that it takes requests for.
+    pub(super) fn usable_models(&self) -> impl Iterator<Item = &ModelName> {
+        let models = self.holding.models.keys();
+        models.filter(|model| self.unloading.as_ref() != Some(model))
+    }
+
+    /// Returns what it takes requests for.
+    pub(super) fn usable(&self) -> Holding {
+        let mut usable = self.holding.clone();
+        if let Some(model) = &self.unloading {
+            usable.models.remove(model);
+        }
+        usable
+    }
+
+    /// Notes that peers are to be told what it holds now.
+    pub(super) fn change(&mut self, now: Millis, last: &mut Stamp) {
+        last.sequence += 1;
+        self.stamp = *last;
+        self.changed = Some(now);
+    }
+
+    /// Forgets when adapters came that may make way again.
+    pub(super) fn forget_arrivals(&mut self, now: Millis) {
+        self.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
+    }
+
+    /// Goes back to before an order of which the effect is not known, so that
+    /// the next report counts, whatever it says.
+    pub(super) fn forget_guess(&mut self, expected_sequence: u64) {
+        self.holding.sequence = expected_sequence;
+        self.unloading = None;
+    }
+
+    /// Notes an order that the engine took.
+    pub(super) fn apply(&mut self, wish: &OrderWish, now: Millis) {
+        match wish {
+            OrderWish::Load(variant) => self.apply_load(variant, now),
+            OrderWish::Unload(variant) => self.apply_unload(variant),
+        }
+    }
+
+    fn apply_load(&mut self, variant: &Variant, now: Millis) {
+        let Variant { model, adapter } = variant;
+        let Some(adapter) = adapter else {
+            self.loading = Some(model.clone());
+            self.busy = true;
+            return;
+        };
+        let adapters = self.holding.models.entry(model.clone()).or_default();
+        adapters.insert(adapter.clone());
+        self.arrivals.insert(variant.clone(), now);
+    }
+
+    fn apply_unload(&mut self, variant: &Variant) {
+        let Variant { model, adapter } = variant;
+        let Some(adapter) = adapter else {
+            self.unloading = Some(model.clone());
+            self.busy = true;
+            return;
+        };
+        if let Some(adapters) = self.holding.models.get_mut(model) {
+            adapters.remove(adapter);
+        }
+    }
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! lease when it is its turn, and publishes a [`View`] that traffic reads.
 
 mod demand;
+mod entry;
 mod feeds;
 mod input;
 mod lease;
--- a/crates/valehold-gateway/src/control/needs.rs
+++ b/crates/valehold-gateway/src/control/needs.rs
@@ -14,9 +14,9 @@
 const ADAPTER_USE_S: f64 = 2.0;
 
 /// Returns what each model needs, given since when some of them are lost.
-pub(super) fn needs(
+pub(super) fn needs<'a>(
     demand: &BTreeMap<Variant, VariantDemand>,
-    lost: &BTreeMap<ModelName, Millis>,
+    lost: impl Iterator<Item = (&'a ModelName, &'a Millis)>,
     now: Millis,
 ) -> BTreeMap<ModelName, ModelNeed> {
     let mut needs: BTreeMap<ModelName, ModelNeed> = BTreeMap::new();
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -7,7 +7,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -26,7 +25,7 @@
         replicas::{self, EngineState, ModelNeed, ReplicaStep},
         window::Window,
     },
-    id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
+    id::{InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
 };
 use valehold_ports::{
@@ -37,6 +36,7 @@
 };
 
 use super::{
+    entry::Entry,
     input::{GivenOrder, Input, OrderEnd},
     needs::needs,
 };
@@ -61,16 +61,10 @@
 /// How many times that is doubled at the most.
 const MOST_DOUBLINGS: u32 = 4;
 
-/// After how many failures in a row an engine is taken for gone.
-const GONE_AFTER: u32 = 2;
-
 /// After how many reports in a row from before an order its effect is taken
 /// for what they say. Reports lag by less than so many questions take.
 const MOST_OLD_REPORTS: u32 = 6;
 
-/// For how long an adapter does not make way for another, in ms.
-const YOUNG_MS: u64 = 2_500;
-
 /// How many orders about adapters are under way at once while places are
 /// filled.
 const MOST_BROUGHT_AT_ONCE: usize = 3;
@@ -88,87 +82,6 @@
 /// How long requests get to turn away from a model before it is unloaded.
 const TURN_AWAY: Duration = Duration::from_millis(100);
 
-/// What is known of one engine.
-#[derive(Debug, Clone)]
-struct Entry {
-    service: ServiceName,
-    address: SocketAddr,
-    data_centre: DataCentreId,
-    leaving: bool,
-    holding: Holding,
-    loading: Option<ModelName>,
-    /// A model that it was told to give up; it takes no new requests for it,
-    /// and holds it until those that run are over.
-    unloading: Option<ModelName>,
-    /// Whether an order about a model is being carried out.
-    busy: bool,
-    /// Whether a report has to come before the next order.
-    uncertain: bool,
-    /// Whether a report or an order is under way.
-    under_way: bool,
-    asked: Millis,
-    left_alone_until: Millis,
-    failures: u32,
-    /// Reports in a row from before what is known.
-    old_reports: u32,
-    /// Orders in a row that met another one.
-    conflicts: u32,
-    /// Loads that were ordered after as many orders as now, without an
-    /// answer: the next order that is taken makes them void.
-    lost_loads: usize,
-    /// Models of which it keeps copies.
-    copies: BTreeSet<ModelName>,
-    /// When peers were first told of what it holds now.
-    changed: Option<Millis>,
-    /// Orders what peers are told of it.
-    stamp: Stamp,
-    /// Adapters that it was told to load lately, and when.
-    arrivals: BTreeMap<Variant, Millis>,
-    /// What the list said last.
-    listed: Holding,
-}
-
-impl Entry {
-    fn is_sound(&self) -> bool {
-        !self.leaving && self.failures < GONE_AFTER
-    }
-
-    fn may_order(&self, now: Millis) -> bool {
-        self.is_sound()
-            && !self.under_way
-            && !self.uncertain
-            && now >= self.left_alone_until
-    }
-
-    /// Tells whether it takes requests for a variant.
-    fn serves(&self, variant: &Variant) -> bool {
-        self.holding.has(variant)
-            && self.unloading.as_ref() != Some(&variant.model)
-    }
-
-    /// Returns the models that it takes requests for.
-    fn usable_models(&self) -> impl Iterator<Item = &ModelName> {
-        let models = self.holding.models.keys();
-        models.filter(|model| self.unloading.as_ref() != Some(model))
-    }
-
-    /// Returns what it takes requests for.
-    fn usable(&self) -> Holding {
-        let mut usable = self.holding.clone();
-        if let Some(model) = &self.unloading {
-            usable.models.remove(model);
-        }
-        usable
-    }
-
-    /// Notes that peers are to be told what it holds now.
-    fn change(&mut self, now: Millis, last: &mut Stamp) {
-        last.sequence += 1;
-        self.stamp = *last;
-        self.changed = Some(now);
-    }
-}
-
 /// What the lease allows an order to carry.
 #[derive(Clone)]
 pub(super) struct Authority {
@@ -206,8 +119,8 @@
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
     wishes: BTreeMap<Variant, Millis>,
-    /// Models that no sound engine holds, and since when.
-    lost: BTreeMap<ModelName, Millis>,
+    /// Models of each service that no sound engine holds, and since when.
+    lost: BTreeMap<ServiceName, BTreeMap<ModelName, Millis>>,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
     pacing: BTreeMap<ServiceName, Pacing>,
@@ -242,35 +155,8 @@
         let entries = &mut self.entries;
         entries.retain(|id, _| listing.upstreams.contains_key(id));
         for (id, upstream) in &listing.upstreams {
-            let entry = entries.entry(id.clone()).or_insert_with(|| Entry {
-                service: upstream.service.clone(),
-                address: upstream.address,
-                data_centre: upstream.data_centre.clone(),
-                leaving: upstream.leaving,
-                holding: upstream.holding.clone(),
-                loading: None,
-                unloading: None,
-                busy: false,
-                uncertain: true,
-                under_way: false,
-                asked: Millis::default(),
-                left_alone_until: Millis::default(),
-                failures: 0,
-                old_reports: 0,
-                conflicts: 0,
-                lost_loads: 0,
-                copies: BTreeSet::new(),
-                changed: None,
-                stamp: Stamp::default(),
-                arrivals: BTreeMap::new(),
-                listed: upstream.holding.clone(),
-            });
-            entry.leaving = upstream.leaving;
-            if entry.listed != upstream.holding {
-                entry.listed = upstream.holding.clone();
-                // Another one's orders, or none: the engine itself tells.
-                entry.uncertain |= entry.listed.models != entry.holding.models;
-            }
+            let entry = entries.entry(id.clone());
+            entry.or_insert_with(|| Entry::new(upstream)).list(upstream);
         }
     }
 
@@ -290,6 +176,7 @@
     /// Begins an epoch: another one may have given orders before.
     pub(super) fn begin_epoch(&mut self, epoch: u64) {
         self.stamp = Stamp { epoch, sequence: 0 };
+        self.lost.clear();
         for entry in self.entries.values_mut() {
             entry.uncertain = true;
             entry.holding.sequence = 0;
@@ -303,29 +190,23 @@
             changed.is_some_and(|at| now.since(at) < TELL_MS)
                 || entry.unloading.is_some()
         };
-        self.entries
-            .iter()
-            .filter(|(_, entry)| is_news(entry))
-            .map(|(id, entry)| EngineHolding {
-                engine: id.clone(),
-                holding: entry.usable(),
-                stamp: entry.stamp,
-            })
-            .collect()
+        self.told(is_news)
     }
 
     /// Returns what engines take requests for that give a model up: their
     /// own word in the list says otherwise until they have.
     pub(super) fn unloading(&self) -> Vec<EngineHolding> {
-        let unloading =
-            self.entries.iter().filter(|(_, e)| e.unloading.is_some());
-        unloading
-            .map(|(id, entry)| EngineHolding {
-                engine: id.clone(),
-                holding: entry.usable(),
-                stamp: entry.stamp,
-            })
-            .collect()
+        self.told(|entry| entry.unloading.is_some())
+    }
+
+    fn told(&self, which: impl Fn(&Entry) -> bool) -> Vec<EngineHolding> {
+        let entries = self.entries.iter().filter(|(_, entry)| which(entry));
+        let told = entries.map(|(id, entry)| EngineHolding {
+            engine: id.clone(),
+            holding: entry.usable(),
+            stamp: entry.stamp,
+        });
+        told.collect()
     }
 
     /// Does what is due for one service while orders may be given.
@@ -338,7 +219,7 @@
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
         for entry in self.entries.values_mut() {
-            entry.arrivals.retain(|_, at| now.since(*at) < YOUNG_MS);
+            entry.forget_arrivals(now);
         }
         self.ask_where_due(service, now);
         self.place_adapters(now, service, spec, demand);
@@ -364,11 +245,11 @@
             .filter(|entry| entry.is_sound())
             .flat_map(Entry::usable_models)
             .collect();
+        let lost = self.lost.entry(service.clone()).or_default();
+        lost.retain(|model, _| !held.contains(model));
         for model in &spec.models {
-            if held.contains(&model.name) {
-                self.lost.remove(&model.name);
-            } else {
-                self.lost.entry(model.name.clone()).or_insert(now);
+            if !held.contains(&model.name) {
+                lost.entry(model.name.clone()).or_insert(now);
             }
         }
     }
@@ -560,7 +441,8 @@
         demand: &BTreeMap<Variant, VariantDemand>,
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
-        let needs = needs(demand, &self.lost, now);
+        let lost = self.lost.get(service).into_iter().flatten();
+        let needs = needs(demand, lost, now);
         let states: Vec<EngineState> = self
             .entries
             .iter()
@@ -720,7 +602,7 @@
                             OrderEnd::Answered(OrderOutcome::Accepted)
                         ));
                 entry.holding.sequence = order.expected_sequence + 1;
-                apply(entry, &order.wish, now);
+                entry.apply(&order.wish, now);
                 entry.change(now, &mut self.stamp);
             }
             OrderEnd::Answered(
@@ -731,7 +613,7 @@
                 let shift = entry.conflicts.min(MOST_DOUBLINGS);
                 entry.conflicts += 1;
                 entry.left_alone_until = now + (AFTER_CONFLICT_MS << shift);
-                forget_guess(entry, &order);
+                entry.forget_guess(order.expected_sequence);
             }
             OrderEnd::Unanswered(error) => {
                 log::debug!("an order to {} was lost: {error}", order.engine);
@@ -740,7 +622,7 @@
                 if is_model && matches!(order.wish, OrderWish::Load(_)) {
                     entry.lost_loads += 1;
                 }
-                forget_guess(entry, &order);
+                entry.forget_guess(order.expected_sequence);
             }
         }
     }
@@ -766,37 +648,6 @@
     }
 }
 
-/// Goes back to before an order of which the effect is not known, so that
-/// the next report counts, whatever it says.
-fn forget_guess(entry: &mut Entry, order: &GivenOrder) {
-    entry.holding.sequence = order.expected_sequence;
-    entry.unloading = None;
-}
-
-fn apply(entry: &mut Entry, wish: &OrderWish, now: Millis) {
-    let models = &mut entry.holding.models;
-    match wish {
-        OrderWish::Load(Variant { model, adapter: None }) => {
-            entry.loading = Some(model.clone());
-            entry.busy = true;
-        }
-        OrderWish::Load(Variant { model, adapter: Some(adapter) }) => {
-            models.entry(model.clone()).or_default().insert(adapter.clone());
-            let variant = Variant::adapted(model.as_str(), adapter.as_str());
-            entry.arrivals.insert(variant, now);
-        }
-        OrderWish::Unload(Variant { model, adapter: None }) => {
-            entry.unloading = Some(model.clone());
-            entry.busy = true;
-        }
-        OrderWish::Unload(Variant { model, adapter: Some(adapter) }) => {
-            if let Some(adapters) = models.get_mut(model) {
-                adapters.remove(adapter);
-            }
-        }
-    }
-}
-
 fn fits(holding: &Holding, wish: &OrderWish, spec: &EngineSpec) -> bool {
     match wish {
         OrderWish::Unload(_) => true,
