Headers that only a gateway may set are removed at the edge

Ruled out: stripping in the traffic code, which must not know the names. Change: the adapter lists the reserved names; the route step removes them and counts each by name. Before: tests/reserved_headers failed for every header and route kind. After: it passes; callers' own headers still go on.

--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -74,6 +74,7 @@
     retries: Counter<u64>,
     requests: Counter<u64>,
     orders: Counter<u64>,
+    reserved_headers: Counter<u64>,
     catalog: Gauge<u64>,
     holds_lease: Gauge<u64>,
 }
@@ -93,6 +94,10 @@
             retries: counter("valehold_retries", "Sends after another."),
             requests: counter("valehold_requests", "Requests taken."),
             orders: counter("valehold_orders", "Orders given to engines."),
+            reserved_headers: counter(
+                "valehold_reserved_headers_removed",
+                "Callers' headers that only a gateway may set, removed.",
+            ),
             catalog: gauge("valehold_revision", "Configuration in force."),
             holds_lease: gauge("valehold_holds_lease", "1 at the holder."),
             instruments,
@@ -114,6 +119,12 @@
         self.requests.add(1, &[]);
     }
 
+    /// Counts a caller's header that only a gateway may set.
+    pub fn reserved_header_removed(&self, name: &str) {
+        let name = KeyValue::new("header", name.to_owned());
+        self.reserved_headers.add(1, &[name]);
+    }
+
     /// Counts an order.
     pub fn ordered(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -53,9 +53,10 @@
     request: Request<Incoming>,
 ) -> Result<Job, (Option<Bytes>, Refusal)> {
     let began = Instant::now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
     let said = app.dialect.read_request(&head.headers);
     let id = said.id.clone();
+    remove_reserved(app, &mut head);
     let view = app.shared.view.load_full();
     let Some(catalog) = view.catalog.clone() else {
         let reason = RefusalReason::NotReady;
@@ -84,6 +85,14 @@
     })
 }
 
+/// Removes headers that only a gateway may set, so that no upstream takes a
+/// caller's copy for the gateway's word.
+fn remove_reserved(app: &App, head: &mut Parts) {
+    for name in app.dialect.remove_reserved(&mut head.headers) {
+        app.shared.metrics.reserved_header_removed(name.as_str());
+    }
+}
+
 fn take_route(
     catalog: &Catalog,
     head: &Parts,
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 use valehold_core::{
     fleet::{Catalog, Holding, Listing, Upstream, Variant},
@@ -254,6 +254,11 @@
     /// Reads what a caller's request says of itself.
     fn read_request(&self, headers: &HeaderMap) -> CallerRequest;
 
+    /// Removes a caller's copies of headers that only an instance may set.
+    ///
+    /// Returns the names of those that were there.
+    fn remove_reserved(&self, headers: &mut HeaderMap) -> Vec<HeaderName>;
+
     /// Writes what an instance adds to a request for an upstream.
     fn write_request(&self, headers: &mut HeaderMap, sending: &Sending);
 
