--- a/crates/valehold-core/src/fleet/share.rs
+++ b/crates/valehold-core/src/fleet/share.rs
@@ -18,7 +18,7 @@
     pub slack: f64,
     /// The window's length, in ms.
     pub window_ms: u64,
-    /// Among how many instances the slack is divided.
+    /// Among how many instances the slack is divided at the least.
     pub instances: u32,
 }
 
@@ -45,6 +45,14 @@
         Self { budget, requests: window.clone(), again: window }
     }
 
+    /// Takes in how many instances there are, as far as this one has seen.
+    ///
+    /// The slack is never divided among fewer than before: instances that
+    /// are not seen any more may only be cut off.
+    pub fn seen_instances(&mut self, seen: u32) {
+        self.budget.instances = self.budget.instances.max(seen);
+    }
+
     /// Notes a request's first send.
     pub fn first_send(&mut self, now: Millis) {
         self.requests.note(now);
--- a/crates/valehold-core/src/fleet/slot_time.rs
+++ b/crates/valehold-core/src/fleet/slot_time.rs
@@ -3,10 +3,6 @@
 //! One gateway of many sees few requests end at any one engine, but many at
 //! all of them. It therefore learns a mean for each model, and a mean over
 //! all models, to which a model of which little was seen is drawn.
-//!
-//! Engines admit more urgent requests first, and let less urgent ones wait
-//! for them. How much of the engines' slots requests of each rank take says
-//! how many of those that run at an engine one has to wait for.
 
 use std::collections::BTreeMap;
 
@@ -24,9 +20,6 @@
 /// How many requests the mean over all models counts for, for one model.
 const ALL_COUNTS: f64 = 4.0;
 
-/// Below this count of requests, nothing is known of what ranks take.
-const LEAST_KNOWN: f64 = 8.0;
-
 /// Below this count, a model is forgotten.
 const LEAST: f64 = 0.01;
 
@@ -71,21 +64,12 @@
 pub struct SlotTimes {
     all: FadingMean,
     models: BTreeMap<ModelName, FadingMean>,
-    /// By the rank of requests, 0 being the most urgent.
-    ranks: BTreeMap<u8, FadingMean>,
 }
 
 impl SlotTimes {
     /// Notes for how long a request of a model kept its slot, in ms.
-    pub fn note(
-        &mut self,
-        model: &ModelName,
-        rank: u8,
-        took_ms: f64,
-        now: Millis,
-    ) {
+    pub fn note(&mut self, model: &ModelName, took_ms: f64, now: Millis) {
         self.all.add(took_ms, now);
-        self.ranks.entry(rank).or_default().add(took_ms, now);
         let mean = self.models.entry(model.clone()).or_default();
         mean.add(took_ms, now);
     }
@@ -97,18 +81,6 @@
         seen.mean(usual_ms, ALL_COUNTS, now)
     }
 
-    /// Returns the part of all slots that requests take which are at least as
-    /// urgent as those of a rank, from 0 to 1; 1 while nothing is known.
-    pub fn part_as_urgent(&self, rank: u8, now: Millis) -> f64 {
-        let all = self.all.at(now);
-        if all.count < LEAST_KNOWN {
-            return 1.0;
-        }
-        let as_urgent = self.ranks.range(..=rank);
-        let sum_ms: f64 = as_urgent.map(|(_, mean)| mean.at(now).sum_ms).sum();
-        (sum_ms / all.sum_ms.max(f64::EPSILON)).clamp(0.0, 1.0)
-    }
-
     /// Forgets models of which nothing was seen for long.
     pub fn sweep(&mut self, now: Millis) {
         self.models.retain(|_, mean| mean.at(now).count > LEAST);
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -39,7 +39,6 @@
     splitter: EventSplitter,
     under_way: UnderWay,
     variant: Option<Variant>,
-    rank: u8,
     began: Instant,
     /// Events that came after the first ones.
     later_events: u32,
@@ -68,7 +67,6 @@
             splitter: EventSplitter::default(),
             under_way,
             variant: job.request.variant.clone(),
-            rank: job.route.rank,
             began: Instant::now(),
             later_events: 0,
             held: None,
@@ -158,7 +156,7 @@
     /// Notes how long a whole stream kept its slot.
     fn note_work(&self, app: &App, slot_ms: f64) {
         let Some(variant) = &self.variant else { return };
-        app.note_slot_time(&variant.model, self.rank, slot_ms);
+        app.note_slot_time(&variant.model, slot_ms);
         let events = f64::from(self.later_events);
         let work = Work { ended: 1.0, slot_ms, events, ..Work::default() };
         app.shared.note_work(variant, work);
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -32,7 +32,8 @@
 const FAR_MS: f64 = 4.0;
 
 /// By how much an engine's running requests delay a new one, in ms each.
-const RUNNING_MS: f64 = 1.0;
+/// Little: batches of 16 to 64 take a step hardly longer than one request.
+const RUNNING_MS: f64 = 0.25;
 
 /// What reading a prompt costs each request that runs beside it, since its
 /// outputs come more slowly meanwhile: a part of the time of reading.
@@ -137,8 +138,7 @@
     if holders.is_empty() {
         return Err(NoChoice::NotHeld);
     }
-    let part_as_urgent = app.part_as_urgent(job.route.rank);
-    let prompt = Prompt::of(job, variant, part_as_urgent);
+    let prompt = Prompt::of(job, variant);
     let home = prompt.home(&holders);
     let candidates: Vec<Candidate> = able(app, &holders, variant, tried)
         .into_iter()
@@ -253,7 +253,7 @@
         suspect: app.is_suspect(&upstream.id),
         slots: spec.slots,
         prefill_tokens_per_second: READ_TOKENS_PER_SECOND / pace.slowness(now),
-        running: prompt.waits_for(load.running),
+        running: load.running,
         waiting_tokens: load.waiting_tokens,
         service_ms: app.slot_ms(&prompt.model),
         report_age_ms: LOAD_AGE_MS,
@@ -264,8 +264,6 @@
 /// A prompt, as far as the choice of an engine needs it.
 struct Prompt {
     model: ModelName,
-    /// The part of running requests that are at least as urgent.
-    part_as_urgent: f64,
     tokens: u64,
     /// The hash of each part with all before it, for this variant.
     blocks: Vec<u64>,
@@ -275,13 +273,12 @@
 }
 
 impl Prompt {
-    fn of(job: &Job, variant: &Variant, part_as_urgent: f64) -> Self {
+    fn of(job: &Job, variant: &Variant) -> Self {
         let request = &job.request;
         let seed = xxh3_64(variant.to_string().as_bytes());
         let digests = request.parts.iter().map(|p| p.digest.to_le_bytes());
         Self {
             model: variant.model.clone(),
-            part_as_urgent,
             tokens: request.prompt_tokens,
             blocks: chained_hashes(seed, digests),
             part_tokens: request.parts.iter().map(|p| p.tokens).collect(),
@@ -289,12 +286,6 @@
         }
     }
 
-    /// Returns how many of an engine's requests this one has to wait for.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn waits_for(&self, running: u32) -> u32 {
-        (f64::from(running) * self.part_as_urgent).ceil() as u32
-    }
-
     fn tokens_of(&self, parts: usize) -> u64 {
         self.part_tokens.iter().take(parts).sum()
     }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -161,7 +161,8 @@
                 NoChoice::WouldBeLate { predicted_ms, come_back_ms } => {
                     self.record.predicted(predicted_ms);
                     let reason = RefusalReason::WouldBeLate;
-                    return Err(self.give_up(reason, Some(come_back_ms)));
+                    let come_back = self.spread_come_back(come_back_ms);
+                    return Err(self.give_up(reason, Some(come_back)));
                 }
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
@@ -182,6 +183,24 @@
         }
     }
 
+    /// Returns in how many ms a caller is to come back that is turned away
+    /// for want of capacity: between the soonest time that makes sense and
+    /// the longest that can be told.
+    ///
+    /// Many are turned away together. If all came back when the queue in
+    /// front of them is worked off, they would meet again, and the next
+    /// refusal is their last.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    fn spread_come_back(&self, soonest_ms: u64) -> u64 {
+        let span_ms = self.most_wait_ms().saturating_sub(soonest_ms);
+        let share: f64 = rand::random();
+        soonest_ms + (span_ms as f64 * share) as u64
+    }
+
     /// Returns in how many ms what is missing may be there.
     fn come_back_ms(&self, no_choice: NoChoice) -> u64 {
         if no_choice != NoChoice::NotHeld {
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -93,20 +93,9 @@
     }
 
     /// Notes for how long a request of a model kept its slot, in ms.
-    pub(super) fn note_slot_time(
-        &self,
-        model: &ModelName,
-        rank: u8,
-        took_ms: f64,
-    ) {
+    pub(super) fn note_slot_time(&self, model: &ModelName, took_ms: f64) {
         let now = self.now();
-        self.slot_times.borrow_mut().note(model, rank, took_ms, now);
-    }
-
-    /// Returns the part of engines' slots that requests take which are at
-    /// least as urgent as those of a rank.
-    pub(super) fn part_as_urgent(&self, rank: u8) -> f64 {
-        self.slot_times.borrow().part_as_urgent(rank, self.now())
+        self.slot_times.borrow_mut().note(model, took_ms, now);
     }
 
     /// Returns for how long a request of a model keeps its slot, in ms.
@@ -177,11 +166,13 @@
         service: &ServiceName,
         act: impl FnOnce(&mut RetryShare) -> T,
     ) -> T {
+        let seen = self.shared.view.load().ready.len();
         let mut shares = self.shares.borrow_mut();
         let budget = self.shared.settings.retry.budget();
         let share = shares
             .entry(service.clone())
             .or_insert_with(|| RetryShare::new(budget));
+        share.seen_instances(u32::try_from(seen).unwrap_or(u32::MAX));
         act(share)
     }
 
