--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -91,14 +91,6 @@
 /// for its requests, in the pressure that would be as bad.
 const BUSY_ENGINE_WEIGHS: f64 = 0.3;
 
-/// What a load from the weight store costs beside one from a copy, when an
-/// engine with room is chosen, in engines kept busy: it takes several seconds
-/// in which the model's other engines stay pressed.
-const STORE_LOAD_COSTS: f64 = 0.5;
-
-/// What it costs to have two replicas of a model in one data centre, likewise.
-const SAME_DATA_CENTRE_COSTS: f64 = 0.1;
-
 /// What it is worth to load a model from a copy, likewise.
 const COPY_IS_WORTH: f64 = 0.3;
 
@@ -130,11 +122,9 @@
         demand,
         engines: engines.to_vec(),
         wanted: BTreeMap::new(),
-        shares: BTreeMap::new(),
         steps: Vec::new(),
         loads,
     };
-    planner.share_out_work();
     planner.want();
     let lost = planner.lost();
     let short = planner.short();
@@ -165,31 +155,11 @@
     demand: &'a BTreeMap<ModelName, ModelNeed>,
     engines: Vec<EngineState>,
     wanted: BTreeMap<ModelName, usize>,
-    /// How busy each model keeps each of its engines, as of the beginning.
-    shares: BTreeMap<ModelName, f64>,
     steps: Vec<ReplicaStep>,
     loads: usize,
 }
 
 impl Planner<'_> {
-    /// Notes how busy each model keeps each of its engines.
-    #[allow(clippy::cast_precision_loss)]
-    fn share_out_work(&mut self) {
-        let mut holders: BTreeMap<&ModelName, usize> = BTreeMap::new();
-        for engine in self.engines.iter().filter(|engine| engine.sound) {
-            let models = engine.holding.models.keys().chain(&engine.loading);
-            for model in models {
-                *holders.entry(model).or_default() += 1;
-            }
-        }
-        let share = |(model, count): (&ModelName, usize)| {
-            let need = self.need(model);
-            let busy = need.busy.max(need.lately);
-            (model.clone(), busy / count as f64)
-        };
-        self.shares = holders.into_iter().map(share).collect();
-    }
-
     /// Shares the engines' places out: one for each model, then always one
     /// for the model that presses hardest.
     fn want(&mut self) {
@@ -353,32 +323,15 @@
                 && taken_mb(&engine.holding, self.spec) + size
                     <= self.spec.memory_mb
         });
-        let cost = |index: &usize| {
-            let engine = &self.engines[*index];
-            let is_new = !engine.copies.contains(model);
-            let is_near = near.contains(&engine.data_centre);
-            self.expected_busy(engine, None)
-                + if is_new { STORE_LOAD_COSTS } else { 0.0 }
-                + if is_near { SAME_DATA_CENTRE_COSTS } else { 0.0 }
-        };
-        able.map(|index| (cost(&index), index))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, index)| index)
-    }
-
-    /// Returns how busy an engine's models are expected to keep it, less one
-    /// of them: each shares its work among the engines that hold it.
-    ///
-    /// What runs at an engine now says nothing of models that it loads, nor
-    /// of demand that has just risen.
-    fn expected_busy(
-        &self,
-        engine: &EngineState,
-        less: Option<&ModelName>,
-    ) -> f64 {
-        let held = engine.holding.models.keys().chain(&engine.loading);
-        let counted = held.filter(|model| Some(*model) != less);
-        counted.filter_map(|model| self.shares.get(model)).sum()
+        able.min_by(|a, b| {
+            let rank = |index: &usize| {
+                let engine = &self.engines[*index];
+                let is_new = !engine.copies.contains(model);
+                (is_new, near.contains(&engine.data_centre))
+            };
+            let load = |index: &usize| self.engines[*index].load;
+            rank(a).cmp(&rank(b)).then(load(a).total_cmp(&load(b)))
+        })
     }
 
     fn data_centres_of(&self, model: &ModelName) -> BTreeSet<DataCentreId> {
@@ -423,9 +376,7 @@
                 {
                     continue;
                 }
-                let cost = then
-                    + self.moving_cost(engine, model)
-                    + self.expected_busy(engine, Some(held));
+                let cost = then + self.moving_cost(engine, model);
                 if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                     best = Some((cost, index, held.clone()));
                 }
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -268,27 +268,6 @@
     expect_true!(matches!(later[..], [ReplicaStep::Unload { .. }]));
 }
 
-#[gtest]
-fn a_replica_goes_where_the_other_models_are_idle() {
-    let spec = spec(5);
-    let mut engines = vec![
-        engine(0, &BTreeSet::from([0, 1])),
-        engine(1, &BTreeSet::from([2, 3])),
-        engine(2, &BTreeSet::from([4])),
-    ];
-    // Nothing runs at the first engine yet: its models' demand just rose.
-    engines[1].load = 5.0;
-    engines[2].busy = true;
-    let demand = needs(&[0.9, 0.8, 0.0, 0.05, 3.0]);
-    let steps = plan(&spec, &demand, &engines, 1);
-    let expected = ReplicaStep::Load {
-        engine: UpstreamId::new("e1"),
-        model: ModelName::new("m4"),
-        from_store: true,
-    };
-    expect_that!(steps, elements_are![eq(&expected)]);
-}
-
 #[gtest]
 fn the_model_that_is_missed_least_makes_way() {
     let spec = spec(4);
--- a/crates/valehold-core/src/fleet/tests/work.rs
+++ b/crates/valehold-core/src/fleet/tests/work.rs
@@ -15,7 +15,7 @@
 const SLOTS: u32 = 16;
 
 /// Makes the work of requests that keep a slot for so long each.
-fn work(requests: f64, each_slot_ms: f64, event_ms: f64) -> ModelWork {
+fn work(requests: f32, each_slot_ms: f32, event_ms: f32) -> ModelWork {
     let ended = requests * 10.0;
     ModelWork {
         requests,
@@ -84,10 +84,10 @@
     /// More requests never keep engines less busy, and all is finite.
     #[test]
     fn more_requests_keep_engines_busier(
-        requests in 0.0..500.0_f64,
-        more in 1.0..4.0_f64,
-        slot_ms in 0.0..20_000.0_f64,
-        event_ms in 1.0..500.0_f64,
+        requests in 0.0..500.0_f32,
+        more in 1.0..4.0_f32,
+        slot_ms in 0.0..20_000.0_f32,
+        event_ms in 1.0..500.0_f32,
         slots in 1_u32..128,
     ) {
         let few = work(requests, slot_ms, event_ms);
--- a/crates/valehold-core/src/fleet/work.rs
+++ b/crates/valehold-core/src/fleet/work.rs
@@ -10,6 +10,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::ModelName;
 
 /// How long an engine reads one prompt token of a usual model, in ms: the
@@ -27,27 +29,28 @@
 const SPEED: std::ops::RangeInclusive<f64> = 0.1..=3.0;
 
 /// Over how many ms recent arrivals are smoothed.
-pub const RECENT_MS: f64 = 800.0;
+pub const RECENT_MS: f32 = 800.0;
 
 /// By how many standard deviations recent arrivals have to exceed the usual
 /// ones to be believed at once.
 const BELIEVED_DEVIATIONS: f64 = 2.0;
 
-/// What gateways saw of one model.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+/// What gateways saw of one model, or of one of its adapters. Gateways tell
+/// each other of it, so it takes few bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct ModelWork {
     /// Requests a second, smoothed over seconds.
-    pub requests: f64,
+    pub requests: f32,
     /// Requests a second, smoothed over [`RECENT_MS`].
-    pub recent: f64,
+    pub recent: f32,
     /// Prompt tokens to read a second, smoothed as `requests`.
-    pub read_tokens: f64,
+    pub read_tokens: f32,
     /// Requests that ended, fading with time.
-    pub ended: f64,
+    pub ended: f32,
     /// For how many ms those kept a slot after their first event.
-    pub slot_ms: f64,
+    pub slot_ms: f32,
     /// How many events those had after their first.
-    pub events: f64,
+    pub events: f32,
 }
 
 impl ModelWork {
@@ -69,15 +72,17 @@
     /// Recent arrivals count where they exceed the smoothed ones by more than
     /// chance explains, so that a rise is followed at once and a lull is not.
     pub fn rate(&self) -> f64 {
-        let deviation = (self.requests / (2.0 * RECENT_MS / 1_000.0)).sqrt();
-        let is_rise =
-            self.recent > self.requests + BELIEVED_DEVIATIONS * deviation;
-        if is_rise { self.recent } else { self.requests }
+        let usual = f64::from(self.requests);
+        let recent = f64::from(self.recent);
+        let deviation =
+            (usual / (2.0 * f64::from(RECENT_MS) / 1_000.0)).sqrt();
+        let is_rise = recent > usual + BELIEVED_DEVIATIONS * deviation;
+        if is_rise { recent } else { usual }
     }
 
     /// Returns the time between two events, in ms, if any were seen.
     fn event_ms(&self) -> Option<f64> {
-        (self.events >= 1.0).then(|| self.slot_ms / self.events)
+        (self.events >= 1.0).then(|| (self.slot_ms / self.events).into())
     }
 }
 
@@ -92,8 +97,9 @@
     /// Learns it from all models of a service.
     pub fn of<'a>(models: impl IntoIterator<Item = &'a ModelWork>) -> Self {
         let models: Vec<&ModelWork> = models.into_iter().collect();
-        let ended: f64 = models.iter().map(|work| work.ended).sum();
-        let slot_ms: f64 = models.iter().map(|work| work.slot_ms).sum();
+        let ended = models.iter().map(|work| f64::from(work.ended));
+        let slot_ms = models.iter().map(|work| f64::from(work.slot_ms));
+        let (ended, slot_ms): (f64, f64) = (ended.sum(), slot_ms.sum());
         let first = USUAL_COUNTS * FIRST_SLOT_MS;
         Self {
             slot_ms: (slot_ms + first) / (ended + USUAL_COUNTS),
@@ -104,10 +110,12 @@
     /// Returns how many engines with so many slots a model's requests keep
     /// wholly busy.
     pub fn busy(&self, work: &ModelWork, slots: u32) -> f64 {
-        let ended = work.ended + USUAL_COUNTS;
-        let slot_ms = (work.slot_ms + USUAL_COUNTS * self.slot_ms) / ended;
+        let ended = f64::from(work.ended) + USUAL_COUNTS;
+        let slots_ms = f64::from(work.slot_ms) + USUAL_COUNTS * self.slot_ms;
+        let slot_ms = slots_ms / ended;
         let rate = work.rate();
-        let each_tokens = work.read_tokens / work.requests.max(f64::EPSILON);
+        let requests = f64::from(work.requests).max(f64::EPSILON);
+        let each_tokens = f64::from(work.read_tokens) / requests;
         let read_ms = each_tokens * READ_TOKEN_MS * self.speed(work);
         let each_ms = read_ms + slot_ms / f64::from(slots.max(1));
         rate * each_ms / 1_000.0
@@ -119,7 +127,8 @@
             return 1.0;
         };
         let seen = own / usual.max(f64::EPSILON);
-        let weight = work.ended / (work.ended + USUAL_COUNTS);
+        let ended = f64::from(work.ended);
+        let weight = ended / (ended + USUAL_COUNTS);
         let speed = 1.0 + (seen - 1.0) * weight;
         speed.clamp(*SPEED.start(), *SPEED.end())
     }
@@ -130,7 +139,7 @@
 fn median_event_ms(models: &[&ModelWork]) -> Option<f64> {
     let mut seen: Vec<(f64, f64)> = models
         .iter()
-        .filter_map(|work| Some((work.event_ms()?, work.ended)))
+        .filter_map(|work| Some((work.event_ms()?, work.ended.into())))
         .collect();
     seen.sort_by(|(a, _), (b, _)| a.total_cmp(b));
     let half = seen.iter().map(|(_, ended)| ended).sum::<f64>() / 2.0;
--- a/crates/valehold-core/src/routing.rs
+++ b/crates/valehold-core/src/routing.rs
@@ -9,9 +9,7 @@
 //! Several instances that look at the same late report must not all choose
 //! the same engine. The choice is therefore drawn at random, nearly evenly
 //! among engines whose predictions differ by less than the reports can be
-//! trusted to tell, and hardly ever for one that is much worse. Among those,
-//! an engine is drawn the more often the more of its slots are free: what all
-//! instances send until the next report then fills them evenly.
+//! trusted to tell, and hardly ever for one that is much worse.
 
 #[cfg(test)]
 mod tests;
@@ -82,9 +80,6 @@
     pub total_ms: f64,
     /// Whether the engine missed its last reports.
     pub suspect: bool,
-    /// The part of its slots that are free, from 0 to 1.
-    #[serde(default)]
-    pub free_part: f64,
     /// The chance with which it was drawn, from 0 to 1.
     pub chance: f64,
 }
@@ -135,7 +130,6 @@
         cached_tokens,
         total_ms: distance_ms + queue_ms + slot_ms + prompt_ms,
         suspect: candidate.suspect,
-        free_part: free_part(candidate),
         chance: 0.0,
     }
 }
@@ -180,14 +174,6 @@
     tokens as f64 / candidate.prefill_tokens_per_second * 1_000.0
 }
 
-/// Returns the part of an engine's slots that are free. A full one counts as
-/// having half a slot, so that one is drawn where all are full.
-fn free_part(candidate: &Candidate) -> f64 {
-    let slots = candidate.slots.max(1);
-    let free = slots.saturating_sub(candidate.running);
-    f64::from(free).max(0.5) / f64::from(slots)
-}
-
 fn slot_wait_ms(candidate: &Candidate) -> f64 {
     if candidate.running < candidate.slots {
         return 0.0;
@@ -224,8 +210,7 @@
     for prediction in predictions.iter_mut() {
         if prediction.suspect == suspect {
             let behind = prediction.total_ms - least;
-            let nearness = (-behind / doubt_ms.max(f64::EPSILON)).exp();
-            prediction.chance = nearness * prediction.free_part;
+            prediction.chance = (-behind / doubt_ms.max(f64::EPSILON)).exp();
             total += prediction.chance;
         }
     }
--- a/crates/valehold-core/src/routing/tests.rs
+++ b/crates/valehold-core/src/routing/tests.rs
@@ -51,20 +51,6 @@
     expect_that!(choose(&[], 10, 0.5, &settings), none());
 }
 
-#[gtest]
-fn engines_are_drawn_by_their_free_slots() {
-    let settings = RoutingSettings::default();
-    let idle = candidate("a");
-    let half = Candidate { running: 2, ..candidate("b") };
-    let choice = choose(&[idle, half], 10, 0.5, &settings).unwrap();
-    let chance = |name: &str| {
-        let found = choice.predictions.iter();
-        found.clone().find(|p| p.engine.as_str() == name).unwrap().chance
-    };
-    expect_that!(chance("a"), near(2.0 / 3.0, 1e-6));
-    expect_that!(chance("b"), near(1.0 / 3.0, 1e-6));
-}
-
 proptest! {
     #![proptest_config(cases())]
 
--- a/crates/valehold-gateway/src/control/demand.rs
+++ b/crates/valehold-gateway/src/control/demand.rs
@@ -4,49 +4,38 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Variant, work::RECENT_MS},
+    fleet::{
+        Variant,
+        work::{ModelWork, RECENT_MS},
+    },
 };
 
-use crate::{
-    peers::message::{VariantDemand, WorkSums},
-    shared::Work,
-};
+use crate::{peers::message::VariantDemand, shared::Work};
 
 /// Over how many ms demand is smoothed.
-const SMOOTHED_MS: f64 = 2_500.0;
+const SMOOTHED_MS: f32 = 2_500.0;
 
 /// Over how many ms requests that ended fade: models change their ways less
 /// often than callers theirs, and few requests end at one gateway.
-const ENDED_FADE_MS: f64 = 12_000.0;
+const ENDED_FADE_MS: f32 = 12_000.0;
 
 /// Demand below this many requests a second is forgotten.
-const LEAST: f64 = 0.002;
+const LEAST: f32 = 0.002;
 
 /// Fewer requests that ended than this are forgotten.
-const LEAST_ENDED: f64 = 0.05;
-
-/// What this gateway saw of one variant.
-#[derive(Debug, Clone, Copy, Default)]
-struct Seen {
-    requests: f64,
-    recent: f64,
-    read_tokens: f64,
-    ended: f64,
-    slot_ms: f64,
-    events: f64,
-}
+const LEAST_ENDED: f32 = 0.05;
 
 /// How much of what was seen is kept over some time.
 struct Kept {
-    passed_ms: f64,
-    smoothed: f64,
-    recent: f64,
-    ended: f64,
+    passed_ms: f32,
+    smoothed: f32,
+    recent: f32,
+    ended: f32,
 }
 
 impl Kept {
-    fn after(passed_ms: f64) -> Self {
-        let over = |span_ms: f64| (-passed_ms / span_ms).exp();
+    fn after(passed_ms: f32) -> Self {
+        let over = |span_ms: f32| (-passed_ms / span_ms).exp();
         Self {
             passed_ms,
             smoothed: over(SMOOTHED_MS),
@@ -57,51 +46,37 @@
 
     /// Returns the rate a second to add for what came, given how much of the
     /// rate before was kept.
-    fn rate(&self, came: f64, kept: f64) -> f64 {
+    fn rate(&self, came: f32, kept: f32) -> f32 {
         came * 1_000.0 / self.passed_ms * (1.0 - kept)
     }
 }
 
-impl Seen {
-    fn fade(&mut self, kept: &Kept) {
-        self.requests *= kept.smoothed;
-        self.read_tokens *= kept.smoothed;
-        self.recent *= kept.recent;
-        self.ended *= kept.ended;
-        self.slot_ms *= kept.ended;
-        self.events *= kept.ended;
-    }
-
-    fn add(&mut self, work: Work, kept: &Kept) {
-        self.requests += kept.rate(work.requests, kept.smoothed);
-        self.read_tokens += kept.rate(work.read_tokens, kept.smoothed);
-        self.recent += kept.rate(work.requests, kept.recent);
-        self.ended += work.ended;
-        self.slot_ms += work.slot_ms;
-        self.events += work.events;
-    }
+fn fade(seen: &mut ModelWork, kept: &Kept) {
+    seen.requests *= kept.smoothed;
+    seen.read_tokens *= kept.smoothed;
+    seen.recent *= kept.recent;
+    seen.ended *= kept.ended;
+    seen.slot_ms *= kept.ended;
+    seen.events *= kept.ended;
+}
 
-    fn counts(&self) -> bool {
-        self.requests > LEAST || self.ended > LEAST_ENDED
-    }
+fn add(seen: &mut ModelWork, work: Work, kept: &Kept) {
+    seen.requests += kept.rate(work.requests, kept.smoothed);
+    seen.read_tokens += kept.rate(work.read_tokens, kept.smoothed);
+    seen.recent += kept.rate(work.requests, kept.recent);
+    seen.ended += work.ended;
+    seen.slot_ms += work.slot_ms;
+    seen.events += work.events;
+}
 
-    #[allow(clippy::cast_possible_truncation)]
-    fn sums(&self) -> WorkSums {
-        WorkSums {
-            requests: self.requests as f32,
-            recent: self.recent as f32,
-            read_tokens: self.read_tokens as f32,
-            ended: self.ended as f32,
-            slot_ms: self.slot_ms as f32,
-            events: self.events as f32,
-        }
-    }
+fn counts(seen: &ModelWork) -> bool {
+    seen.requests > LEAST || seen.ended > LEAST_ENDED
 }
 
 /// The demand that comes to this gateway.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
-    seen: BTreeMap<Variant, Seen>,
+    seen: BTreeMap<Variant, ModelWork>,
     updated: Millis,
 }
 
@@ -109,16 +84,16 @@
     /// Takes in the work that came since the last call.
     pub(super) fn take(&mut self, work: BTreeMap<Variant, Work>, now: Millis) {
         #[allow(clippy::cast_precision_loss)]
-        let passed_ms = now.since(self.updated).max(1) as f64;
+        let passed_ms = now.since(self.updated).max(1) as f32;
         self.updated = now;
         let kept = Kept::after(passed_ms);
         for seen in self.seen.values_mut() {
-            seen.fade(&kept);
+            fade(seen, &kept);
         }
         for (variant, work) in work {
-            self.seen.entry(variant).or_default().add(work, &kept);
+            add(self.seen.entry(variant).or_default(), work, &kept);
         }
-        self.seen.retain(|_, seen| seen.counts());
+        self.seen.retain(|_, seen| counts(seen));
     }
 
     /// Returns the demand for each variant; `running` tells how many of its
@@ -131,8 +106,8 @@
         for variant in running.keys() {
             all.entry(variant.clone()).or_default();
         }
-        let one = |(variant, seen): (Variant, Seen)| VariantDemand {
-            work: seen.sums(),
+        let one = |(variant, work): (Variant, ModelWork)| VariantDemand {
+            work,
             running: running.get(&variant).copied().unwrap_or(0),
             variant,
         };
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod input;
 mod lease;
+mod loads;
 mod needs;
 mod placer;
 
@@ -46,8 +47,8 @@
     peers::{
         Heartbeat, Message, Roster,
         message::{
-            EngineHolding, LeaseRumour, LeaseWord, LoadReport, MAX_DATAGRAM,
-            Rank, UpstreamLoad, VariantDemand,
+            EngineHolding, LeaseRumour, LeaseWord, MAX_DATAGRAM, Rank,
+            UpstreamLoad, VariantDemand,
         },
         roster::Own,
         state::{self, StateClient},
@@ -73,16 +74,6 @@
 /// How many times rarer heartbeats are where hubs sum them up.
 const BEATS_WITH_HUBS: u64 = 2;
 
-/// How often a gateway tells hubs what it has under way, and the foremost hub
-/// tells all, in ms. A gateway sends to engines on what it believes to run
-/// there: on the users' bench what ran differed by 5 and more in a quarter of
-/// sends while the word of others was 0.75 s old on average.
-const LOADS_EVERY_MS: u64 = 150;
-
-/// How many bytes a second of such sums a gateway takes: the users' bound for
-/// all of control on the way to their largest size. Larger sums come rarer.
-const LOADS_BYTES_PER_S: u64 = 8_000;
-
 /// For how long a sum of all gateways' demand and loads is used, in ms.
 const SUM_KEEPS_MS: u64 = 200;
 
@@ -320,63 +311,6 @@
         }
     }
 
-    /// Tells what is under way between heartbeats, where hubs sum it up.
-    fn tell_loads(&mut self, now: Millis) {
-        self.loads_due = now + LOADS_EVERY_MS;
-        if !self.roster.has_hubs(now) {
-            return;
-        }
-        if self.roster.is_foremost_hub(now) {
-            let sums = self.roster.sum_loads(&self.own_loads(), now);
-            let bytes = self
-                .send_all(&Message::LoadSums(sums), now)
-                .saturating_mul(1_000);
-            let every_ms = bytes / LOADS_BYTES_PER_S;
-            self.loads_due = now + every_ms.max(LOADS_EVERY_MS);
-        } else {
-            self.report_loads(now);
-        }
-        if self.roster.is_hub(now) {
-            self.publish_loads(now);
-        }
-    }
-
-    /// Tells hubs what this gateway has under way, if that changed.
-    fn report_loads(&mut self, now: Millis) {
-        let loads = self.own_loads();
-        let as_told = |one: &UpstreamLoad| (one.upstream.clone(), one.load);
-        let told = loads.iter().map(as_told).collect();
-        if told == self.told_loads {
-            return;
-        }
-        self.told_loads = told;
-        self.sequence += 1;
-        let report = LoadReport {
-            instance: self.shared.settings.instance.clone(),
-            start: self.start,
-            sequence: self.sequence,
-            loads,
-        };
-        self.send(self.roster.other_hubs(now), &Message::Loads(report));
-    }
-
-    /// Returns what this gateway has under way.
-    fn own_loads(&self) -> Vec<UpstreamLoad> {
-        let loads = self.shared.loads();
-        let busy = loads.iter().filter(|(_, load)| **load != Load::default());
-        busy.map(|(id, load)| UpstreamLoad {
-            upstream: id.clone(),
-            load: *load,
-        })
-        .collect()
-    }
-
-    /// Publishes what the others have under way.
-    fn publish_loads(&self, now: Millis) {
-        let others = self.roster.loads(&self.told_loads, now);
-        self.shared.peer_loads.store(Arc::new(others));
-    }
-
     /// Tells all peers again which engines give a model up, where not all
     /// hear this gateway's heartbeats.
     fn tell_unloading(&mut self, now: Millis) {
--- a/crates/valehold-gateway/src/control/needs.rs
+++ b/crates/valehold-gateway/src/control/needs.rs
@@ -7,7 +7,8 @@
     fleet::{
         Variant,
         catalog::EngineSpec,
-        replicas::ModelNeed,
+        peaks::Peaks,
+        replicas::{EngineState, ModelNeed},
         work::{ModelWork, busy_engines},
     },
     id::ModelName,
@@ -42,6 +43,25 @@
     needs
 }
 
+/// Adds to each model's need how busy it was lately.
+pub(super) fn note_peaks(
+    peaks: &mut Peaks,
+    needs: &mut BTreeMap<ModelName, ModelNeed>,
+    engines: &[EngineState],
+    now: Millis,
+) {
+    let busy = needs.iter().map(|(model, need)| (model.clone(), need.busy));
+    let mut replicas: BTreeMap<ModelName, usize> = BTreeMap::new();
+    for model in engines.iter().flat_map(|e| e.holding.models.keys()) {
+        *replicas.entry(model.clone()).or_default() += 1;
+    }
+    peaks.follow(&busy.collect(), &replicas, now);
+    for model in replicas.into_keys() {
+        let need = needs.entry(model.clone()).or_default();
+        need.lately = peaks.of(&model);
+    }
+}
+
 /// Adds up what was seen of a model with and without its adapters.
 fn work_of_models(
     demand: &BTreeMap<Variant, VariantDemand>,
@@ -49,7 +69,7 @@
     let mut work: BTreeMap<ModelName, ModelWork> = BTreeMap::new();
     for (variant, one) in demand {
         let sum = work.entry(variant.model.clone()).or_default();
-        *sum = sum.plus(one.work.into());
+        *sum = sum.plus(one.work);
     }
     work
 }
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -39,7 +39,7 @@
 use super::{
     entry::Entry,
     input::{GivenOrder, Input, OrderEnd},
-    needs::needs,
+    needs::{needs, note_peaks},
 };
 use crate::{
     events::Event,
@@ -664,25 +664,6 @@
     })
 }
 
-/// Adds to each model's need how busy it was lately.
-fn note_peaks(
-    peaks: &mut Peaks,
-    needs: &mut BTreeMap<ModelName, ModelNeed>,
-    engines: &[EngineState],
-    now: Millis,
-) {
-    let busy = needs.iter().map(|(model, need)| (model.clone(), need.busy));
-    let mut replicas: BTreeMap<ModelName, usize> = BTreeMap::new();
-    for model in engines.iter().flat_map(|e| e.holding.models.keys()) {
-        *replicas.entry(model.clone()).or_default() += 1;
-    }
-    peaks.follow(&busy.collect(), &replicas, now);
-    for model in replicas.into_keys() {
-        let need = needs.entry(model.clone()).or_default();
-        need.lately = peaks.of(&model);
-    }
-}
-
 /// Logs what each model needs and has.
 fn log_needs(needs: &BTreeMap<ModelName, ModelNeed>, engines: &[EngineState]) {
     for (model, need) in needs {
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -29,56 +29,11 @@
     /// The variant.
     pub variant: Variant,
     /// What came lately, and what ended.
-    pub work: WorkSums,
+    pub work: ModelWork,
     /// Requests that are under way.
     pub running: u32,
 }
 
-/// What one gateway saw of one variant: [`ModelWork`] in few bytes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct WorkSums {
-    /// Requests a second, smoothed over seconds.
-    pub requests: f32,
-    /// Requests a second, smoothed over less than a second.
-    pub recent: f32,
-    /// Prompt tokens to read a second.
-    pub read_tokens: f32,
-    /// Requests that ended, fading with time.
-    pub ended: f32,
-    /// For how many ms those kept a slot.
-    pub slot_ms: f32,
-    /// How many events those had after their first.
-    pub events: f32,
-}
-
-impl WorkSums {
-    /// Adds what another gateway saw.
-    #[must_use]
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            recent: self.recent + other.recent,
-            read_tokens: self.read_tokens + other.read_tokens,
-            ended: self.ended + other.ended,
-            slot_ms: self.slot_ms + other.slot_ms,
-            events: self.events + other.events,
-        }
-    }
-}
-
-impl From<WorkSums> for ModelWork {
-    fn from(sums: WorkSums) -> Self {
-        Self {
-            requests: sums.requests.into(),
-            recent: sums.recent.into(),
-            read_tokens: sums.read_tokens.into(),
-            ended: sums.ended.into(),
-            slot_ms: sums.slot_ms.into(),
-            events: sums.events.into(),
-        }
-    }
-}
-
 /// What an engine holds, as the holder of the lease knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineHolding {
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -23,15 +23,15 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
     /// Requests that came.
-    pub requests: f64,
+    pub requests: f32,
     /// Prompt tokens that an engine has to read for them.
-    pub read_tokens: f64,
+    pub read_tokens: f32,
     /// Requests that ended with a whole stream.
-    pub ended: f64,
+    pub ended: f32,
     /// For how many ms those kept a slot after their first event.
-    pub slot_ms: f64,
+    pub slot_ms: f32,
     /// How many events those had after their first.
-    pub events: f64,
+    pub events: f32,
 }
 
 impl Work {
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -157,8 +157,13 @@
     fn note_work(&self, app: &App, slot_ms: f64) {
         let Some(variant) = &self.variant else { return };
         app.note_slot_time(&variant.model, slot_ms);
-        let events = f64::from(self.later_events);
-        let work = Work { ended: 1.0, slot_ms, events, ..Work::default() };
+        #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
+        let work = Work {
+            ended: 1.0,
+            slot_ms: slot_ms as f32,
+            events: self.later_events as f32,
+            ..Work::default()
+        };
         app.shared.note_work(variant, work);
     }
 
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -32,8 +32,7 @@
 const FAR_MS: f64 = 4.0;
 
 /// By how much an engine's running requests delay a new one, in ms each.
-/// Little: batches of 16 to 64 take a step hardly longer than one request.
-const RUNNING_MS: f64 = 0.25;
+const RUNNING_MS: f64 = 1.0;
 
 /// What reading a prompt costs each request that runs beside it, since its
 /// outputs come more slowly meanwhile: a part of the time of reading.
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -68,7 +68,7 @@
 
 /// The part of a prompt's shared tokens that an engine is expected to read:
 /// most are cached where requests with the same beginning meet.
-const SHARED_READ_PART: f64 = 0.25;
+const SHARED_READ_PART: f32 = 0.25;
 
 /// One request's way to an answer.
 pub(super) struct Exchange {
@@ -119,7 +119,7 @@
 fn note_work(app: &App, job: &Job) {
     let Some(variant) = &job.request.variant else { return };
     #[allow(clippy::cast_precision_loss)]
-    let tokens = |count: u64| count as f64;
+    let tokens = |count: u64| count as f32;
     let parts = &job.request.parts;
     let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
     let own = tokens(job.request.prompt_tokens.saturating_sub(shared));
@@ -161,8 +161,7 @@
                 NoChoice::WouldBeLate { predicted_ms, come_back_ms } => {
                     self.record.predicted(predicted_ms);
                     let reason = RefusalReason::WouldBeLate;
-                    let come_back = self.spread_come_back(come_back_ms);
-                    return Err(self.give_up(reason, Some(come_back)));
+                    return Err(self.give_up(reason, Some(come_back_ms)));
                 }
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
@@ -183,24 +182,6 @@
         }
     }
 
-    /// Returns in how many ms a caller is to come back that is turned away
-    /// for want of capacity: between the soonest time that makes sense and
-    /// the longest that can be told.
-    ///
-    /// Many are turned away together. If all came back when the queue in
-    /// front of them is worked off, they would meet again, and the next
-    /// refusal is their last.
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss
-    )]
-    fn spread_come_back(&self, soonest_ms: u64) -> u64 {
-        let span_ms = self.most_wait_ms().saturating_sub(soonest_ms);
-        let share: f64 = rand::random();
-        soonest_ms + (span_ms as f64 * share) as u64
-    }
-
     /// Returns in how many ms what is missing may be there.
     fn come_back_ms(&self, no_choice: NoChoice) -> u64 {
         if no_choice != NoChoice::NotHeld {
