How busy models keep engines is a pair of constants again

Change: work.rs and its tests are out; demand, needs and messages as before. Conclusion: reverted. Slot times stay.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -4,8 +4,7 @@
 //! The upstreams of a service list themselves; those that run models also
 //! say which models they hold. From both follow the choice of an upstream
 //! ([`choice`]), how many second sends one instance may make ([`share`]),
-//! which models are to be loaded where ([`replicas`], [`adapters`]), and how
-//! busy their requests keep engines ([`work`]).
+//! and which models are to be loaded where ([`replicas`], [`adapters`]).
 
 pub mod adapters;
 pub mod catalog;
@@ -23,7 +22,6 @@
 mod tests;
 pub mod turned_away;
 pub mod window;
-pub mod work;
 
 pub use self::{
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -11,4 +11,3 @@
 mod share;
 mod slot_time;
 mod turned_away;
-mod work;
--- a/crates/valehold-gateway/src/control/needs.rs
+++ b/crates/valehold-gateway/src/control/needs.rs
@@ -6,10 +6,8 @@
     Millis,
     fleet::{
         Variant,
-        catalog::EngineSpec,
         peaks::Peaks,
         replicas::{EngineState, ModelNeed},
-        work::{ModelWork, busy_engines},
     },
     id::ModelName,
 };
@@ -21,20 +19,17 @@
 
 /// Returns what each model needs, given since when some of them are lost.
 pub(super) fn needs<'a>(
-    spec: &EngineSpec,
     demand: &BTreeMap<Variant, VariantDemand>,
     lost: impl Iterator<Item = (&'a ModelName, &'a Millis)>,
     now: Millis,
 ) -> BTreeMap<ModelName, ModelNeed> {
     let mut needs: BTreeMap<ModelName, ModelNeed> = BTreeMap::new();
-    for (model, busy) in busy_engines(&work_of_models(demand), spec.slots) {
-        needs.entry(model).or_default().busy = busy;
-    }
-    let adapted =
-        demand.iter().filter(|(variant, _)| variant.adapter.is_some());
-    for (variant, one) in adapted {
+    for (variant, one) in demand {
         let need = needs.entry(variant.model.clone()).or_default();
-        need.adapters += expected_in_use(one);
+        need.busy += f64::from(one.busy);
+        if variant.adapter.is_some() {
+            need.adapters += expected_in_use(one);
+        }
     }
     for (model, since) in lost {
         let need = needs.entry(model.clone()).or_default();
@@ -62,21 +57,9 @@
     }
 }
 
-/// Adds up what was seen of a model with and without its adapters.
-fn work_of_models(
-    demand: &BTreeMap<Variant, VariantDemand>,
-) -> BTreeMap<ModelName, ModelWork> {
-    let mut work: BTreeMap<ModelName, ModelWork> = BTreeMap::new();
-    for (variant, one) in demand {
-        let sum = work.entry(variant.model.clone()).or_default();
-        *sum = sum.plus(one.work);
-    }
-    work
-}
-
 /// Returns the chance that an adapter is in use at a moment.
 fn expected_in_use(demand: &VariantDemand) -> f64 {
-    let requests = f64::from(demand.work.requests);
+    let requests = f64::from(demand.requests);
     match demand.running {
         0 => 1.0 - (-requests * ADAPTER_USE_S).exp(),
         _ => 1.0,
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -398,7 +398,7 @@
         let mut asked: BTreeMap<&ModelName, f64> = BTreeMap::new();
         for (variant, one) in demand {
             let requests = asked.entry(&variant.model).or_default();
-            *requests += f64::from(one.work.requests);
+            *requests += f64::from(one.requests);
         }
         let mut there = self.adapters_there();
         while self.ordered_now.len() < MOST_BROUGHT_AT_ONCE {
@@ -452,7 +452,7 @@
         loads: &BTreeMap<UpstreamId, Load>,
     ) {
         let lost = self.lost.get(service).into_iter().flatten();
-        let mut needs = needs(spec, demand, lost, now);
+        let mut needs = needs(demand, lost, now);
         let states: Vec<EngineState> = self
             .entries
             .iter()
@@ -659,7 +659,7 @@
     variant: &Variant,
 ) -> AdapterUse {
     demand.get(variant).map_or_else(AdapterUse::default, |one| AdapterUse {
-        requests: one.work.requests.into(),
+        requests: one.requests.into(),
         runs: one.running > 0,
     })
 }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Holding, ListingDelta, Variant, work::ModelWork},
+    fleet::{Holding, ListingDelta, Variant},
     id::{DataCentreId, InstanceId, UpstreamId},
     order::Stamp,
 };
@@ -28,8 +28,10 @@
 pub struct VariantDemand {
     /// The variant.
     pub variant: Variant,
-    /// What came lately, and what ended.
-    pub work: ModelWork,
+    /// Requests a second.
+    pub requests: f32,
+    /// Engines that it keeps wholly busy.
+    pub busy: f32,
     /// Requests that are under way.
     pub running: u32,
 }
--- a/crates/valehold-gateway/src/peers/roster.rs
+++ b/crates/valehold-gateway/src/peers/roster.rs
@@ -417,7 +417,8 @@
         for one in live {
             sum.entry(one.variant.clone())
                 .and_modify(|all| {
-                    all.work = all.work.plus(one.work);
+                    all.requests += one.requests;
+                    all.busy += one.busy;
                     all.running += one.running;
                 })
                 .or_insert_with(|| one.clone());
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -23,29 +23,9 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
     /// Requests that came.
-    pub requests: f32,
-    /// Prompt tokens that an engine has to read for them.
-    pub read_tokens: f32,
-    /// Requests that ended with a whole stream.
-    pub ended: f32,
-    /// For how many ms those kept a slot after their first event.
-    pub slot_ms: f32,
-    /// How many events those had after their first.
-    pub events: f32,
-}
-
-impl Work {
-    /// Adds other work.
-    #[must_use]
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            read_tokens: self.read_tokens + other.read_tokens,
-            ended: self.ended + other.ended,
-            slot_ms: self.slot_ms + other.slot_ms,
-            events: self.events + other.events,
-        }
-    }
+    pub requests: f64,
+    /// For how long they keep an engine busy, in ms.
+    pub busy_ms: f64,
 }
 
 /// What control and traffic have in common.
@@ -104,13 +84,6 @@
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds work for a variant.
-    pub fn note_work(&self, variant: &Variant, work: Work) {
-        let mut all = self.work();
-        let sum = all.entry(variant.clone()).or_default();
-        *sum = sum.plus(work);
-    }
-
     /// The work that came since control last took it.
     pub fn work(&self) -> MutexGuard<'_, BTreeMap<Variant, Work>> {
         self.work.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -24,7 +24,7 @@
     send::{BegunAnswer, Rest, SendFailure},
     state::{App, UnderWay},
 };
-use crate::{shared::Work, view::Life};
+use crate::view::Life;
 
 /// After which pause a resumable stream is taken up at another engine, if one
 /// can.
@@ -40,8 +40,6 @@
     under_way: UnderWay,
     variant: Option<Variant>,
     began: Instant,
-    /// Events that came after the first ones.
-    later_events: u32,
     /// Events that were taken and not passed on yet.
     held: Option<Bytes>,
 }
@@ -68,7 +66,6 @@
             under_way,
             variant: job.request.variant.clone(),
             began: Instant::now(),
-            later_events: 0,
             held: None,
         }
     }
@@ -83,7 +80,6 @@
         let next = next.map_err(|BrokenOff| SendFailure::broken())?;
         self.under_way.prompt_read();
         self.began = Instant::now();
-        self.later_events = 0;
         match next {
             Next::Events(bytes) => Ok(bytes),
             // A whole stream without events is one, too.
@@ -136,7 +132,6 @@
         loop {
             let event = self.splitter.next_event().map_err(|_| BrokenOff)?;
             let Some(event) = event else { return Ok(all.freeze()) };
-            self.later_events += 1;
             match order.judge(event.id) {
                 EventPassage::Pass => all.extend_from_slice(&event.bytes),
                 EventPassage::Repeated => {}
@@ -147,26 +142,14 @@
 
     fn let_rest(&mut self, app: &App) {
         let took_ms = self.began.elapsed().as_secs_f64() * 1_000.0;
-        self.note_work(app, took_ms);
+        if let Some(variant) = &self.variant {
+            app.note_slot_time(&variant.model, took_ms);
+        }
         if let (Some(sender), Some(rest)) = (self.sender.take(), self.rest) {
             app.pool.rest(&self.upstream.id, sender, rest.stated);
         }
     }
 
-    /// Notes how long a whole stream kept its slot.
-    fn note_work(&self, app: &App, slot_ms: f64) {
-        let Some(variant) = &self.variant else { return };
-        app.note_slot_time(&variant.model, slot_ms);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
-        let work = Work {
-            ended: 1.0,
-            slot_ms: slot_ms as f32,
-            events: self.later_events as f32,
-            ..Work::default()
-        };
-        app.shared.note_work(variant, work);
-    }
-
     fn upstream_id(&self) -> UpstreamId {
         self.upstream.id.clone()
     }
