--- a/crates/valehold-ports/src/budget.rs
+++ b/crates/valehold-ports/src/budget.rs
@@ -1,9 +1,10 @@
 //! Keeping within this instance's share of the platform's reads and writes.
 //!
-//! The platform takes a few hundred writes and about two thousand reads a
-//! second from all instances together. Each instance has a fixed share of
-//! both. A call beyond it waits for its turn; after an outage that is also
-//! what keeps the instances from all asking at once.
+//! The platform takes so many writes and reads a second from all instances
+//! together; `docs/CAPACITY.md` has the rates of today's deployments. Each
+//! instance has a fixed share of both. A call beyond it waits for its turn;
+//! after an outage that is also what keeps the instances from all asking at
+//! once.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
