Sums of loads tell what changed most; long prompts spare answers' pauses

Loads went over two hubs in whole sums, each 300 ms.

Change: hubs tell, each 150 ms, the 96 loads that changed the most, and all each 2 s; the choice of an engine counts what running answers would lose to a reading that lasts as long as the pause that they are allowed; what engines hold since orders is told together each tick where gateways are very many.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -163,10 +163,11 @@
         is_new
     }
 
-    /// Tells whether the holder already said this of the engine, or more.
-    pub fn was_told(&self, one: &EngineHolding) -> bool {
-        let told = self.told.get(&one.engine);
-        told.is_some_and(|told| told.stamp >= one.stamp)
+    /// Tells whether the holder already said of an engine what has a stamp,
+    /// or more.
+    pub fn was_told(&self, engine: &UpstreamId, stamp: Stamp) -> bool {
+        let told = self.told.get(engine);
+        told.is_some_and(|told| told.stamp >= stamp)
     }
 
     /// Lets time pass for those that fell off the list.
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -80,8 +80,10 @@
     // An older word, and one of an engine that is not there.
     expect_false!(known.tell(vec![told("e1", 1, &["beta"])], at(110)));
     expect_false!(known.tell(vec![told("e9", 1, &["beta"])], at(110)));
-    expect_true!(known.was_told(&told("e1", 2, &["gamma"])));
-    expect_false!(known.was_told(&told("e1", 3, &["gamma"])));
+    let stamp = |sequence| Stamp { epoch: 1, sequence };
+    let engine_1 = UpstreamId::new("e1");
+    expect_true!(known.was_told(&engine_1, stamp(2)));
+    expect_false!(known.was_told(&engine_1, stamp(3)));
     // The list lags: it is believed once the word is old.
     let mut change = delta(5, 6);
     change.changed.push(engine("e1", &["alpha", "beta"]));
--- a/crates/valehold-core/src/routing.rs
+++ b/crates/valehold-core/src/routing.rs
@@ -36,6 +36,19 @@
     }
 }
 
+/// From which part of the longest pause on a reading that long makes answers
+/// pause too long: how long reading takes is known to a third or so.
+const PAUSED_FROM: f64 = 0.6;
+
+/// What a running request that pauses too long counts for, in ms: it loses
+/// most of its worth, as a new one does that begins late. A new one seldom
+/// has more than some hundred ms to lose, and ten may run beside it.
+const HARM_EACH_MS: f64 = 30.0;
+
+/// How many running requests are counted at the most. What is believed of an
+/// engine lags, and beyond this the choice is clear.
+const MOST_HARMED: u32 = 20;
+
 /// What is known of one engine that holds the model.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -59,6 +72,9 @@
     pub report_age_ms: u64,
     /// How many tokens of this prompt it is likely to have cached.
     pub cached_tokens: u64,
+    /// The longest pause between events that is in time for answers that run
+    /// there, in ms; `None` if nothing says so.
+    pub pause_within_ms: Option<f64>,
 }
 
 /// The terms of one engine's predicted time to the first token, in ms.
@@ -78,12 +94,22 @@
     pub cached_tokens: u64,
     /// The sum.
     pub total_ms: f64,
+    /// What the requests that run there would lose, as time; it counts in the
+    /// choice and not in what is predicted.
+    pub harm_ms: f64,
     /// Whether the engine missed its last reports.
     pub suspect: bool,
     /// The chance with which it was drawn, from 0 to 1.
     pub chance: f64,
 }
 
+impl Prediction {
+    /// Returns what counts in the choice, in ms.
+    pub fn cost_ms(&self) -> f64 {
+        self.total_ms + self.harm_ms
+    }
+}
+
 /// Why the chosen engine was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -109,6 +135,17 @@
     pub predictions: Vec<Prediction>,
 }
 
+impl Choice {
+    /// Returns the least predicted time of all engines, in ms; suspect ones
+    /// count where there are no others.
+    pub fn least_ms(&self) -> f64 {
+        let suspect = self.predictions.first().is_some_and(|one| one.suspect);
+        let alike = self.predictions.iter().filter(|p| p.suspect == suspect);
+        let least = alike.map(|one| one.total_ms).min_by(f64::total_cmp);
+        least.unwrap_or(self.predicted_ms)
+    }
+}
+
 /// Predicts one engine's time to the first token.
 pub fn predict(
     candidate: &Candidate,
@@ -129,6 +166,7 @@
         prompt_ms,
         cached_tokens,
         total_ms: distance_ms + queue_ms + slot_ms + prompt_ms,
+        harm_ms: harm_ms(candidate, queue_ms + prompt_ms),
         suspect: candidate.suspect,
         chance: 0.0,
     }
@@ -149,8 +187,8 @@
         .map(|candidate| predict(candidate, prompt_tokens, settings))
         .collect();
     predictions.sort_by(|a, b| {
-        let by_time = a.total_ms.total_cmp(&b.total_ms);
-        a.suspect.cmp(&b.suspect).then(by_time)
+        let by_cost = a.cost_ms().total_cmp(&b.cost_ms());
+        a.suspect.cmp(&b.suspect).then(by_cost)
     });
     let eldest = candidates.iter().map(|c| c.report_age_ms).max()?;
     set_chances(&mut predictions, doubt_ms(eldest, settings));
@@ -169,6 +207,20 @@
     })
 }
 
+/// Returns what requests that run at an engine would lose if it read prompts
+/// for so long, as time.
+///
+/// An engine reads prompts piece by piece between outputs. While it reads
+/// without a break each output takes as long as a piece, and every answer
+/// there pauses: past what is in time if the reading lasts longer than that.
+fn harm_ms(candidate: &Candidate, reading_ms: f64) -> f64 {
+    let Some(pause_within_ms) = candidate.pause_within_ms else { return 0.0 };
+    let from_ms = pause_within_ms * PAUSED_FROM;
+    let over = (reading_ms - from_ms) / (pause_within_ms - from_ms);
+    let running = f64::from(candidate.running.min(MOST_HARMED));
+    running * HARM_EACH_MS * over.clamp(0.0, 1.0)
+}
+
 #[allow(clippy::cast_precision_loss)]
 fn read_ms(candidate: &Candidate, tokens: u64) -> f64 {
     tokens as f64 / candidate.prefill_tokens_per_second * 1_000.0
@@ -205,11 +257,11 @@
 /// Gives each prediction its chance; those after the first suspect get none.
 fn set_chances(predictions: &mut [Prediction], doubt_ms: f64) {
     let Some(first) = predictions.first() else { return };
-    let (least, suspect) = (first.total_ms, first.suspect);
+    let (least, suspect) = (first.cost_ms(), first.suspect);
     let mut total = 0.0;
     for prediction in predictions.iter_mut() {
         if prediction.suspect == suspect {
-            let behind = prediction.total_ms - least;
+            let behind = prediction.cost_ms() - least;
             prediction.chance = (-behind / doubt_ms.max(f64::EPSILON)).exp();
             total += prediction.chance;
         }
--- a/crates/valehold-core/src/routing/tests.rs
+++ b/crates/valehold-core/src/routing/tests.rs
@@ -18,6 +18,7 @@
         service_ms: 400.0,
         report_age_ms: 0,
         cached_tokens: 0,
+        pause_within_ms: None,
     }
 }
 
@@ -38,6 +39,41 @@
     expect_that!(warm.prompt_ms, approx_eq(10.0));
 }
 
+#[gtest]
+fn long_readings_go_where_few_answers_would_pause() {
+    let settings = RoutingSettings::default();
+    // It would read for 510 ms at a stretch, of 600 that answers may pause.
+    let crowded = Candidate {
+        running: 8,
+        slots: 16,
+        waiting_tokens: 300,
+        cached_tokens: 100,
+        pause_within_ms: Some(600.0),
+        ..candidate("a")
+    };
+    // It begins 80 ms later, and nothing runs there.
+    let idle =
+        Candidate { running: 0, waiting_tokens: 290, ..crowded.clone() };
+    let idle =
+        Candidate { engine: UpstreamId::new("b"), cached_tokens: 0, ..idle };
+    let both = [crowded.clone(), idle.clone()];
+    let chosen = choose(&both, 300, 0.999, &settings).unwrap();
+    expect_that!(chosen.engine, eq(&idle.engine));
+    // Where answers may pause for longer, the sooner one is chosen.
+    let patient =
+        both.map(|one| Candidate { pause_within_ms: Some(2_000.0), ..one });
+    let chosen = choose(&patient, 300, 0.999, &settings).unwrap();
+    expect_that!(chosen.engine, eq(&crowded.engine));
+    // What others lose is no part of when the answer begins.
+    let prediction = predict(&crowded, 300, &settings);
+    expect_that!(prediction.harm_ms, gt(0.0));
+    let sum = prediction.distance_ms
+        + prediction.queue_ms
+        + prediction.slot_ms
+        + prediction.prompt_ms;
+    expect_that!(prediction.total_ms, approx_eq(sum));
+}
+
 #[gtest]
 fn suspect_engines_are_chosen_only_where_no_other_is_left() {
     let settings = RoutingSettings::default();
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -16,6 +16,9 @@
 /// After how many failures in a row an engine is taken for gone.
 const GONE_AFTER: u32 = 2;
 
+/// How long what an engine holds is told to peers after a change, in ms.
+const TELL_MS: u64 = 3_000;
+
 /// For how long an adapter does not make way for another, in ms.
 const YOUNG_MS: u64 = 2_500;
 
@@ -134,6 +137,12 @@
         usable
     }
 
+    /// Tells whether what it holds is still to be told to peers.
+    pub(super) fn is_news(&self, now: Millis) -> bool {
+        self.changed.is_some_and(|at| now.since(at) < TELL_MS)
+            || self.unloading.is_some()
+    }
+
     /// Notes that peers are to be told what it holds now.
     pub(super) fn change(&mut self, now: Millis, last: &mut Stamp) {
         last.sequence += 1;
--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -12,7 +12,7 @@
 use crate::{
     peers::{
         message::{GroupLoads, LoadReport, Message, UpstreamLoad},
-        roster::sums::Loads,
+        roster::sums::as_loads,
     },
     view::Load,
 };
@@ -23,10 +23,10 @@
 /// sends while the word of others was 0.75 s old on average.
 const LOADS_EVERY_MS: u64 = 150;
 
-/// How many bytes a second of such sums a gateway takes. The users bound all
-/// of control by 8,000 on the way to their largest size. Larger sums come
-/// rarer.
-const LOADS_BYTES_PER_S: u64 = 6_000;
+/// How many upstreams' sums are told at once: those that changed the most.
+/// The users bound all of control by 8,000 bytes a second on the way to their
+/// largest size; each of these has 9 bytes or fewer.
+const MOST_SUMS_AT_ONCE: usize = 96;
 
 impl Control {
     /// Tells what is under way between heartbeats, where hubs sum it up.
@@ -38,9 +38,7 @@
             return;
         }
         if self.roster.is_foremost_hub() {
-            let bytes = self.tell_load_sums(now).saturating_mul(1_000);
-            let every_ms = bytes / LOADS_BYTES_PER_S;
-            self.loads_due = now + every_ms.max(LOADS_EVERY_MS);
+            self.tell_load_sums(now);
         } else {
             self.report_loads();
         }
@@ -50,26 +48,29 @@
     }
 
     /// Tells this gateway's group the sums, and the hubs of other groups what
-    /// its own has under way; returns how many bytes the sums have.
-    fn tell_load_sums(&self, now: Millis) -> u64 {
+    /// its own has under way.
+    fn tell_load_sums(&mut self, now: Millis) {
         let own = self.own_loads();
-        let elsewhere = self.roster.hubs_elsewhere();
-        if !elsewhere.is_empty() {
+        if !self.roster.hubs_elsewhere().is_empty() {
+            let sums = self.roster.sum_group_loads(&own, now);
+            let told = &mut self.told_group_sums;
             let message = Message::GroupLoads(GroupLoads {
                 data_centre: self.shared.settings.data_centre.clone(),
-                loads: self.roster.sum_group_loads(&own, now),
+                news: told.news(&sums, MOST_SUMS_AT_ONCE, now),
             });
-            self.send(elsewhere.iter().copied(), &message);
+            let elsewhere = self.roster.hubs_elsewhere().iter().copied();
+            self.send(elsewhere, &message);
         }
         let sums = self.roster.sum_loads(&own, now);
+        let news = self.told_sums.news(&sums, MOST_SUMS_AT_ONCE, now);
         let group = self.roster.summary_targets();
-        self.send(group, &Message::LoadSums(sums))
+        self.send(group, &Message::LoadSums(news));
     }
 
     /// Tells hubs what this gateway has under way, if that changed.
     fn report_loads(&mut self) {
         let loads = self.own_loads();
-        let told = as_told(&loads);
+        let told = as_loads(&loads);
         if told == self.told_loads {
             return;
         }
@@ -98,8 +99,3 @@
         self.shared.peer_loads.store(Arc::new(others));
     }
 }
-
-/// Returns loads as a map, to be taken off sums that have them in them.
-pub(super) fn as_told(loads: &[UpstreamLoad]) -> Loads {
-    loads.iter().map(|one| (one.upstream, one.load)).collect()
-}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -55,7 +55,10 @@
     peers::{
         Roster,
         message::{Duty, MAX_DATAGRAM, Message, Rank, StoreSight},
-        roster::{Observing, Own, OwnWord, sums::Loads},
+        roster::{
+            Observing, Own, OwnWord,
+            sums::{Loads, ToldSums},
+        },
         state,
     },
     settings::Settings,
@@ -127,6 +130,10 @@
     told_loads: Loads,
     /// From when on loads may be told again.
     loads_due: Millis,
+    /// What this gateway said last as a hub of all loads.
+    told_sums: ToldSums,
+    /// What it said last as a hub of the loads of its group.
+    told_group_sums: ToldSums,
     /// What this gateway said last as a hub of who is there.
     told_members: telling::ToldMembers,
 }
@@ -210,6 +217,8 @@
             beat: Millis::default(),
             told_loads: Loads::new(),
             loads_due: Millis::default(),
+            told_sums: ToldSums::default(),
+            told_group_sums: ToldSums::default(),
             told_members: telling::ToldMembers::default(),
             shared: shared.clone(),
         };
@@ -259,6 +268,7 @@
         self.upstreams.pass(now);
         self.contend(now);
         self.place(now);
+        self.spread_news(now);
         self.catch_up(now);
         self.watch_store(now);
         if now.since(self.beat) >= self.beat_ms() {
@@ -392,12 +402,12 @@
             }
             Input::Reported { engine, report } => {
                 self.placer.reported(&engine, report, now);
-                self.spread_news(now);
+                self.spread_news_if_few(now);
             }
             Input::Ordered(order, end) => {
                 self.shared.metrics.ordered(end.label());
                 self.placer.ordered(order, &end, now);
-                self.spread_news(now);
+                self.spread_news_if_few(now);
                 self.place(now);
             }
             Input::Datagram(from, bytes) => self.datagram(from, &bytes, now),
--- a/crates/valehold-gateway/src/control/placer.rs
+++ b/crates/valehold-gateway/src/control/placer.rs
@@ -16,7 +16,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        EngineHolding, Holding, Listing, Variant,
+        EngineHolding, Holding, KnownUpstreams, Listing, Variant,
         adapters::{
             AdapterHost, AdapterStep, AdapterUse, next_to_bring,
             place_adapter, taken_mb,
@@ -77,9 +77,6 @@
 /// How long a wish stays without being repeated, in ms.
 const KEEP_WISH_MS: u64 = 1_000;
 
-/// How long what an engine holds is told to peers after a change, in ms.
-const TELL_MS: u64 = 3_000;
-
 /// The part of a window in which only as much of its loads begins. The next
 /// holder counts anew, and what the last one began still counts.
 const BURST_PART: f64 = 0.4;
@@ -212,10 +209,17 @@
 
     /// Returns what engines hold since the last orders.
     pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
-        let is_news = |entry: &Entry| {
-            let changed = entry.changed;
-            changed.is_some_and(|at| now.since(at) < TELL_MS)
-                || entry.unloading.is_some()
+        self.told(|_, entry| entry.is_news(now))
+    }
+
+    /// Returns those of the news that were not told yet.
+    pub(super) fn news_beyond(
+        &self,
+        known: &KnownUpstreams,
+        now: Millis,
+    ) -> Vec<EngineHolding> {
+        let is_news = |id: &UpstreamId, entry: &Entry| {
+            entry.is_news(now) && !known.was_told(id, entry.stamp)
         };
         self.told(is_news)
     }
@@ -223,11 +227,14 @@
     /// Returns what engines take requests for that give a model up: their
     /// own word in the list says otherwise until they have.
     pub(super) fn unloading(&self) -> Vec<EngineHolding> {
-        self.told(|entry| entry.unloading.is_some())
+        self.told(|_, entry| entry.unloading.is_some())
     }
 
-    fn told(&self, which: impl Fn(&Entry) -> bool) -> Vec<EngineHolding> {
-        let entries = self.entries.iter().filter(|(_, entry)| which(entry));
+    fn told(
+        &self,
+        which: impl Fn(&UpstreamId, &Entry) -> bool,
+    ) -> Vec<EngineHolding> {
+        let entries = self.entries.iter().filter(|(id, one)| which(id, one));
         let told = entries.map(|(id, entry)| EngineHolding {
             engine: id.clone(),
             holding: entry.usable(),
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -4,7 +4,7 @@
 
 use valehold_core::Millis;
 
-use super::{Control, loads::as_told, rank};
+use super::{Control, rank};
 use crate::{
     events::Event,
     peers::{
@@ -12,6 +12,7 @@
         message::{
             LeaseRumour, LeaseWord, MemberList, Summary, VariantDemand,
         },
+        roster::sums::as_loads,
     },
 };
 
@@ -20,7 +21,7 @@
 
 /// How often a hub tells its group of every gateway although none changed, in
 /// ms: who lost the last list, or has none, waits no longer.
-const LIST_EVERY_MS: u64 = 2_000;
+const LIST_EVERY_MS: u64 = 4_000;
 
 /// What this gateway said last as a hub of who is there.
 #[derive(Debug, Default)]
@@ -59,7 +60,7 @@
         let lease = self.lease.borrow().word(now);
         let holds = matches!(lease, Some(LeaseWord::Holds { .. }));
         let loads = self.own_loads();
-        self.told_loads = as_told(&loads);
+        self.told_loads = as_loads(&loads);
         Heartbeat {
             instance: settings.instance.clone(),
             start: self.start,
@@ -76,7 +77,8 @@
             known: self.roster.known(now),
             loads,
             demand: self.demand.list(&self.shared.running()),
-            holdings: match holds {
+            // Where hubs alone hear it, all is told by itself.
+            holdings: match holds && !self.roster.has_many_groups() {
                 true => self.placer.news(now),
                 false => Vec::new(),
             },
@@ -103,8 +105,8 @@
         self.told_members.leave_out_if_told(&mut summary, now);
         let mechanisms = self.shared.settings.mechanisms;
         let tells_loads = mechanisms.loads_between_heartbeats;
-        if tells_loads && self.roster.is_foremost_hub() {
-            // It tells them by themselves, and more often.
+        if tells_loads {
+            // The foremost tells them by themselves, and more often.
             summary.loads.clear();
         }
         let targets = self.roster.summary_targets();
--- a/crates/valehold-gateway/src/control/upstreams.rs
+++ b/crates/valehold-gateway/src/control/upstreams.rs
@@ -2,7 +2,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::{EngineHolding, Listing, ListingDelta},
+    fleet::{Listing, ListingDelta},
 };
 use valehold_ports::port::fleet::ListingNews;
 
@@ -51,10 +51,21 @@
         self.watch_orders.known.set(self.upstreams.version());
     }
 
+    /// Tells what engines hold since orders at once, but where gateways are
+    /// very many: orders end there a hundred times a second, and all that have
+    /// ended are told together when time passes next.
+    pub(super) fn spread_news_if_few(&mut self, now: Millis) {
+        if !self.roster.has_many_groups() {
+            self.spread_news(now);
+        }
+    }
+
     /// Tells peers, and traffic here, what engines hold since orders.
     pub(super) fn spread_news(&mut self, now: Millis) {
-        let mut news: Vec<EngineHolding> = self.placer.news(now);
-        news.retain(|one| !self.upstreams.was_told(one));
+        if self.lease.borrow().held_epoch(now).is_none() {
+            return;
+        }
+        let news = self.placer.news_beyond(&self.upstreams, now);
         if news.is_empty() {
             return;
         }
--- a/crates/valehold-gateway/src/mechanisms.rs
+++ b/crates/valehold-gateway/src/mechanisms.rs
@@ -23,6 +23,8 @@
     /// Requests with the same beginning meet at one engine, and what engines
     /// have cached counts in their choice.
     pub prefix_affinity: bool,
+    /// Long prompts go where few answers run that would pause too long.
+    pub pauses_spared: bool,
     /// Requests whose answer is predicted to begin too late are refused.
     pub admission_by_prediction: bool,
     /// Free places are filled with adapters before they are asked for.
@@ -43,6 +45,7 @@
             loads_between_heartbeats: true,
             second_sends: true,
             prefix_affinity: true,
+            pauses_spared: true,
             admission_by_prediction: true,
             adapters_ahead: true,
             learned_slot_times: true,
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -244,13 +244,22 @@
     pub demand: Vec<VariantDemand>,
 }
 
+/// What several gateways have under way, told again and again.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// Whether upstreams that are not among them have nothing under way.
+    pub is_whole: bool,
+    /// What is under way; nothing, for those that are done since last told.
+    pub loads: Vec<UpstreamLoad>,
+}
+
 /// What the gateways of one group have under way.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupLoads {
     /// The data centre whose gateways are the group.
     pub data_centre: DataCentreId,
     /// What they have under way.
-    pub loads: Vec<UpstreamLoad>,
+    pub news: LoadNews,
 }
 
 /// The newest version of something that is heard of.
@@ -279,7 +288,7 @@
     Loads(LoadReport),
     /// From the foremost hub of a group: what all gateways have under way,
     /// between its summaries.
-    LoadSums(Vec<UpstreamLoad>),
+    LoadSums(LoadNews),
     /// From a group's foremost hub to the other groups' hubs.
     Digest(Box<Digest>),
     /// From a group's foremost hub to the other groups' hubs, between its
--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -30,8 +30,8 @@
     sums::HeardLoads,
 };
 use super::message::{
-    Digest, Duty, GroupLoads, Heartbeat, LoadReport, Newest, Rank, StoreSight,
-    Summary, UpstreamLoad,
+    Digest, Duty, GroupLoads, Heartbeat, LoadNews, LoadReport, Newest, Rank,
+    StoreSight, Summary,
 };
 use crate::view::{Life, ReadyMember};
 
@@ -137,7 +137,7 @@
     /// What hubs of other data centres say, by their addresses.
     digests: BTreeMap<SocketAddr, Heard<Digest>>,
     /// The newest word of all loads, from a summary or between summaries.
-    load_sums: Option<HeardLoads>,
+    load_sums: HeardLoads,
     /// The newest word of the loads of other data centres.
     group_loads: BTreeMap<DataCentreId, HeardLoads>,
     /// Addresses that were named, and when last.
@@ -164,7 +164,7 @@
             peers: BTreeMap::new(),
             summaries: BTreeMap::new(),
             digests: BTreeMap::new(),
-            load_sums: None,
+            load_sums: HeardLoads::default(),
             group_loads: BTreeMap::new(),
             named: BTreeMap::new(),
             seeds: BTreeSet::new(),
@@ -232,7 +232,8 @@
             }
         }
         if !summary.loads.is_empty() {
-            self.load_sums_heard(std::mem::take(&mut summary.loads), now);
+            let loads = std::mem::take(&mut summary.loads);
+            self.load_sums_heard(LoadNews { is_whole: true, loads }, now);
         }
         if summary.members.is_none() {
             // They are as that hub said before.
@@ -272,14 +273,14 @@
     }
 
     /// Takes in what all gateways have under way, as a hub says.
-    pub fn load_sums_heard(&mut self, loads: Vec<UpstreamLoad>, now: Millis) {
-        self.load_sums = Some(HeardLoads::new(loads, now));
+    pub fn load_sums_heard(&mut self, news: LoadNews, now: Millis) {
+        self.load_sums.hear(news, now);
     }
 
     /// Takes in what the gateways of another data centre have under way.
     pub fn group_loads_heard(&mut self, group: GroupLoads, now: Millis) {
-        let loads = HeardLoads::new(group.loads, now);
-        self.group_loads.insert(group.data_centre, loads);
+        let heard = self.group_loads.entry(group.data_centre).or_default();
+        heard.hear(group.news, now);
     }
 
     /// Lets time pass: forgets the silent, and works out anew who does what.
@@ -287,15 +288,19 @@
     /// Returns whether the gateways that callers may be sent to are others
     /// than before.
     pub fn tick(&mut self, own_word: OwnWord, now: Millis) -> bool {
+        if !self.standing.is_due(now) {
+            return false;
+        }
+        self.forget_silent(now);
+        self.work_out(own_word, now)
+    }
+
+    fn forget_silent(&mut self, now: Millis) {
         let young = |heard: Millis| now.since(heard) < FORGET_AFTER_MS;
         self.peers.retain(|_, peer| young(peer.heard));
         self.named.retain(|_, heard| young(*heard));
         self.summaries.retain(|_, one| young(one.at));
         self.digests.retain(|_, one| young(one.at));
-        if !self.standing.is_due(now) {
-            return false;
-        }
-        self.work_out(own_word, now)
     }
 
     /// Works out anew who does what; returns whether the gateways that
@@ -418,6 +423,12 @@
         !self.standing.own_hubs().is_empty()
     }
 
+    /// Tells whether there are so many gateways that each data centre has
+    /// hubs of its own.
+    pub fn has_many_groups(&self) -> bool {
+        self.standing.has_many_groups()
+    }
+
     /// Returns where the other hubs of this one's group take heartbeats.
     pub fn other_own_hubs(&self) -> BTreeSet<SocketAddr> {
         let hubs = self.standing.own_hubs().iter().copied();
--- a/crates/valehold-gateway/src/peers/roster/sums.rs
+++ b/crates/valehold-gateway/src/peers/roster/sums.rs
@@ -1,12 +1,12 @@
 //! What all gateways have under way and are asked for.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use valehold_core::{Millis, fleet::Variant, id::UpstreamTag};
 
 use super::{HUBS_KEEP, Roster};
 use crate::{
-    peers::message::{UpstreamLoad, VariantDemand},
+    peers::message::{LoadNews, UpstreamLoad, VariantDemand},
     view::Load,
 };
 
@@ -14,35 +14,99 @@
 pub type Loads = BTreeMap<UpstreamTag, Load>;
 
 /// What several gateways have under way, as a hub said.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct HeardLoads {
-    loads: Vec<UpstreamLoad>,
-    heard: Millis,
+    loads: Loads,
+    heard: Option<Millis>,
 }
 
 impl HeardLoads {
-    pub(super) fn new(loads: Vec<UpstreamLoad>, now: Millis) -> Self {
-        Self { loads, heard: now }
+    pub(super) fn hear(&mut self, news: LoadNews, now: Millis) {
+        if news.is_whole {
+            self.loads.clear();
+        }
+        for one in news.loads {
+            self.loads.insert(one.upstream, one.load);
+        }
+        self.heard = Some(now);
     }
 
     fn is_live(&self, keep_ms: u64, now: Millis) -> bool {
-        now.since(self.heard) < keep_ms
+        self.heard.is_some_and(|heard| now.since(heard) < keep_ms)
+    }
+}
+
+/// How often all loads are told although not all changed, in ms: who lost a
+/// datagram is wrong for so long at the most.
+const WHOLE_EVERY_MS: u64 = 2_000;
+
+/// What a hub said last, so that it says next what has changed the most.
+#[derive(Debug, Clone, Default)]
+pub struct ToldSums {
+    told: Loads,
+    whole: Option<Millis>,
+}
+
+impl ToldSums {
+    /// Returns what to tell of the sums: all of them now and then, otherwise
+    /// up to `most` that differ the most from what was told.
+    pub fn news(
+        &mut self,
+        sums: &[UpstreamLoad],
+        most: usize,
+        now: Millis,
+    ) -> LoadNews {
+        let is_due = |at: Millis| now.since(at) >= WHOLE_EVERY_MS;
+        if self.whole.is_none_or(is_due) {
+            self.whole = Some(now);
+            self.told = as_loads(sums);
+            return LoadNews { is_whole: true, loads: sums.to_vec() };
+        }
+        let mut loads = self.changed(&as_loads(sums));
+        loads.truncate(most);
+        for one in &loads {
+            self.told.insert(one.upstream, one.load);
+        }
+        LoadNews { is_whole: false, loads }
+    }
+
+    /// Returns the loads that are not as told, the greatest changes first.
+    fn changed(&self, sums: &Loads) -> Vec<UpstreamLoad> {
+        let nothing = Load::default();
+        let done = self.told.keys().filter(|tag| !sums.contains_key(tag));
+        let all = sums.iter().map(|(tag, load)| (*tag, *load));
+        let all = all.chain(done.map(|tag| (*tag, nothing)));
+        let mut changed: Vec<(u64, UpstreamLoad)> = all
+            .map(|(upstream, load)| {
+                let told = self.told.get(&upstream).unwrap_or(&nothing);
+                let change = load.difference(*told);
+                (change, UpstreamLoad { upstream, load })
+            })
+            .filter(|(change, _)| *change > 0)
+            .collect();
+        changed.sort_by_key(|(change, _)| Reverse(*change));
+        changed.into_iter().map(|(_, one)| one).collect()
     }
 }
 
+/// Returns loads as a map.
+pub fn as_loads(loads: &[UpstreamLoad]) -> Loads {
+    loads.iter().map(|one| (one.upstream, one.load)).collect()
+}
+
 impl Roster {
     /// Returns what the others have under way at each upstream.
     ///
     /// `told` is what this gateway said last that it has, which hubs add to
     /// their sums.
     pub fn loads(&self, told: &Loads, now: Millis) -> Loads {
-        let sums = self.load_sums.as_ref().filter(|sums| {
-            sums.is_live(self.silent_ms, now) && !self.is_hub()
-        });
-        let Some(sums) = sums else { return self.heard_loads(now) };
-        let others = sums.loads.iter().map(|one| {
-            let told = told.get(&one.upstream).copied().unwrap_or_default();
-            (one.upstream, one.load.minus(told))
+        let sums = &self.load_sums;
+        if self.is_hub() || !sums.is_live(self.silent_ms, now) {
+            return self.heard_loads(now);
+        }
+        let others = sums.loads.iter().map(|(upstream, load)| {
+            let told = told.get(upstream).copied().unwrap_or_default();
+            (*upstream, load.minus(told))
         });
         others.collect()
     }
@@ -56,7 +120,7 @@
     ) -> Vec<UpstreamLoad> {
         let mut loads = self.heard_loads(now);
         add(&mut loads, own);
-        as_list(loads)
+        as_list(&loads)
     }
 
     /// Returns what the gateways of this one's group have under way, `own`
@@ -68,7 +132,7 @@
     ) -> Vec<UpstreamLoad> {
         let mut loads = self.heard_in_group(now);
         add(&mut loads, own);
-        as_list(loads)
+        as_list(&loads)
     }
 
     /// Returns what is heard of others: of each in this gateway's group, and
@@ -83,7 +147,7 @@
             **group != self.own.data_centre && heard.is_live(keep_ms, now)
         });
         for (_, heard) in others {
-            add(&mut sum, &heard.loads);
+            add(&mut sum, &as_list(&heard.loads));
         }
         sum
     }
@@ -144,9 +208,12 @@
     }
 }
 
-fn as_list(loads: Loads) -> Vec<UpstreamLoad> {
-    let as_load = |(upstream, load)| UpstreamLoad { upstream, load };
-    loads.into_iter().map(as_load).collect()
+fn as_list(loads: &Loads) -> Vec<UpstreamLoad> {
+    let as_load = |(upstream, load): (&UpstreamTag, &Load)| UpstreamLoad {
+        upstream: *upstream,
+        load: *load,
+    };
+    loads.iter().map(as_load).collect()
 }
 
 fn add_demand(
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -146,7 +146,10 @@
         .into_iter()
         .map(|upstream| {
             let is_home = home.as_ref() == Some(&upstream.id);
-            candidate(app, spec, upstream, &prompt, is_home)
+            Candidate {
+                pause_within_ms: pause_within_ms(app, job),
+                ..candidate(app, spec, upstream, &prompt, is_home)
+            }
         })
         .collect();
     let choice = routing::choose(
@@ -157,10 +160,7 @@
     )
     .ok_or(NoChoice::NoUpstream)?;
     let is_first = tried.is_empty();
-    let least_ms = choice
-        .predictions
-        .first()
-        .map_or(choice.predicted_ms, |least| least.total_ms);
+    let least_ms = choice.least_ms();
     if is_first && app.mechanisms().admission_by_prediction {
         admit(app, job, least_ms)?;
     }
@@ -263,9 +263,19 @@
         service_ms: app.slot_ms(&prompt.model),
         report_age_ms: LOAD_AGE_MS,
         cached_tokens,
+        pause_within_ms: None,
     }
 }
 
+/// Returns the longest pause that is in time for answers of a route's service:
+/// routes of one service state about the same.
+#[allow(clippy::cast_precision_loss)]
+fn pause_within_ms(app: &App, job: &Job) -> Option<f64> {
+    let pause_ms = job.route.pause_within_ms;
+    let counts = app.mechanisms().pauses_spared && pause_ms > 0;
+    counts.then_some(pause_ms as f64)
+}
+
 /// A prompt, as far as the choice of an engine needs it.
 struct Prompt {
     model: ModelName,
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -21,6 +21,11 @@
     Finishing,
 }
 
+/// What a running request counts for in prompt tokens when loads are
+/// compared: it lengthens each step of its engine by about a ms, in which
+/// engines read some 40 tokens, and more for what it keeps in memory.
+const TOKENS_OF_RUNNING: u64 = 100;
+
 /// What is under way at an upstream.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize,
@@ -42,6 +47,14 @@
         }
     }
 
+    /// Returns how much another load differs, in prompt tokens: a request
+    /// that runs keeps a new one waiting about as long as so many do.
+    pub fn difference(self, other: Self) -> u64 {
+        let running = self.running.abs_diff(other.running);
+        let tokens = self.waiting_tokens.abs_diff(other.waiting_tokens);
+        u64::from(running) * TOKENS_OF_RUNNING + tokens
+    }
+
     /// Takes another load away, as far as there is any.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -12,10 +12,13 @@
     peers::{
         Heartbeat, Roster,
         message::{
-            Digest, Duty, GroupLoads, LeaseWord, LoadReport, Rank, StoreSight,
-            UpstreamLoad, VariantDemand,
+            Digest, Duty, GroupLoads, LeaseWord, LoadNews, LoadReport, Rank,
+            StoreSight, UpstreamLoad, VariantDemand,
+        },
+        roster::{
+            Observing, Own, OwnWord,
+            sums::{Loads, ToldSums},
         },
-        roster::{Observing, Own, OwnWord, sums::Loads},
     },
     view::{Life, Load},
 };
@@ -307,7 +310,8 @@
         loads.get(&tag("u1")).map(|load| load.running)
     };
     expect_that!(running(&other, now), some(eq(5)));
-    other.load_sums_heard(vec![load_of("u1", 8)], now + 100);
+    let loads = vec![load_of("u1", 8)];
+    other.load_sums_heard(LoadNews { is_whole: true, loads }, now + 100);
     expect_that!(running(&other, now + 100), some(eq(8)));
     other.summed_up(address(40), hub.sum_up(&own, now), now + 200);
     expect_that!(running(&other, now + 200), some(eq(5)));
@@ -463,7 +467,7 @@
     let mut hub = one_of_150(150, now);
     let group = |name: &str, running| GroupLoads {
         data_centre: DataCentreId::new(name),
-        loads: vec![load_of("u1", running)],
+        news: LoadNews { is_whole: true, loads: vec![load_of("u1", running)] },
     };
     hub.load_heard(report(3, 2, 1), now);
     // A gateway of another data centre whose word came directly, too.
@@ -495,3 +499,35 @@
     expect_true!(strong.for_duty(Duty::Place) > rank(9).for_duty(Duty::Place));
     expect_that!(hearing_all(8, 8, now).place(Duty::Place), eq(0));
 }
+
+#[gtest]
+fn sums_tell_what_changed_the_most() {
+    let now = Millis::new(500);
+    let mut told = ToldSums::default();
+    let sums = [load_of("u1", 1), load_of("u2", 2), load_of("u3", 3)];
+    // The first time, and after a while, all is told.
+    let news = told.news(&sums, 1, now);
+    expect_true!(news.is_whole);
+    expect_that!(news.loads.len(), eq(3));
+    expect_true!(told.news(&sums, 1, now + 2_000).is_whole);
+    // In between, what changed the most, and what is done.
+    let now = now + 2_100;
+    let sums = [load_of("u1", 2), load_of("u2", 9)];
+    let news = told.news(&sums, 2, now);
+    expect_false!(news.is_whole);
+    let greatest = [load_of("u2", 9), load_of("u3", 0)];
+    expect_that!(news.loads, eq(&greatest));
+    // What did not fit is told next, and nothing twice.
+    let news = told.news(&sums, 2, now);
+    expect_that!(news.loads, elements_are![eq(&load_of("u1", 2))]);
+    expect_that!(told.news(&sums, 2, now).loads, is_empty());
+    // Whoever hears all of it knows the sums.
+    let mut other = roster(5);
+    let whole = LoadNews { is_whole: true, loads: vec![load_of("u3", 3)] };
+    other.load_sums_heard(whole, now);
+    let loads = greatest.to_vec();
+    other.load_sums_heard(LoadNews { is_whole: false, loads }, now);
+    let loads = other.loads(&Loads::new(), now);
+    expect_that!(loads[&tag("u2")].running, eq(9));
+    expect_that!(loads[&tag("u3")].running, eq(0));
+}
--- a/crates/valehold-instance/examples/capacity.rs
+++ b/crates/valehold-instance/examples/capacity.rs
@@ -307,6 +307,7 @@
         service_ms: 2_000.0,
         report_age_ms: 500,
         cached_tokens: 64,
+        pause_within_ms: None,
     }
 }
 
