Plans count once what engines hold; placement in modules by job

Cause: a plan of replicas counted the engines of a model anew for each model and each engine that could give it up, and looked models up one by one in the configuration.

Change: counts of holders and sizes are kept while a plan is made, places go out by a heap, and the engine for a missing adapter is found in one pass; the placer is split into models, adapters and orders. Callers are told of all gateways in turn where there are more than 64 (the first 64 were told to everyone). Reads of peers' states that were turned away wait a little.

--- /dev/null
+++ b/crates/valehold-core/examples/plan_time.rs
@@ -0,0 +1,91 @@
+//! How long a plan of replicas takes, by the size of the fleet.
+//!
+//! `cargo run --release -p valehold-core --example plan_time`
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use valehold_core::{
+    fleet::{
+        Holding, ModelSpec,
+        catalog::EngineSpec,
+        replicas::{EngineState, ModelNeed, plan},
+    },
+    id::{AdapterName, DataCentreId, ModelName, UpstreamId},
+};
+
+/// Engines and models: the users' deployments and their target.
+const SIZES: [(usize, usize); 4] =
+    [(18, 39), (140, 305), (240, 399), (1_500, 560)];
+
+/// How often each plan is made; the least time counts.
+const ROUNDS: usize = 9;
+
+fn name(number: usize) -> ModelName {
+    ModelName::new(format!("model-{number:05}"))
+}
+
+fn spec(models: usize) -> EngineSpec {
+    let model = |number| ModelSpec {
+        name: name(number),
+        size_mb: 72_700,
+        load_ms: 5_800,
+        adapters: (0..3).map(|a| AdapterName::new(format!("a{a}"))).collect(),
+        adapter_size_mb: 66,
+    };
+    EngineSpec {
+        slots: 48,
+        memory_mb: 220_000,
+        adapter_places: 8,
+        loads_per_second: 34.0,
+        models: (0..models).map(model).collect(),
+    }
+}
+
+/// Each engine holds three models, the first ones on more engines.
+fn engines(count: usize, models: usize) -> Vec<EngineState> {
+    let of = |engine: usize| {
+        let held = (0..3).map(|place| (engine * 3 + place) % models);
+        let held = held.map(|model| (name(model), BTreeSet::new()));
+        EngineState {
+            id: UpstreamId::new(format!("engine-{engine:05}")),
+            data_centre: DataCentreId::new(format!("dc-{}", engine % 6)),
+            holding: Holding { sequence: 9, models: held.collect() },
+            loading: None,
+            busy: false,
+            sound: true,
+            copies: BTreeSet::new(),
+            load: (engine % 40) as f64,
+        }
+    };
+    (0..count).map(of).collect()
+}
+
+/// Every tenth model has just become ten times as busy as the others.
+fn needs(models: usize) -> BTreeMap<ModelName, ModelNeed> {
+    let need = |number: usize| ModelNeed {
+        busy: if number.is_multiple_of(10) { 4.0 } else { 0.2 },
+        ..ModelNeed::default()
+    };
+    (0..models).map(|number| (name(number), need(number))).collect()
+}
+
+fn main() {
+    println!("engines  models  steps  ms");
+    for (engine_count, model_count) in SIZES {
+        let spec = spec(model_count);
+        let engines = engines(engine_count, model_count);
+        let needs = needs(model_count);
+        let mut least_ms = f64::MAX;
+        let mut steps = 0;
+        for _ in 0..ROUNDS {
+            let began = Instant::now();
+            steps = plan(&spec, &needs, &engines, 60).len();
+            let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
+            least_ms = least_ms.min(took_ms);
+        }
+        println!("{engine_count:7} {model_count:7} {steps:6}  {least_ms:.1}");
+    }
+}
--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    catalog::EngineSpec,
+    catalog::{EngineSpec, ModelSpec},
     listing::{Holding, Variant},
 };
 use crate::{
@@ -95,20 +95,55 @@
     let mut models: Vec<_> =
         spec.models.iter().filter(|m| !m.adapters.is_empty()).collect();
     models.sort_by(|a, b| use_of(&b.name).total_cmp(&use_of(&a.name)));
+    let roomy = roomiest_hosts(hosts, spec);
     models.into_iter().find_map(|model| {
-        let host = hosts
-            .iter()
-            .filter(|host| host.holding.models.contains_key(&model.name))
-            .filter(|host| has_room(host.holding, &model.name, spec))
-            .min_by_key(|host| host.holding.adapters())?;
-        let mut variants = model.adapters.iter().map(|adapter| {
-            Variant::adapted(model.name.as_str(), adapter.as_str())
+        let host = roomy.get(&model.name)?;
+        let mut variants = model.adapters.iter().map(|adapter| Variant {
+            model: model.name.clone(),
+            adapter: Some(adapter.clone()),
         });
         let missing = variants.find(|variant| !is_held(variant))?;
         Some((host.engine.clone(), missing))
     })
 }
 
+/// Returns, for each model that engines with room for one of its adapters
+/// hold, the one of these with the fewest adapters.
+fn roomiest_hosts<'a>(
+    hosts: &'a [AdapterHost<'a>],
+    spec: &EngineSpec,
+) -> BTreeMap<&'a ModelName, &'a AdapterHost<'a>> {
+    let models = spec.models.iter().map(|model| (&model.name, model));
+    let models: BTreeMap<&ModelName, &ModelSpec> = models.collect();
+    let size = |name: &ModelName, adapters: usize| {
+        models.get(name).map_or(0, |model| {
+            model.size_mb + model.adapter_size_mb * adapters as u64
+        })
+    };
+    let mut roomiest: BTreeMap<&ModelName, &AdapterHost<'_>> = BTreeMap::new();
+    for host in hosts {
+        let held = &host.holding.models;
+        let adapters = host.holding.adapters();
+        if adapters >= spec.adapter_places {
+            continue;
+        }
+        let taken: u64 =
+            held.iter().map(|(name, some)| size(name, some.len())).sum();
+        for name in held.keys() {
+            let adapter_size_mb =
+                models.get(name).map_or(0, |model| model.adapter_size_mb);
+            if taken + adapter_size_mb > spec.memory_mb {
+                continue;
+            }
+            let best = roomiest.entry(name).or_insert(host);
+            if adapters < best.holding.adapters() {
+                *best = host;
+            }
+        }
+    }
+    roomiest
+}
+
 fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
     let size = spec.model(model).map_or(0, |model| model.adapter_size_mb);
     let taken = taken_mb(holding, spec);
--- a/crates/valehold-core/src/fleet/replicas.rs
+++ b/crates/valehold-core/src/fleet/replicas.rs
@@ -11,9 +11,12 @@
 //! gone: engines that crash are often back with their copies before another
 //! one has loaded it, and a busy model's engine is not worth that at once.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
 
-use super::{adapters::taken_mb, catalog::EngineSpec, listing::Holding};
+use super::{catalog::EngineSpec, listing::Holding};
 use crate::id::{DataCentreId, ModelName, UpstreamId};
 
 /// What the planner knows of one engine.
@@ -117,14 +120,7 @@
     engines: &[EngineState],
     loads: usize,
 ) -> Vec<ReplicaStep> {
-    let mut planner = Planner {
-        spec,
-        demand,
-        engines: engines.to_vec(),
-        wanted: BTreeMap::new(),
-        steps: Vec::new(),
-        loads,
-    };
+    let mut planner = Planner::new(spec, demand, engines, loads);
     planner.want();
     let lost = planner.lost();
     let short = planner.short();
@@ -150,16 +146,113 @@
     lacking
 }
 
+/// A model that may get a further place, by how hard it presses.
+#[derive(Debug, PartialEq)]
+struct Pressing<'a> {
+    pressure: f64,
+    model: &'a ModelName,
+}
+
+impl Eq for Pressing<'_> {}
+
+impl Ord for Pressing<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_pressure = self.pressure.total_cmp(&other.pressure);
+        by_pressure.then(self.model.cmp(other.model))
+    }
+}
+
+impl PartialOrd for Pressing<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// What a model takes of an engine's memory, in MB.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    weights: u64,
+    adapter: u64,
+}
+
+/// How many sound engines have a model.
+#[derive(Debug, Clone, Copy, Default)]
+struct Held {
+    /// Those that hold it now.
+    resident: usize,
+    /// Those, and the ones that are loading it.
+    holders: usize,
+}
+
+/// What is counted of engines is kept up to date with each step: counted anew
+/// for each model and engine, a plan for 240 engines and 399 models took
+/// longer than the time between two plans.
 struct Planner<'a> {
     spec: &'a EngineSpec,
     demand: &'a BTreeMap<ModelName, ModelNeed>,
     engines: Vec<EngineState>,
+    sizes: BTreeMap<&'a ModelName, Size>,
+    /// The memory that each engine's models and adapters take, in MB.
+    taken: Vec<u64>,
+    held: BTreeMap<ModelName, Held>,
     wanted: BTreeMap<ModelName, usize>,
     steps: Vec<ReplicaStep>,
     loads: usize,
 }
 
-impl Planner<'_> {
+impl<'a> Planner<'a> {
+    fn new(
+        spec: &'a EngineSpec,
+        demand: &'a BTreeMap<ModelName, ModelNeed>,
+        engines: &[EngineState],
+        loads: usize,
+    ) -> Self {
+        let size = |model: &'a super::ModelSpec| Size {
+            weights: model.size_mb,
+            adapter: model.adapter_size_mb,
+        };
+        let sizes = spec.models.iter().map(|model| (&model.name, size(model)));
+        let mut planner = Self {
+            spec,
+            demand,
+            engines: engines.to_vec(),
+            sizes: sizes.collect(),
+            taken: Vec::new(),
+            held: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            steps: Vec::new(),
+            loads,
+        };
+        planner.count();
+        planner
+    }
+
+    /// Counts what engines hold.
+    fn count(&mut self) {
+        let taken = |engine: &EngineState| {
+            let models = engine.holding.models.keys();
+            models.map(|held| self.held_mb(&engine.holding, held)).sum()
+        };
+        self.taken = self.engines.iter().map(taken).collect();
+        for engine in self.engines.iter().filter(|engine| engine.sound) {
+            for model in engine.holding.models.keys() {
+                let held = self.held.entry(model.clone()).or_default();
+                held.resident += 1;
+                held.holders += 1;
+            }
+            let loading = engine.loading.as_ref();
+            let new =
+                loading.filter(|m| !engine.holding.models.contains_key(*m));
+            if let Some(model) = new {
+                self.held.entry(model.clone()).or_default().holders += 1;
+            }
+        }
+    }
+
+    fn held(&self, model: &ModelName) -> Held {
+        self.held.get(model).copied().unwrap_or_default()
+    }
+
     /// Shares the engines' places out: one for each model, then always one
     /// for the model that presses hardest.
     fn want(&mut self) {
@@ -169,41 +262,54 @@
         for model in &self.spec.models {
             self.wanted.insert(model.name.clone(), 1);
         }
+        let models = self.spec.models.iter().map(|model| &model.name);
+        let first = models.map(|model| self.pressing(model, 1));
+        let mut pressed: BinaryHeap<Pressing<'a>> = first.collect();
         while left > 0 {
-            let pressed = self
-                .wanted
-                .iter()
-                .filter(|(_, count)| **count < most)
-                .map(|(model, count)| (self.pressure(model, *count), model))
-                .max_by(|(a, _), (b, _)| a.total_cmp(b));
-            let Some((pressure, model)) = pressed else { break };
+            let Some(Pressing { pressure, model }) = pressed.pop() else {
+                break;
+            };
             if pressure < ENOUGH_BUSY {
                 break;
             }
-            let model = model.clone();
-            *self.wanted.entry(model).or_default() += 1;
+            let count = self.wanted.get(model).copied().unwrap_or(1);
+            if count >= most {
+                continue;
+            }
+            self.wanted.insert(model.clone(), count + 1);
+            pressed.push(self.pressing(model, count + 1));
             left -= 1;
         }
         self.want_room_for_adapters(left, most);
     }
 
+    fn pressing(&self, model: &'a ModelName, engines: usize) -> Pressing<'a> {
+        Pressing { pressure: self.pressure(model, engines), model }
+    }
+
     /// Gives what is left to models whose adapters have no place, so that
     /// they are there before they are asked for.
     fn want_room_for_adapters(&mut self, mut left: usize, most: usize) {
         let slots = self.spec.adapter_places.max(1);
+        let without = |adapters: usize, count: usize| {
+            adapters.checked_sub(slots * count).filter(|without| *without > 0)
+        };
+        let mut homeless: BinaryHeap<(usize, usize)> = BinaryHeap::new();
+        for (index, model) in self.spec.models.iter().enumerate() {
+            let count = self.wanted.get(&model.name).copied().unwrap_or(1);
+            let without = without(model.adapters.len(), count);
+            homeless.extend(without.map(|without| (without, index)));
+        }
         while left > 0 {
-            let homeless = self.spec.models.iter().filter_map(|model| {
-                let count = self.wanted.get(&model.name).copied()?;
-                let without =
-                    model.adapters.len().checked_sub(slots * count)?;
-                (without > 0 && count < most).then_some((without, &model.name))
-            });
-            let Some((_, model)) = homeless.max_by_key(|(count, _)| *count)
-            else {
-                return;
-            };
-            let model = model.clone();
-            *self.wanted.entry(model).or_default() += 1;
+            let Some((_, index)) = homeless.pop() else { return };
+            let model = &self.spec.models[index];
+            let count = self.wanted.get(&model.name).copied().unwrap_or(1);
+            if count >= most {
+                continue;
+            }
+            self.wanted.insert(model.name.clone(), count + 1);
+            let without = without(model.adapters.len(), count + 1);
+            homeless.extend(without.map(|without| (without, index)));
             left -= 1;
         }
     }
@@ -309,8 +415,7 @@
     }
 
     fn holders(&self, model: &ModelName) -> usize {
-        let holds = |e: &&EngineState| e.sound && e.will_hold(model);
-        self.engines.iter().filter(holds).count()
+        self.held(model).holders
     }
 
     fn roomy_engine(&self, model: &ModelName) -> Option<usize> {
@@ -320,8 +425,7 @@
             let engine = &self.engines[*index];
             self.may_order(engine)
                 && !engine.will_hold(model)
-                && taken_mb(&engine.holding, self.spec) + size
-                    <= self.spec.memory_mb
+                && self.taken[*index] + size <= self.spec.memory_mb
         });
         able.min_by(|a, b| {
             let rank = |index: &usize| {
@@ -350,6 +454,7 @@
         }
         engine.loading = Some(model.clone());
         engine.busy = true;
+        self.held.entry(model.clone()).or_default().holders += 1;
         self.steps.push(ReplicaStep::Load {
             engine: engine.id.clone(),
             model: model.clone(),
@@ -365,7 +470,7 @@
             if !self.may_order(engine) || engine.will_hold(model) {
                 continue;
             }
-            let taken = taken_mb(&engine.holding, self.spec);
+            let taken = self.taken[index];
             for held in engine.holding.models.keys() {
                 let freed = self.held_mb(&engine.holding, held);
                 let left = self.resident(held).saturating_sub(1);
@@ -386,6 +491,9 @@
         let engine = &mut self.engines[index];
         engine.busy = true;
         engine.holding.models.remove(&victim);
+        let held = self.held.entry(victim.clone()).or_default();
+        held.resident = held.resident.saturating_sub(1);
+        held.holders = held.holders.saturating_sub(1);
         let engine = engine.id.clone();
         self.steps.push(ReplicaStep::Unload { engine, model: victim });
     }
@@ -407,9 +515,7 @@
 
     /// Counts the sound engines that hold a model now.
     fn resident(&self, model: &ModelName) -> usize {
-        let holds =
-            |e: &&EngineState| e.sound && e.holding.models.contains_key(model);
-        self.engines.iter().filter(holds).count()
+        self.held(model).resident
     }
 
     fn may_order(&self, engine: &EngineState) -> bool {
@@ -417,13 +523,13 @@
     }
 
     fn size(&self, model: &ModelName) -> u64 {
-        self.spec.model(model).map_or(u64::MAX / 4, |m| m.size_mb)
+        self.sizes.get(model).map_or(u64::MAX / 4, |size| size.weights)
     }
 
     fn held_mb(&self, holding: &Holding, model: &ModelName) -> u64 {
         let adapters = holding.models.get(model).map_or(0, BTreeSet::len);
-        self.spec.model(model).map_or(0, |spec| {
-            spec.size_mb + spec.adapter_size_mb * adapters as u64
-        })
+        self.sizes
+            .get(model)
+            .map_or(0, |size| size.weights + size.adapter * adapters as u64)
     }
 }
--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -24,6 +24,12 @@
 /// spread beyond that, in ms.
 const FIRST_LOOKS_SPREAD_MS: u64 = 1_500;
 
+/// How long a gateway waits at the least after a read failed, in ms, and by
+/// how much such waits are spread: a peer with too many readers turns further
+/// ones away, who are not to come back all at once.
+const LEAST_WAIT_AFTER_FAILURE_MS: u64 = 60;
+const WAITS_SPREAD_MS: u64 = 240;
+
 /// For how long a gateway looks at the store itself after a peer's state was
 /// in a format that it does not read, in ms.
 const AFTER_OTHER_FORMAT_MS: u64 = 5_000;
@@ -40,6 +46,8 @@
     listing: Option<Millis>,
     /// How often it was read in vain since it is behind.
     reads: u32,
+    /// From when on it reads again.
+    next_read: Millis,
     /// From when on it looks at the store itself if it knows nothing.
     first_look: Millis,
     /// Until when peers are not relied on.
@@ -62,11 +70,16 @@
             catalog: None,
             listing: None,
             reads: 0,
+            next_read: now,
             first_look: now + wait_ms,
             looks_until: Millis::default(),
         }
     }
 
+    fn may_read(&self, now: Millis) -> bool {
+        !self.is_reading && now >= self.next_read
+    }
+
     /// Tells whether others find one another through this gateway.
     pub(super) fn is_seed(&self) -> bool {
         self.is_seed
@@ -113,7 +126,7 @@
         let newest =
             catalog.filter(|_| by_catalog).or(listing.filter(|_| by_listing));
         match newest {
-            Some(newest) if !self.behind.is_reading => {
+            Some(newest) if self.behind.may_read(now) => {
                 self.read_state(newest, known);
             }
             Some(_) => {}
@@ -165,6 +178,9 @@
             }
             Err(error) => {
                 log::debug!("a peer's state: {error}");
+                let spread_ms = rand::random_range(0..WAITS_SPREAD_MS);
+                self.behind.next_read =
+                    now + LEAST_WAIT_AFTER_FAILURE_MS + spread_ms;
                 if error.kind() == PortErrorKind::Malformed {
                     self.behind.looks_until = now + AFTER_OTHER_FORMAT_MS;
                 }
--- /dev/null
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -0,0 +1,298 @@
+//! Giving engines the orders that placement decides.
+//!
+//! Every order states how many orders its engine must have taken before. A
+//! decision is made on what an engine holds after so many orders, and is
+//! carried out only if that still is so: an order that arrives late, or that
+//! another holder's has overtaken, does nothing.
+//!
+//! - `models` plans which engine loads and unloads which model.
+//! - `adapters` brings adapters.
+//! - `orders` gives the orders, and takes in how they ended.
+
+mod adapters;
+mod models;
+mod orders;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+};
+
+use tokio::sync::mpsc;
+use valehold_core::{
+    Millis,
+    fleet::{
+        EngineHolding, KnownUpstreams, Listing, Variant, catalog::EngineSpec,
+        peaks::Peaks,
+    },
+    id::{InstanceId, ModelName, ServiceName, UpstreamId},
+    order::Stamp,
+};
+use valehold_ports::{
+    PortError,
+    port::fleet::{EngineReport, FleetEngines},
+};
+
+use self::models::Pacing;
+use super::{entry::Entry, input::Input};
+use crate::{
+    mechanisms::MechanismSettings,
+    peers::{message::VariantDemand, roster::sums::Loads},
+};
+
+/// How often the plan is made, in ms.
+const PLAN_EVERY_MS: u64 = 250;
+
+/// How often an engine that is busy is asked, in ms.
+const ASK_EVERY_MS: u64 = 300;
+
+/// How long an engine is left alone after an order failed, in ms.
+const AFTER_FAILURE_MS: u64 = 200;
+
+/// After how many reports in a row from before an order its effect is taken
+/// for what they say. Reports lag by less than so many questions take.
+const MOST_OLD_REPORTS: u32 = 6;
+
+/// What the lease allows an order to carry.
+#[derive(Clone)]
+pub(super) struct Authority {
+    /// The holder.
+    pub(super) holder: InstanceId,
+    /// Returns the epoch, if an order may be given at this moment, and notes
+    /// that one is.
+    pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
+}
+
+/// Gives orders to engines.
+pub(super) struct Placer {
+    engines: Arc<dyn FleetEngines>,
+    inputs: mpsc::UnboundedSender<Input>,
+    authority: Authority,
+    entries: BTreeMap<UpstreamId, Entry>,
+    wishes: BTreeMap<Variant, Millis>,
+    /// Models of each service that no sound engine holds, and since when.
+    lost: BTreeMap<ServiceName, BTreeMap<ModelName, Millis>>,
+    /// Adapters about which orders are under way.
+    ordered_now: BTreeSet<Variant>,
+    pacing: BTreeMap<ServiceName, Pacing>,
+    peaks: BTreeMap<ServiceName, Peaks>,
+    load_window_s: f64,
+    mechanisms: MechanismSettings,
+    /// The last stamp that was given.
+    stamp: Stamp,
+}
+
+impl Placer {
+    pub(super) fn new(
+        engines: Arc<dyn FleetEngines>,
+        inputs: mpsc::UnboundedSender<Input>,
+        authority: Authority,
+        load_window_s: f64,
+        mechanisms: MechanismSettings,
+    ) -> Self {
+        Self {
+            engines,
+            inputs,
+            authority,
+            entries: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            ordered_now: BTreeSet::new(),
+            pacing: BTreeMap::new(),
+            peaks: BTreeMap::new(),
+            load_window_s,
+            mechanisms,
+            stamp: Stamp::default(),
+        }
+    }
+
+    /// Takes in the upstreams.
+    pub(super) fn listed(&mut self, listing: &Listing) {
+        let entries = &mut self.entries;
+        entries.retain(|id, _| listing.upstreams.contains_key(id));
+        for (id, upstream) in &listing.upstreams {
+            let entry = entries.entry(id.clone());
+            entry.or_insert_with(|| Entry::new(upstream)).list(upstream);
+        }
+    }
+
+    /// Takes in what changed of some upstreams.
+    pub(super) fn list_changes(
+        &mut self,
+        changed: &BTreeSet<UpstreamId>,
+        listing: &Listing,
+    ) {
+        for id in changed {
+            let Some(upstream) = listing.upstreams.get(id) else {
+                self.entries.remove(id);
+                continue;
+            };
+            let entry = self.entries.entry(id.clone());
+            entry.or_insert_with(|| Entry::new(upstream)).list(upstream);
+        }
+    }
+
+    /// Takes in that a request waits for a variant.
+    pub(super) fn wished(&mut self, variant: Variant, now: Millis) {
+        // Who wishes for what is there has not been told.
+        for entry in self.entries.values_mut() {
+            if entry.serves(&variant) && !entry.uncertain {
+                entry.changed = Some(now);
+                // It may be gone, too: whoever wishes did not reach it.
+                entry.uncertain = now.since(entry.asked) >= ASK_EVERY_MS;
+            }
+        }
+        self.wishes.insert(variant, now);
+    }
+
+    /// Begins an epoch: another one may have given orders before.
+    pub(super) fn begin_epoch(&mut self, epoch: u64) {
+        self.stamp = Stamp { epoch, sequence: 0 };
+        self.lost.clear();
+        self.peaks.clear();
+        for entry in self.entries.values_mut() {
+            entry.uncertain = true;
+            entry.holding.sequence = 0;
+        }
+    }
+
+    /// Returns what engines hold since the last orders.
+    pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
+        self.told(|_, entry| entry.is_news(now))
+    }
+
+    /// Returns those of the news that were not told yet.
+    pub(super) fn news_beyond(
+        &self,
+        known: &KnownUpstreams,
+        now: Millis,
+    ) -> Vec<EngineHolding> {
+        let is_news = |id: &UpstreamId, entry: &Entry| {
+            entry.is_news(now) && !known.was_told(id, entry.stamp)
+        };
+        self.told(is_news)
+    }
+
+    /// Returns what engines take requests for that give a model up: their
+    /// own word in the list says otherwise until they have.
+    pub(super) fn unloading(&self) -> Vec<EngineHolding> {
+        self.told(|_, entry| entry.unloading.is_some())
+    }
+
+    fn told(
+        &self,
+        which: impl Fn(&UpstreamId, &Entry) -> bool,
+    ) -> Vec<EngineHolding> {
+        let entries = self.entries.iter().filter(|(id, one)| which(id, one));
+        let told = entries.map(|(id, entry)| EngineHolding {
+            engine: id.clone(),
+            holding: entry.usable(),
+            stamp: entry.stamp,
+        });
+        told.collect()
+    }
+
+    /// Does what is due for one service while orders may be given.
+    pub(super) fn tick(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        demand: &BTreeMap<Variant, VariantDemand>,
+        loads: &Loads,
+    ) {
+        for entry in self.entries.values_mut() {
+            entry.forget_arrivals(now);
+        }
+        self.ask_where_due(service, now);
+        self.place_adapters(now, service, spec, demand);
+        if self.mechanisms.adapters_ahead {
+            self.bring_adapters(now, service, spec, demand);
+        }
+        let pacing = self.pacing_of(service);
+        if now.since(pacing.planned) >= PLAN_EVERY_MS {
+            pacing.planned = now;
+            self.note_lost(now, service, spec);
+            self.place_models(now, service, spec, demand, loads);
+        }
+    }
+
+    /// Asks engines of which a report is needed.
+    fn ask_where_due(&mut self, service: &ServiceName, now: Millis) {
+        let due: Vec<UpstreamId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.service == *service && !entry.leaving)
+            .filter(|(_, e)| !e.under_way && now >= e.left_alone_until)
+            .filter(|(_, entry)| {
+                entry.uncertain
+                    || (entry.busy
+                        && now >= entry.busy_until
+                        && now.since(entry.asked) >= ASK_EVERY_MS)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.ask(&id, now);
+        }
+    }
+
+    fn ask(&mut self, id: &UpstreamId, now: Millis) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        entry.under_way = true;
+        entry.asked = now;
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let (engine, address) = (id.clone(), entry.address);
+        tokio::task::spawn_local(async move {
+            let report = engines.report(address).await;
+            let input = Input::Reported { engine, report };
+            let _ = inputs.send(input);
+        });
+    }
+
+    /// Takes in an engine's report.
+    pub(super) fn reported(
+        &mut self,
+        engine: &UpstreamId,
+        report: Result<EngineReport, PortError>,
+        now: Millis,
+    ) {
+        let Some(entry) = self.entries.get_mut(engine) else { return };
+        entry.under_way = false;
+        let report = match report {
+            Ok(report) => report,
+            Err(error) => {
+                log::debug!("{engine} did not report: {error}");
+                entry.failures += 1;
+                entry.left_alone_until = now + AFTER_FAILURE_MS;
+                return;
+            }
+        };
+        entry.failures = 0;
+        let is_old = report.holding.sequence < entry.holding.sequence;
+        if is_old && entry.old_reports < MOST_OLD_REPORTS {
+            // It is from before the last order.
+            entry.old_reports += 1;
+            entry.left_alone_until = now + ASK_EVERY_MS / 4;
+            return;
+        }
+        entry.old_reports = 0;
+        entry.uncertain = false;
+        entry.busy = report.busy;
+        let told = entry.usable();
+        if !report.busy {
+            entry.loading = None;
+            entry.unloading = None;
+        }
+        if report.holding.sequence != entry.holding.sequence {
+            // One of the lost ones was taken, or another holder's.
+            entry.lost_loads = 0;
+        }
+        entry.holding = report.holding;
+        if entry.usable() != told {
+            entry.change(now, &mut self.stamp);
+        }
+        entry.copies = report.copies;
+    }
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -0,0 +1,205 @@
+//! Giving orders, and taking in how they ended.
+
+use std::time::Duration;
+
+use valehold_core::{
+    Millis,
+    fleet::{Holding, adapters::taken_mb, catalog::EngineSpec},
+    id::UpstreamId,
+};
+use valehold_ports::port::fleet::{
+    EngineOrder, FleetEngines, OrderOutcome, OrderWish,
+};
+
+use super::{AFTER_FAILURE_MS, Authority, Placer};
+use crate::{
+    control::input::{GivenOrder, Input, OrderEnd},
+    events::Event,
+};
+
+/// The part of a load's stated time before which it is not asked after.
+const LEAST_LOAD_PART: f64 = 0.9;
+
+/// How long an engine is left alone after an order met another one, in ms;
+/// twice as long each further time.
+const AFTER_CONFLICT_MS: u64 = 100;
+
+/// How many times that is doubled at the most.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// How long requests get to turn away from a model before it is unloaded.
+const TURN_AWAY: Duration = Duration::from_millis(100);
+
+impl Placer {
+    /// Gives an order on what is known.
+    pub(super) fn order(&mut self, engine: &UpstreamId, wish: OrderWish) {
+        let Some(order) = self.begin(engine, &wish) else { return };
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let authority = self.authority.clone();
+        tokio::task::spawn_local(async move {
+            let end = give(&*engines, &authority, &order).await;
+            let _ = inputs.send(Input::Ordered(order, end));
+        });
+    }
+
+    /// Gives an order about a model, if a report confirms what is known.
+    pub(super) fn order_checked(
+        &mut self,
+        engine: &UpstreamId,
+        wish: OrderWish,
+        spec: &EngineSpec,
+        now: Millis,
+    ) {
+        let Some(mut order) = self.begin(engine, &wish) else { return };
+        order.least_ms = least_load_ms(spec, &wish);
+        let Some(entry) = self.entries.get_mut(engine) else { return };
+        let known = entry.holding.clone();
+        if let OrderWish::Unload(variant) = &wish {
+            // Peers turn away from it first. A later report tells them what
+            // is there, whatever becomes of the order.
+            entry.unloading = Some(variant.model.clone());
+            entry.change(now, &mut self.stamp);
+        }
+        let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
+        let authority = self.authority.clone();
+        let spec = spec.clone();
+        tokio::task::spawn_local(async move {
+            if matches!(order.wish, OrderWish::Unload(_)) {
+                tokio::time::sleep(TURN_AWAY).await;
+            }
+            let report = engines.report(order.address).await;
+            let as_known = report.is_ok_and(|report| {
+                !report.busy
+                    && report.holding == known
+                    && fits(&report.holding, &order.wish, &spec)
+            });
+            let end = match as_known {
+                true => give(&*engines, &authority, &order).await,
+                false => OrderEnd::NotSent,
+            };
+            let _ = inputs.send(Input::Ordered(order, end));
+        });
+    }
+
+    pub(super) fn begin(
+        &mut self,
+        engine: &UpstreamId,
+        wish: &OrderWish,
+    ) -> Option<GivenOrder> {
+        let entry = self.entries.get_mut(engine)?;
+        entry.under_way = true;
+        Some(GivenOrder {
+            engine: engine.clone(),
+            address: entry.address,
+            wish: wish.clone(),
+            expected_sequence: entry.holding.sequence,
+            least_ms: 0,
+        })
+    }
+
+    /// Takes in how an order ended.
+    pub(in crate::control) fn ordered(
+        &mut self,
+        order: GivenOrder,
+        end: &OrderEnd,
+        now: Millis,
+    ) {
+        let (OrderWish::Load(variant) | OrderWish::Unload(variant)) =
+            &order.wish;
+        Event::OrderEnded {
+            engine: order.engine.clone(),
+            wish: order.wish.verb().to_owned(),
+            variant: variant.to_string(),
+            outcome: end.label().to_owned(),
+        }
+        .log();
+        self.ordered_now.remove(variant);
+        let is_model = variant.adapter.is_none();
+        let Some(entry) = self.entries.get_mut(&order.engine) else { return };
+        entry.under_way = false;
+        match end {
+            OrderEnd::Answered(
+                OrderOutcome::Accepted | OrderOutcome::Holds,
+            ) => {
+                entry.failures = 0;
+                entry.conflicts = 0;
+                let void = std::mem::take(&mut entry.lost_loads);
+                if let Some(began) = self.pacing.get_mut(&entry.service) {
+                    began.take_back(void);
+                }
+                // An unload that is not done at once waits for requests.
+                entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
+                    && (is_model
+                        || matches!(
+                            end,
+                            OrderEnd::Answered(OrderOutcome::Accepted)
+                        ));
+                entry.holding.sequence = order.expected_sequence + 1;
+                entry.apply(&order.wish, now);
+                if let (true, OrderWish::Load(_)) = (is_model, &order.wish) {
+                    let copied = entry.copies.contains(&variant.model);
+                    let least_ms = if copied { 0 } else { order.least_ms };
+                    entry.busy_until = now + least_ms;
+                }
+                entry.change(now, &mut self.stamp);
+            }
+            OrderEnd::Answered(
+                OrderOutcome::Conflict | OrderOutcome::Refused,
+            )
+            | OrderEnd::NotSent => {
+                entry.uncertain = true;
+                let shift = entry.conflicts.min(MOST_DOUBLINGS);
+                entry.conflicts += 1;
+                entry.left_alone_until = now + (AFTER_CONFLICT_MS << shift);
+                entry.forget_guess(order.expected_sequence);
+            }
+            OrderEnd::Unanswered(error) => {
+                log::debug!("an order to {} was lost: {error}", order.engine);
+                entry.uncertain = true;
+                entry.left_alone_until = now + AFTER_FAILURE_MS;
+                if is_model && matches!(order.wish, OrderWish::Load(_)) {
+                    entry.lost_loads += 1;
+                }
+                entry.forget_guess(order.expected_sequence);
+            }
+        }
+    }
+}
+
+fn least_load_ms(spec: &EngineSpec, wish: &OrderWish) -> u64 {
+    let OrderWish::Load(variant) = wish else { return 0 };
+    let load_ms = spec.model(&variant.model).map_or(0, |model| model.load_ms);
+    (load_ms as f64 * LEAST_LOAD_PART) as u64
+}
+
+fn fits(holding: &Holding, wish: &OrderWish, spec: &EngineSpec) -> bool {
+    match wish {
+        OrderWish::Unload(_) => true,
+        OrderWish::Load(variant) => {
+            let size = spec.model(&variant.model).map(|model| model.size_mb);
+            let taken = taken_mb(holding, spec);
+            size.is_some_and(|size| taken + size <= spec.memory_mb)
+        }
+    }
+}
+
+/// Gives an order, if the lease allows it at this moment.
+async fn give(
+    engines: &dyn FleetEngines,
+    authority: &Authority,
+    given: &GivenOrder,
+) -> OrderEnd {
+    let Some(epoch) = (authority.epoch)() else { return OrderEnd::NotSent };
+    let order = EngineOrder {
+        engine: given.engine.clone(),
+        address: given.address,
+        wish: given.wish.clone(),
+        expected_sequence: given.expected_sequence,
+        holder: authority.holder.clone(),
+        epoch,
+    };
+    match engines.order(&order).await {
+        Ok(outcome) => OrderEnd::Answered(outcome),
+        Err(error) => OrderEnd::Unanswered(error),
+    }
+}
--- a/crates/valehold-gateway/src/traffic/face.rs
+++ b/crates/valehold-gateway/src/traffic/face.rs
@@ -1,8 +1,6 @@
 //! Requests as they come from connections, and calls to the gateway itself.
 
-use std::{
-    collections::BTreeSet, convert::Infallible, net::SocketAddr, rc::Rc,
-};
+use std::{convert::Infallible, rc::Rc};
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -10,15 +8,10 @@
 use valehold_ports::port::fleet::OwnCall;
 
 use super::{
-    Body, exchange, record::log_unrouted, refusal::plain, route, state::App,
+    Body, addresses::addresses_for, exchange, record::log_unrouted,
+    refusal::plain, route, state::App,
 };
-use crate::view::{Life, ReadyMember};
-
-/// How many addresses are given at the most.
-const MOST_ADDRESSES: usize = 64;
-
-/// How many gateways in a caller's own data centre are enough for it.
-const ENOUGH_NEAR: usize = 2;
+use crate::view::Life;
 
 /// Which of a gateway's doors a connection came by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,7 +66,7 @@
 
 fn addresses(app: &App, near: Option<&DataCentreId>) -> Response<Body> {
     let view = app.shared.view.load();
-    let addresses = addresses_for(&view.ready, near);
+    let addresses = addresses_for(&view.ready, near, &mut rand::rng());
     if addresses.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "");
     }
@@ -84,18 +77,3 @@
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
     answer
 }
-
-/// Returns the addresses for a caller: near ones if there are enough.
-fn addresses_for(
-    ready: &[ReadyMember],
-    near: Option<&DataCentreId>,
-) -> BTreeSet<SocketAddr> {
-    let is_near = |member: &&ReadyMember| Some(&member.data_centre) == near;
-    let enough = ready.iter().filter(is_near).count() >= ENOUGH_NEAR;
-    ready
-        .iter()
-        .filter(|member| !enough || is_near(member))
-        .map(|member| member.requests)
-        .take(MOST_ADDRESSES)
-        .collect()
-}
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 //! and `answer` passes the whole answer back, event by event where it is a
 //! stream. `exchange` leads it from one to the next.
 
+pub mod addresses;
 mod answer;
 mod choose;
 mod exchange;
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -531,3 +531,21 @@
     expect_that!(loads[&tag("u2")].running, eq(9));
     expect_that!(loads[&tag("u3")].running, eq(0));
 }
+
+/// On the bench: gateways that started at the same time stood in groups that
+/// did not hear of one another, and all of one contended for the lease.
+#[gtest]
+fn gateways_that_a_peer_names_are_met() {
+    let now = Millis::new(500);
+    let mut member = hearing_all(5, 40, now);
+    // A seed of another group names its hubs.
+    let mut seed = heartbeat(90, 1);
+    seed.known = vec![address(91), address(92), address(39)];
+    member.heard(address(90), seed, now);
+    let targets = member.heartbeat_targets(now);
+    expect_true!(targets.contains(&address(91)));
+    expect_true!(targets.contains(&address(92)));
+    // Once each; whoever answers is heard of from then on.
+    let targets = member.heartbeat_targets(now);
+    expect_false!(targets.contains(&address(91)));
+}
