--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -7,11 +7,15 @@
 //! one gateway sends and takes does not grow with the fleet.
 //!
 //! - [`standing`]: who does what, worked out anew as time passes.
-//! - `sums`: what all gateways have under way and are asked for.
+//! - [`duties`]: this gateway's own part in it.
+//! - [`targets`]: whom it sends what.
+//! - [`sums`]: what all gateways have under way and are asked for.
 //! - `words`: what hubs say, and what is said of the lease.
 
+pub mod duties;
 pub mod standing;
 pub mod sums;
+pub mod targets;
 mod words;
 
 use std::{
@@ -25,12 +29,13 @@
     id::{DataCentreId, InstanceId},
 };
 
+pub use self::{duties::Observing, targets::Spread};
 use self::{
     standing::{Member, Standing, StandingInputs},
     sums::HeardLoads,
 };
 use super::message::{
-    Digest, Duty, GroupLoads, Heartbeat, LoadNews, LoadReport, Newest, Rank,
+    Digest, GroupLoads, Heartbeat, LoadNews, LoadReport, Newest, Rank,
     StoreSight, Summary,
 };
 use crate::view::{Life, ReadyMember};
@@ -38,40 +43,6 @@
 /// For how long a silent gateway is still sent heartbeats, in ms.
 const FORGET_AFTER_MS: u64 = 60_000;
 
-/// How many gateways' addresses a heartbeat carries at the most.
-const MOST_KNOWN: usize = 16;
-
-/// How many gateways are sent heartbeats at once at the most where no hubs
-/// are known: what a gateway that has just started, or lost its hubs, needs
-/// to find the others within a few beats.
-const MOST_DIRECT: usize = 24;
-
-/// How many gateways watch the platform's list for all.
-const OBSERVERS: usize = 3;
-
-/// How many gateways watch the configuration where hubs pass it on. A store
-/// may turn away a third of all gateways and serve the operator: that it is
-/// all of these then has a chance below one in 300,000.
-const CONFIGURATION_WATCHERS: usize = 12;
-
-/// How many gateways look for a store that answers nobody, where hubs tell of
-/// it: each call costs, refused ones too.
-const MOST_LOOKING: usize = 24;
-
-/// How often seeds are sent heartbeats once others are known, in beats.
-const SEEDS_EVERY: u64 = 8;
-
-/// The same for a gateway that has just started. Gateways that start at the
-/// same time find one another in groups, which meet at the seeds.
-const SEEDS_EVERY_AT_FIRST: u64 = 2;
-
-/// For how many beats a gateway has just started.
-const FIRST_BEATS: u64 = 24;
-
-/// How many gateways that were named and are not met are sent a heartbeat
-/// with each beat.
-const MET_EACH_BEAT: usize = 4;
-
 /// How many times longer than a gateway's own word that of a hub is kept: it
 /// takes up to three beats from a gateway over hubs to all, and a hub that
 /// falls silent is replaced after one span.
@@ -91,19 +62,6 @@
     at: Millis,
 }
 
-/// A gateway's part in watching the platform's store for all.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Observing {
-    /// It hears of everything from others.
-    Nothing,
-    /// It watches the configuration, and hears of upstreams from others.
-    Configuration,
-    /// It watches in case that the foremost observer misses something.
-    Reserve,
-    /// Its word is the one that others hear first.
-    Foremost,
-}
-
 /// What this gateway is among the others.
 #[derive(Debug, Clone)]
 pub struct Own {
@@ -117,15 +75,6 @@
     pub rank: Rank,
 }
 
-/// Where a message for all gateways goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Spread {
-    /// Gateways that it is sent to.
-    pub direct: BTreeSet<SocketAddr>,
-    /// Hubs that pass it on to their groups.
-    pub hubs: BTreeSet<SocketAddr>,
-}
-
 /// The gateways that this one has heard of.
 #[derive(Debug)]
 pub struct Roster {
@@ -341,83 +290,6 @@
         self.standing.serving().map(|(_, member)| member.requests).collect()
     }
 
-    /// Returns where this beat's heartbeat goes.
-    pub fn heartbeat_targets(&mut self, now: Millis) -> BTreeSet<SocketAddr> {
-        self.beats += 1;
-        let hubs = self.standing.own_hubs();
-        if hubs.is_empty() {
-            return self.direct_targets();
-        }
-        let mut targets: BTreeSet<SocketAddr> = hubs.iter().copied().collect();
-        if !self.standing.has_many_groups() {
-            targets.extend(self.holder(now));
-        }
-        let seeds_every = match self.beats {
-            ..FIRST_BEATS => SEEDS_EVERY_AT_FIRST,
-            _ => SEEDS_EVERY,
-        };
-        if self.beats.is_multiple_of(seeds_every) {
-            targets.extend(&self.seeds);
-        }
-        self.unmet.retain(|address| !self.standing.has(address));
-        for _ in 0..MET_EACH_BEAT {
-            targets.extend(self.unmet.pop_first());
-        }
-        targets.remove(&self.own.heartbeats);
-        targets
-    }
-
-    /// Returns seeds and all that were named, or some where those are many:
-    /// where a heartbeat goes while no hubs are known.
-    pub fn direct_targets(&self) -> BTreeSet<SocketAddr> {
-        let named = self.named.keys().copied();
-        let some = named.choose_multiple(&mut rand::rng(), MOST_DIRECT);
-        some.into_iter().chain(self.seeds.iter().copied()).collect()
-    }
-
-    /// Returns where a message for all gateways goes.
-    pub fn spread(&self) -> Spread {
-        let own = self.own.heartbeats;
-        let mut spread = match self.standing.has_many_groups() {
-            false => Spread {
-                direct: self.standing.addresses().collect(),
-                hubs: BTreeSet::new(),
-            },
-            true => Spread {
-                direct: self.group_targets(),
-                hubs: self.standing.all_hubs().collect(),
-            },
-        };
-        spread.direct.remove(&own);
-        spread.hubs.remove(&own);
-        spread
-    }
-
-    /// Returns the gateways of this one's group to which it passes on, as a
-    /// hub, what is for all; none if it is no hub.
-    pub fn group_targets(&self) -> BTreeSet<SocketAddr> {
-        match self.is_hub() {
-            true => self.standing.group_without_hubs().collect(),
-            false => BTreeSet::new(),
-        }
-    }
-
-    /// Returns the gateways to which this one's summaries go, if it is a hub.
-    pub fn summary_targets(&self) -> BTreeSet<SocketAddr> {
-        let mut targets: BTreeSet<SocketAddr> =
-            self.standing.group().collect();
-        targets.remove(&self.own.heartbeats);
-        targets
-    }
-
-    /// Returns the addresses that a heartbeat carries: hubs before others,
-    /// so that who has just come finds its own.
-    pub fn known(&self, now: Millis) -> Vec<SocketAddr> {
-        let hubs = self.standing.all_hubs();
-        let live = self.live(now).map(|peer| peer.address);
-        hubs.chain(live).take(MOST_KNOWN).collect()
-    }
-
     /// Tells whether there are so many gateways that hubs sum up.
     pub fn has_hubs(&self) -> bool {
         !self.standing.own_hubs().is_empty()
@@ -429,12 +301,6 @@
         self.standing.has_many_groups()
     }
 
-    /// Returns where the other hubs of this one's group take heartbeats.
-    pub fn other_own_hubs(&self) -> BTreeSet<SocketAddr> {
-        let hubs = self.standing.own_hubs().iter().copied();
-        hubs.filter(|hub| *hub != self.own.heartbeats).collect()
-    }
-
     /// Returns where hubs of other data centres take digests.
     pub fn hubs_elsewhere(&self) -> &[SocketAddr] {
         self.standing.hubs_elsewhere()
@@ -450,48 +316,6 @@
         self.standing.own_hubs().contains(&self.own.heartbeats)
     }
 
-    /// Returns this gateway's part in watching the platform's store.
-    ///
-    /// Those watch it that are the greatest by rank and that the store does
-    /// not turn away. Whoever it turns away goes on looking, but where hubs
-    /// tell of it only as many do as are needed.
-    pub fn observing(&self, own: StoreSight) -> Observing {
-        let own_rank = self.own.rank.for_duty(Duty::Observe);
-        let greater = |(_, member): &(SocketAddr, &Member)| {
-            member.rank.for_duty(Duty::Observe) > own_rank
-        };
-        let others = self.standing.serving_others().filter(greater);
-        let place = others.clone().count();
-        let fails = |(_, member): &(SocketAddr, &Member)| {
-            member.store == StoreSight::Fails
-        };
-        let failing = others.filter(fails).count();
-        let is_far_down = self.has_hubs() && place >= MOST_LOOKING;
-        match place - failing {
-            _ if is_far_down => Observing::Nothing,
-            _ if own == StoreSight::Fails => Observing::Foremost,
-            0 => Observing::Foremost,
-            place if place < OBSERVERS => Observing::Reserve,
-            place if place < CONFIGURATION_WATCHERS => {
-                Observing::Configuration
-            }
-            _ if self.has_hubs() => Observing::Nothing,
-            _ => Observing::Configuration,
-        }
-    }
-
-    /// Tells whether enough others look after the store while it does not
-    /// answer this one: some that hear it, or the greatest by rank.
-    pub fn others_look(&self) -> bool {
-        self.hears_store() || self.place(Duty::Observe) >= OBSERVERS
-    }
-
-    /// Tells whether some other gateway that serves hears the store.
-    pub fn hears_store(&self) -> bool {
-        let mut others = self.standing.serving_others();
-        others.any(|(_, member)| member.store == StoreSight::Answers)
-    }
-
     /// Returns the gateways that callers may be sent to, but for this one.
     pub fn ready(&self) -> Vec<ReadyMember> {
         let others = self.standing.serving_others();
@@ -542,13 +366,6 @@
         Some(Newest { version: version(peer), state })
     }
 
-    /// Returns this gateway's place among all for a duty, from 0.
-    pub fn place(&self, duty: Duty) -> usize {
-        let own = self.own.rank.for_duty(duty);
-        let all = self.standing.staying();
-        all.filter(|member| member.rank.for_duty(duty) > own).count()
-    }
-
     fn live(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         let silent_ms = self.silent_ms;
         self.peers
