--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Control takes one input after the other and never waits. It follows the
 //! configuration and the upstreams, keeps the roster of gateways, holds the
-//! lease when it is its turn, and publishes a [`View`] that traffic reads.
+//! lease when it is its turn, and publishes a [`View`](crate::view::View) that
+//! traffic reads.
 //!
 //! - `feeds` follow the store, `behind` reads from peers what they know more.
 //! - `telling` says to peers what this gateway does and knows, `loads` more
