Workspaces on the platform: keys by digest, the workspace's name to upstreams

Change: core::fleet::workspace keeps workspaces and digests of their keys; the adapter digests a key where it is read, drops the header, and writes the workspace's name whatever the caller sent under it. A request whose key no workspace has is refused by its head (401), its body read for 200 ms at the most so that the answer is not lost with a reset. A workspace's rank goes before its routes' in urgency and admission.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::workspace::Workspaces;
 use crate::id::{AdapterName, ModelName, ServiceName};
 
 /// Whether a request may be sent to an upstream more than once.
@@ -57,6 +58,8 @@
     pub rank: u8,
     /// The most upstreams that one request may be sent to.
     pub attempts: u32,
+    /// Whether its requests need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -144,6 +147,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Whose callers may use the routes; `None` lets anyone use them.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl Catalog {
@@ -158,7 +163,7 @@
     /// #     targets: vec![], repetition: Repetition::Once,
     /// #     streaming: false, longest_ms: 1, begin_within_ms: 1,
     /// #     pause_within_ms: 0, rank: 0,
-    /// #     attempts: 1,
+    /// #     attempts: 1, public: false,
     /// # };
     /// # let limits = CallerLimits {
     /// #     header_bytes: 1, body_bytes: 1, head_within_ms: 1,
@@ -169,6 +174,7 @@
     ///     routes: vec![route("/"), route("/book/")],
     ///     services: Default::default(),
     ///     limits,
+    ///     workspaces: None,
     /// };
     /// let found = catalog.find("A.example", "/book/1").unwrap();
     /// assert_eq!(found.prefix, "/book/");
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod tests;
 pub mod turned_away;
 pub mod window;
+pub mod workspace;
 
 pub use self::{
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -12,3 +12,4 @@
 mod share;
 mod slot_time;
 mod turned_away;
+mod workspace;
--- a/crates/valehold-core/src/fleet/tests/catalog.rs
+++ b/crates/valehold-core/src/fleet/tests/catalog.rs
@@ -25,6 +25,7 @@
         pause_within_ms: 0,
         rank: 0,
         attempts: 1,
+        public: false,
     }
 }
 
@@ -39,6 +40,7 @@
             head_within_ms: 1_000,
             rest_ms: 1_000,
         },
+        workspaces: None,
     }
 }
 
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/workspace.rs
@@ -0,0 +1,63 @@
+//! Tests of workspaces and their keys.
+
+use googletest::prelude::*;
+
+use crate::{
+    fleet::workspace::{
+        KeyDigest, UsageLimit, UsageUnit, Workspace, Workspaces,
+    },
+    id::WorkspaceId,
+};
+
+fn workspace(name: &str) -> Workspace {
+    Workspace {
+        name: WorkspaceId::new(name),
+        rank: 1,
+        limit: Some(UsageLimit {
+            unit: UsageUnit::Requests,
+            rate: 10.0,
+            burst: 5.0,
+        }),
+    }
+}
+
+fn name_of(workspaces: &Workspaces, key: &str) -> Option<String> {
+    let found = workspaces.of_key(&KeyDigest::of(key.as_bytes()));
+    found.map(|one| one.name.to_string())
+}
+
+#[gtest]
+fn a_key_opens_its_workspace_alone() {
+    let mut all = Workspaces::default();
+    all.add(workspace("north"), [KeyDigest::of(b"n1"), KeyDigest::of(b"n2")]);
+    all.add(workspace("south"), [KeyDigest::of(b"s1")]);
+    expect_that!(name_of(&all, "n1"), some(eq("north")));
+    expect_that!(name_of(&all, "n2"), some(eq("north")));
+    expect_that!(name_of(&all, "s1"), some(eq("south")));
+    expect_that!(name_of(&all, "S1"), none());
+    expect_that!(name_of(&all, ""), none());
+}
+
+#[gtest]
+fn a_key_that_is_listed_twice_is_the_later_workspaces() {
+    let mut all = Workspaces::default();
+    all.add(workspace("north"), [KeyDigest::of(b"k")]);
+    all.add(workspace("south"), [KeyDigest::of(b"k")]);
+    expect_that!(name_of(&all, "k"), some(eq("south")));
+}
+
+#[gtest]
+fn a_digest_is_printed_without_what_finds_the_key() {
+    let digest = KeyDigest::of(b"a secret");
+    let printed = format!("{digest:?}");
+    expect_that!(printed.len(), eq("KeyDigest(0000)".len()));
+    expect_that!(printed, not(contains_substring("secret")));
+}
+
+#[gtest]
+fn a_request_counts_as_its_tokens_or_as_one() {
+    expect_that!(UsageUnit::Requests.cost(Some(900)), eq(1.0));
+    let tokens = UsageUnit::Tokens { of_plain: 200 };
+    expect_that!(tokens.cost(Some(900)), eq(900.0));
+    expect_that!(tokens.cost(None), eq(200.0));
+}
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -210,7 +210,7 @@
 }
 
 fn admit(app: &App, job: &Job, predicted_ms: f64) -> Result<(), NoChoice> {
-    let priority = MAX_PRIORITY.saturating_sub(job.route.rank);
+    let priority = MAX_PRIORITY.saturating_sub(job.urgency());
     admission::admit(
         predicted_ms,
         priority,
--- a/crates/valehold-gateway/src/traffic/refusal.rs
+++ b/crates/valehold-gateway/src/traffic/refusal.rs
@@ -37,6 +37,7 @@
     fn status(self) -> StatusCode {
         let status = match self.reason {
             RefusalReason::UnknownModel => StatusCode::NOT_FOUND,
+            RefusalReason::BadKey => StatusCode::UNAUTHORIZED,
             RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
             _ if self.verdict == Verdict::NotRun => {
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use valehold_core::{
-    fleet::{Catalog, Route, catalog::EngineSpec},
+    fleet::{Catalog, Route, catalog::EngineSpec, workspace::Workspace},
     id::ServiceName,
     reason::RefusalReason,
 };
@@ -22,6 +22,18 @@
 /// How long a caller may be thought to wait if it does not say, in ms.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
+/// The most bytes that are read of the body of a request that is refused by
+/// its head.
+const MOST_UNWANTED_BYTES: usize = 1 << 20;
+
+/// For how long they are read at the most.
+const UNWANTED_FOR: std::time::Duration =
+    std::time::Duration::from_millis(200);
+
+/// How many ranks of routes are told apart within each rank of workspaces:
+/// engines know ten grades of urgency for both.
+const RANKS_OF_ROUTES: u8 = 3;
+
 /// A request that a route takes, read whole.
 pub(super) struct Job {
     /// Its head, as the caller sent it.
@@ -34,6 +46,8 @@
     pub(super) route: Route,
     /// The service that answers it.
     pub(super) service_name: ServiceName,
+    /// The workspace whose key came with it; `None` where none is needed.
+    pub(super) workspace: Option<Workspace>,
     /// The configuration that says so.
     pub(super) catalog: Arc<Catalog>,
     /// By when it gets its final answer.
@@ -47,6 +61,14 @@
         String::from_utf8_lossy(id.unwrap_or_default())
     }
 
+    /// Returns how urgent it is, 0 being the most: by the rank of its
+    /// workspace, and within that by that of its route.
+    pub(super) fn urgency(&self) -> u8 {
+        let within = self.route.rank.min(RANKS_OF_ROUTES - 1);
+        let before = self.workspace.as_ref().map_or(0, |one| one.rank);
+        before.saturating_mul(RANKS_OF_ROUTES).saturating_add(within)
+    }
+
     /// Returns what the service's engines can do, if it runs models.
     pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
         self.catalog.engine_spec(&self.service_name)
@@ -68,8 +90,17 @@
         let reason = RefusalReason::NotReady;
         return Err((id, Refusal::not_run(reason, NOT_READY_COME_BACK_MS)));
     };
-    let (route, service_name) = take_route(&catalog, &head)
-        .map_err(|refusal| (id.clone(), refusal))?;
+    let taken = take_route(&catalog, &head).and_then(|(route, service)| {
+        let workspace = workspace_of(&catalog, route, &said)?;
+        Ok((route.clone(), service.clone(), workspace.cloned()))
+    });
+    let (route, service_name, workspace) = match taken {
+        Ok(taken) => taken,
+        Err(refusal) => {
+            leave_unread(body).await;
+            return Err((id, refusal));
+        }
+    };
     let deadline_ms = said.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let held_ms = match route.longest_ms {
         0 => deadline_ms,
@@ -86,6 +117,7 @@
         request: said,
         route,
         service_name,
+        workspace,
         catalog,
         deadline,
     })
@@ -99,10 +131,10 @@
     }
 }
 
-fn take_route(
-    catalog: &Catalog,
+fn take_route<'a>(
+    catalog: &'a Catalog,
     head: &Parts,
-) -> Result<(Route, ServiceName), Refusal> {
+) -> Result<(&'a Route, &'a ServiceName), Refusal> {
     let unknown = || Refusal::not_run(RefusalReason::UnknownModel, 0);
     let host = host(head).ok_or_else(unknown)?;
     let route = catalog.find(host, head.uri.path()).ok_or_else(unknown)?;
@@ -110,7 +142,31 @@
     if !catalog.services.contains_key(name) {
         return Err(unknown());
     }
-    Ok((route.clone(), name.clone()))
+    Ok((route, name))
+}
+
+/// Returns the workspace whose key a request carries.
+fn workspace_of<'a>(
+    catalog: &'a Catalog,
+    route: &Route,
+    said: &CallerRequest,
+) -> Result<Option<&'a Workspace>, Refusal> {
+    let Some(workspaces) = &catalog.workspaces else { return Ok(None) };
+    let found = said.key.as_ref().and_then(|key| workspaces.of_key(key));
+    match found {
+        None if !route.public => {
+            Err(Refusal::not_run(RefusalReason::BadKey, 0))
+        }
+        found => Ok(found),
+    }
+}
+
+/// Takes the rest of a body that is not wanted: a connection that is closed
+/// before it is read is reset, and the answer may be lost with it.
+async fn leave_unread(body: Incoming) {
+    let reading = Limited::new(body, MOST_UNWANTED_BYTES).collect();
+    // Whatever comes of it, the request is answered.
+    let _ = tokio::time::timeout(UNWANTED_FOR, reading).await;
 }
 
 /// Returns the host that a request names, without its port.
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -24,7 +24,7 @@
 /// written.
 const MOST_CLOSED: usize = 3;
 
-/// The less urgent a route, the later its requests: one step for each rank.
+/// The least urgent grade that engines know.
 const LEAST_URGENT: u8 = 9;
 
 /// Headers that pertain to one connection only.
@@ -114,9 +114,8 @@
     let sending = Sending {
         upstream: upstream.id.clone(),
         left: job.deadline.saturating_duration_since(Instant::now()),
-        urgency: job
-            .engine_spec()
-            .map(|_| job.route.rank.saturating_mul(3).min(LEAST_URGENT)),
+        workspace: job.workspace.as_ref().map(|one| one.name.clone()),
+        urgency: job.engine_spec().map(|_| job.urgency().min(LEAST_URGENT)),
         after_event,
     };
     let mut request = write_request(app, job, &sending);
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -7,8 +7,10 @@
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Catalog, Holding, Listing, Upstream, Variant},
-    id::{DataCentreId, InstanceId, ModelName, UpstreamId},
+    fleet::{
+        Catalog, Holding, Listing, Upstream, Variant, workspace::KeyDigest,
+    },
+    id::{DataCentreId, InstanceId, ModelName, UpstreamId, WorkspaceId},
     lease::{LeaseRow, VersionedLease},
 };
 
@@ -196,6 +198,8 @@
 pub struct CallerRequest {
     /// Its identifier, as the caller wrote it.
     pub id: Option<Bytes>,
+    /// The digest of the caller's key, if it sent one.
+    pub key: Option<KeyDigest>,
     /// How long the caller waits, in ms.
     pub deadline_ms: Option<u64>,
     /// What is to answer it, if a model is.
@@ -204,6 +208,8 @@
     pub prompt_tokens: u64,
     /// The tokens that the caller expects at most.
     pub output_tokens: u64,
+    /// Whether it states its tokens at all.
+    pub states_tokens: bool,
     /// The parts of its prompt, in order.
     pub parts: Vec<PromptPart>,
     /// The last event that the caller has already.
@@ -219,6 +225,15 @@
     pub tokens: u64,
 }
 
+impl CallerRequest {
+    /// Returns the tokens of its prompt and, at most, of its answer, if it
+    /// states them.
+    pub fn stated_tokens(&self) -> Option<u64> {
+        let sum = self.prompt_tokens.saturating_add(self.output_tokens);
+        self.states_tokens.then_some(sum)
+    }
+}
+
 /// What an instance adds to a request for an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sending {
@@ -226,6 +241,8 @@
     pub upstream: UpstreamId,
     /// How long the caller still waits.
     pub left: Duration,
+    /// The workspace whose key came with the request.
+    pub workspace: Option<WorkspaceId>,
     /// How urgent it is, 0 being the most, for engines.
     pub urgency: Option<u8>,
     /// The last event that the caller has, if the stream is taken up again.
@@ -264,9 +281,10 @@
     /// Reads what a caller's request says of itself.
     fn read_request(&self, headers: &HeaderMap) -> CallerRequest;
 
-    /// Removes a caller's copies of headers that only an instance may set.
+    /// Removes a caller's key, and its copies of headers that only an instance
+    /// may set.
     ///
-    /// Returns the names of those that were there.
+    /// Returns the names of those copies that were there.
     fn remove_reserved(&self, headers: &mut HeaderMap) -> Vec<HeaderName>;
 
     /// Writes what an instance adds to a request for an upstream.
