Limits: rulings of a hub that hears far fewer gateways are passed over

Change: a ruling says for how many gateways it is made, and a gateway keeps to the one of the most that it heard just now. How many others are heard counts from 1 s after a start on, before that the setting does.

--- a/crates/valehold-core/src/fleet/tests/usage.rs
+++ b/crates/valehold-core/src/fleet/tests/usage.rs
@@ -10,8 +10,8 @@
     Millis,
     fleet::{
         usage::{
-            LimitSettings, Presence, Rulings, SlidingSum, UsageBook,
-            UsageMeter, UsageTotal, Whose,
+            LimitSettings, Part, Presence, Ruling, Rulings, SlidingSum,
+            UsageBook, UsageMeter, UsageTotal, Whose,
         },
         workspace::{UsageLimit, UsageUnit, Workspace, Workspaces},
     },
@@ -200,6 +200,7 @@
             book.pass(&workspaces, part, self.now);
             let rulings = Rulings {
                 seen: 0,
+                present: u32::try_from(group.len()).unwrap(),
                 workspaces: book.rule(&workspaces, part, self.now),
             };
             if !self.presences[hub].may_rule() {
@@ -471,3 +472,32 @@
     book.pass(&all, 1.0, back + 150);
     expect_that!(book.rule(&all, 1.0, back + 150), is_empty());
 }
+
+/// On the bench: a hub that was frozen for 7 s ruled for the few that it heard
+/// again, and a thousand requests of all workspaces were refused.
+#[gtest]
+fn rulings_for_far_fewer_gateways_are_passed_over() {
+    let name = WorkspaceId::new("north");
+    let ruling = |present, part| Rulings {
+        seen: 60,
+        present,
+        workspaces: vec![Ruling {
+            workspace: name.tag(),
+            let_through: Part::new(part),
+            used: Part::new(0.5),
+        }],
+    };
+    let mut meter = UsageMeter::new(SETTINGS);
+    meter.set_own_part(1.0 / 60.0);
+    let limit = limit(600_000.0);
+    let is_through = |meter: &mut UsageMeter, now| {
+        meter.let_through(&name, &limit, LONG, 0.5, now).is_ok()
+    };
+    let now = Millis::new(20_000);
+    meter.rule(&ruling(60, 1.0), now);
+    meter.rule(&ruling(10, 0.0), now + 100);
+    expect_true!(is_through(&mut meter, now + 500));
+    // Most are gone: those that are left have their part.
+    meter.rule(&ruling(10, 0.0), now + 600);
+    expect_false!(is_through(&mut meter, now + 700));
+}
--- a/crates/valehold-core/src/fleet/usage/meter.rs
+++ b/crates/valehold-core/src/fleet/usage/meter.rs
@@ -15,6 +15,10 @@
 /// limit in one of some hundred cases of a property test.
 const RULINGS_KEEP_MS: u64 = 400;
 
+/// The part of the gateways for which it was ruled just now of which another
+/// one has to hear to be kept to instead.
+const LEAST_PRESENT_PART: f64 = 0.8;
+
 /// After how long without rulings a gateway was alone, in ms.
 const ALONE_AFTER_MS: u64 = 1_000;
 
@@ -48,6 +52,8 @@
     own: BTreeMap<WorkspaceTag, OwnUsage>,
     rulings: BTreeMap<WorkspaceTag, Ruling>,
     ruled: Option<Millis>,
+    /// For how many gateways it was ruled.
+    ruled_for: u32,
     /// Since when rulings have come again after none had for a while.
     ruled_again: Millis,
     /// The part of each limit that this gateway may use by itself.
@@ -77,6 +83,7 @@
             own: BTreeMap::new(),
             rulings: BTreeMap::new(),
             ruled: None,
+            ruled_for: 0,
             ruled_again: Millis::default(),
             own_part,
         }
@@ -88,8 +95,16 @@
         self.own_part = own_part;
     }
 
-    /// Takes in rulings.
+    /// Takes in rulings, but for those of one that hears far fewer gateways
+    /// than another one that ruled just now: one that was paused or cut off
+    /// for a while rules for the few that it hears again.
     pub fn rule(&mut self, rulings: &Rulings, now: Millis) {
+        let is_lesser = f64::from(rulings.present)
+            < f64::from(self.ruled_for) * LEAST_PRESENT_PART;
+        if is_lesser && self.is_ruled(now) {
+            return;
+        }
+        self.ruled_for = rulings.present;
         let by_workspace = rulings.workspaces.iter();
         self.rulings = by_workspace.map(|one| (one.workspace, *one)).collect();
         let is_late = |at| now.since(at) >= ALONE_AFTER_MS;
--- a/crates/valehold-core/src/fleet/usage/mod.rs
+++ b/crates/valehold-core/src/fleet/usage/mod.rs
@@ -159,6 +159,8 @@
     /// How many gateways there were lately, as far as the one that rules has
     /// seen.
     pub seen: u32,
+    /// For how many of them it rules: as many as it hears.
+    pub present: u32,
     /// The workspaces.
     pub workspaces: Vec<Ruling>,
 }
--- a/crates/valehold-core/src/fleet/usage/presence.rs
+++ b/crates/valehold-core/src/fleet/usage/presence.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns how many gateways are there now.
+    pub fn present(&self) -> usize {
+        self.present
+    }
+
     /// Returns how many gateways this one knows to have been there lately,
     /// for others to hear.
     pub fn seen(&self) -> usize {
--- a/crates/valehold-gateway/src/control/limits.rs
+++ b/crates/valehold-gateway/src/control/limits.rs
@@ -19,10 +19,9 @@
 use super::Control;
 use crate::peers::message::Heartbeat;
 
-/// For how long a gateway that has just started does not go by what it rules
-/// itself, in ms: it has not heard of all others yet, and takes those that it
-/// has heard of for all.
-const SETTLE_MS: u64 = 1_500;
+/// For how long a gateway that has just started neither rules nor goes by how
+/// many others it hears, in ms: it has not heard of all yet.
+const SETTLE_MS: u64 = 1_000;
 
 /// For how long a group's sum that changed is told again, in ms: the
 /// datagrams that carry it may be lost.
@@ -33,7 +32,7 @@
 pub(super) struct LimitDuty {
     book: UsageBook,
     presence: Presence<std::net::SocketAddr>,
-    /// Among how many gateways limits are divided until others are heard.
+    /// Among how many gateways limits are divided at first.
     at_first: usize,
 }
 
@@ -64,6 +63,8 @@
         self.book.pass(workspaces, part, now);
         Rulings {
             seen: self.seen(),
+            present: u32::try_from(self.presence.present())
+                .unwrap_or(u32::MAX),
             workspaces: self.book.rule(workspaces, part, now),
         }
     }
@@ -72,16 +73,23 @@
 impl Control {
     /// Takes in which gateways are there.
     pub(super) fn presence_changed(&mut self, now: Millis) {
-        let told = self.roster.most_seen(now);
         let present = self.roster.staying();
-        let has_others = told > 0 || present.len() > 1;
-        let told = if has_others { told } else { self.limits.at_first };
+        let has_heard = self.limits.presence.seen() > 1 || present.len() > 1;
+        let told = match self.has_settled(now) && has_heard {
+            true => self.roster.most_seen(now),
+            false => self.limits.at_first,
+        };
         let left = self.roster.leaving();
         let presence = &mut self.limits.presence;
         presence.update(present, left, told, now);
         self.shared.usage().set_own_part(presence.own_part(now));
     }
 
+    /// Tells whether it started long enough ago to have heard of the others.
+    fn has_settled(&self, now: Millis) -> bool {
+        now.since(self.started) >= SETTLE_MS
+    }
+
     /// Returns what this gateway let through, where it changed lately.
     pub(super) fn usage_news(&self, now: Millis) -> Vec<UsageTotal> {
         self.shared.usage().news(now)
@@ -137,8 +145,8 @@
         let instance = self.shared.settings.instance.clone();
         self.hear_usage(&instance, self.start, &own, now);
         let rulings = self.limits.rule(workspaces, now);
-        let has_settled = now.since(self.started) >= SETTLE_MS;
-        let may_rule = has_settled && self.limits.presence.may_rule();
+        let may_rule =
+            self.has_settled(now) && self.limits.presence.may_rule();
         let rulings = Some(rulings).filter(|_| may_rule);
         self.keep_to(rulings.as_ref(), now);
         rulings
