Limits: a hub that was frozen leaves out what it was told meanwhile

Change: whose time stood still for a second drops what it is told for 400 ms, and does not rule meanwhile; rulings of one that hears far fewer are passed over for a second. Ruled out: a bound on the debt (floods then swing between all and nothing).

--- a/crates/valehold-core/src/fleet/usage/book.rs
+++ b/crates/valehold-core/src/fleet/usage/book.rs
@@ -29,6 +29,11 @@
 /// Within how many ms what is left for peaks is brought to its aim.
 const RESTORE_MS: f64 = 1_000.0;
 
+/// After how long without passing of time a book's keeper was frozen, in ms,
+/// and for how long it hears then what it was told meanwhile.
+const FROZEN_MS: u64 = 1_000;
+const CATCHES_UP_MS: u64 = 400;
+
 /// The part of what may be used in a peak that is kept free.
 const KEPT_FREE: f64 = 0.1;
 
@@ -72,6 +77,9 @@
     tellers: BTreeMap<InstanceId, Teller>,
     accounts: BTreeMap<WorkspaceTag, Account>,
     passed: Millis,
+    /// Until when what is told is left out: it is what was told to a keeper
+    /// that was frozen, seconds of use at once.
+    catches_up_until: Millis,
 }
 
 /// Whose totals are told.
@@ -91,6 +99,7 @@
             tellers: BTreeMap::new(),
             accounts: BTreeMap::new(),
             passed: now,
+            catches_up_until: now,
         }
     }
 
@@ -106,6 +115,10 @@
         whose: Whose,
         now: Millis,
     ) {
+        let is_frozen = now.since(self.passed) >= FROZEN_MS;
+        if is_frozen || now < self.catches_up_until {
+            return;
+        }
         let known = self.tellers.get_mut(teller).filter(|known| {
             known.start == start && now.since(known.heard) < SILENT_MS
         });
@@ -198,22 +211,32 @@
         })
     }
 
+    /// Tells whether it left out what it was told just now, and so knows too
+    /// little to rule.
+    pub fn catches_up(&self, now: Millis) -> bool {
+        now < self.catches_up_until
+    }
+
     /// Lets time pass. `part` is the part of each limit that the gateways
     /// whose totals are here may use.
     pub fn pass(&mut self, workspaces: &Workspaces, part: f64, now: Millis) {
-        #[allow(clippy::cast_precision_loss)]
-        let passed_ms = now.since(self.passed) as f64;
-        if passed_ms <= 0.0 {
+        let passed_ms = now.since(self.passed);
+        if passed_ms == 0 {
             return;
         }
         self.passed = now;
+        if passed_ms >= FROZEN_MS {
+            self.catches_up_until = now + CATCHES_UP_MS;
+            self.tellers.clear();
+        }
         let young = |one: &Teller| now.since(one.heard) < SILENT_MS;
         self.tellers.retain(|_, teller| young(teller));
         let limits = limits_by_tag(workspaces);
         self.accounts.retain(|tag, _| limits.contains_key(tag));
         for (tag, account) in &mut self.accounts {
             let Some(limit) = limits.get(tag) else { continue };
-            account.pass(passed_ms, limit, part, &self.settings);
+            #[allow(clippy::cast_precision_loss)]
+            account.pass(passed_ms as f64, limit, part, &self.settings);
         }
     }
 
--- a/crates/valehold-core/src/fleet/usage/meter.rs
+++ b/crates/valehold-core/src/fleet/usage/meter.rs
@@ -102,7 +102,8 @@
     pub fn rule(&mut self, rulings: &Rulings, now: Millis) {
         let is_lesser = f64::from(rulings.present)
             < f64::from(self.ruled_for) * LEAST_PRESENT_PART;
-        if is_lesser && self.is_ruled(now) {
+        let is_recent = |at| now.since(at) < ALONE_AFTER_MS;
+        if is_lesser && self.ruled.is_some_and(is_recent) {
             return;
         }
         let by_workspace = rulings.workspaces.iter();
--- a/crates/valehold-gateway/src/control/limits.rs
+++ b/crates/valehold-gateway/src/control/limits.rs
@@ -145,8 +145,9 @@
         let instance = self.shared.settings.instance.clone();
         self.hear_usage(&instance, self.start, &own, now);
         let rulings = self.limits.rule(workspaces, now);
-        let may_rule =
-            self.has_settled(now) && self.limits.presence.may_rule();
+        let may_rule = self.has_settled(now)
+            && self.limits.presence.may_rule()
+            && !self.limits.book.catches_up(now);
         let rulings = Some(rulings).filter(|_| may_rule);
         self.keep_to(rulings.as_ref(), now);
         rulings
