Start: heartbeats at once, as many readers as a link carries, requests wait for the configuration

The configuration came 0.52 s after a start in the median: a gateway sent its first heartbeat after 250 ms, and the four that read the store served six readers at a time over links that carry forty.

Change: heartbeats from the first tick on, each 100 ms while a gateway knows nothing; readers of its state by its link's bandwidth (a setting from the sheet); a request that comes within 0.8 s of a start waits for the configuration instead of coming back half a second later.

Also in: paces of engines and models learned by all gateways together (core::fleet::paces), off until it is measured further.

--- a/crates/valehold-core/src/fleet/paces.rs
+++ b/crates/valehold-core/src/fleet/paces.rs
@@ -79,6 +79,78 @@
     }
 }
 
+/// Changes of what was learned since it was told last.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceNews {
+    /// Whether those that are not among them take as long as all.
+    pub is_whole: bool,
+    /// What was learned.
+    pub paces: Paces,
+}
+
+impl Paces {
+    /// Takes in news.
+    pub fn hear(&mut self, news: &PaceNews) {
+        if news.is_whole {
+            *self = news.paces.clone();
+            return;
+        }
+        self.engines.extend(&news.paces.engines);
+        self.models.extend(&news.paces.models);
+    }
+}
+
+/// How often all is told although not all changed, in ms: who lost a datagram
+/// is wrong for so long at the most.
+const WHOLE_EVERY_MS: u64 = 3_000;
+
+/// Changes below this many steps of a [`LogRatio`] wait until all is told: one
+/// in ten.
+const LEAST_CHANGE: u8 = 3;
+
+/// What was told last.
+#[derive(Debug, Clone, Default)]
+pub struct ToldPaces {
+    told: Paces,
+    whole: Option<Millis>,
+}
+
+impl ToldPaces {
+    /// Returns what to tell of what was learned.
+    pub fn news(&mut self, paces: Paces, now: Millis) -> PaceNews {
+        let is_due = |at: Millis| now.since(at) >= WHOLE_EVERY_MS;
+        if self.whole.is_none_or(is_due) {
+            self.whole = Some(now);
+            self.told = paces.clone();
+            return PaceNews { is_whole: true, paces };
+        }
+        let changed = Paces {
+            engines: changed(&self.told.engines, &paces.engines),
+            models: changed(&self.told.models, &paces.models),
+        };
+        let news = PaceNews { is_whole: false, paces: changed };
+        self.told.hear(&news);
+        news
+    }
+}
+
+/// Returns what differs enough from what was told; what is not there any more
+/// is as all are.
+fn changed<K: Ord + Copy>(
+    told: &BTreeMap<K, LogRatio>,
+    now: &BTreeMap<K, LogRatio>,
+) -> BTreeMap<K, LogRatio> {
+    let as_all = LogRatio(0);
+    let all = told.keys().chain(now.keys());
+    let differing = all.filter_map(|key| {
+        let before = told.get(key).unwrap_or(&as_all);
+        let after = now.get(key).unwrap_or(&as_all);
+        let change = before.0.abs_diff(after.0);
+        (change >= LEAST_CHANGE).then_some((*key, *after))
+    });
+    differing.collect()
+}
+
 /// How fast what is learned follows what is seen, once enough was: the part
 /// that one more observation counts. Engines turn slow within a second, while
 /// models stay as they are.
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -7,6 +7,7 @@
 mod known;
 mod lapsed;
 mod pace;
+mod paces;
 mod peaks;
 mod replicas;
 mod share;
--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -73,7 +73,9 @@
             false => LoadNews::default(),
         };
         let group = self.roster.summary_targets();
-        self.send(group, &Message::HubNews(HubNews { loads, rulings }));
+        let paces = self.pace_news(now);
+        let news = HubNews { loads, rulings, paces };
+        self.send(group, &Message::HubNews(news));
     }
 
     /// Tells hubs what this gateway has under way and let through, if that
@@ -81,8 +83,10 @@
     fn report(&mut self, now: Millis) {
         let loads = self.loads_to_tell();
         let usage = self.usage_news(now);
+        let paces = self.shared.take_seen_paces();
         let told = as_loads(&loads);
-        if told == self.told_loads && usage.is_empty() {
+        let is_same = told == self.told_loads;
+        if is_same && usage.is_empty() && paces.is_empty() {
             return;
         }
         self.told_loads = told;
@@ -93,6 +97,7 @@
             sequence: self.sequence,
             loads,
             usage,
+            paces,
         };
         self.send(self.roster.other_own_hubs(), &Message::Loads(report));
     }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! - `feeds` follow the store, `behind` reads from peers what they know more.
 //! - `telling` says to peers what this gateway does and knows, `loads` more
-//!   often what it has under way, and `limits` what it lets through.
+//!   often what it has under way, `limits` what it lets through, and `paces`
+//!   how fast engines are.
 //! - `upstreams` puts together what is known of upstreams, and `publishing`
 //!   gives it to traffic.
 //! - `lease`, `placer`, `entry`, `needs` and `demand` place models.
@@ -22,6 +23,7 @@
 mod limits;
 mod loads;
 mod needs;
+mod paces;
 mod placer;
 mod publishing;
 mod telling;
@@ -50,6 +52,7 @@
     input::Input,
     lease::{Around, LeaseDuty},
     limits::LimitDuty,
+    paces::PaceDuty,
     placer::{Authority, Placer},
     publishing::Published,
 };
@@ -115,6 +118,7 @@
     roster: Roster,
     lease: Rc<RefCell<LeaseDuty>>,
     limits: LimitDuty,
+    paces: PaceDuty,
     placer: Placer,
     demand: Demand,
     sums: Sums,
@@ -129,7 +133,8 @@
     started: Millis,
     start: u64,
     sequence: u64,
-    beat: Millis,
+    /// When heartbeats were sent last.
+    beat: Option<Millis>,
     /// What this gateway said last that it has under way.
     told_loads: Loads,
     /// From when on loads may be told again.
@@ -207,6 +212,7 @@
             inputs,
             lease,
             limits: LimitDuty::new(settings.limits, is_alone, now),
+            paces: PaceDuty::default(),
             placer,
             demand: Demand::default(),
             sums: Sums::default(),
@@ -221,7 +227,7 @@
             started: now,
             start: rand::random(),
             sequence: 0,
-            beat: Millis::default(),
+            beat: None,
             told_loads: Loads::new(),
             loads_due: Millis::default(),
             told_sums: ToldSums::default(),
@@ -279,8 +285,9 @@
         self.spread_news(now);
         self.catch_up(now);
         self.watch_store(now);
-        if now.since(self.beat) >= self.beat_ms() {
-            self.beat = now;
+        let beat_ms = self.beat_ms(now);
+        if self.beat.is_none_or(|beat| now.since(beat) >= beat_ms) {
+            self.beat = Some(now);
             self.presence_changed(now);
             let work = std::mem::take(&mut *self.shared.work());
             self.demand.take(work, now);
@@ -289,6 +296,7 @@
             self.publish_loads(now);
             if !self.roster.has_hubs() {
                 self.rule_limits(now);
+                self.pace_news(now);
             }
             self.holder_may_have_changed();
         } else if now >= self.loads_due {
@@ -487,10 +495,12 @@
 
     fn set_life(&mut self, life: Life) {
         self.life = life;
-        self.shared.set_life(life);
         let now = self.now();
         self.roster.work_out(self.own_word(), now);
         self.members_changed();
+        // Who waits for it finds the view that goes with it.
+        self.publish();
+        self.shared.set_life(life);
     }
 
     fn stop(&mut self) {
@@ -498,7 +508,6 @@
         self.set_life(Life::Leaving);
         self.lease.borrow_mut().step_down(now);
         self.send_heartbeats(now);
-        self.publish();
     }
 }
 
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -15,8 +15,15 @@
         },
         roster::sums::as_loads,
     },
+    view::Life,
 };
 
+/// How often a gateway that knows nothing yet sends heartbeats at the most, in
+/// ms, and for how long after its start: whoever hears it answers with what
+/// there is to read.
+const BEAT_AT_START_MS: u64 = 100;
+const STARTS_FOR_MS: u64 = 1_000;
+
 /// How many times rarer heartbeats are where hubs sum them up.
 const BEATS_WITH_HUBS: u64 = 2;
 
@@ -47,8 +54,12 @@
 
 impl Control {
     /// Returns how often heartbeats are sent, in ms.
-    pub(super) fn beat_ms(&self) -> u64 {
+    pub(super) fn beat_ms(&self, now: Millis) -> u64 {
         let every_ms = self.shared.settings.peers.every_ms;
+        let is_new = now.since(self.started) < STARTS_FOR_MS;
+        if is_new && self.life == Life::Starting {
+            return every_ms.min(BEAT_AT_START_MS);
+        }
         match self.roster.has_hubs() {
             true => every_ms * BEATS_WITH_HUBS,
             false => every_ms,
@@ -79,6 +90,7 @@
             loads,
             demand: self.demand.list(&self.shared.running()),
             usage: self.usage_news(now),
+            paces: self.paces_to_tell(),
             seen: self.limits.seen(),
             // Where hubs alone hear it, all is told by itself.
             holdings: match holds && !self.roster.has_many_groups() {
@@ -260,12 +272,14 @@
                 self.hear_rumours(now);
             }
             Message::Loads(report) => {
-                let LoadReport { instance, start, usage, .. } = &report;
+                let LoadReport { instance, start, usage, paces, .. } = &report;
                 self.hear_usage(instance, *start, usage, now);
+                self.learn_paces(paces, now);
                 self.roster.load_heard(report, now);
             }
             Message::HubNews(news) => {
                 self.keep_to(news.rulings.as_ref(), now);
+                self.hear_paces(&news.paces, now);
                 self.roster.load_sums_heard(news.loads, now);
                 self.publish_loads(now);
             }
@@ -290,6 +304,7 @@
     ) {
         let holdings = std::mem::take(&mut heartbeat.holdings);
         self.hear_usage_of(&heartbeat, now);
+        self.learn_paces(&heartbeat.paces, now);
         if let Some(word) = heartbeat.lease {
             let rumour = LeaseRumour { from, word, age_ms: 0 };
             self.lease.borrow_mut().heard(rumour, now);
--- a/crates/valehold-gateway/src/mechanisms.rs
+++ b/crates/valehold-gateway/src/mechanisms.rs
@@ -33,6 +33,9 @@
     pub learned_slot_times: bool,
     /// How fast engines are is learned from their answers.
     pub learned_pace: bool,
+    /// How fast engines and models are is learned by all gateways together;
+    /// otherwise each learns alone, of engines only.
+    pub paces_told: bool,
     /// Gateways that the store fails leave looking for it to others.
     pub store_looked_after: bool,
 }
@@ -50,6 +53,7 @@
             adapters_ahead: true,
             learned_slot_times: true,
             learned_pace: true,
+            paces_told: false,
             store_looked_after: true,
         }
     }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -12,6 +12,7 @@
 use valehold_core::{
     fleet::{
         Catalog, EngineHolding, ListingDelta, Variant,
+        paces::{PaceNews, PaceObservation},
         usage::{Rulings, UsageTotal},
     },
     id::{DataCentreId, InstanceId, UpstreamTag},
@@ -24,7 +25,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB2;
+pub const FORMAT: u8 = 0xB3;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,6 +117,8 @@
     pub demand: Vec<VariantDemand>,
     /// What it let through of workspaces' requests, where that changed.
     pub usage: Vec<UsageTotal>,
+    /// What it saw of first events, where no hubs hear it in between.
+    pub paces: Vec<PaceObservation>,
     /// How many gateways there were lately, as far as it has seen.
     pub seen: u32,
     /// From the holder: what engines hold since its last orders.
@@ -135,6 +138,8 @@
     pub loads: Vec<UpstreamLoad>,
     /// What it let through of workspaces' requests, where that changed.
     pub usage: Vec<UsageTotal>,
+    /// What it saw of first events.
+    pub paces: Vec<PaceObservation>,
 }
 
 /// A duty that some gateways have for all.
@@ -287,6 +292,8 @@
     pub loads: LoadNews,
     /// What is ruled of workspaces' limits, as in a summary.
     pub rulings: Option<Rulings>,
+    /// What was learned of engines and models.
+    pub paces: PaceNews,
 }
 
 /// The newest version of something that is heard of.
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -43,9 +43,16 @@
 /// How long a peer's connection may rest.
 const REST: Duration = Duration::from_secs(5);
 
-/// How many connections of readers a gateway has at the most. A state of the
-/// largest deployment has about 60 KB, which takes the weakest link 50 ms.
-const MOST_READERS: usize = 6;
+/// How many connections of readers a gateway has at the least.
+const LEAST_READERS: usize = 4;
+
+/// Within how many ms as many whole states can be sent as there may be
+/// readers: a reader waits for 800 ms, and shares the link with callers.
+const ALL_READ_WITHIN_MS: f64 = 200.0;
+
+/// The size of a whole state, in KB, of which readers are reckoned: some 60
+/// for 240 engines and 400 models.
+const STATE_KB: f64 = 64.0;
 
 /// The versions of a configuration and a list of upstreams.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -189,13 +196,20 @@
 struct StateServer {
     shared: Arc<Shared>,
     readers: Cell<usize>,
+    most_readers: usize,
     /// The last whole state: after a start, many read the same one.
     whole: RefCell<Option<Written>>,
 }
 
 impl StateServer {
     fn new(shared: Arc<Shared>) -> Self {
-        Self { shared, readers: Cell::new(0), whole: RefCell::new(None) }
+        let link_mbps = shared.settings.peers.link_mbps;
+        Self {
+            shared,
+            readers: Cell::new(0),
+            most_readers: most_readers(link_mbps),
+            whole: RefCell::new(None),
+        }
     }
 
     /// Writes what is newer than what a reader has.
@@ -243,6 +257,14 @@
     }
 }
 
+/// Returns how many readers a gateway with such a link may have at once.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn most_readers(link_mbps: f64) -> usize {
+    let kb_each_ms = link_mbps / 8.0;
+    let readers = kb_each_ms * ALL_READ_WITHIN_MS / STATE_KB;
+    (readers as usize).max(LEAST_READERS)
+}
+
 /// One reader's connection.
 #[derive(Debug)]
 struct Reader {
@@ -255,7 +277,8 @@
     fn new(server: Rc<StateServer>) -> Self {
         let readers = server.readers.get();
         server.readers.set(readers + 1);
-        Self { server, is_beyond: readers >= MOST_READERS }
+        let is_beyond = readers >= server.most_readers;
+        Self { server, is_beyond }
     }
 
     fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -83,6 +83,10 @@
     /// others.
     #[serde(default = "one")]
     pub strength: f64,
+    /// The bandwidth of this machine's link, in Mbit a second: how many peers
+    /// may read its state at once depends on it.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
     /// How often heartbeats are sent, in ms.
     #[serde(default = "default_heartbeat")]
     pub every_ms: u64,
@@ -152,6 +156,10 @@
     1
 }
 
+const fn default_link() -> f64 {
+    100.0
+}
+
 const fn default_heartbeat() -> u64 {
     250
 }
@@ -182,6 +190,9 @@
         if self.peers.silent_ms <= self.peers.every_ms {
             return Some("peers.silent_ms is above peers.every_ms");
         }
+        if self.peers.link_mbps <= 0.0 {
+            return Some("peers.link_mbps is above 0");
+        }
         if self.callers.stop_s <= 0.0 {
             return Some("callers.stop_s is above 0");
         }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -8,7 +8,11 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
 use valehold_core::{
-    fleet::{Variant, usage::UsageMeter},
+    fleet::{
+        Variant,
+        paces::{PaceObservation, Paces},
+        usage::UsageMeter,
+    },
     id::UpstreamId,
 };
 
@@ -23,6 +27,10 @@
 /// How many wishes may wait for control.
 const WISHES: usize = 256;
 
+/// How many first events are noted between two times that control takes them:
+/// some hundred milliseconds.
+const MOST_SEEN_PACES: usize = 128;
+
 /// The work that requests for a variant made, since it was last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
@@ -46,7 +54,11 @@
     /// What other gateways have under way at each upstream; written by
     /// control, more often than the view.
     pub peer_loads: ArcSwap<Loads>,
+    /// How fast engines and models are, as all gateways learned together;
+    /// written by control.
+    pub paces: ArcSwap<Paces>,
     loads: Mutex<BTreeMap<UpstreamId, Load>>,
+    seen_paces: Mutex<Vec<PaceObservation>>,
     work: Mutex<BTreeMap<Variant, Work>>,
     running: Mutex<BTreeMap<Variant, u32>>,
     usage: Mutex<UsageMeter>,
@@ -66,7 +78,9 @@
             metrics,
             view: ArcSwap::default(),
             peer_loads: ArcSwap::default(),
+            paces: ArcSwap::default(),
             loads: Mutex::default(),
+            seen_paces: Mutex::default(),
             work: Mutex::default(),
             running: Mutex::default(),
             usage: Mutex::new(UsageMeter::new(settings.limits)),
@@ -100,6 +114,28 @@
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes what was seen of a first event.
+    pub fn note_pace(&self, seen: PaceObservation) {
+        let mut all = self.lock_seen_paces();
+        if all.len() < MOST_SEEN_PACES {
+            all.push(seen);
+        }
+    }
+
+    /// Returns what was seen of first events since it was last taken.
+    pub fn seen_paces(&self) -> Vec<PaceObservation> {
+        self.lock_seen_paces().clone()
+    }
+
+    /// Takes what was seen of first events since it was last taken.
+    pub fn take_seen_paces(&self) -> Vec<PaceObservation> {
+        std::mem::take(&mut *self.lock_seen_paces())
+    }
+
+    fn lock_seen_paces(&self) -> MutexGuard<'_, Vec<PaceObservation>> {
+        self.seen_paces.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this gateway lets through of workspaces' requests.
     pub fn usage(&self) -> MutexGuard<'_, UsageMeter> {
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/valehold-gateway/src/traffic/choose.rs
+++ b/crates/valehold-gateway/src/traffic/choose.rs
@@ -20,8 +20,9 @@
 use super::{route::Job, state::App};
 use crate::view::{Load, View};
 
-/// How many prompt tokens an engine reads in a second, where it is not busy
-/// with other requests' outputs.
+/// How many prompt tokens of a usual model a usual engine reads in a second,
+/// where it is not busy with other requests' outputs. What engines and models
+/// differ from that is learned.
 const READ_TOKENS_PER_SECOND: f64 = 30_000.0;
 
 /// How old peers' word of their load is taken to be, in ms.
@@ -42,7 +43,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Chosen {
     pub(super) upstream: Arc<Upstream>,
-    /// Prompt tokens that it has to read.
+    /// Prompt tokens that it has to read, as many of a usual model as take as
+    /// long.
     pub(super) read_tokens: u64,
     /// When its first event is predicted, in ms.
     pub(super) predicted_ms: f64,
@@ -50,6 +52,11 @@
     pub(super) load: Load,
     /// When its first event is predicted if it is no slower than usual, in ms.
     pub(super) usual_ms: f64,
+    /// How long of the predicted time prompts are read, in ms.
+    pub(super) reading_ms: f64,
+    /// How many times as long engine and model are taken to need for that as
+    /// all.
+    pub(super) pace: f64,
     /// The hashes of the prompt's leading parts.
     pub(super) blocks: Vec<u64>,
 }
@@ -121,6 +128,8 @@
         upstream,
         read_tokens: 0,
         usual_ms: 0.0,
+        reading_ms: 0.0,
+        pace: 1.0,
         blocks: Vec::new(),
     })
 }
@@ -137,7 +146,7 @@
     if holders.is_empty() {
         return Err(NoChoice::NotHeld);
     }
-    let prompt = Prompt::of(job, variant);
+    let prompt = Prompt::of(app, job, variant);
     let home = match app.mechanisms().prefix_affinity {
         true => prompt.home(&holders),
         false => None,
@@ -154,7 +163,7 @@
         .collect();
     let choice = routing::choose(
         &candidates,
-        prompt.tokens,
+        prompt.usual_tokens(prompt.tokens),
         rand::random(),
         &app.shared.settings.routing,
     )
@@ -172,14 +181,16 @@
         .find(|prediction| prediction.engine == choice.engine)
         .ok_or(NoChoice::NoUpstream)?;
     let cached = prediction.cached_tokens;
-    let slowness = app.pace(&upstream.id).slowness(app.now());
+    let slowness = app.slowness(&upstream.id);
     let reading_ms = prediction.queue_ms + prediction.prompt_ms;
     Ok(Chosen {
         predicted_ms: prediction.total_ms,
         load: load_of(app, &upstream.id),
         usual_ms: prediction.total_ms - reading_ms + reading_ms / slowness,
+        reading_ms,
+        pace: slowness * prompt.pace,
         upstream,
-        read_tokens: prompt.tokens.saturating_sub(cached),
+        read_tokens: prompt.usual_tokens(prompt.tokens).saturating_sub(cached),
         blocks: prompt.blocks,
     })
 }
@@ -246,18 +257,17 @@
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
     let far = upstream.data_centre != app.shared.settings.data_centre;
     let way_ms = if far { FAR_MS } else { 0.0 };
-    let pace = app.pace(&upstream.id);
-    let cached_tokens = prompt.tokens_of(known);
-    let read_tokens = prompt.tokens.saturating_sub(cached_tokens);
-    #[allow(clippy::cast_precision_loss)]
-    let read_ms = read_tokens as f64 / READ_TOKENS_PER_SECOND * 1_000.0;
-    let each_ms = RUNNING_MS + read_ms * DELAYED_PART;
+    let cached_tokens = prompt.usual_tokens(prompt.tokens_of(known));
+    let tokens = prompt.usual_tokens(prompt.tokens);
+    let read_tokens = tokens.saturating_sub(cached_tokens);
+    let each_ms = RUNNING_MS + read_ms(read_tokens) * DELAYED_PART;
     Candidate {
         engine: upstream.id.clone(),
         distance_ms: (way_ms + f64::from(load.running) * each_ms) / 2.0,
         suspect: app.is_suspect(&upstream.id),
         slots: spec.slots,
-        prefill_tokens_per_second: READ_TOKENS_PER_SECOND / pace.slowness(now),
+        prefill_tokens_per_second: READ_TOKENS_PER_SECOND
+            / app.slowness(&upstream.id),
         running: load.running,
         waiting_tokens: load.waiting_tokens,
         service_ms: app.slot_ms(&prompt.model),
@@ -267,6 +277,12 @@
     }
 }
 
+/// Returns how long a usual engine reads tokens of a usual model, in ms.
+#[allow(clippy::cast_precision_loss)]
+fn read_ms(tokens: u64) -> f64 {
+    tokens as f64 / READ_TOKENS_PER_SECOND * 1_000.0
+}
+
 /// Returns the longest pause that is in time for answers of a route's service:
 /// routes of one service state about the same.
 #[allow(clippy::cast_precision_loss)]
@@ -285,10 +301,12 @@
     part_tokens: Vec<u64>,
     /// How many leading parts other requests may share.
     shared: usize,
+    /// How many times as long its model takes to read as all.
+    pace: f64,
 }
 
 impl Prompt {
-    fn of(job: &Job, variant: &Variant) -> Self {
+    fn of(app: &App, job: &Job, variant: &Variant) -> Self {
         let request = &job.request;
         let seed = xxh3_64(variant.to_string().as_bytes());
         let digests = request.parts.iter().map(|p| p.digest.to_le_bytes());
@@ -298,9 +316,21 @@
             blocks: chained_hashes(seed, digests),
             part_tokens: request.parts.iter().map(|p| p.tokens).collect(),
             shared: request.parts.len().saturating_sub(1),
+            pace: app.pace_of_model(&variant.model),
         }
     }
 
+    /// Returns how many tokens of a usual model take as long to read as some
+    /// of this one's.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn usual_tokens(&self, tokens: u64) -> u64 {
+        (tokens as f64 * self.pace) as u64
+    }
+
     fn tokens_of(&self, parts: usize) -> u64 {
         self.part_tokens.iter().take(parts).sum()
     }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -261,6 +261,7 @@
                 app.judge(id, |health, now| health.succeeded(now));
                 if let Some(variant) = &self.job.request.variant {
                     app.note_taken(id, variant);
+                    app.note_pace(chosen, &variant.model, took_ms);
                 }
                 app.observe(id, |pace, now| {
                     pace.began(took_ms, chosen.usual_ms, now);
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -1,6 +1,6 @@
 //! What the configuration says of a request.
 
-use std::{borrow::Cow, sync::Arc};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Uri, header, request::Parts};
@@ -15,6 +15,10 @@
 use valehold_ports::port::fleet::CallerRequest;
 
 use super::{refusal::Refusal, state::App};
+use crate::view::Life;
+
+/// How long after its start a gateway is expected to know the configuration.
+const STARTS_WITHIN: Duration = Duration::from_millis(800);
 
 /// In how many ms to come back to a gateway that knows no configuration.
 const NOT_READY_COME_BACK_MS: u64 = 500;
@@ -27,8 +31,7 @@
 const MOST_UNWANTED_BYTES: usize = 1 << 20;
 
 /// For how long they are read at the most.
-const UNWANTED_FOR: std::time::Duration =
-    std::time::Duration::from_millis(200);
+const UNWANTED_FOR: Duration = Duration::from_millis(200);
 
 /// How many ranks of routes are told apart within each rank of workspaces:
 /// engines know ten grades of urgency for both.
@@ -85,8 +88,7 @@
     let said = app.dialect.read_request(&head.headers);
     let id = said.id.clone();
     remove_reserved(app, &mut head);
-    let view = app.shared.view.load_full();
-    let Some(catalog) = view.catalog.clone() else {
+    let Some(catalog) = catalog(app).await else {
         let reason = RefusalReason::NotReady;
         return Err((id, Refusal::not_run(reason, NOT_READY_COME_BACK_MS)));
     };
@@ -106,7 +108,7 @@
         0 => deadline_ms,
         longest_ms => deadline_ms.min(longest_ms),
     };
-    let deadline = began + std::time::Duration::from_millis(held_ms);
+    let deadline = began + Duration::from_millis(held_ms);
     let limit = catalog.limits.body_bytes;
     let body = read_body(body, limit, deadline)
         .await
@@ -123,6 +125,23 @@
     })
 }
 
+/// Returns the configuration. A gateway that has just started waits for it a
+/// little: it comes within some hundred ms, and a request that is refused
+/// until then would come back later than that.
+async fn catalog(app: &App) -> Option<Arc<Catalog>> {
+    let known = || app.shared.view.load().catalog.clone();
+    if let Some(catalog) = known() {
+        return Some(catalog);
+    }
+    let age = Duration::from_millis(app.now().get());
+    let wait = STARTS_WITHIN.saturating_sub(age);
+    let mut life = app.shared.watch_life();
+    let serving = life.wait_for(|life| *life != Life::Starting);
+    // If it does not come in time the request is refused.
+    let _ = tokio::time::timeout(wait, serving).await;
+    known()
+}
+
 /// Removes headers that only a gateway may set, so that no upstream takes a
 /// caller's copy for the gateway's word.
 fn remove_reserved(app: &App, head: &mut Parts) {
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -12,6 +12,7 @@
         Variant,
         health::Health,
         pace::Pace,
+        paces::{LogRatio, PaceObservation},
         share::RetryShare,
         slot_time::SlotTimes,
         turned_away::{TurnedAway, TurnedAwayMemory},
@@ -21,7 +22,7 @@
 };
 use valehold_ports::port::fleet::Dialect;
 
-use super::pool::Pool;
+use super::{choose::Chosen, pool::Pool};
 use crate::{mechanisms::MechanismSettings, shared::Shared, view::Load};
 
 /// For how long a hint about an engine's cached prompts is kept, in ms.
@@ -30,6 +31,10 @@
 /// How many hints are kept.
 const MOST_HINTS: usize = 16_384;
 
+/// Predictions of reading below this are not learned from, in ms: a step of
+/// an engine and the way weigh as much.
+const LEAST_READING_MS: f64 = 30.0;
+
 /// What the traffic thread keeps.
 pub struct App {
     /// What it shares with control.
@@ -95,9 +100,42 @@
         change(paces.entry(upstream.clone()).or_default(), now);
     }
 
-    /// Returns what is known of an engine's pace.
-    pub(super) fn pace(&self, upstream: &UpstreamId) -> Pace {
-        self.paces.borrow().get(upstream).copied().unwrap_or_default()
+    /// Returns how many times as long an engine takes to read as all.
+    pub(super) fn slowness(&self, upstream: &UpstreamId) -> f64 {
+        if self.mechanisms().paces_told {
+            return self.shared.paces.load().of_engine(upstream.tag());
+        }
+        let now = self.now();
+        let paces = self.paces.borrow();
+        paces.get(upstream).map_or(1.0, |pace| pace.slowness(now))
+    }
+
+    /// Returns how many times as long a model takes to read as all.
+    pub(super) fn pace_of_model(&self, model: &ModelName) -> f64 {
+        match self.mechanisms().paces_told {
+            true => self.shared.paces.load().of_model(model.tag()),
+            false => 1.0,
+        }
+    }
+
+    /// Notes when a first event came, for all gateways to learn from.
+    pub(super) fn note_pace(
+        &self,
+        chosen: &Chosen,
+        model: &ModelName,
+        took_ms: f64,
+    ) {
+        if chosen.reading_ms < LEAST_READING_MS {
+            return;
+        }
+        let beside_ms = chosen.predicted_ms - chosen.reading_ms;
+        let read_ms = (took_ms - beside_ms).max(1.0);
+        let against_all = read_ms / chosen.reading_ms * chosen.pace;
+        self.shared.note_pace(PaceObservation {
+            engine: chosen.upstream.id.tag(),
+            model: model.tag(),
+            took: LogRatio::from_ln(against_all.ln()),
+        });
     }
 
     /// Notes for how long a request of a model kept its slot, in ms.
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -55,6 +55,7 @@
         loads: Vec::new(),
         demand: Vec::new(),
         usage: Vec::new(),
+        paces: Vec::new(),
         seen: 0,
         holdings: Vec::new(),
     }
@@ -277,6 +278,7 @@
         sequence,
         loads: vec![load_of("u1", running)],
         usage: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
