--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -1,5 +1,8 @@
 //! Following the configuration and the upstreams in the platform's store.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use tokio::sync::{Notify, mpsc};
--- /dev/null
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -0,0 +1,265 @@
+//! How soon what the store accepted is heard, through outages of the store.
+
+use std::{
+    collections::BTreeMap, rc::Rc, sync::Arc, sync::OnceLock, time::Duration,
+};
+
+use futures::FutureExt;
+use proptest::prelude::*;
+use tokio::{sync::mpsc, time::Instant};
+use valehold_core::{
+    fleet::{Catalog, Listing, catalog::CallerLimits},
+    lease::LeaseRow,
+};
+use valehold_ports::{
+    PortError,
+    port::{
+        Answer,
+        fleet::{
+            CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews,
+            WatchSpan,
+        },
+    },
+};
+
+use super::{
+    super::input::Input, Observing, WatchOrders, follow_catalog,
+    follow_listing,
+};
+
+/// Within how many ms of the store's return a gateway that looks for it has
+/// heard what it accepted. The users give three seconds, of which passing it
+/// on to the others takes up to half a second.
+const HEARD_WITHIN_MS: u64 = 2_500;
+
+/// How long the adapter lets a call last beyond what it waits for, in ms.
+const ADAPTER_SLACK_MS: u64 = 1_000;
+
+/// How long the adapter lets a read last, in ms.
+const ADAPTER_READ_MS: u64 = 1_800;
+
+/// A store that says nothing for a while, and forgets calls under way. Times
+/// are in ms since it began.
+struct SilentStore {
+    began: Instant,
+    silent_from: u64,
+    silent_until: u64,
+    /// When what was accepted last was.
+    accepted: u64,
+}
+
+impl SilentStore {
+    fn now(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).expect("a time")
+    }
+
+    fn version(&self) -> u64 {
+        1 + u64::from(self.now() >= self.accepted)
+    }
+
+    /// Answers after some ms, if it is not silent in between.
+    async fn answer(&self, after_ms: u64) {
+        let asked = self.now();
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+        let overlaps =
+            asked < self.silent_until && self.now() >= self.silent_from;
+        if overlaps {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn read(&self) -> Result<u64, PortError> {
+        let limit = Duration::from_millis(ADAPTER_READ_MS);
+        let read = tokio::time::timeout(limit, self.answer(4)).await;
+        read.map_err(|_| PortError::timed_out("no answer in time"))?;
+        Ok(self.version())
+    }
+
+    async fn watch(
+        &self,
+        after: u64,
+        span: WatchSpan,
+    ) -> Result<u64, PortError> {
+        let wait = u64::try_from(span.wait().as_millis()).expect("a time");
+        let is_news = after < self.version();
+        let until_news = self.accepted.saturating_sub(self.now());
+        let waits = match after {
+            _ if is_news => 0,
+            1 => wait.min(until_news),
+            _ => wait,
+        };
+        let limit = Duration::from_millis(wait + ADAPTER_SLACK_MS);
+        let watch = tokio::time::timeout(limit, self.answer(waits + 4)).await;
+        watch.map_err(|_| PortError::timed_out("no answer in time"))?;
+        Ok(self.version())
+    }
+}
+
+fn catalog(version: u64) -> Catalog {
+    let limits = CallerLimits {
+        header_bytes: 1,
+        body_bytes: 1,
+        head_within_ms: 1,
+        rest_ms: 1,
+    };
+    Catalog {
+        version,
+        routes: Vec::new(),
+        services: BTreeMap::new(),
+        limits,
+        workspaces: None,
+    }
+}
+
+impl FleetStore for SilentStore {
+    fn read_catalog(&self) -> Answer<'_, CatalogNews> {
+        async {
+            let version = self.read().await?;
+            let catalog = Box::new(catalog(version));
+            Ok(CatalogNews::Accepted { version, catalog })
+        }
+        .boxed()
+    }
+
+    fn await_catalog(
+        &self,
+        after: u64,
+        span: WatchSpan,
+    ) -> Answer<'_, CatalogNews> {
+        async move {
+            let version = self.watch(after, span).await?;
+            let catalog = Box::new(catalog(version));
+            Ok(match version > after {
+                true => CatalogNews::Accepted { version, catalog },
+                false => CatalogNews::Nothing { version },
+            })
+        }
+        .boxed()
+    }
+
+    fn read_listing(&self) -> Answer<'_, Listing> {
+        async {
+            let version = self.read().await?;
+            Ok(Listing { version, ..Listing::default() })
+        }
+        .boxed()
+    }
+
+    fn await_listing(
+        &self,
+        after: u64,
+        span: WatchSpan,
+    ) -> Answer<'_, ListingNews> {
+        async move {
+            let version = self.watch(after, span).await?;
+            Ok(ListingNews::Changed {
+                next: version,
+                version: (version > after).then_some(version),
+                changed: Vec::new(),
+                gone: Vec::new(),
+            })
+        }
+        .boxed()
+    }
+
+    fn read_lease(&self) -> Answer<'_, LeaseSight> {
+        std::future::pending().boxed()
+    }
+
+    fn write_lease<'a>(
+        &'a self,
+        _version: u64,
+        _row: &'a LeaseRow,
+    ) -> Answer<'a, LeaseWrite> {
+        std::future::pending().boxed()
+    }
+}
+
+/// Returns the newest version that an input tells of.
+fn version_of(input: &Input) -> u64 {
+    match input {
+        Input::CatalogHeard(Some(catalog)) => catalog.version,
+        Input::ListingRead(listing) => listing.version,
+        Input::ListingChanged(ListingNews::Changed { version, .. }) => {
+            version.unwrap_or(0)
+        }
+        _ => 0,
+    }
+}
+
+/// Returns how many ms after the store came back a gateway that looks for it
+/// hears what was accepted last.
+fn heard_after_ms(store: SilentStore, of_listing: bool) -> u64 {
+    let back = store.silent_until;
+    let store = Arc::new(store);
+    let (inputs, mut taken) = mpsc::unbounded_channel();
+    let orders = Rc::new(WatchOrders::new());
+    orders.set_observing(Observing::Foremost);
+    let hear = {
+        let store = store.clone();
+        async move {
+            while let Some(input) = taken.recv().await {
+                if version_of(&input) == 2 {
+                    break;
+                }
+            }
+            store.now()
+        }
+    };
+    let follow = async {
+        match of_listing {
+            true => follow_listing(store.clone(), inputs, orders).await,
+            false => follow_catalog(store.clone(), inputs, orders).await,
+        }
+    };
+    let run = async {
+        tokio::select! {
+            at = hear => at,
+            () = follow => unreachable!("it follows while inputs are taken"),
+        }
+    };
+    runtime().block_on(run).saturating_sub(back)
+}
+
+/// Returns a runtime whose clock goes on by itself while nothing is done.
+fn runtime() -> &'static tokio::runtime::Runtime {
+    static RUNTIME: OnceLock<tokio::runtime::Runtime> = OnceLock::new();
+    RUNTIME.get_or_init(|| {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime")
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(512)
+    })]
+
+    /// On the bench: the store was silent for 6 s; a configuration that was
+    /// accepted 0.5 s after its return was heard 3.1 s after it.
+    #[test]
+    fn what_was_accepted_is_heard_soon_after_a_silence(
+        silent_from in 100_u64..8_000,
+        silent_for in 1_u64..12_000,
+        accepted_after in 0_u64..500,
+        of_listing in any::<bool>(),
+    ) {
+        let began = {
+            let _entered = runtime().enter();
+            Instant::now()
+        };
+        let silent_until = silent_from + silent_for;
+        let store = SilentStore {
+            began,
+            silent_from,
+            silent_until,
+            accepted: silent_until + accepted_after,
+        };
+        let heard = heard_after_ms(store, of_listing);
+        prop_assert!(heard <= HEARD_WITHIN_MS, "heard after {heard} ms");
+    }
+}
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -88,6 +88,16 @@
     Long,
 }
 
+impl WatchSpan {
+    /// Returns how long the store is asked to wait for a change.
+    pub const fn wait(self) -> Duration {
+        match self {
+            Self::Brief => Duration::from_millis(2_200),
+            Self::Long => Duration::from_secs(28),
+        }
+    }
+}
+
 /// The store of a platform.
 pub trait FleetStore: Send + Sync {
     /// Reads the newest configuration, with the store's version.
