Feeds: what the store accepted is heard within 2.5 s of its return

Cause: a watch that the store forgot while it was silent lasted 3.2 s, the next one as long, and the users' bound after an outage is 3 s. The observers' watches begin with the same answer and fail together, so that three are no better than one. A call that had begun before the store's return and failed after it had the store taken for lost again, two seconds after it was back.

The spans' times stand in the port, and each watch is limited as a whole.

Ruled out: a configuration that is not passed on (peers have it within 0.3 s).

--- a/crates/valehold-core/src/fleet/lapsed.rs
+++ b/crates/valehold-core/src/fleet/lapsed.rs
@@ -29,17 +29,29 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StorePresence {
     failing_since: Option<Millis>,
+    heard: Option<Millis>,
     returned: Option<Millis>,
 }
 
 impl StorePresence {
-    /// Notes that a call failed.
-    pub fn failed(&mut self, now: Millis) {
-        self.failing_since.get_or_insert(now);
+    /// Notes that a call failed that lasted for some ms; tells whether that
+    /// says anything of the store as it is now.
+    ///
+    /// A call that began before the store answered another one tells of an
+    /// earlier time. Taken for news, it had gateways look for a store that
+    /// was back for two seconds.
+    pub fn failed(&mut self, lasted_ms: u64, now: Millis) -> bool {
+        let answered_since =
+            self.heard.is_some_and(|heard| now.since(heard) < lasted_ms);
+        if !answered_since {
+            self.failing_since.get_or_insert(now);
+        }
+        !answered_since
     }
 
     /// Notes that a call was answered.
     pub fn heard(&mut self, now: Millis) {
+        self.heard = Some(now);
         let failed = self.failing_since.take();
         if failed.is_some_and(|since| now.since(since) >= AWAY_MS) {
             self.returned = Some(now);
--- a/crates/valehold-core/src/fleet/tests/lapsed.rs
+++ b/crates/valehold-core/src/fleet/tests/lapsed.rs
@@ -65,11 +65,11 @@
 fn a_store_that_failed_for_a_second_was_away() {
     let mut store = StorePresence::default();
     store.heard(at(1_000));
-    store.failed(at(1_100));
+    store.failed(50, at(1_100));
     store.heard(at(1_900));
     expect_false!(store.has_just_returned(at(1_900)));
-    store.failed(at(2_000));
-    store.failed(at(2_800));
+    store.failed(50, at(2_000));
+    store.failed(50, at(2_800));
     store.heard(at(3_000));
     expect_true!(store.has_just_returned(at(3_000)));
     expect_true!(store.has_just_returned(at(3_999)));
@@ -85,7 +85,22 @@
     store.heard(at(29_000));
     expect_false!(store.has_just_returned(at(29_000)));
     // Nor is one that fails once at its end.
-    store.failed(at(57_000));
+    store.failed(28_000, at(57_000));
     store.heard(at(57_200));
     expect_false!(store.has_just_returned(at(57_200)));
 }
+
+/// On the bench: two seconds after the store had answered for upstreams, a
+/// watch of the configuration that had begun before failed, and the store was
+/// taken for lost.
+#[gtest]
+fn a_call_that_began_before_the_last_answer_tells_nothing_new() {
+    let mut store = StorePresence::default();
+    store.heard(at(11_800));
+    expect_false!(store.failed(3_200, at(14_000)));
+    expect_true!(store.failed(1_000, at(14_000)));
+    // One that began with the answer is news.
+    let mut store = StorePresence::default();
+    store.heard(at(11_800));
+    expect_true!(store.failed(2_200, at(14_000)));
+}
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -1,6 +1,6 @@
 //! What control takes in, one after the other.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use valehold_core::{
     Millis,
@@ -70,7 +70,12 @@
     /// The store answered a read of the configuration or a watch on it.
     CatalogHeard(Option<Box<Catalog>>),
     /// The store did not answer a read or a watch.
-    StoreFailed(PortError),
+    StoreFailed {
+        /// Why.
+        error: PortError,
+        /// How long the call lasted.
+        lasted: Duration,
+    },
     /// All upstreams were read.
     ListingRead(Listing),
     /// Upstreams changed.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -41,7 +41,10 @@
     fleet::{Catalog, KnownUpstreams, Variant, lapsed::StorePresence},
     id::InstanceId,
 };
-use valehold_ports::port::fleet::{FleetEngines, FleetStore};
+use valehold_ports::{
+    PortError,
+    port::fleet::{FleetEngines, FleetStore},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::{
@@ -386,12 +389,8 @@
     fn take(&mut self, input: Input) {
         let now = self.now();
         match input {
-            Input::StoreFailed(error) => {
-                if self.store != StoreSight::Fails {
-                    Event::StoreLost { error: error.to_string() }.log();
-                }
-                self.store = StoreSight::Fails;
-                self.store_presence.failed(now);
+            Input::StoreFailed { error, lasted } => {
+                self.store_failed(&error, lasted, now);
             }
             Input::CatalogHeard(catalog) => {
                 self.store_heard(now);
@@ -437,6 +436,22 @@
         }
     }
 
+    fn store_failed(
+        &mut self,
+        error: &PortError,
+        lasted: Duration,
+        now: Millis,
+    ) {
+        let lasted_ms = Millis::from(lasted).get();
+        if !self.store_presence.failed(lasted_ms, now) {
+            return;
+        }
+        if self.store != StoreSight::Fails {
+            Event::StoreLost { error: error.to_string() }.log();
+        }
+        self.store = StoreSight::Fails;
+    }
+
     fn store_heard(&mut self, now: Millis) {
         if self.store == StoreSight::Fails {
             Event::StoreBack.log();
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -82,6 +82,9 @@
 /// hangs from one that has nothing to say, but its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WatchSpan {
+    /// Not at all: the store says at once what changed, or that nothing did.
+    /// For a store that may not answer, since such a call may be short.
+    Now,
     /// A few seconds, for those that watch for others.
     Brief,
     /// As long as calls should be few.
@@ -92,10 +95,25 @@
     /// Returns how long the store is asked to wait for a change.
     pub const fn wait(self) -> Duration {
         match self {
-            Self::Brief => Duration::from_millis(2_200),
+            Self::Now => Duration::ZERO,
+            Self::Brief => Duration::from_millis(1_600),
             Self::Long => Duration::from_secs(28),
         }
     }
+
+    /// Returns how long the whole call may last.
+    ///
+    /// A call that a silent store forgot lasts as long, and nothing that was
+    /// accepted meanwhile is heard: so brief ones end well within the three
+    /// seconds after an outage in which users expect everything to be in
+    /// force. A slow store takes 0.4 s for an answer.
+    pub const fn patience(self) -> Duration {
+        match self {
+            Self::Now => Duration::from_millis(1_000),
+            Self::Brief => Duration::from_millis(2_200),
+            Self::Long => Duration::from_secs(29),
+        }
+    }
 }
 
 /// The store of a platform.
@@ -103,7 +121,8 @@
     /// Reads the newest configuration, with the store's version.
     fn read_catalog(&self) -> Answer<'_, CatalogNews>;
 
-    /// Waits for a configuration after a version of the store.
+    /// Waits for a configuration after a version of the store. It lasts no
+    /// longer than the span's patience.
     fn await_catalog(
         &self,
         after: u64,
@@ -113,7 +132,8 @@
     /// Reads all upstreams.
     fn read_listing(&self) -> Answer<'_, Listing>;
 
-    /// Waits for changes of upstreams after a version of the store.
+    /// Waits for changes of upstreams after a version of the store, no
+    /// longer than the span's patience.
     fn await_listing(
         &self,
         after: u64,
