Pushes to all: those that pass them on come first; datagrams without room are counted

Cause: a configuration of 35 KB was sent to the 47 gateways of its data centre first, which filled the socket (some 200 KB), and the eleven hubs that pass it on to 248 others found no room: these read it from peers.

--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -172,13 +172,16 @@
     }
 
     /// Sends a message to every gateway that is there.
+    ///
+    /// Those that pass it on come first: the socket has room for some 200 KB,
+    /// and who finds none reads the state of a peer instead.
     pub(super) fn send_all(&self, message: &Message) {
         let spread = self.roster.spread();
         let Some(bytes) = self.encode(message) else { return };
-        self.send_bytes(spread.direct, &bytes, message.label());
         if !spread.hubs.is_empty() {
-            self.send(spread.hubs, &Message::Relay(bytes));
+            self.send(spread.hubs, &Message::Relay(bytes.clone()));
         }
+        self.send_bytes(spread.direct, &bytes, message.label());
     }
 
     /// Sends a message; returns how many bytes it has.
@@ -209,13 +212,19 @@
         bytes: &[u8],
         label: &'static str,
     ) {
-        let mut sent = 0;
+        let (mut sent, mut dropped) = (0, 0);
         for target in targets {
             // Datagrams may be lost, so one that finds no room may be too.
-            let _ = self.socket.try_send_to(bytes, target);
-            sent += bytes.len() as u64;
+            match self.socket.try_send_to(bytes, target) {
+                Ok(_) => sent += bytes.len() as u64,
+                Err(_) => dropped += 1,
+            }
         }
         self.shared.metrics.told_peers(label, sent);
+        if dropped > 0 {
+            self.shared.metrics.dropped_datagrams(label, dropped);
+            log::debug!("{dropped} datagrams ({label}) found no room");
+        }
     }
 
     /// Takes in a datagram.
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -95,6 +95,7 @@
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     peer_bytes: Counter<u64>,
+    peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
     holds_lease: Gauge<u64>,
 }
@@ -135,6 +136,10 @@
                 "valehold_peer_bytes",
                 "Bytes of datagrams sent to other gateways.",
             ),
+            peer_drops: counter(
+                "valehold_peer_datagrams_dropped",
+                "Datagrams to other gateways that could not be sent.",
+            ),
             catalog: gauge("valehold_revision", "Configuration in force."),
             holds_lease: gauge("valehold_holds_lease", "1 at the holder."),
             instruments,
@@ -197,6 +202,12 @@
         self.peer_bytes.add(bytes, &[message]);
     }
 
+    /// Counts datagrams of a message that could not be sent.
+    pub fn dropped_datagrams(&self, message: &'static str, count: u64) {
+        let message = KeyValue::new("message", message);
+        self.peer_drops.add(count, &[message]);
+    }
+
     /// Counts an order.
     pub fn ordered(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
