--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -5,7 +5,9 @@
 //! lease when it is its turn, and publishes a [`View`](crate::view::View) that
 //! traffic reads.
 //!
-//! - `feeds` follow the store, `behind` reads from peers what they know more.
+//! - `feeds` follow the store, `store_sight` says whether it answers, `behind`
+//!   reads from peers what they know more, and `configuring` puts
+//!   configurations in force.
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
@@ -14,6 +16,7 @@
 //! - `lease`, `placer`, `entry`, `needs` and `demand` place models.
 
 mod behind;
+mod configuring;
 mod counted_store;
 mod demand;
 mod entry;
@@ -26,6 +29,7 @@
 mod paces;
 mod placer;
 mod publishing;
+mod store_sight;
 mod telling;
 mod upstreams;
 
@@ -41,10 +45,7 @@
     fleet::{Catalog, KnownUpstreams, Variant, lapsed::StorePresence},
     id::InstanceId,
 };
-use valehold_ports::{
-    PortError,
-    port::fleet::{FleetEngines, FleetStore},
-};
+use valehold_ports::port::fleet::{FleetEngines, FleetStore};
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::{
@@ -60,12 +61,11 @@
     publishing::Published,
 };
 use crate::{
-    events::{CatalogSource, Event},
     peers::{
         Roster,
         message::{Duty, MAX_DATAGRAM, Message, Rank, StoreSight},
         roster::{
-            Observing, Own, OwnWord,
+            Own, OwnWord,
             sums::{Loads, ToldSums},
         },
         state,
@@ -82,11 +82,6 @@
 /// before it asks for the lease, in ms: two heartbeats there and back.
 const SETTLE_MS: u64 = 1_000;
 
-/// For how long a gateway that has just started leaves watching the store to
-/// others where gateways are many, in ms: until it hears of all of them it
-/// takes itself for one of the greatest.
-const SETTLE_AMONG_MANY_MS: u64 = 2_500;
-
 /// The last place that a contender for the lease waits for.
 const LAST_PLACE: usize = 24;
 
@@ -333,31 +328,6 @@
         self.lease.borrow_mut().tick(now, around);
     }
 
-    /// Sets this gateway's part in watching the store.
-    fn watch_store(&mut self, now: Millis) {
-        let knows_all = self.catalog.is_some() && self.upstreams.has_list();
-        let observing = match self.behind.looks_itself(knows_all, now) {
-            Some(true) => Observing::Foremost,
-            Some(false) => Observing::Nothing,
-            None if self.is_new_among_many(now) => Observing::Nothing,
-            None => self.roster.observing(self.store),
-        };
-        self.watch_orders.set_observing(observing);
-        if observing == Observing::Nothing {
-            self.store = StoreSight::Unknown;
-        }
-        let looked_after = self.shared.settings.mechanisms.store_looked_after
-            && self.roster.others_look();
-        self.watch_orders.others_look.set(looked_after);
-    }
-
-    fn is_new_among_many(&self, now: Millis) -> bool {
-        let age_ms = now.since(self.started);
-        self.roster.has_hubs()
-            && !self.behind.is_seed()
-            && age_ms < SETTLE_AMONG_MANY_MS
-    }
-
     /// Places models and adapters, if this gateway may give orders.
     fn place(&mut self, now: Millis) {
         let may_order = self.lease.borrow().order_epoch(now).is_some();
@@ -436,30 +406,6 @@
         }
     }
 
-    fn store_failed(
-        &mut self,
-        error: &PortError,
-        lasted: Duration,
-        now: Millis,
-    ) {
-        let lasted_ms = Millis::from(lasted).get();
-        if !self.store_presence.failed(lasted_ms, now) {
-            return;
-        }
-        if self.store != StoreSight::Fails {
-            Event::StoreLost { error: error.to_string() }.log();
-        }
-        self.store = StoreSight::Fails;
-    }
-
-    fn store_heard(&mut self, now: Millis) {
-        if self.store == StoreSight::Fails {
-            Event::StoreBack.log();
-        }
-        self.store = StoreSight::Answers;
-        self.store_presence.heard(now);
-    }
-
     fn wish(&mut self, variant: Variant) {
         let now = self.now();
         if self.lease.borrow().held_epoch(now).is_some() {
@@ -470,43 +416,6 @@
         }
     }
 
-    /// Takes a configuration that the store gave, and passes it on.
-    fn configure_by_store(&mut self, catalog: Catalog, now: Millis) {
-        let observing = self.roster.observing(self.store);
-        let passes_on =
-            observing == Observing::Foremost && self.roster.has_hubs();
-        let message =
-            passes_on.then(|| Message::Catalog(Box::new(catalog.clone())));
-        if self.configure(catalog, CatalogSource::Store, now)
-            && let Some(message) = message
-        {
-            self.send_all(&message);
-        }
-    }
-
-    /// Takes a configuration, if it is newer; tells whether it was.
-    fn configure(
-        &mut self,
-        catalog: Catalog,
-        source: CatalogSource,
-        now: Millis,
-    ) -> bool {
-        let before = self.catalog.as_ref().map_or(0, |c| c.version);
-        let version = catalog.version;
-        if version <= before {
-            return false;
-        }
-        Event::ConfigurationInForce { version, before, source }.log();
-        self.shared.metrics.catalog(catalog.version);
-        self.catalog = Some(Arc::new(catalog));
-        self.live();
-        if !self.roster.has_hubs() || self.store == StoreSight::Answers {
-            self.send_heartbeats(now);
-        }
-        self.publish();
-        true
-    }
-
     fn live(&mut self) {
         let knows = self.catalog.is_some() && self.upstreams.has_list();
         if self.life == Life::Starting && knows {
