--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -49,8 +49,6 @@
     listing: Option<Millis>,
     /// How often it was read in vain since it is behind.
     reads: u32,
-    /// The peer that is being read, or was last.
-    peer: Option<SocketAddr>,
     /// The peer whose state could not be read last: it may have stopped in
     /// the middle of it, and another one has something newer, too.
     failed: Option<SocketAddr>,
@@ -78,7 +76,6 @@
             catalog: None,
             listing: None,
             reads: 0,
-            peer: None,
             failed: None,
             next_read: now,
             first_look: now + wait_ms,
@@ -157,13 +154,12 @@
             _ => newest,
         };
         self.behind.reads += 1;
-        self.behind.peer = Some(peer);
         self.behind.is_reading = true;
         let (client, inputs) =
             (self.behind.client.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let state = client.read(peer, known).await;
-            let _ = inputs.send(Input::PeerState(state));
+            let _ = inputs.send(Input::PeerState { peer, state });
         });
     }
 
@@ -177,6 +173,7 @@
     /// Takes in what a peer has.
     pub(super) fn take_peer_state(
         &mut self,
+        peer: SocketAddr,
         state: Result<PeerState, PortError>,
         now: Millis,
     ) {
@@ -192,9 +189,13 @@
                 }
             }
             Err(error) => {
-                let peer = self.behind.peer;
-                log::info!("the state of {peer:?} was not read: {error}");
-                self.behind.failed = peer;
+                let level = match error.kind() {
+                    // It has as many readers as its link carries.
+                    PortErrorKind::Failed => log::Level::Debug,
+                    _ => log::Level::Info,
+                };
+                log::log!(level, "the state of {peer} was not read: {error}");
+                self.behind.failed = Some(peer);
                 let spread_ms = rand::random_range(0..WAITS_SPREAD_MS);
                 self.behind.next_read =
                     now + LEAST_WAIT_AFTER_FAILURE_MS + spread_ms;
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -80,8 +80,13 @@
     ListingRead(Listing),
     /// Upstreams changed.
     ListingChanged(ListingNews),
-    /// A peer gave its state.
-    PeerState(Result<PeerState, PortError>),
+    /// A peer gave its state, or did not.
+    PeerState {
+        /// Where it was read.
+        peer: SocketAddr,
+        /// What came of it.
+        state: Result<PeerState, PortError>,
+    },
     /// The lease's row was read.
     LeaseRead(Result<LeaseSight, PortError>),
     /// A write of the lease ended.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -376,7 +376,9 @@
                 self.store_heard(now);
                 self.list_changes(news, now);
             }
-            Input::PeerState(state) => self.take_peer_state(state, now),
+            Input::PeerState { peer, state } => {
+                self.take_peer_state(peer, state, now);
+            }
             Input::LeaseRead(read) => {
                 self.lease.borrow_mut().read_done(read, now);
             }
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -85,7 +85,7 @@
     /// Not at all: the store says at once what changed, or that nothing did.
     /// For a store that may not answer, since such a call may be short.
     Now,
-    /// A few seconds, for those that watch for others.
+    /// A second or two, for those that watch for others.
     Brief,
     /// As long as calls should be few.
     Long,
