Interfaces for regions, evacuations and cold upstreams; the choice of an upstream in modules by job

Cause: two deployments bind requests to regions, empty data centres and have upstreams that start cold; no type of ours knew of any. Datagrams' format 0xB4.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::workspace::Workspaces;
+use super::{bound::RegionBound, workspace::Workspaces};
 use crate::id::{AdapterName, ModelName, ServiceName};
 
 /// Whether a request may be sent to an upstream more than once.
@@ -60,6 +60,8 @@
     pub attempts: u32,
     /// Whether its requests need no key.
     pub public: bool,
+    /// The regions in which its requests may be served.
+    pub bound: RegionBound,
 }
 
 impl Route {
@@ -116,11 +118,23 @@
     }
 }
 
+/// How upstreams of a service are after their start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// How long one stays cold, in ms.
+    pub lasts_ms: u64,
+    /// The requests a second that a cold one bears, over all gateways.
+    pub bears_per_second: f64,
+}
+
 /// A service, of plain processes or of model engines.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// For model engines, what they are able to do.
     pub engine: Option<EngineSpec>,
+    /// What its upstreams bear while they are cold; `None` if they are never
+    /// cold, or bear what they do otherwise.
+    pub cold: Option<ColdSpec>,
 }
 
 /// What callers may send, and how long they may take.
@@ -163,7 +177,7 @@
     /// #     targets: vec![], repetition: Repetition::Once,
     /// #     streaming: false, longest_ms: 1, begin_within_ms: 1,
     /// #     pause_within_ms: 0, rank: 0,
-    /// #     attempts: 1, public: false,
+    /// #     attempts: 1, public: false, bound: Default::default(),
     /// # };
     /// # let limits = CallerLimits {
     /// #     header_bytes: 1, body_bytes: 1, head_within_ms: 1,
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -96,6 +96,11 @@
     pub slots: u32,
     /// Whether it said that it leaves.
     pub leaving: bool,
+    /// For how much longer it is cold, in ms, as of its last word.
+    pub cold_for_ms: u64,
+    /// When it started, in ms of its own clock, if it says so: another one
+    /// under the same name is another start, which holds nothing of before.
+    pub birth: Option<u64>,
     /// What it holds, if it runs models.
     pub holding: Holding,
 }
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -7,8 +7,10 @@
 //! and which models are to be loaded where ([`replicas`], [`adapters`]).
 
 pub mod adapters;
+pub mod bound;
 pub mod catalog;
 pub mod choice;
+pub mod evacuation;
 pub mod event;
 pub mod health;
 pub mod known;
@@ -22,12 +24,14 @@
 pub mod slot_time;
 #[cfg(test)]
 mod tests;
+pub mod topology;
 pub mod turned_away;
 pub mod usage;
 pub mod window;
 pub mod workspace;
 
 pub use self::{
+    bound::RegionBound,
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
--- a/crates/valehold-core/src/fleet/tests/catalog.rs
+++ b/crates/valehold-core/src/fleet/tests/catalog.rs
@@ -26,6 +26,7 @@
         rank: 0,
         attempts: 1,
         public: false,
+        bound: Default::default(),
     }
 }
 
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -33,6 +33,8 @@
         data_centre: DataCentreId::new("north"),
         slots: 4,
         leaving: false,
+        cold_for_ms: 0,
+        birth: None,
         holding: holding(models),
     })
 }
--- a/crates/valehold-core/src/fleet/tests/lapsed.rs
+++ b/crates/valehold-core/src/fleet/tests/lapsed.rs
@@ -25,6 +25,8 @@
         data_centre: DataCentreId::new("north"),
         slots: 4,
         leaving,
+        cold_for_ms: 0,
+        birth: None,
         holding: Holding::default(),
     })
 }
--- a/crates/valehold-core/src/fleet/tests/usage.rs
+++ b/crates/valehold-core/src/fleet/tests/usage.rs
@@ -9,6 +9,7 @@
 use crate::{
     Millis,
     fleet::{
+        RegionBound,
         usage::{
             LimitSettings, Part, Presence, Ruling, Rulings, SlidingSum,
             UsageBook, UsageMeter, UsageTotal, Whose,
@@ -46,7 +47,8 @@
 fn workspaces(limit: UsageLimit) -> Workspaces {
     let mut all = Workspaces::default();
     let name = WorkspaceId::new("north");
-    all.add(Workspace { name, rank: 1, limit: Some(limit) }, []);
+    let bound = RegionBound::Anywhere;
+    all.add(Workspace { name, rank: 1, limit: Some(limit), bound }, []);
     all
 }
 
--- a/crates/valehold-core/src/fleet/tests/workspace.rs
+++ b/crates/valehold-core/src/fleet/tests/workspace.rs
@@ -18,6 +18,7 @@
             rate: 10.0,
             burst: 5.0,
         }),
+        bound: Default::default(),
     }
 }
 
--- a/crates/valehold-core/src/fleet/workspace.rs
+++ b/crates/valehold-core/src/fleet/workspace.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::bound::RegionBound;
 use crate::{digest::hexadecimal, id::WorkspaceId};
 
 /// How many bytes of a key's SHA-256 are kept: as many as make it hopeless to
@@ -89,6 +90,8 @@
     pub rank: u8,
     /// What its callers may use; `None` sets no limit.
     pub limit: Option<UsageLimit>,
+    /// The regions in which its requests may be served.
+    pub bound: RegionBound,
 }
 
 /// Whose callers may use the routes that are not public.
--- a/crates/valehold-core/src/id.rs
+++ b/crates/valehold-core/src/id.rs
@@ -55,6 +55,8 @@
     InstanceId;
     /// The name of a data centre.
     DataCentreId;
+    /// The name of a region: data centres that are near one another.
+    RegionId;
     /// The name of a workspace.
     WorkspaceId;
     /// The name of an upstream: an engine, or one process of a plain service.
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -25,7 +25,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB3;
+pub const FORMAT: u8 = 0xB4;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -1,12 +1,12 @@
 //! A gateway's settings, written in TOML.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::Deserialize;
 use valehold_core::{
     admission::AdmissionSettings,
     fleet::{share::RetryBudget, usage::LimitSettings},
-    id::{DataCentreId, InstanceId},
+    id::{DataCentreId, InstanceId, RegionId},
     routing::RoutingSettings,
 };
 
@@ -20,6 +20,10 @@
     pub instance: InstanceId,
     /// The data centre that it stands in.
     pub data_centre: DataCentreId,
+    /// The region of each data centre. Without any, all are taken to stand in
+    /// the same one.
+    #[serde(default)]
+    pub regions: BTreeMap<DataCentreId, RegionId>,
     /// Its side towards callers.
     pub callers: CallerSettings,
     /// Its side towards other gateways.
@@ -35,6 +39,12 @@
     pub lease: LeaseSettings,
     /// Loads from the weight store.
     pub loads: LoadSettings,
+    /// Requests to cold upstreams.
+    #[serde(default)]
+    pub cold: ColdSettings,
+    /// Emptying data centres.
+    #[serde(default)]
+    pub evacuation: EvacuationSettings,
     /// How engines are chosen.
     #[serde(default)]
     pub routing: RoutingSettings,
@@ -148,6 +158,37 @@
     pub window_s: f64,
 }
 
+/// How many requests cold upstreams may get, over all gateways.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdSettings {
+    /// How many times as many as they bear they survive in any one second.
+    pub overshoot: f64,
+    /// How many more than that, in any one second.
+    pub slack: f64,
+}
+
+impl Default for ColdSettings {
+    fn default() -> Self {
+        Self { overshoot: 1.0, slack: 0.0 }
+    }
+}
+
+/// How data centres are emptied.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EvacuationSettings {
+    /// How long after the store has taken the order the data centre may get
+    /// new requests, in ms.
+    pub within_ms: u64,
+}
+
+impl Default for EvacuationSettings {
+    fn default() -> Self {
+        Self { within_ms: 3_000 }
+    }
+}
+
 const fn one() -> f64 {
     1.0
 }
@@ -199,6 +240,14 @@
         if self.retry.ratio < 0.0 || self.retry.slack < 0.0 {
             return Some("retry.ratio and retry.slack are 0 or above");
         }
+        if !self.regions.is_empty()
+            && !self.regions.contains_key(&self.data_centre)
+        {
+            return Some("regions names data_centre");
+        }
+        if self.cold.overshoot < 0.0 || self.cold.slack < 0.0 {
+            return Some("cold.overshoot and cold.slack are 0 or above");
+        }
         let limits = &self.limits;
         if limits.window_s <= 0.0 || limits.instances == 0 {
             return Some("limits.window_s and limits.instances are above 0");
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -11,6 +11,7 @@
     fleet::{
         Variant,
         paces::{PaceObservation, Paces},
+        topology::Topology,
         usage::UsageMeter,
     },
     id::UpstreamId,
@@ -45,6 +46,8 @@
 pub struct Shared {
     /// The settings.
     pub settings: Settings,
+    /// The data centres, seen from this gateway's.
+    pub topology: Topology,
     /// The clock.
     pub clock: Clock,
     /// The instruments.
@@ -73,7 +76,12 @@
         metrics: Metrics,
     ) -> (Arc<Self>, mpsc::Receiver<Variant>) {
         let (wishes, taken) = mpsc::channel(WISHES);
+        let topology = Topology::new(
+            settings.data_centre.clone(),
+            settings.regions.clone(),
+        );
         let shared = Self {
+            topology,
             clock: Clock::new(),
             metrics,
             view: ArcSwap::default(),
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -0,0 +1,79 @@
+//! Which upstream a request goes to.
+//!
+//! `eligible` says which upstreams may get the request at all: by the regions
+//! that bind it and by what was tried. Of these, `process` chooses a process
+//! of a plain service, and `engine` an engine that holds the model; `prompt`
+//! says what of a prompt an engine may have read already.
+
+mod eligible;
+mod engine;
+mod process;
+mod prompt;
+
+use std::sync::Arc;
+
+use valehold_core::{fleet::Upstream, id::UpstreamId};
+
+pub(super) use self::eligible::holders;
+use super::{route::Job, state::App};
+use crate::view::Load;
+
+/// An upstream that was chosen.
+#[derive(Debug, Clone)]
+pub(super) struct Chosen {
+    pub(super) upstream: Arc<Upstream>,
+    /// Prompt tokens that it has to read, as many of a usual model as take as
+    /// long.
+    pub(super) read_tokens: u64,
+    /// When its first event is predicted, in ms.
+    pub(super) predicted_ms: f64,
+    /// What is thought to be under way at it.
+    pub(super) load: Load,
+    /// When its first event is predicted if it is no slower than usual, in ms.
+    pub(super) usual_ms: f64,
+    /// How long of the predicted time prompts are read, in ms.
+    pub(super) reading_ms: f64,
+    /// How many times as long engine and model are taken to need for that as
+    /// all.
+    pub(super) pace: f64,
+    /// The hashes of the prompt's leading parts.
+    pub(super) blocks: Vec<u64>,
+}
+
+/// Why none was chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum NoChoice {
+    /// There is none that could take it.
+    NoUpstream,
+    /// No engine holds the model or the adapter.
+    NotHeld,
+    /// Its answer would begin too late.
+    WouldBeLate {
+        /// When its first event was predicted, in ms.
+        predicted_ms: f64,
+        /// In how many ms to come back.
+        come_back_ms: u64,
+    },
+}
+
+/// Chooses an upstream that was not `tried`.
+pub(super) fn choose(
+    app: &App,
+    job: &Job,
+    tried: &[UpstreamId],
+) -> Result<Chosen, NoChoice> {
+    let view = app.shared.view.load_full();
+    match (job.engine_spec(), &job.request.variant) {
+        (Some(spec), Some(variant)) => {
+            engine::choose(app, &view, job, spec, variant, tried)
+        }
+        _ => process::choose(app, &view, job, tried),
+    }
+}
+
+/// Returns what all gateways have under way at an upstream.
+fn load_of(app: &App, upstream: &UpstreamId) -> Load {
+    let own = app.shared.loads().get(upstream).copied();
+    let others = app.shared.peer_loads.load().get(&upstream.tag()).copied();
+    own.unwrap_or_default().plus(others.unwrap_or_default())
+}
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -0,0 +1,60 @@
+//! Which process of a plain service a request goes to.
+
+use valehold_core::{
+    fleet::{
+        choice::{PlainCandidate, choose_plain},
+        topology::Distance,
+    },
+    id::UpstreamId,
+};
+
+use super::{
+    super::{route::Job, state::App},
+    Chosen, NoChoice,
+    eligible::inside_bound,
+    load_of,
+};
+use crate::view::View;
+
+/// Chooses a process that was not tried; one that failed lately only where
+/// there is no other.
+pub(super) fn choose(
+    app: &App,
+    view: &View,
+    job: &Job,
+    tried: &[UpstreamId],
+) -> Result<Chosen, NoChoice> {
+    let topology = &app.shared.topology;
+    let mut able: Vec<(bool, PlainCandidate)> = inside_bound(app, view, job)
+        .filter(|upstream| !tried.contains(&upstream.id))
+        .map(|upstream| {
+            let candidate = PlainCandidate {
+                upstream: upstream.id.clone(),
+                slots: upstream.slots,
+                running: load_of(app, &upstream.id).running,
+                near: topology.distance(&upstream.data_centre)
+                    == Distance::SameDataCentre,
+            };
+            (app.is_suspect(&upstream.id), candidate)
+        })
+        .collect();
+    if able.iter().any(|(suspect, _)| !suspect) {
+        able.retain(|(suspect, _)| !suspect);
+    }
+    let able: Vec<PlainCandidate> =
+        able.into_iter().map(|(_, candidate)| candidate).collect();
+    let chosen =
+        choose_plain(&able, rand::random()).ok_or(NoChoice::NoUpstream)?;
+    let upstream = view.listing.upstreams.get(&chosen.upstream);
+    let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
+    Ok(Chosen {
+        predicted_ms: 0.0,
+        load: load_of(app, &upstream.id),
+        upstream,
+        read_tokens: 0,
+        usual_ms: 0.0,
+        reading_ms: 0.0,
+        pace: 1.0,
+        blocks: Vec::new(),
+    })
+}
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -173,7 +173,7 @@
             begin_within_ms: job.route.begin_within_ms,
             pause_within_ms: job.route.pause_within_ms,
             deadline_ms: since(job.deadline),
-            able: holders(&view, job).count(),
+            able: holders(&self.app, &view, job).count(),
             predicted_ms: record.predicted_ms.map(whole),
             configuration: job.catalog.version,
             listing: view.listing.version,
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -8,7 +8,9 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use valehold_core::{
-    fleet::{Catalog, Route, catalog::EngineSpec, workspace::Workspace},
+    fleet::{
+        Catalog, RegionBound, Route, catalog::EngineSpec, workspace::Workspace,
+    },
     id::ServiceName,
     reason::RefusalReason,
 };
@@ -51,6 +53,8 @@
     pub(super) service_name: ServiceName,
     /// The workspace whose key came with it; `None` where none is needed.
     pub(super) workspace: Option<Workspace>,
+    /// The regions in which it may be served, by route and workspace.
+    pub(super) bound: RegionBound,
     /// The configuration that says so.
     pub(super) catalog: Arc<Catalog>,
     /// By when it gets its final answer.
@@ -113,6 +117,10 @@
     let body = read_body(body, limit, deadline)
         .await
         .map_err(|refusal| (id, refusal))?;
+    let bound = match &workspace {
+        Some(workspace) => route.bound.and(&workspace.bound),
+        None => route.bound.clone(),
+    };
     Ok(Job {
         head,
         body,
@@ -120,6 +128,7 @@
         route,
         service_name,
         workspace,
+        bound,
         catalog,
         deadline,
     })
