Tests of the topology and of bounds

Cause: both types are asked wherever a data centre is compared or a request is bound to regions, and nothing held them. Change: unit and property tests.

--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's decisions.
 
 mod adapters;
+mod bound;
 mod catalog;
 mod event;
 mod health;
@@ -12,6 +13,7 @@
 mod replicas;
 mod share;
 mod slot_time;
+mod topology;
 mod turned_away;
 mod usage;
 mod workspace;
