Callers are told of gateways of their region

Cause: the directory knew data centres alone. A caller whose data centre has fewer than two gateways was told of all, so bodies bound to regions went to gateways elsewhere. Change: callers are told of their own data centre if two gateways are there, else of their region; for a host with bound routes one gateway in the region is enough, else those inside all of the bounds, then inside one of them, and only then all. The region comes from the query, or from what is declared of the data centre. The catalog tells the bounds of a host's routes, of a route with a workspace, and pairs without a common region. Ruled out: asking for the route too; callers name the host only.

--- a/crates/valehold-core/src/fleet/bound.rs
+++ b/crates/valehold-core/src/fleet/bound.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Returns the regions that it names; `None` if it sets none.
+    pub fn regions(&self) -> Option<&BTreeSet<RegionId>> {
+        match self {
+            Self::Anywhere => None,
+            Self::Within(regions) => Some(regions),
+        }
+    }
+
     /// Tells whether a request may be served in a region.
     pub fn allows(&self, region: Option<&RegionId>) -> bool {
         match self {
--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -4,8 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{bound::RegionBound, workspace::Workspaces};
-use crate::id::{AdapterName, ModelName, ServiceName};
+use super::{
+    bound::RegionBound,
+    workspace::{Workspace, Workspaces},
+};
+use crate::id::{AdapterName, ModelName, ServiceName, WorkspaceId};
 
 /// Whether a request may be sent to an upstream more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -202,6 +205,48 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the regions in which a request for a host and path may be
+    /// served, by its route and its workspace; anywhere as far as neither is
+    /// declared.
+    pub fn bound_of(
+        &self,
+        host: &str,
+        path: &str,
+        workspace: Option<&WorkspaceId>,
+    ) -> RegionBound {
+        let route = self.find(host, path).map(|route| &route.bound);
+        let workspace = workspace
+            .zip(self.workspaces.as_ref())
+            .and_then(|(name, workspaces)| workspaces.named(name))
+            .map(|workspace| &workspace.bound);
+        let bounds = route.into_iter().chain(workspace);
+        bounds.fold(RegionBound::Anywhere, |all, bound| all.and(bound))
+    }
+
+    /// Returns the bounds of a host's routes.
+    pub fn bounds_of_host(
+        &self,
+        host: &str,
+    ) -> impl Iterator<Item = &RegionBound> {
+        let routes = self
+            .routes
+            .iter()
+            .filter(move |route| route.host.eq_ignore_ascii_case(host));
+        routes.map(|route| &route.bound)
+    }
+
+    /// Returns the routes and workspaces whose bounds have no region in
+    /// common: no request of the one to the other can be served.
+    pub fn empty_bounds(&self) -> impl Iterator<Item = (&Route, &Workspace)> {
+        let workspaces = self.workspaces.iter().flat_map(Workspaces::iter);
+        workspaces.flat_map(move |workspace| {
+            let routes = self.routes.iter();
+            routes
+                .filter(|route| route.bound.and(&workspace.bound).is_empty())
+                .map(move |route| (route, workspace))
+        })
+    }
+
     /// Returns a service whose upstreams run models, by name.
     pub fn engine_spec(&self, service: &ServiceName) -> Option<&EngineSpec> {
         self.services.get(service)?.engine.as_ref()
--- a/crates/valehold-core/src/fleet/tests/catalog.rs
+++ b/crates/valehold-core/src/fleet/tests/catalog.rs
@@ -4,8 +4,12 @@
 use proptest::prelude::*;
 
 use crate::{
-    fleet::{CallerLimits, Catalog, Repetition, Route, catalog::Target},
-    id::ServiceName,
+    fleet::{
+        CallerLimits, Catalog, RegionBound, Repetition, Route,
+        catalog::Target,
+        workspace::{Workspace, Workspaces},
+    },
+    id::{ServiceName, WorkspaceId},
     testing::cases,
 };
 
@@ -74,3 +78,53 @@
         prop_assert!(target.weight > 0);
     }
 }
+
+fn workspace(name: &str, bound: RegionBound) -> Workspace {
+    Workspace { name: WorkspaceId::new(name), rank: 0, limit: None, bound }
+}
+
+/// Two routes, one of them bound, and three workspaces.
+fn bounded() -> Catalog {
+    let mut catalog = catalog(&["/", "/south/"]);
+    catalog.routes[1].bound = RegionBound::within(["south", "east"]);
+    let mut workspaces = Workspaces::default();
+    workspaces.add(workspace("any", RegionBound::Anywhere), []);
+    workspaces.add(workspace("south", RegionBound::within(["south"])), []);
+    workspaces.add(workspace("north", RegionBound::within(["north"])), []);
+    catalog.workspaces = Some(workspaces);
+    catalog
+}
+
+#[gtest]
+fn route_and_workspace_bind_together() {
+    let catalog = bounded();
+    let bound = |path: &str, workspace: Option<&str>| {
+        let workspace = workspace.map(WorkspaceId::new);
+        catalog.bound_of("a.example", path, workspace.as_ref())
+    };
+    expect_that!(bound("/1", None), eq(&RegionBound::Anywhere));
+    expect_that!(bound("/1", Some("any")), eq(&RegionBound::Anywhere));
+    let of_route = RegionBound::within(["south", "east"]);
+    expect_that!(bound("/south/1", None), eq(&of_route));
+    expect_that!(bound("/south/1", Some("any")), eq(&of_route));
+    let of_both = RegionBound::within(["south"]);
+    expect_that!(bound("/south/1", Some("south")), eq(&of_both));
+    expect_that!(bound("/1", Some("south")), eq(&of_both));
+    expect_true!(bound("/south/1", Some("north")).is_empty());
+    // What is not declared sets no bound of its own.
+    expect_that!(bound("/1", Some("gone")), eq(&RegionBound::Anywhere));
+    let elsewhere = catalog.bound_of("b.example", "/south/1", None);
+    expect_that!(elsewhere, eq(&RegionBound::Anywhere));
+}
+
+#[gtest]
+fn pairs_that_no_region_serves_are_found() {
+    let catalog = bounded();
+    let pairs: Vec<(&str, &str)> = catalog
+        .empty_bounds()
+        .map(|(route, workspace)| {
+            (route.prefix.as_str(), workspace.name.as_str())
+        })
+        .collect();
+    expect_that!(pairs, elements_are![eq(&("/south/", "north"))]);
+}
--- a/crates/valehold-core/src/fleet/workspace.rs
+++ b/crates/valehold-core/src/fleet/workspace.rs
@@ -120,6 +120,11 @@
         self.all.get(self.keys.get(key)?)
     }
 
+    /// Returns a workspace by its name.
+    pub fn named(&self, name: &WorkspaceId) -> Option<&Workspace> {
+        self.all.get(name)
+    }
+
     /// Returns every workspace, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Workspace> {
         self.all.values()
--- a/crates/valehold-gateway/src/traffic/face.rs
+++ b/crates/valehold-gateway/src/traffic/face.rs
@@ -4,12 +4,20 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use valehold_core::id::DataCentreId;
+use valehold_core::{
+    fleet::RegionBound,
+    id::{DataCentreId, RegionId},
+};
 use valehold_ports::port::fleet::OwnCall;
 
 use super::{
-    Body, addresses::addresses_for, exchange, record::log_unrouted,
-    refusal::plain, route, state::App,
+    Body,
+    addresses::{AskingCaller, addresses_for},
+    exchange,
+    record::log_unrouted,
+    refusal::plain,
+    route,
+    state::App,
 };
 use crate::view::Life;
 
@@ -50,8 +58,8 @@
 fn own(app: &App, request: &Request<Incoming>) -> Response<Body> {
     match app.dialect.own_call(request.uri()) {
         OwnCall::Ready => ready(app),
-        OwnCall::Addresses { data_centre } => {
-            addresses(app, data_centre.as_ref())
+        OwnCall::Addresses { host, data_centre, region } => {
+            addresses(app, host.as_deref(), data_centre, region)
         }
         OwnCall::Unknown => plain(StatusCode::NOT_FOUND, ""),
     }
@@ -64,9 +72,26 @@
     }
 }
 
-fn addresses(app: &App, near: Option<&DataCentreId>) -> Response<Body> {
+fn addresses(
+    app: &App,
+    host: Option<&str>,
+    data_centre: Option<DataCentreId>,
+    region: Option<RegionId>,
+) -> Response<Body> {
     let view = app.shared.view.load();
-    let addresses = addresses_for(&view.ready, near, &mut rand::rng());
+    let catalog = view.catalog.as_deref();
+    let bounds: Vec<&RegionBound> = match (catalog, host) {
+        (Some(catalog), Some(host)) => catalog.bounds_of_host(host).collect(),
+        _ => Vec::new(),
+    };
+    let caller = AskingCaller {
+        data_centre: data_centre.as_ref(),
+        region: region.as_ref(),
+        bounds: &bounds,
+    };
+    let topology = &app.shared.topology;
+    let addresses =
+        addresses_for(&view.ready, &caller, topology, &mut rand::rng());
     if addresses.is_empty() {
         return plain(StatusCode::SERVICE_UNAVAILABLE, "");
     }
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -10,7 +10,9 @@
     fleet::{
         Catalog, Holding, Listing, Upstream, Variant, workspace::KeyDigest,
     },
-    id::{DataCentreId, InstanceId, ModelName, UpstreamId, WorkspaceId},
+    id::{
+        DataCentreId, InstanceId, ModelName, RegionId, UpstreamId, WorkspaceId,
+    },
     lease::{LeaseRow, VersionedLease},
 };
 
@@ -297,10 +299,14 @@
 pub enum OwnCall {
     /// Whether it is ready for callers.
     Ready,
-    /// Which addresses a caller in a data centre is to use.
+    /// Which addresses a caller is to use.
     Addresses {
-        /// Where the caller is.
+        /// The host whose routes it uses.
+        host: Option<String>,
+        /// The data centre that it stands in.
         data_centre: Option<DataCentreId>,
+        /// The region that it stands in.
+        region: Option<RegionId>,
     },
     /// Anything else.
     Unknown,
