Evacuations: what a gateway knows of orders, by version and in time

Cause: traffic, placement and the belief that upstreams are warm each need to know which data centres are to be empty, from when on, and which were lately. Change: EvacuationView in core (pure), in the View; orders come into force a while after they are heard, those of the first set at once, and a gateway that knows no set takes every data centre for empty. A change has the version of its row, so that a watch that repeats old changes alters nothing. Shown: a property test of late and repeated words; nothing reads it yet.

--- a/crates/valehold-core/src/fleet/evacuation.rs
+++ b/crates/valehold-core/src/fleet/evacuation.rs
@@ -4,12 +4,21 @@
 //! data centre get nothing new; what they answer already ends whole. Like the
 //! configuration, the orders have a version of the platform's store, and of
 //! two sets the one with the greater version holds.
+//!
+//! A set of version V is what stood when the store was at V. A whole read
+//! has the store's version at the read, a change that of its row: so a set
+//! that another gateway read later replaces one that was put together from
+//! changes, and the other way round.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::DataCentreId;
+use crate::{Millis, id::DataCentreId};
+
+/// For how long it is remembered when a data centre was taken back, in ms:
+/// longer than any upstream is cold after a start.
+const REMEMBERED_MS: u64 = 600_000;
 
 /// The data centres that are to be empty, as of one version of the platform's
 /// store.
@@ -26,33 +35,143 @@
 pub struct EvacuationChange {
     /// The data centre.
     pub data_centre: DataCentreId,
+    /// The store's version of the change.
+    pub version: u64,
     /// Whether it is to be empty; otherwise the order was taken back.
     pub is_ordered: bool,
 }
 
+/// What the platform's store says of orders.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EvacuationNews {
+    /// All that stand.
+    Whole(Evacuations),
+    /// What changed since an earlier version, the newest change of each data
+    /// centre.
+    Changes(Vec<EvacuationChange>),
+}
+
 impl Evacuations {
     /// Tells whether a data centre is to be empty.
     pub fn is_ordered(&self, data_centre: &DataCentreId) -> bool {
         self.data_centres.contains(data_centre)
     }
 
-    /// Takes in changes up to a version; tells whether they were newer.
-    pub fn apply(
-        &mut self,
-        version: u64,
+    /// Returns the orders after some changes, of which those that are older
+    /// than these orders are in them already.
+    #[must_use]
+    pub fn after(
+        &self,
         changes: impl IntoIterator<Item = EvacuationChange>,
-    ) -> bool {
-        if version <= self.version {
-            return false;
-        }
-        self.version = version;
+    ) -> Self {
+        let mut after = self.clone();
         for change in changes {
-            let EvacuationChange { data_centre, is_ordered } = change;
+            let EvacuationChange { data_centre, version, is_ordered } = change;
+            if version <= self.version {
+                continue;
+            }
+            after.version = after.version.max(version);
             match is_ordered {
-                true => self.data_centres.insert(data_centre),
-                false => self.data_centres.remove(&data_centre),
+                true => after.data_centres.insert(data_centre),
+                false => after.data_centres.remove(&data_centre),
             };
         }
-        true
+        after
+    }
+}
+
+/// What newer orders changed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EvacuationsChanged {
+    /// Data centres that are to be empty now.
+    pub ordered: BTreeSet<DataCentreId>,
+    /// Data centres of which the order was taken back.
+    pub taken_back: BTreeSet<DataCentreId>,
+}
+
+/// What one gateway knows of orders, and since when.
+///
+/// Times are those of its own clock. Until it has heard of any set, also of
+/// one without an order, every data centre counts as empty: a gateway that
+/// has just started sends nothing where nothing may be sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EvacuationView {
+    orders: Option<Evacuations>,
+    in_force_from: BTreeMap<DataCentreId, Millis>,
+    taken_back: BTreeMap<DataCentreId, Millis>,
+}
+
+impl EvacuationView {
+    /// Returns the orders, if any set was heard of yet.
+    pub fn orders(&self) -> Option<&Evacuations> {
+        self.orders.as_ref()
+    }
+
+    /// Tells whether the orders are known.
+    pub fn is_known(&self) -> bool {
+        self.orders.is_some()
+    }
+
+    /// Tells whether a data centre is to be empty: its upstreams get a
+    /// request only where no other one could take it.
+    pub fn is_emptying(&self, data_centre: &DataCentreId) -> bool {
+        let orders = self.orders.as_ref();
+        orders.is_none_or(|orders| orders.is_ordered(data_centre))
+    }
+
+    /// Tells whether a data centre's upstreams get nothing any more.
+    pub fn is_empty(&self, data_centre: &DataCentreId, now: Millis) -> bool {
+        let from = self.in_force_from.get(data_centre);
+        self.is_emptying(data_centre) && from.is_none_or(|from| now >= *from)
+    }
+
+    /// Returns how long ago the order of a data centre was taken back, in ms,
+    /// if it was: its upstreams may have turned cold shortly before.
+    pub fn taken_back_ms_ago(
+        &self,
+        data_centre: &DataCentreId,
+        now: Millis,
+    ) -> Option<u64> {
+        let at = self.taken_back.get(data_centre)?;
+        Some(now.since(*at))
+    }
+
+    /// Takes in a set of orders; returns what it changed, `None` if it is no
+    /// newer than what is known.
+    ///
+    /// Orders come into force after `within_ms`. Those in the first set that
+    /// is heard of, however, do at once, as they may have stood for long.
+    pub fn hear(
+        &mut self,
+        orders: Evacuations,
+        within_ms: u64,
+        now: Millis,
+    ) -> Option<EvacuationsChanged> {
+        let Some(known) = self.orders.take() else {
+            let ordered = orders.data_centres.clone();
+            self.orders = Some(orders);
+            let taken_back = BTreeSet::new();
+            return Some(EvacuationsChanged { ordered, taken_back });
+        };
+        if orders.version <= known.version {
+            self.orders = Some(known);
+            return None;
+        }
+        let beyond = |one: &Evacuations, other: &Evacuations| {
+            one.data_centres.difference(&other.data_centres).cloned().collect()
+        };
+        let ordered: BTreeSet<DataCentreId> = beyond(&orders, &known);
+        let taken_back: BTreeSet<DataCentreId> = beyond(&known, &orders);
+        self.orders = Some(orders);
+        self.taken_back.retain(|_, at| now.since(*at) < REMEMBERED_MS);
+        for data_centre in &ordered {
+            self.in_force_from.insert(data_centre.clone(), now + within_ms);
+            self.taken_back.remove(data_centre);
+        }
+        for data_centre in &taken_back {
+            self.in_force_from.remove(data_centre);
+            self.taken_back.insert(data_centre.clone(), now);
+        }
+        Some(EvacuationsChanged { ordered, taken_back })
     }
 }
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -33,6 +33,9 @@
 pub use self::{
     bound::RegionBound,
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
+    evacuation::{
+        EvacuationChange, EvacuationNews, EvacuationView, Evacuations,
+    },
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
 };
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod catalog;
+mod evacuation;
 mod event;
 mod health;
 mod known;
--- /dev/null
+++ b/crates/valehold-core/src/fleet/tests/evacuation.rs
@@ -0,0 +1,152 @@
+//! Orders to empty data centres, by version and in time.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::{
+    fleet::{EvacuationChange, EvacuationView, Evacuations},
+    id::DataCentreId,
+    time::Millis,
+};
+
+fn at(ms: u64) -> Millis {
+    Millis::new(ms)
+}
+
+fn dc(name: &str) -> DataCentreId {
+    DataCentreId::new(name)
+}
+
+fn orders(version: u64, names: &[&str]) -> Evacuations {
+    let data_centres = names.iter().map(|name| dc(name)).collect();
+    Evacuations { version, data_centres }
+}
+
+fn change(version: u64, name: &str, is_ordered: bool) -> EvacuationChange {
+    EvacuationChange { data_centre: dc(name), version, is_ordered }
+}
+
+/// Who knows no orders yet sends nowhere, and who hears that there are none
+/// sends everywhere.
+#[gtest]
+fn until_orders_are_known_every_data_centre_counts_as_empty() {
+    let mut view = EvacuationView::default();
+    expect_that!(view.is_known(), eq(false));
+    expect_that!(view.is_empty(&dc("north"), at(5)), eq(true));
+    view.hear(orders(0, &[]), 1_000, at(10));
+    expect_that!(view.is_known(), eq(true));
+    expect_that!(view.is_emptying(&dc("north")), eq(false));
+    expect_that!(view.is_empty(&dc("north"), at(10)), eq(false));
+}
+
+#[gtest]
+fn an_order_comes_into_force_after_a_while() {
+    let mut view = EvacuationView::default();
+    view.hear(orders(4, &[]), 1_000, at(10));
+    let changed = view.hear(orders(7, &["north"]), 1_000, at(100));
+    let changed = changed.expect("newer orders");
+    expect_that!(changed.ordered, eq(&BTreeSet::from([dc("north")])));
+    expect_that!(view.is_emptying(&dc("north")), eq(true));
+    expect_that!(view.is_empty(&dc("north"), at(1_099)), eq(false));
+    expect_that!(view.is_empty(&dc("north"), at(1_100)), eq(true));
+    expect_that!(view.is_emptying(&dc("south")), eq(false));
+    // The same order again begins no other while.
+    expect_that!(view.hear(orders(7, &["north"]), 1_000, at(900)), none());
+    view.hear(orders(9, &["north", "south"]), 1_000, at(1_050));
+    expect_that!(view.is_empty(&dc("north"), at(1_100)), eq(true));
+    expect_that!(view.is_empty(&dc("south"), at(1_100)), eq(false));
+}
+
+/// An order in the first set may have stood for any time.
+#[gtest]
+fn the_first_orders_that_are_heard_of_are_in_force_at_once() {
+    let mut view = EvacuationView::default();
+    view.hear(orders(7, &["north"]), 1_000, at(100));
+    expect_that!(view.is_empty(&dc("north"), at(100)), eq(true));
+}
+
+#[gtest]
+fn it_is_known_for_how_long_an_order_has_been_taken_back() {
+    let mut view = EvacuationView::default();
+    view.hear(orders(4, &["north"]), 1_000, at(10));
+    expect_that!(view.taken_back_ms_ago(&dc("north"), at(50)), none());
+    view.hear(orders(5, &[]), 1_000, at(100));
+    expect_that!(view.is_emptying(&dc("north")), eq(false));
+    expect_that!(view.taken_back_ms_ago(&dc("north"), at(350)), some(eq(250)));
+    // Ordered anew, it is no longer one that was taken back.
+    view.hear(orders(6, &["north"]), 1_000, at(400));
+    expect_that!(view.taken_back_ms_ago(&dc("north"), at(450)), none());
+    expect_that!(view.is_empty(&dc("north"), at(1_399)), eq(false));
+    expect_that!(view.is_empty(&dc("north"), at(1_400)), eq(true));
+}
+
+/// A whole read has the store's version at the read, a change that of its
+/// row.
+#[gtest]
+fn changes_that_a_set_has_in_it_already_change_nothing() {
+    let known = orders(20, &["north"]);
+    let old = [change(18, "north", false), change(20, "south", true)];
+    expect_that!(known.after(old), eq(&known));
+    let mixed = [change(18, "north", false), change(21, "south", true)];
+    expect_that!(known.after(mixed), eq(&orders(21, &["north", "south"])));
+}
+
+proptest! {
+    /// Gateways read the store whole or follow its changes, and tell one
+    /// another what they know, late and in any order: all end with what the
+    /// newest of them knows, and what one knows never gets older.
+    #[test]
+    fn late_words_never_bring_orders_back(
+        history in prop::collection::vec((0..3_usize, any::<bool>()), 1..24),
+        steps in prop::collection::vec(
+            (0..4_usize, 0..4_usize, any::<bool>(), 0..30_u64), 1..80,
+        ),
+    ) {
+        let names = ["north", "south", "west"];
+        let as_of = |version: u64| {
+            let mut set = orders(version, &[]);
+            for (index, (which, is_ordered)) in history.iter().enumerate() {
+                if index as u64 + 1 <= version {
+                    let name = dc(names[*which]);
+                    match is_ordered {
+                        true => set.data_centres.insert(name),
+                        false => set.data_centres.remove(&name),
+                    };
+                }
+            }
+            set
+        };
+        let newest = history.len() as u64;
+        let mut views = vec![EvacuationView::default(); 4];
+        let mut said: Vec<Evacuations> = Vec::new();
+        for (who, other, reads, moment) in steps {
+            let known = views[who].orders().cloned();
+            let before = known.as_ref().map_or(0, |known| known.version);
+            let heard = match (reads, known) {
+                (true, None) => as_of(moment.min(newest)),
+                (true, Some(known)) => {
+                    // A watch from an older version gives known ones again.
+                    let from = known.version.saturating_sub(moment % 5);
+                    let changes = history.iter().enumerate();
+                    let changes = changes
+                        .map(|(index, (which, is_ordered))| {
+                            change(index as u64 + 1, names[*which], *is_ordered)
+                        })
+                        .filter(|c| c.version > from && c.version <= moment);
+                    known.after(changes)
+                }
+                (false, _) => match said.get(other * 7 % said.len().max(1)) {
+                    Some(word) => word.clone(),
+                    None => continue,
+                },
+            };
+            views[who].hear(heard, 1_000, at(moment));
+            let now = views[who].orders().cloned().expect("orders");
+            prop_assert!(now.version >= before);
+            prop_assert_eq!(&now.data_centres, &as_of(now.version).data_centres);
+            said.push(now);
+        }
+    }
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -42,7 +42,10 @@
 };
 use valehold_core::{
     Millis,
-    fleet::{Catalog, KnownUpstreams, Variant, lapsed::StorePresence},
+    fleet::{
+        Catalog, EvacuationView, KnownUpstreams, Variant,
+        lapsed::StorePresence,
+    },
     id::InstanceId,
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore};
@@ -122,6 +125,7 @@
     sums: Sums,
     life: Life,
     catalog: Option<Arc<Catalog>>,
+    evacuations: EvacuationView,
     upstreams: KnownUpstreams,
     watch_orders: Rc<WatchOrders>,
     store: StoreSight,
@@ -219,6 +223,7 @@
             sums: Sums::default(),
             life: Life::Starting,
             catalog: None,
+            evacuations: EvacuationView::default(),
             upstreams: KnownUpstreams::default(),
             watch_orders,
             store: StoreSight::Unknown,
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Catalog, Listing, lapsed::LapsedUpstreams},
+    fleet::{Catalog, EvacuationView, Listing, lapsed::LapsedUpstreams},
     id::DataCentreId,
 };
 
@@ -86,6 +86,8 @@
     pub listing: Arc<Listing>,
     /// Those of them that fell off the list with the store.
     pub lapsed: LapsedUpstreams,
+    /// The data centres that are to be empty, and those that were lately.
+    pub evacuations: EvacuationView,
     /// Whether some gateway is heard to hold the lease.
     pub has_holder: bool,
     /// Every gateway that is ready, this one among them.
@@ -99,6 +101,7 @@
             catalog: None,
             listing: Arc::default(),
             lapsed: LapsedUpstreams::default(),
+            evacuations: EvacuationView::default(),
             has_holder: false,
             ready: Arc::default(),
         }
