Emptied data centres: orders are heard, passed on and kept

Change: the watch on the configuration also gives orders (whole after a read, changes with their rows' versions after a watch); whoever hears a change tells all; heartbeats, summaries, digests and states carry the set with its version. A gateway serves once it knows configuration, list and orders. Traffic uses upstreams of such a data centre only where no other can take a request, and from a quarter of evacuation.within_ms on not at all; placement counts its engines as gone and neither asks nor orders them.

--- a/crates/valehold-core/src/fleet/evacuation.rs
+++ b/crates/valehold-core/src/fleet/evacuation.rs
@@ -14,7 +14,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Millis, id::DataCentreId};
+use super::{Listing, topology::Topology};
+use crate::{
+    Millis,
+    id::{DataCentreId, RegionId, ServiceName},
+};
 
 /// For how long it is remembered when a data centre was taken back, in ms:
 /// longer than any upstream is cold after a start.
@@ -89,6 +93,13 @@
     pub taken_back: BTreeSet<DataCentreId>,
 }
 
+impl EvacuationsChanged {
+    /// Tells whether anything changed.
+    pub fn is_any(&self) -> bool {
+        !self.ordered.is_empty() || !self.taken_back.is_empty()
+    }
+}
+
 /// What one gateway knows of orders, and since when.
 ///
 /// Times are those of its own clock. Until it has heard of any set, also of
@@ -125,6 +136,36 @@
         self.is_emptying(data_centre) && from.is_none_or(|from| now >= *from)
     }
 
+    /// Returns the data centres whose upstreams get nothing any more.
+    pub fn in_force(&self, now: Millis) -> BTreeSet<DataCentreId> {
+        let ordered = self.ordered();
+        ordered.filter(|one| self.is_empty(one, now)).cloned().collect()
+    }
+
+    /// Tells whether any data centre is to be empty, or none is known.
+    pub fn is_any(&self) -> bool {
+        let orders = self.orders.as_ref();
+        orders.is_none_or(|orders| !orders.data_centres.is_empty())
+    }
+
+    /// Returns in how long the order of a data centre comes into force, in
+    /// ms; 0 if it is, or if there is none.
+    pub fn left_ms(&self, data_centre: &DataCentreId, now: Millis) -> u64 {
+        let from = self.in_force_from.get(data_centre);
+        from.map_or(0, |from| from.since(now))
+    }
+
+    /// Returns in how long all orders are in force, in ms.
+    pub fn longest_left_ms(&self, now: Millis) -> u64 {
+        let left = self.ordered().map(|one| self.left_ms(one, now));
+        left.max().unwrap_or(0)
+    }
+
+    /// Returns the data centres that are known to be to be empty.
+    pub fn ordered(&self) -> impl Iterator<Item = &DataCentreId> {
+        self.orders.iter().flat_map(|orders| &orders.data_centres)
+    }
+
     /// Returns how long ago the order of a data centre was taken back, in ms,
     /// if it was: its upstreams may have turned cold shortly before.
     pub fn taken_back_ms_ago(
@@ -175,3 +216,22 @@
         Some(EvacuationsChanged { ordered, taken_back })
     }
 }
+
+/// Returns the services that have upstreams only in empty data centres; where
+/// regions are declared, in each region by itself, since requests may be bound
+/// to it.
+pub fn left_without(
+    listing: &Listing,
+    empty: &BTreeSet<DataCentreId>,
+    topology: &Topology,
+) -> BTreeSet<(ServiceName, Option<RegionId>)> {
+    let mut is_left = BTreeMap::new();
+    for upstream in listing.upstreams.values().filter(|one| !one.leaving) {
+        let region = topology.region_of(&upstream.data_centre).cloned();
+        let place = (upstream.service.clone(), region);
+        let left = is_left.entry(place).or_insert(false);
+        *left |= !empty.contains(&upstream.data_centre);
+    }
+    let without = is_left.into_iter().filter(|(_, left)| !left);
+    without.map(|(place, _)| place).collect()
+}
--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -181,6 +181,10 @@
         match state {
             Ok(state) => {
                 self.behind.failed = None;
+                if let Some(orders) = state.evacuations {
+                    // They may have stood for any time.
+                    self.evacuate(orders, 0, CatalogSource::Peer, now);
+                }
                 if let Some(catalog) = state.catalog {
                     self.configure(catalog, CatalogSource::Peer, now);
                 }
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -29,6 +29,8 @@
     pub(super) address: SocketAddr,
     pub(super) data_centre: DataCentreId,
     pub(super) leaving: bool,
+    /// Whether its data centre is to be empty: it is told and asked nothing.
+    pub(super) emptied: bool,
     pub(super) holding: Holding,
     pub(super) loading: Option<ModelName>,
     /// A model that it was told to give up; it takes no new requests for it,
@@ -73,6 +75,7 @@
             address: upstream.address,
             data_centre: upstream.data_centre.clone(),
             leaving: upstream.leaving,
+            emptied: false,
             holding: upstream.holding.clone(),
             loading: None,
             unloading: None,
@@ -104,9 +107,16 @@
         }
     }
 
-    /// Tells whether it answers and stays.
+    /// Takes in whether its data centre is to be empty. What it holds after
+    /// that has to be asked: it may have started anew meanwhile.
+    pub(super) fn empty(&mut self, emptied: bool) {
+        self.uncertain |= self.emptied && !emptied;
+        self.emptied = emptied;
+    }
+
+    /// Tells whether it answers, stays and may be used.
     pub(super) fn is_sound(&self) -> bool {
-        !self.leaving && self.failures < GONE_AFTER
+        !self.leaving && !self.emptied && self.failures < GONE_AFTER
     }
 
     pub(super) fn may_order(&self, now: Millis) -> bool {
--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -1,4 +1,4 @@
-//! Following the configuration and the upstreams in the platform's store.
+//! Following what operators write and the upstreams in the platform's store.
 
 mod orders;
 mod pauses;
@@ -27,7 +27,8 @@
 
 type Inputs = mpsc::UnboundedSender<Input>;
 
-/// Follows the configuration until control ends.
+/// Follows the configuration, and orders to empty data centres, until control
+/// ends.
 ///
 /// Observers look again every few seconds. Others hear from them of what a
 /// watch of their own that hangs does not bring; where gateways are many most
@@ -58,13 +59,9 @@
             }
         };
         let heard = match news {
-            Ok(CatalogNews::Accepted { version, catalog }) => {
-                after = Some(version);
-                Some(catalog)
-            }
-            Ok(CatalogNews::Nothing { version }) => {
+            Ok(CatalogNews::Heard { version, catalog, evacuations }) => {
                 after = Some(version);
-                None
+                Input::CatalogHeard { catalog, evacuations }
             }
             Ok(CatalogNews::HistoryGone) => {
                 after = None;
@@ -79,7 +76,7 @@
         };
         pauses.succeeded();
         orders.catalog_answers();
-        let _ = inputs.send(Input::CatalogHeard(heard));
+        let _ = inputs.send(heard);
     }
 }
 
--- a/crates/valehold-gateway/src/control/feeds/tests.rs
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -8,7 +8,9 @@
 use proptest::prelude::*;
 use tokio::{sync::mpsc, time::Instant};
 use valehold_core::{
-    fleet::{Catalog, Listing, catalog::CallerLimits},
+    fleet::{
+        Catalog, EvacuationNews, Evacuations, Listing, catalog::CallerLimits,
+    },
     lease::LeaseRow,
 };
 use valehold_ports::{
@@ -116,7 +118,12 @@
         async {
             let version = self.read().await?;
             let catalog = Box::new(catalog(version));
-            Ok(CatalogNews::Accepted { version, catalog })
+            let whole = Evacuations { version, ..Evacuations::default() };
+            Ok(CatalogNews::Heard {
+                version,
+                catalog: Some(catalog),
+                evacuations: EvacuationNews::Whole(whole),
+            })
         }
         .boxed()
     }
@@ -128,10 +135,11 @@
     ) -> Answer<'_, CatalogNews> {
         async move {
             let version = self.watch(after, span).await?;
-            let catalog = Box::new(catalog(version));
-            Ok(match version > after {
-                true => CatalogNews::Accepted { version, catalog },
-                false => CatalogNews::Nothing { version },
+            let is_new = version > after;
+            Ok(CatalogNews::Heard {
+                version,
+                catalog: is_new.then(|| Box::new(catalog(version))),
+                evacuations: EvacuationNews::Changes(Vec::new()),
             })
         }
         .boxed()
@@ -178,7 +186,7 @@
 /// Returns the newest version that an input tells of.
 fn version_of(input: &Input) -> u64 {
     match input {
-        Input::CatalogHeard(Some(catalog)) => catalog.version,
+        Input::CatalogHeard { catalog: Some(catalog), .. } => catalog.version,
         Input::ListingRead(listing) => listing.version,
         Input::ListingChanged(ListingNews::Changed { version, .. }) => {
             version.unwrap_or(0)
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -4,7 +4,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Catalog, Listing},
+    fleet::{Catalog, EvacuationNews, Listing},
     id::UpstreamId,
 };
 use valehold_ports::{
@@ -67,8 +67,13 @@
 /// What control takes in.
 #[derive(Debug)]
 pub(super) enum Input {
-    /// The store answered a read of the configuration or a watch on it.
-    CatalogHeard(Option<Box<Catalog>>),
+    /// The store answered a read of what operators wrote or a watch on it.
+    CatalogHeard {
+        /// The configuration, if there is a newer one.
+        catalog: Option<Box<Catalog>>,
+        /// Orders to empty data centres.
+        evacuations: EvacuationNews,
+    },
     /// The store did not answer a read or a watch.
     StoreFailed {
         /// Why.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -6,8 +6,8 @@
 //! traffic reads.
 //!
 //! - `feeds` follow the store, `store_sight` says whether it answers, `behind`
-//!   reads from peers what they know more, and `configuring` puts
-//!   configurations in force.
+//!   reads from peers what they know more, `configuring` puts configurations
+//!   in force, and `evacuating` orders to empty data centres.
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
@@ -20,6 +20,7 @@
 mod counted_store;
 mod demand;
 mod entry;
+mod evacuating;
 mod feeds;
 mod input;
 mod lease;
@@ -33,7 +34,10 @@
 mod telling;
 mod upstreams;
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, sync::Arc,
+    time::Duration,
+};
 
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -46,7 +50,7 @@
         Catalog, EvacuationView, KnownUpstreams, Variant,
         lapsed::StorePresence,
     },
-    id::InstanceId,
+    id::{DataCentreId, InstanceId},
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore};
 use xxhash_rust::xxh3::xxh3_64;
@@ -126,6 +130,8 @@
     life: Life,
     catalog: Option<Arc<Catalog>>,
     evacuations: EvacuationView,
+    /// The data centres that operators were told to be empty.
+    told_evacuations: BTreeSet<DataCentreId>,
     upstreams: KnownUpstreams,
     watch_orders: Rc<WatchOrders>,
     store: StoreSight,
@@ -224,6 +230,7 @@
             life: Life::Starting,
             catalog: None,
             evacuations: EvacuationView::default(),
+            told_evacuations: BTreeSet::new(),
             upstreams: KnownUpstreams::default(),
             watch_orders,
             store: StoreSight::Unknown,
@@ -286,6 +293,7 @@
             self.members_changed();
         }
         self.upstreams.pass(now);
+        self.tell_evacuations(now);
         self.contend(now);
         self.place(now);
         self.spread_news(now);
@@ -367,8 +375,10 @@
             Input::StoreFailed { error, lasted } => {
                 self.store_failed(&error, lasted, now);
             }
-            Input::CatalogHeard(catalog) => {
+            Input::CatalogHeard { catalog, evacuations } => {
+                let was_lost = self.store == StoreSight::Fails;
                 self.store_heard(now);
+                self.evacuate_by_store(evacuations, was_lost, now);
                 if let Some(catalog) = catalog {
                     self.configure_by_store(*catalog, now);
                 }
@@ -423,8 +433,15 @@
         }
     }
 
+    /// Tells whether it knows everything without which no request is sent.
+    fn knows_all(&self) -> bool {
+        self.catalog.is_some()
+            && self.upstreams.has_list()
+            && self.evacuations.is_known()
+    }
+
     fn live(&mut self) {
-        let knows = self.catalog.is_some() && self.upstreams.has_list();
+        let knows = self.knows_all();
         if self.life == Life::Starting && knows {
             self.set_life(Life::Serving);
             // Others that start now may know nothing yet.
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -23,10 +23,10 @@
 use valehold_core::{
     Millis,
     fleet::{
-        EngineHolding, KnownUpstreams, Listing, Variant, catalog::EngineSpec,
-        peaks::Peaks,
+        EngineHolding, EvacuationView, KnownUpstreams, Listing, Upstream,
+        Variant, catalog::EngineSpec, peaks::Peaks,
     },
-    id::{InstanceId, ModelName, ServiceName, UpstreamId},
+    id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
 };
 use valehold_ports::{
@@ -70,6 +70,8 @@
     inputs: mpsc::UnboundedSender<Input>,
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
+    /// Data centres that are to be empty.
+    emptied: BTreeSet<DataCentreId>,
     wishes: BTreeMap<Variant, Millis>,
     /// Models of each service that no sound engine holds, and since when.
     lost: BTreeMap<ServiceName, BTreeMap<ModelName, Millis>>,
@@ -96,6 +98,7 @@
             inputs,
             authority,
             entries: BTreeMap::new(),
+            emptied: BTreeSet::new(),
             wishes: BTreeMap::new(),
             lost: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
@@ -107,16 +110,31 @@
         }
     }
 
+    /// Takes in which data centres are to be empty: engines in them count as
+    /// gone, so that what they hold comes up elsewhere.
+    pub(super) fn evacuate(&mut self, orders: &EvacuationView) {
+        self.emptied = orders.ordered().cloned().collect();
+        for entry in self.entries.values_mut() {
+            entry.empty(self.emptied.contains(&entry.data_centre));
+        }
+    }
+
     /// Takes in the upstreams.
     pub(super) fn listed(&mut self, listing: &Listing) {
         let entries = &mut self.entries;
         entries.retain(|id, _| listing.upstreams.contains_key(id));
-        for (id, upstream) in &listing.upstreams {
-            let entry = entries.entry(id.clone());
-            entry.or_insert_with(|| Entry::new(upstream)).list(upstream);
+        for upstream in listing.upstreams.values() {
+            self.list(upstream);
         }
     }
 
+    fn list(&mut self, upstream: &Upstream) {
+        let entry = self.entries.entry(upstream.id.clone());
+        let entry = entry.or_insert_with(|| Entry::new(upstream));
+        entry.list(upstream);
+        entry.empty(self.emptied.contains(&upstream.data_centre));
+    }
+
     /// Takes in what changed of some upstreams.
     pub(super) fn list_changes(
         &mut self,
@@ -128,8 +146,7 @@
                 self.entries.remove(id);
                 continue;
             };
-            let entry = self.entries.entry(id.clone());
-            entry.or_insert_with(|| Entry::new(upstream)).list(upstream);
+            self.list(upstream);
         }
     }
 
@@ -223,7 +240,8 @@
         let due: Vec<UpstreamId> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.service == *service && !entry.leaving)
+            .filter(|(_, entry)| entry.service == *service)
+            .filter(|(_, entry)| !entry.leaving && !entry.emptied)
             .filter(|(_, e)| !e.under_way && now >= e.left_alone_until)
             .filter(|(_, entry)| {
                 entry.uncertain
--- a/crates/valehold-gateway/src/control/store_sight.rs
+++ b/crates/valehold-gateway/src/control/store_sight.rs
@@ -20,8 +20,7 @@
 impl Control {
     /// Sets this gateway's part in watching the store.
     pub(super) fn watch_store(&mut self, now: Millis) {
-        let knows_all = self.catalog.is_some() && self.upstreams.has_list();
-        let observing = match self.behind.looks_itself(knows_all, now) {
+        let observing = match self.behind.looks_itself(self.knows_all(), now) {
             Some(true) => Observing::Foremost,
             Some(false) => Observing::Nothing,
             None if self.is_new_among_many(now) => Observing::Nothing,
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -84,6 +84,7 @@
             state: settings.peers.state,
             catalog: self.catalog.as_ref().map_or(0, |c| c.version),
             listing: self.upstreams.version(),
+            evacuations: self.evacuation_word(now),
             lease,
             store: self.store,
             known: self.roster.known(now),
@@ -270,13 +271,17 @@
             Message::Listed(delta) => {
                 self.take_delta(&delta, now);
             }
-            Message::Summary(summary) => {
+            Message::Summary(mut summary) => {
+                let evacuations = summary.evacuations.take();
+                self.hear_evacuations(evacuations, CatalogSource::Peer, now);
                 self.keep_to(summary.rulings.as_ref(), now);
                 self.roster.summed_up(from, *summary, now);
                 self.publish_loads(now);
                 self.hear_rumours(now);
             }
-            Message::Digest(digest) => {
+            Message::Digest(mut digest) => {
+                let evacuations = digest.evacuations.take();
+                self.hear_evacuations(evacuations, CatalogSource::Peer, now);
                 self.roster.digest_heard(from, *digest, now);
                 self.hear_rumours(now);
             }
@@ -300,6 +305,9 @@
             Message::Catalog(catalog) => {
                 self.configure(*catalog, CatalogSource::Push, now);
             }
+            Message::Evacuations(word) => {
+                self.hear_evacuations(Some(word), CatalogSource::Push, now);
+            }
             // Only its first receiver passes a message on.
             Message::Relay(_) => {}
         }
@@ -312,6 +320,8 @@
         now: Millis,
     ) {
         let holdings = std::mem::take(&mut heartbeat.holdings);
+        let evacuations = heartbeat.evacuations.take();
+        self.hear_evacuations(evacuations, CatalogSource::Peer, now);
         self.hear_usage_of(&heartbeat, now);
         self.learn_paces(&heartbeat.paces, now);
         if let Some(word) = heartbeat.lease {
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -11,7 +11,9 @@
 use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use valehold_core::id::{DataCentreId, InstanceId, UpstreamId};
+use valehold_core::id::{
+    DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
+};
 
 pub use self::request::{
     RequestCourse, RequestEnd, RequestEnded, RequestOutcome, SendEnd,
@@ -64,6 +66,14 @@
     PeerFound = "peer_found",
     /// A configuration came into force.
     ConfigurationInForce = "configuration_in_force",
+    /// An order to empty a data centre was heard of.
+    EvacuationOrdered = "evacuation_ordered",
+    /// A data centre's upstreams get nothing any more.
+    EvacuationInForce = "evacuation_in_force",
+    /// Orders to empty data centres leave a service without an upstream.
+    EvacuationLeavesNone = "evacuation_leaves_none",
+    /// An order to empty a data centre was taken back.
+    EvacuationTakenBack = "evacuation_taken_back",
     /// This gateway took the lease.
     LeaseTaken = "lease_taken",
     /// This gateway gave the lease up.
@@ -76,7 +86,7 @@
     RequestEnded = "request_ended",
 }
 
-/// Who gave a gateway a configuration.
+/// Who gave a gateway a configuration or an order to empty a data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CatalogSource {
@@ -142,6 +152,40 @@
         /// Who gave it.
         source: CatalogSource,
     },
+    /// An order to empty a data centre was heard of.
+    EvacuationOrdered {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The store's version.
+        version: u64,
+        /// In how many ms it comes into force here.
+        left_ms: u64,
+        /// Whether the settings name the data centre.
+        is_declared: bool,
+        /// Who gave it.
+        source: CatalogSource,
+    },
+    /// A data centre's upstreams get nothing any more.
+    EvacuationInForce {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
+    /// Orders to empty data centres leave a service without an upstream.
+    EvacuationLeavesNone {
+        /// The service.
+        service: ServiceName,
+        /// The region in which it has none, if regions are declared.
+        region: Option<RegionId>,
+    },
+    /// An order to empty a data centre was taken back.
+    EvacuationTakenBack {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The store's version.
+        version: u64,
+        /// Who said so.
+        source: CatalogSource,
+    },
     /// This gateway took the lease.
     LeaseTaken {
         /// The lease's epoch.
@@ -190,6 +234,12 @@
             Self::ConfigurationInForce { .. } => {
                 EventKind::ConfigurationInForce
             }
+            Self::EvacuationOrdered { .. } => EventKind::EvacuationOrdered,
+            Self::EvacuationInForce { .. } => EventKind::EvacuationInForce,
+            Self::EvacuationLeavesNone { .. } => {
+                EventKind::EvacuationLeavesNone
+            }
+            Self::EvacuationTakenBack { .. } => EventKind::EvacuationTakenBack,
             Self::LeaseTaken { .. } => EventKind::LeaseTaken,
             Self::LeaseGivenUp { .. } => EventKind::LeaseGivenUp,
             Self::OrderEnded { .. } => EventKind::OrderEnded,
@@ -205,7 +255,9 @@
     pub fn level(&self) -> log::Level {
         match self {
             Self::RequestEnded(ended) => ended.level(),
-            Self::SettingsKept { .. } => log::Level::Warn,
+            Self::SettingsKept { .. } | Self::EvacuationLeavesNone { .. } => {
+                log::Level::Warn
+            }
             Self::UpstreamUnreachable { .. } | Self::PeerFound { .. } => {
                 log::Level::Debug
             }
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -119,6 +119,17 @@
     }
 }
 
+impl CatalogSource {
+    /// Names it in plain words.
+    const fn in_words(self) -> &'static str {
+        match self {
+            Self::Store => "the store",
+            Self::Peer => "a peer's state",
+            Self::Push => "a peer's push",
+        }
+    }
+}
+
 impl Event {
     /// Tells in plain words what happened.
     pub fn story(&self) -> String {
@@ -139,16 +150,37 @@
             }
             Self::PeerFound { address } => format!("found {address}\n"),
             Self::ConfigurationInForce { version, before, source } => {
-                let source = match source {
-                    CatalogSource::Store => "the store",
-                    CatalogSource::Peer => "a peer's state",
-                    CatalogSource::Push => "a peer's push",
-                };
+                let source = source.in_words();
                 format!(
                     "configuration {version} is in force after {before}, \
                      from {source}\n"
                 )
             }
+            Self::EvacuationOrdered {
+                data_centre, left_ms, source, ..
+            } => {
+                let source = source.in_words();
+                format!(
+                    "{data_centre} is to be empty in {left_ms} ms, from \
+                     {source}\n"
+                )
+            }
+            Self::EvacuationInForce { data_centre } => {
+                format!("{data_centre} gets nothing any more\n")
+            }
+            Self::EvacuationLeavesNone { service, region } => {
+                let region = region.as_ref();
+                let place =
+                    region.map_or_else(String::new, |r| format!(" in {r}"));
+                format!(
+                    "{service} has no upstream left{place}: all of them \
+                     stand in data centres that are to be empty\n"
+                )
+            }
+            Self::EvacuationTakenBack { data_centre, source, .. } => {
+                let source = source.in_words();
+                format!("{data_centre} is in use again, from {source}\n")
+            }
             Self::LeaseTaken { epoch } => {
                 format!("took the lease in epoch {epoch}\n")
             }
@@ -176,7 +208,11 @@
             Self::UpstreamUnreachable { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
-            Self::LeaseTaken { .. }
+            Self::EvacuationOrdered { .. }
+            | Self::EvacuationInForce { .. }
+            | Self::EvacuationLeavesNone { .. }
+            | Self::EvacuationTakenBack { .. }
+            | Self::LeaseTaken { .. }
             | Self::LeaseGivenUp { .. }
             | Self::StoreLost { .. }
             | Self::StoreBack
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -97,6 +97,7 @@
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
+    evacuated: Gauge<u64>,
     holds_lease: Gauge<u64>,
 }
 
@@ -141,6 +142,10 @@
                 "Datagrams to other gateways that could not be sent.",
             ),
             catalog: gauge("valehold_revision", "Configuration in force."),
+            evacuated: gauge(
+                "valehold_evacuated_data_centres",
+                "Data centres whose upstreams get nothing.",
+            ),
             holds_lease: gauge("valehold_holds_lease", "1 at the holder."),
             instruments,
         })
@@ -218,6 +223,12 @@
         self.catalog.record(version, &[]);
     }
 
+    /// Notes in how many data centres upstreams get nothing.
+    pub fn evacuated(&self, data_centres: usize) {
+        let count = u64::try_from(data_centres).unwrap_or(u64::MAX);
+        self.evacuated.record(count, &[]);
+    }
+
     /// Notes whether this gateway holds the lease.
     pub fn holds_lease(&self, holds: bool) {
         self.holds_lease.record(u64::from(holds), &[]);
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 use valehold_core::{
     fleet::{
-        Catalog, EngineHolding, ListingDelta, Variant,
+        Catalog, EngineHolding, Evacuations, ListingDelta, Variant,
         paces::{PaceNews, PaceObservation},
         usage::{Rulings, UsageTotal},
     },
@@ -82,6 +82,16 @@
     Fails,
 }
 
+/// What a gateway knows of orders to empty data centres.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationWord {
+    /// The orders.
+    pub orders: Evacuations,
+    /// In how many ms all of them are in force at the gateway that tells: who
+    /// hears later does not send any longer.
+    pub left_ms: u64,
+}
+
 /// A gateway's word about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -105,6 +115,8 @@
     pub catalog: u64,
     /// The version of its list of upstreams; 0 before the first.
     pub listing: u64,
+    /// What it knows of orders to empty data centres; `None` before it does.
+    pub evacuations: Option<EvacuationWord>,
     /// What it says of the lease.
     pub lease: Option<LeaseWord>,
     /// Whether the platform's store answers it.
@@ -238,6 +250,8 @@
     pub catalog: Newest,
     /// The newest list of upstreams that it hears of, and where it is.
     pub listing: Newest,
+    /// What it knows of orders to empty data centres.
+    pub evacuations: Option<EvacuationWord>,
     /// What is ruled of workspaces' limits; `None` from a hub that has not
     /// heard for long enough to rule.
     pub rulings: Option<Rulings>,
@@ -257,6 +271,8 @@
     pub catalog: Newest,
     /// The newest list of upstreams in the group, and where it is.
     pub listing: Newest,
+    /// What the hub knows of orders to empty data centres.
+    pub evacuations: Option<EvacuationWord>,
     /// The demand that comes to the group; empty but for the holder.
     pub demand: Vec<VariantDemand>,
 }
@@ -331,6 +347,9 @@
     GroupLoads(GroupLoads),
     /// From the foremost observer: a configuration that has just come.
     Catalog(Box<Catalog>),
+    /// From who heard it from the store: orders to empty data centres that
+    /// have just changed.
+    Evacuations(EvacuationWord),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
 }
@@ -385,6 +404,7 @@
             Self::Digest(_) => "digest",
             Self::GroupLoads(_) => "group_loads",
             Self::Catalog(_) => "configuration",
+            Self::Evacuations(_) => "evacuations",
             Self::Relay(_) => "relay",
         }
     }
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -174,6 +174,7 @@
             lease: self.rumours_to_tell(own, now),
             catalog: newer(self.own_catalog(own, now), newest(catalogs)),
             listing: newer(self.own_listing(own, now), newest(listings)),
+            evacuations: own.evacuations.clone(),
             rulings,
         }
     }
@@ -192,6 +193,7 @@
             lease: self.rumours_to_tell(own, now),
             catalog: self.own_catalog(own, now),
             listing: self.own_listing(own, now),
+            evacuations: own.evacuations.clone(),
             demand,
         }
     }
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -1,4 +1,5 @@
-//! Reading a peer's configuration and list of upstreams.
+//! Reading a peer's configuration, orders to empty data centres and list of
+//! upstreams.
 //!
 //! A reader says which versions it has and is given what is newer. Many may
 //! read at once, after all gateways were started: a gateway answers a few at
@@ -20,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use valehold_core::fleet::{Catalog, Listing};
+use valehold_core::fleet::{Catalog, Evacuations, Listing};
 use valehold_ports::{
     PortError,
     http::client::{
@@ -101,6 +102,9 @@
     pub catalog: Option<Catalog>,
     /// The upstreams.
     pub listing: Option<Listing>,
+    /// The orders to empty data centres, whatever the reader has: they are
+    /// few.
+    pub evacuations: Option<Evacuations>,
 }
 
 impl PeerState {
@@ -195,6 +199,7 @@
 struct Written {
     catalog: Option<Arc<Catalog>>,
     listing: Arc<Listing>,
+    evacuations: Option<Evacuations>,
     bytes: Bytes,
 }
 
@@ -230,6 +235,7 @@
             catalog: catalog.filter(|c| c.version > known.catalog).cloned(),
             listing: (view.listing.version > known.listing)
                 .then(|| self.listing()),
+            evacuations: view.evacuations.orders().cloned(),
         };
         state.encode().map(Bytes::from)
     }
@@ -237,20 +243,28 @@
     fn whole(&self) -> Result<Bytes, PortError> {
         let view = self.shared.view.load();
         let (catalog, listing) = (view.catalog.clone(), view.listing.clone());
+        let evacuations = view.evacuations.orders();
         let mut whole = self.whole.borrow_mut();
         if let Some(written) = &*whole
             && written.catalog.as_ref().map(Arc::as_ptr)
                 == catalog.as_ref().map(Arc::as_ptr)
             && Arc::ptr_eq(&written.listing, &listing)
+            && written.evacuations.as_ref() == evacuations
         {
             return Ok(written.bytes.clone());
         }
         let state = PeerState {
             catalog: catalog.as_deref().cloned(),
             listing: (listing.version > 0).then(|| self.listing()),
+            evacuations: evacuations.cloned(),
         };
         let bytes = Bytes::from(state.encode()?);
-        *whole = Some(Written { catalog, listing, bytes: bytes.clone() });
+        *whole = Some(Written {
+            catalog,
+            listing,
+            evacuations: evacuations.cloned(),
+            bytes: bytes.clone(),
+        });
         Ok(bytes)
     }
 
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -13,7 +13,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{able, holders},
+    eligible::{able, holders, staying},
     load_of,
     prompt::Prompt,
 };
@@ -53,10 +53,10 @@
     }
     let prompt = Prompt::of(app, job, variant);
     let home = match app.mechanisms().prefix_affinity {
-        true => prompt.home(&holders),
+        true => prompt.home(&staying(view, holders.clone())),
         false => None,
     };
-    let candidates: Vec<Candidate> = able(app, &holders, variant, tried)
+    let candidates: Vec<Candidate> = able(app, view, &holders, variant, tried)
         .into_iter()
         .map(|upstream| {
             let is_home = home.as_ref() == Some(&upstream.id);
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -1,7 +1,7 @@
 //! Which upstream a request goes to.
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
-//! that bind it and by what was tried. Of these, `process` chooses a process
+//! that bind it, by data centres that are to be empty, and by what was tried. Of these, `process` chooses a process
 //! of a plain service, and `engine` an engine that holds the model; `prompt`
 //! says what of a prompt an engine may have read already.
 
@@ -14,7 +14,7 @@
 
 use valehold_core::{fleet::Upstream, id::UpstreamId};
 
-pub(super) use self::eligible::holders;
+pub(super) use self::eligible::{holders, usable};
 use super::{route::Job, state::App};
 use crate::view::Load;
 
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -11,7 +11,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::inside_bound,
+    eligible::{staying, usable},
     load_of,
 };
 use crate::view::View;
@@ -25,19 +25,22 @@
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
     let topology = &app.shared.topology;
-    let mut able: Vec<(bool, PlainCandidate)> = inside_bound(app, view, job)
-        .filter(|upstream| !tried.contains(&upstream.id))
-        .map(|upstream| {
-            let candidate = PlainCandidate {
-                upstream: upstream.id.clone(),
-                slots: upstream.slots,
-                running: load_of(app, &upstream.id).running,
-                near: topology.distance(&upstream.data_centre)
-                    == Distance::SameDataCentre,
-            };
-            (app.is_suspect(&upstream.id), candidate)
-        })
-        .collect();
+    let untried = usable(app, view, job)
+        .filter(|upstream| !tried.contains(&upstream.id));
+    let mut able: Vec<(bool, PlainCandidate)> =
+        staying(view, untried.collect())
+            .into_iter()
+            .map(|upstream| {
+                let candidate = PlainCandidate {
+                    upstream: upstream.id.clone(),
+                    slots: upstream.slots,
+                    running: load_of(app, &upstream.id).running,
+                    near: topology.distance(&upstream.data_centre)
+                        == Distance::SameDataCentre,
+                };
+                (app.is_suspect(&upstream.id), candidate)
+            })
+            .collect();
     if able.iter().any(|(suspect, _)| !suspect) {
         able.retain(|(suspect, _)| !suspect);
     }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -17,7 +17,7 @@
     Body,
     answer::{self, Relay},
     charge::{Charge, charge},
-    choose::{Chosen, NoChoice, choose},
+    choose::{Chosen, NoChoice, choose, usable},
     record::Record,
     refusal::Refusal,
     route::Job,
@@ -208,8 +208,8 @@
         let variant = self.job.request.variant.as_ref();
         let holds_model = variant.is_some_and(|variant| {
             let model = Variant::plain(variant.model.as_str());
-            let mut of = view.listing.of(&self.job.service_name);
-            of.any(|upstream| upstream.holding.has(&model))
+            let mut usable = usable(&self.app, &view, &self.job);
+            usable.any(|upstream| upstream.holding.has(&model))
         });
         match (view.has_holder, holds_model) {
             (false, _) => NO_HOLDER_COME_BACK_MS,
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -49,6 +49,7 @@
         state: address(number),
         catalog: 3,
         listing: 3,
+        evacuations: None,
         lease: None,
         store: StoreSight::Answers,
         known: Vec::new(),
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 use valehold_core::{
     fleet::{
-        Catalog, Holding, Listing, Upstream, Variant, workspace::KeyDigest,
+        Catalog, EvacuationNews, Holding, Listing, Upstream, Variant,
+        workspace::KeyDigest,
     },
     id::{DataCentreId, InstanceId, ModelName, UpstreamId, WorkspaceId},
     lease::{LeaseRow, VersionedLease},
@@ -16,20 +17,18 @@
 
 use super::Answer;
 
-/// What a watch on the configuration gave.
+/// What a read of what operators wrote, or a watch on it, gave.
 #[derive(Debug, Clone)]
 pub enum CatalogNews {
-    /// Nothing changed; go on from this version of the store.
-    Nothing {
-        /// The store's version.
+    /// What they wrote: all of it, or what changed.
+    Heard {
+        /// The store's version from which to go on.
         version: u64,
-    },
-    /// A configuration was accepted.
-    Accepted {
-        /// The store's version.
-        version: u64,
-        /// The configuration.
-        catalog: Box<Catalog>,
+        /// The configuration, if there is a newer one.
+        catalog: Option<Box<Catalog>>,
+        /// Orders to empty data centres: all after a read, changes after a
+        /// watch.
+        evacuations: EvacuationNews,
     },
     /// The store forgot its history: read anew.
     HistoryGone,
@@ -118,11 +117,13 @@
 
 /// The store of a platform.
 pub trait FleetStore: Send + Sync {
-    /// Reads the newest configuration, with the store's version.
+    /// Reads the newest configuration and all orders to empty data centres,
+    /// with the store's version.
     fn read_catalog(&self) -> Answer<'_, CatalogNews>;
 
-    /// Waits for a configuration after a version of the store. It lasts no
-    /// longer than the span's patience.
+    /// Waits for a configuration, or an order to empty a data centre or its
+    /// end, after a version of the store. It lasts no longer than the span's
+    /// patience.
     fn await_catalog(
         &self,
         after: u64,
