--- a/crates/valehold-core/src/fleet/tests/evacuation.rs
+++ b/crates/valehold-core/src/fleet/tests/evacuation.rs
@@ -1,13 +1,16 @@
 //! Orders to empty data centres, by version and in time.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use googletest::prelude::*;
 use proptest::prelude::*;
 
 use crate::{
-    fleet::{EvacuationChange, EvacuationView, Evacuations},
-    id::DataCentreId,
+    fleet::{
+        EvacuationChange, EvacuationView, Evacuations, Holding, Listing,
+        Upstream, evacuation::left_without, topology::Topology,
+    },
+    id::{DataCentreId, RegionId, ServiceName, UpstreamId},
     time::Millis,
 };
 
@@ -93,6 +96,46 @@
     expect_that!(known.after(mixed), eq(&orders(21, &["north", "south"])));
 }
 
+fn listing(upstreams: &[(&str, &str)]) -> Listing {
+    let upstreams = upstreams.iter().enumerate().map(|(index, one)| {
+        let (service, data_centre) = *one;
+        let upstream = Upstream {
+            id: UpstreamId::new(format!("u{index}")),
+            service: ServiceName::new(service),
+            address: ([10, 0, 0, 1], 80).into(),
+            data_centre: dc(data_centre),
+            slots: 4,
+            leaving: false,
+            cold_for_ms: 0,
+            birth: None,
+            holding: Holding::default(),
+        };
+        (upstream.id.clone(), Arc::new(upstream))
+    });
+    Listing { version: 1, upstreams: upstreams.collect() }
+}
+
+/// Requests may be bound to a region, so each is looked at by itself.
+#[gtest]
+fn services_without_an_upstream_left_are_named() {
+    let listing =
+        listing(&[("s", "a1"), ("s", "a2"), ("s", "b1"), ("t", "a1")]);
+    let empty = BTreeSet::from([dc("a1"), dc("a2")]);
+    let without = |topology| left_without(&listing, &empty, &topology);
+    let unknown = Topology::new(dc("a1"), [].into());
+    let place = |service: &str, region: Option<&str>| {
+        (ServiceName::new(service), region.map(RegionId::new))
+    };
+    expect_that!(without(unknown), elements_are![eq(&place("t", None))]);
+    let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let regions = regions.map(|(name, of)| (dc(name), RegionId::new(of)));
+    let declared = Topology::new(dc("a1"), regions.into());
+    expect_that!(
+        without(declared),
+        elements_are![eq(&place("s", Some("a"))), eq(&place("t", Some("a")))]
+    );
+}
+
 proptest! {
     /// Gateways read the store whole or follow its changes, and tell one
     /// another what they know, late and in any order: all end with what the
@@ -108,7 +151,7 @@
         let as_of = |version: u64| {
             let mut set = orders(version, &[]);
             for (index, (which, is_ordered)) in history.iter().enumerate() {
-                if index as u64 + 1 <= version {
+                if (index as u64) < version {
                     let name = dc(names[*which]);
                     match is_ordered {
                         true => set.data_centres.insert(name),
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -3,7 +3,10 @@
 use googletest::prelude::*;
 use valehold_core::{
     Verdict,
-    id::{DataCentreId, InstanceId, ServiceName, UpstreamId, WorkspaceId},
+    id::{
+        DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
+        WorkspaceId,
+    },
     reason::RefusalReason,
 };
 use valehold_gateway::events::{
@@ -39,6 +42,23 @@
             before: 3,
             source: CatalogSource::Push,
         },
+        Event::EvacuationOrdered {
+            data_centre: DataCentreId::new("north"),
+            version: 8,
+            left_ms: 750,
+            is_declared: true,
+            source: CatalogSource::Store,
+        },
+        Event::EvacuationInForce { data_centre: DataCentreId::new("north") },
+        Event::EvacuationLeavesNone {
+            service: ServiceName::new("engines"),
+            region: Some(RegionId::new("coast")),
+        },
+        Event::EvacuationTakenBack {
+            data_centre: DataCentreId::new("north"),
+            version: 9,
+            source: CatalogSource::Peer,
+        },
         Event::LeaseTaken { epoch: 3 },
         Event::LeaseGivenUp { epoch: 3 },
         Event::OrderEnded {
