--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod bound;
 mod catalog;
+mod evacuation;
 mod event;
 mod health;
 mod known;
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -11,7 +11,9 @@
 use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use valehold_core::id::{DataCentreId, InstanceId, UpstreamId, WorkspaceId};
+use valehold_core::id::{
+    DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId, WorkspaceId,
+};
 
 pub use self::request::{
     BoundRecord, RequestCourse, RequestEnd, RequestEnded, RequestOutcome,
@@ -66,6 +68,14 @@
     ConfigurationInForce = "configuration_in_force",
     /// Routes and workspaces of a configuration have no region in common.
     EmptyBounds = "empty_bounds",
+    /// An order to empty a data centre was heard of.
+    EvacuationOrdered = "evacuation_ordered",
+    /// A data centre's upstreams get nothing any more.
+    EvacuationInForce = "evacuation_in_force",
+    /// Orders to empty data centres leave a service without an upstream.
+    EvacuationLeavesNone = "evacuation_leaves_none",
+    /// An order to empty a data centre was taken back.
+    EvacuationTakenBack = "evacuation_taken_back",
     /// This gateway took the lease.
     LeaseTaken = "lease_taken",
     /// This gateway gave the lease up.
@@ -78,7 +88,7 @@
     RequestEnded = "request_ended",
 }
 
-/// Who gave a gateway a configuration.
+/// Who gave a gateway a configuration or an order to empty a data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CatalogSource {
@@ -171,6 +181,40 @@
         /// The first of them.
         pairs: Vec<EmptyBoundPair>,
     },
+    /// An order to empty a data centre was heard of.
+    EvacuationOrdered {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The store's version.
+        version: u64,
+        /// In how many ms it comes into force here.
+        left_ms: u64,
+        /// Whether the settings name the data centre.
+        is_declared: bool,
+        /// Who gave it.
+        source: CatalogSource,
+    },
+    /// A data centre's upstreams get nothing any more.
+    EvacuationInForce {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
+    /// Orders to empty data centres leave a service without an upstream.
+    EvacuationLeavesNone {
+        /// The service.
+        service: ServiceName,
+        /// The region in which it has none, if regions are declared.
+        region: Option<RegionId>,
+    },
+    /// An order to empty a data centre was taken back.
+    EvacuationTakenBack {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The store's version.
+        version: u64,
+        /// Who said so.
+        source: CatalogSource,
+    },
     /// This gateway took the lease.
     LeaseTaken {
         /// The lease's epoch.
@@ -220,6 +264,12 @@
                 EventKind::ConfigurationInForce
             }
             Self::EmptyBounds { .. } => EventKind::EmptyBounds,
+            Self::EvacuationOrdered { .. } => EventKind::EvacuationOrdered,
+            Self::EvacuationInForce { .. } => EventKind::EvacuationInForce,
+            Self::EvacuationLeavesNone { .. } => {
+                EventKind::EvacuationLeavesNone
+            }
+            Self::EvacuationTakenBack { .. } => EventKind::EvacuationTakenBack,
             Self::LeaseTaken { .. } => EventKind::LeaseTaken,
             Self::LeaseGivenUp { .. } => EventKind::LeaseGivenUp,
             Self::OrderEnded { .. } => EventKind::OrderEnded,
@@ -235,9 +285,9 @@
     pub fn level(&self) -> log::Level {
         match self {
             Self::RequestEnded(ended) => ended.level(),
-            Self::SettingsKept { .. } | Self::EmptyBounds { .. } => {
-                log::Level::Warn
-            }
+            Self::SettingsKept { .. }
+            | Self::EmptyBounds { .. }
+            | Self::EvacuationLeavesNone { .. } => log::Level::Warn,
             Self::UpstreamUnreachable { .. } | Self::PeerFound { .. } => {
                 log::Level::Debug
             }
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -1,4 +1,8 @@
 //! Which upstreams may get a request at all.
+//!
+//! Those outside the regions that bind it never do, and those in a data centre
+//! that is to be empty none from a moment after this gateway heard so. Until
+//! then they get what no other upstream can take.
 
 use std::{borrow::Cow, sync::Arc};
 
@@ -40,7 +44,9 @@
 ) -> usize {
     let everywhere = view.listing.of(&job.service_name);
     let holding = everywhere.filter(|upstream| holds(job, upstream)).count();
-    holding.saturating_sub(holders(app, view, job).count())
+    let inside = inside_bound(app, view, job);
+    let allowed = inside.filter(|upstream| holds(job, upstream)).count();
+    holding.saturating_sub(allowed)
 }
 
 /// Tells whether all upstreams of a request's service are outside the regions
@@ -52,7 +58,7 @@
 
 /// Returns the upstreams of a request's service inside the regions that bind
 /// it.
-pub(in super::super) fn inside_bound<'a>(
+fn inside_bound<'a>(
     app: &'a App,
     view: &'a View,
     job: &'a Job,
@@ -64,13 +70,40 @@
     })
 }
 
+/// Returns those of them that stand outside data centres that are empty.
+pub(in super::super) fn usable<'a>(
+    app: &'a App,
+    view: &'a View,
+    job: &'a Job,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    let now = app.now();
+    inside_bound(app, view, job).filter(move |upstream| {
+        !view.evacuations.is_empty(&upstream.data_centre, now)
+    })
+}
+
+/// Leaves out upstreams in data centres that are to be empty, where there are
+/// others.
+pub(super) fn staying<'a>(
+    view: &View,
+    upstreams: Vec<&'a Arc<Upstream>>,
+) -> Vec<&'a Arc<Upstream>> {
+    if !view.evacuations.is_any() {
+        return upstreams;
+    }
+    let (emptying, staying): (Vec<_>, Vec<_>) = upstreams
+        .into_iter()
+        .partition(|one| view.evacuations.is_emptying(&one.data_centre));
+    if staying.is_empty() { emptying } else { staying }
+}
+
 /// Returns those that hold what a request asks for.
 pub(in super::super) fn holders<'a>(
     app: &'a App,
     view: &'a View,
     job: &'a Job,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
-    inside_bound(app, view, job).filter(move |upstream| holds(job, upstream))
+    usable(app, view, job).filter(move |upstream| holds(job, upstream))
 }
 
 /// Tells whether an upstream holds what a request asks for.
@@ -80,9 +113,11 @@
 }
 
 /// Returns the holders that were not tried; those that turned the variant
-/// away lately only where no other one is left.
+/// away lately only where no other one is left, and of these such in data
+/// centres that are to be empty likewise.
 pub(super) fn able<'a>(
     app: &App,
+    view: &View,
     holders: &[&'a Arc<Upstream>],
     variant: &Variant,
     tried: &[UpstreamId],
@@ -90,5 +125,5 @@
     let untried = holders.iter().filter(|h| !tried.contains(&h.id)).copied();
     let (noted, able): (Vec<_>, Vec<_>) =
         untried.partition(|holder| app.turned_away(&holder.id, variant));
-    if able.is_empty() { noted } else { able }
+    staying(view, if able.is_empty() { noted } else { able })
 }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -18,8 +18,7 @@
     answer::{self, Relay},
     charge::{Charge, charge},
     choose::{
-        Chosen, NoChoice, able_elsewhere, bound_now, choose, holders,
-        inside_bound,
+        Chosen, NoChoice, able_elsewhere, bound_now, choose, holders, usable,
     },
     record::Record,
     refusal::Refusal,
@@ -256,8 +255,8 @@
         let variant = self.job.request.variant.as_ref();
         let holds_model = variant.is_some_and(|variant| {
             let model = Variant::plain(variant.model.as_str());
-            let mut inside = inside_bound(&self.app, &view, &self.job);
-            inside.any(|upstream| upstream.holding.has(&model))
+            let mut usable = usable(&self.app, &view, &self.job);
+            usable.any(|upstream| upstream.holding.has(&model))
         });
         match (view.has_holder, holds_model) {
             (false, _) => NO_HOLDER_COME_BACK_MS,
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -51,6 +51,23 @@
                 workspace: WorkspaceId::new("north"),
             }],
         },
+        Event::EvacuationOrdered {
+            data_centre: DataCentreId::new("north"),
+            version: 8,
+            left_ms: 750,
+            is_declared: true,
+            source: CatalogSource::Store,
+        },
+        Event::EvacuationInForce { data_centre: DataCentreId::new("north") },
+        Event::EvacuationLeavesNone {
+            service: ServiceName::new("engines"),
+            region: Some(RegionId::new("coast")),
+        },
+        Event::EvacuationTakenBack {
+            data_centre: DataCentreId::new("north"),
+            version: 9,
+            source: CatalogSource::Peer,
+        },
         Event::LeaseTaken { epoch: 3 },
         Event::LeaseGivenUp { epoch: 3 },
         Event::OrderEnded {
