Placement by bound: a model that bound requests use is held inside the bound

Cause: demand was told by variant alone, and a model counted as reachable wherever one engine held it.

Ruled out: to hold each model inside each configured bound (148 places of the 120 that there are). Separate demand for each bound (twice the replicas where demand that may be served anywhere can use the same engines).

Change: a model has a claim to an engine anywhere and one inside each bound under which it was asked for in the last two minutes; an unload never takes the last replica of any; where a bound is full of models that nobody else holds, one is loaded outside of it first.

Tests: replicas_in_bounds (properties: no model is left unreachable inside a bound while an engine there has memory, never the last replica, memory, coming back, coming to rest), asked. roster's test of demand now holds two bounds; format's wish carries one: as strict as before.

--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's decisions.
 
 mod adapters;
+mod asked;
 mod catalog;
 mod event;
 mod health;
@@ -10,6 +11,7 @@
 mod paces;
 mod peaks;
 mod replicas;
+mod replicas_in_bounds;
 mod share;
 mod slot_time;
 mod turned_away;
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -42,7 +42,7 @@
 };
 use valehold_core::{
     Millis,
-    fleet::{Catalog, KnownUpstreams, Variant, lapsed::StorePresence},
+    fleet::{Asked, Catalog, KnownUpstreams, lapsed::StorePresence},
     id::InstanceId,
 };
 use valehold_ports::port::fleet::{FleetEngines, FleetStore};
@@ -101,7 +101,7 @@
     /// Where peers read state.
     pub state: TcpListener,
     /// Wishes of requests that wait.
-    pub wishes: mpsc::Receiver<Variant>,
+    pub wishes: mpsc::Receiver<Asked>,
     /// Whether this gateway was told to stop.
     pub stop: watch::Receiver<bool>,
     /// The newest seeds.
@@ -191,6 +191,7 @@
             authority,
             settings.loads.window_s,
             settings.mechanisms,
+            shared.topology.clone(),
         );
         let now = shared.clock.now();
         let known = &settings.peers.seeds;
@@ -243,7 +244,7 @@
     async fn follow(
         mut self,
         mut taken: mpsc::UnboundedReceiver<Input>,
-        mut wishes: mpsc::Receiver<Variant>,
+        mut wishes: mpsc::Receiver<Asked>,
         mut stop: watch::Receiver<bool>,
         mut new_seeds: watch::Receiver<Vec<SocketAddr>>,
     ) {
@@ -347,7 +348,7 @@
     /// Adds up what all gateways are asked for and have under way.
     fn sum_up(&self, now: Millis) -> Sums {
         let own = self.demand.list(&self.shared.running());
-        let demand = self.roster.sum_demand(own, now);
+        let demand = self.roster.sum_demand(&own, now);
         let mut loads = self.roster.loads(&self.told_loads, now);
         for (id, load) in self.shared.loads().iter() {
             let sum: &mut Load = loads.entry(id.tag()).or_default();
@@ -408,13 +409,13 @@
         }
     }
 
-    fn wish(&mut self, variant: Variant) {
+    fn wish(&mut self, asked: Asked) {
         let now = self.now();
         if self.lease.borrow().held_epoch(now).is_some() {
-            self.placer.wished(variant, now);
+            self.placer.wished(asked, now);
             self.place(now);
         } else if let Some(holder) = self.roster.holder(now) {
-            self.send([holder], &Message::Wish(variant));
+            self.send([holder], &Message::Wish(asked));
         }
     }
 
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -12,7 +12,7 @@
 
 /// Returns the upstreams of a request's service inside the regions that bind
 /// it.
-pub(super) fn inside_bound<'a>(
+pub(in super::super) fn inside_bound<'a>(
     app: &'a App,
     view: &'a View,
     job: &'a Job,
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -14,7 +14,7 @@
 
 use valehold_core::{fleet::Upstream, id::UpstreamId};
 
-pub(super) use self::eligible::holders;
+pub(super) use self::eligible::{holders, inside_bound};
 use super::{route::Job, state::App};
 use crate::view::Load;
 
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -17,7 +17,7 @@
     Body,
     answer::{self, Relay},
     charge::{Charge, charge},
-    choose::{Chosen, NoChoice, choose},
+    choose::{Chosen, NoChoice, choose, inside_bound},
     record::Record,
     refusal::Refusal,
     route::Job,
@@ -126,7 +126,7 @@
 
 /// Tells control which work a request makes.
 fn note_work(app: &App, job: &Job) {
-    let Some(variant) = &job.request.variant else { return };
+    let Some(asked) = job.asked() else { return };
     #[allow(clippy::cast_precision_loss)]
     let tokens = |count: u64| count as f64;
     let parts = &job.request.parts;
@@ -136,7 +136,7 @@
     let busy_ms = read * PROMPT_TOKEN_MS
         + tokens(job.request.output_tokens) * OUTPUT_TOKEN_MS;
     let mut work = app.shared.work();
-    let work = work.entry(variant.clone()).or_default();
+    let work = work.entry(asked).or_default();
     *work = Work {
         requests: work.requests + 1.0,
         busy_ms: work.busy_ms + busy_ms,
@@ -208,8 +208,8 @@
         let variant = self.job.request.variant.as_ref();
         let holds_model = variant.is_some_and(|variant| {
             let model = Variant::plain(variant.model.as_str());
-            let mut of = view.listing.of(&self.job.service_name);
-            of.any(|upstream| upstream.holding.has(&model))
+            let mut inside = inside_bound(&self.app, &view, &self.job);
+            inside.any(|upstream| upstream.holding.has(&model))
         });
         match (view.has_holder, holds_model) {
             (false, _) => NO_HOLDER_COME_BACK_MS,
@@ -219,10 +219,11 @@
     }
 
     fn wish(&self, looks: u32) {
-        let variant: Option<&Variant> = self.job.request.variant.as_ref();
-        let is_due = looks.is_multiple_of(WISH_EVERY);
-        if let (Some(variant), true) = (variant, is_due) {
-            self.app.shared.wish(variant);
+        if !looks.is_multiple_of(WISH_EVERY) {
+            return;
+        }
+        if let Some(asked) = self.job.asked() {
+            self.app.shared.wish(&asked);
         }
     }
 
@@ -471,8 +472,8 @@
     order: &mut EventOrder,
 ) -> Result<Passable, SendFailure> {
     let upstream = &chosen.upstream;
-    let variant = job.request.variant.as_ref();
-    let under_way = app.under_way(&upstream.id, variant, chosen.read_tokens);
+    let asked = job.asked();
+    let under_way = app.under_way(&upstream.id, asked, chosen.read_tokens);
     let begun = send(app, job, upstream, order.last()).await?;
     let head = begun.head.clone();
     if !(job.route.streaming && head.status.is_success()) {
