State is read in the own data centre, else in the own region

Cause: a gateway that is behind reads a gateway of its data centre first, and where none serves there the one that is named as the newest, wherever it is. Change: the nearest that serves by the topology, up to the own region. Where no regions are declared nothing changes. Ruled out: hubs by region; groups stay data centres. Test: near_state for each distance, with and without declared regions.

--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -147,7 +147,7 @@
     /// Reads the state of a gateway nearby first: where many are behind at
     /// once, few can read from the one that is named as the newest.
     fn read_state(&mut self, newest: SocketAddr, known: StateVersions) {
-        let near = self.roster.near_state();
+        let near = self.roster.near_state(&self.shared.topology);
         let is_first = self.behind.reads.is_multiple_of(2);
         let peer = match near {
             Some(near) if is_first && self.roster.has_hubs() => near,
--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -26,6 +26,7 @@
 use rand::seq::IteratorRandom;
 use valehold_core::{
     Millis,
+    fleet::topology::{Distance, Topology},
     id::{DataCentreId, InstanceId},
 };
 
@@ -326,13 +327,25 @@
         ready.collect()
     }
 
-    /// Returns where some other gateway of this data centre that serves can
-    /// be read, if hubs tell of one.
-    pub fn near_state(&self) -> Option<SocketAddr> {
-        let own = &self.own.data_centre;
+    /// Returns where some other gateway nearby that serves can be read, if
+    /// hubs tell of one: of this data centre, else of its region.
+    ///
+    /// Where no regions are declared, gateways of other data centres are not
+    /// taken for near.
+    pub fn near_state(&self, topology: &Topology) -> Option<SocketAddr> {
+        let farthest = match topology.own_region() {
+            Some(_) => Distance::SameRegion,
+            None => Distance::SameDataCentre,
+        };
+        let distance_to =
+            |member: &Member| topology.distance(&member.data_centre);
         let others = self.standing.serving_others();
-        let near = others.filter(|(_, member)| member.data_centre == *own);
-        let (address, _) = near.choose(&mut rand::rng())?;
+        let near =
+            others.filter(|(_, member)| distance_to(member) <= farthest);
+        let least =
+            near.clone().map(|(_, member)| distance_to(member)).min()?;
+        let nearest = near.filter(|(_, member)| distance_to(member) == least);
+        let (address, _) = nearest.choose(&mut rand::rng())?;
         Some(SocketAddr::new(address.ip(), self.own.state.port()))
     }
 
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use valehold_core::{
     Millis,
-    fleet::Variant,
-    id::{DataCentreId, InstanceId, UpstreamId, UpstreamTag},
+    fleet::{Variant, topology::Topology},
+    id::{DataCentreId, InstanceId, RegionId, UpstreamId, UpstreamTag},
 };
 use valehold_gateway::{
     peers::{
@@ -588,3 +588,37 @@
     let again = read_at(&alone, 3, Some(address(2)));
     expect_that!(again, some(eq(address(2))));
 }
+
+/// Reads of state between regions cost bytes and time that those within one
+/// do not.
+#[gtest]
+fn state_is_read_in_the_own_data_centre_and_else_in_the_own_region() {
+    let now = Millis::new(500);
+    let regions = [("n1", "north"), ("n2", "north"), ("s1", "south")];
+    let regions = regions.map(|(data_centre, region)| {
+        (DataCentreId::new(data_centre), RegionId::new(region))
+    });
+    let topology = Topology::new(DataCentreId::new("n1"), regions.into());
+    let read_at = |data_centres: &[&str], topology: &Topology| {
+        let mut roster = roster_in("n1", 1);
+        for (data_centre, other) in data_centres.iter().zip(2..) {
+            let mut heartbeat = heartbeat(other, 1);
+            heartbeat.data_centre = DataCentreId::new(*data_centre);
+            roster.heard(address(other), heartbeat, now);
+        }
+        roster.work_out(own_word(1), now);
+        roster.near_state(topology)
+    };
+    for _ in 0..20 {
+        let near = read_at(&["s1", "n2", "n1"], &topology);
+        expect_that!(near, some(eq(address(4))));
+        let near = read_at(&["s1", "n2"], &topology);
+        expect_that!(near, some(eq(address(3))));
+    }
+    expect_that!(read_at(&["s1"], &topology), none());
+    let undeclared =
+        Topology::new(DataCentreId::new("n1"), Default::default());
+    expect_that!(read_at(&["s1", "n2"], &undeclared), none());
+    let near = read_at(&["s1", "n1"], &undeclared);
+    expect_that!(near, some(eq(address(3))));
+}
