The way to each data centre is learned, and the price of bytes counts beside it

Cause: the choice of engines counted any other data centre as 4 ms (FAR_MS), that of processes as 0.2 requests for each slot (FAR). Change: fleet/ways learns how long connections to each data centre take, less that within the own, with [distance] as the first guess; the price of bytes is a setting in ms that counts in the choice and not in the prediction. Processes of plain services cost their way in requests that would wait as long, at most 0.8 for each slot, so that a free slot anywhere goes before a wait nearby. Ruled out: the price of bytes inside the predicted time (admission would refuse for it).

--- a/crates/valehold-core/src/fleet/choice.rs
+++ b/crates/valehold-core/src/fleet/choice.rs
@@ -3,7 +3,7 @@
 //! Engines are chosen by [`crate::routing`], which predicts when an answer
 //! begins. Plain services say nothing of their load, so the one with the
 //! fewest requests for each of its slots is taken, as far as this instance
-//! and its peers know, and among equals the nearer one.
+//! and its peers know, and among equals the nearer one: the way counts as requests that wait.
 
 use crate::id::UpstreamId;
 
@@ -16,8 +16,8 @@
     pub slots: u32,
     /// Requests that instances have sent and that are not answered.
     pub running: u32,
-    /// Whether it stands in this instance's data centre.
-    pub near: bool,
+    /// What the way to it costs, in ms.
+    pub way_ms: f64,
 }
 
 /// Chooses a plain upstream, or `None` without candidates.
@@ -42,12 +42,16 @@
 /// Costs that differ by less are taken for equal.
 const TIE: f64 = 0.01;
 
-/// What a way to another data centre costs, in requests for each slot.
-const FAR: f64 = 0.2;
+/// What a ms of the way to an upstream costs, in requests for each slot: a
+/// request beyond the slots waits for another one, some 20 ms long.
+const LOAD_OF_MS: f64 = 0.05;
+
+/// The most that a way costs, in requests for each slot: where hardly a slot
+/// is free nearby, one that is free anywhere is the better one.
+const MOST_WAY: f64 = 0.8;
 
 fn cost(candidate: &PlainCandidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let load = f64::from(candidate.running + 1) / slots;
-    let far = if candidate.near { 0.0 } else { FAR };
-    load + far
+    load + (candidate.way_ms * LOAD_OF_MS).min(MOST_WAY)
 }
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod topology;
 pub mod turned_away;
 pub mod usage;
+pub mod ways;
 pub mod window;
 pub mod workspace;
 
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod bound;
 mod catalog;
+mod choice;
 mod evacuation;
 mod event;
 mod health;
@@ -17,4 +18,5 @@
 mod topology;
 mod turned_away;
 mod usage;
+mod ways;
 mod workspace;
--- a/crates/valehold-core/src/routing.rs
+++ b/crates/valehold-core/src/routing.rs
@@ -76,6 +76,9 @@
     /// What a further connection to it costs beside its time, in ms; 0 if one
     /// rests.
     pub connection_ms: f64,
+    /// What the bytes of this request and its answer cost on the way, as the
+    /// time that a caller may as well wait, in ms.
+    pub bytes_ms: f64,
     /// Whether it missed its last reports.
     pub suspect: bool,
     /// How many requests it decodes at once.
@@ -120,6 +123,10 @@
     /// What a further connection costs beside its time; it counts in the
     /// choice and not in what is predicted.
     pub connection_ms: f64,
+    /// What bytes on the way cost, as time; it counts in the choice and not in
+    /// what is predicted.
+    #[serde(default)]
+    pub bytes_ms: f64,
     /// Whether the engine missed its last reports.
     pub suspect: bool,
     /// The chance with which it was drawn, from 0 to 1.
@@ -129,7 +136,7 @@
 impl Prediction {
     /// Returns what counts in the choice, in ms.
     pub fn cost_ms(&self) -> f64 {
-        self.total_ms + self.harm_ms + self.connection_ms
+        self.total_ms + self.harm_ms + self.connection_ms + self.bytes_ms
     }
 }
 
@@ -191,6 +198,7 @@
         total_ms: distance_ms + queue_ms + slot_ms + prompt_ms,
         harm_ms: harm_ms(candidate, queue_ms + prompt_ms),
         connection_ms: candidate.connection_ms,
+        bytes_ms: candidate.bytes_ms,
         suspect: candidate.suspect,
         chance: 0.0,
     }
--- a/crates/valehold-core/src/routing/tests.rs
+++ b/crates/valehold-core/src/routing/tests.rs
@@ -19,10 +19,27 @@
         service_ms: 400.0,
         report_age_ms: 0,
         cached_tokens: 0,
+        bytes_ms: 0.0,
         pause_within_ms: None,
     }
 }
 
+/// Bytes between data centres have a price, and delay nobody.
+#[gtest]
+fn the_price_of_bytes_counts_in_the_choice_alone() {
+    let near = Candidate { waiting_tokens: 50, ..candidate("a") };
+    let far = Candidate { bytes_ms: 1_000.0, ..candidate("b") };
+    let choice =
+        choose(&[near, far.clone()], 100, 0.0, &RoutingSettings::default())
+            .expect("an engine");
+    expect_that!(choice.engine, eq(&UpstreamId::new("a")));
+    let of_far = predict(&far, 100, &RoutingSettings::default());
+    let free = Candidate { bytes_ms: 0.0, ..far };
+    let of_free = predict(&free, 100, &RoutingSettings::default());
+    expect_that!(of_far.total_ms, eq(of_free.total_ms));
+    expect_that!(of_far.cost_ms(), eq(of_free.cost_ms() + 1_000.0));
+}
+
 #[gtest]
 fn each_term_is_its_own() {
     let settings = RoutingSettings::default();
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -5,7 +5,9 @@
 use serde::Deserialize;
 use valehold_core::{
     admission::AdmissionSettings,
-    fleet::{share::RetryBudget, usage::LimitSettings},
+    fleet::{
+        share::RetryBudget, usage::LimitSettings, ways::DistanceSettings,
+    },
     id::{DataCentreId, InstanceId, RegionId},
     routing::RoutingSettings,
 };
@@ -45,6 +47,9 @@
     /// Emptying data centres.
     #[serde(default)]
     pub evacuation: EvacuationSettings,
+    /// What distances cost, until more is known.
+    #[serde(default)]
+    pub distance: DistanceSettings,
     /// How engines are chosen.
     #[serde(default)]
     pub routing: RoutingSettings,
@@ -245,6 +250,9 @@
         {
             return Some("regions names data_centre");
         }
+        if !self.distance.are_valid() {
+            return Some("distance has no time below 0");
+        }
         if self.cold.overshoot < 0.0 || self.cold.slack < 0.0 {
             return Some("cold.overshoot and cold.slack are 0 or above");
         }
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -5,7 +5,7 @@
 use valehold_core::{
     admission,
     config::MAX_PRIORITY,
-    fleet::{Upstream, Variant, catalog::EngineSpec, topology::Distance},
+    fleet::{Upstream, Variant, catalog::EngineSpec},
     id::UpstreamId,
     routing::{self, Candidate},
 };
@@ -27,10 +27,6 @@
 /// How old peers' word of their load is taken to be, in ms.
 const LOAD_AGE_MS: u64 = 200;
 
-/// What the way to another data centre is taken to cost, in ms: its delay,
-/// and the price of the bytes.
-const FAR_MS: f64 = 4.0;
-
 /// By how much an engine's running requests delay a new one, in ms each.
 const RUNNING_MS: f64 = 1.0;
 
@@ -128,9 +124,7 @@
         false => 0,
     };
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
-    let distance = app.shared.topology.distance(&upstream.data_centre);
-    let is_far = distance != Distance::SameDataCentre;
-    let way_ms = if is_far { FAR_MS } else { 0.0 };
+    let way = app.way_to(&upstream.data_centre);
     let connection_ms = match app.pool.has_resting(&upstream.id) {
         true => 0.0,
         false => app.shared.settings.routing.connection_ms,
@@ -141,7 +135,9 @@
     let each_ms = RUNNING_MS + read_ms(read_tokens) * DELAYED_PART;
     Candidate {
         engine: upstream.id.clone(),
-        distance_ms: (way_ms + f64::from(load.running) * each_ms) / 2.0,
+        distance_ms: (way.round_trip_ms + f64::from(load.running) * each_ms)
+            / 2.0,
+        bytes_ms: way.bytes_ms,
         connection_ms,
         suspect: app.is_suspect(&upstream.id),
         slots: spec.slots,
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -1,9 +1,10 @@
 //! Which upstream a request goes to.
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
-//! that bind it, by data centres that are to be empty, and by what was tried. Of these, `process` chooses a process
-//! of a plain service, and `engine` an engine that holds the model; `prompt`
-//! says what of a prompt an engine may have read already.
+//! that bind it, by data centres that are to be empty, and by what was tried.
+//! Of these, `process` chooses a process of a plain service, and `engine` an
+//! engine that holds the model; `prompt` says what of a prompt an engine may
+//! have read already.
 
 mod eligible;
 mod engine;
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -1,10 +1,7 @@
 //! Which process of a plain service a request goes to.
 
 use valehold_core::{
-    fleet::{
-        choice::{PlainCandidate, choose_plain},
-        topology::Distance,
-    },
+    fleet::choice::{PlainCandidate, choose_plain},
     id::UpstreamId,
 };
 
@@ -24,7 +21,6 @@
     job: &Job,
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
-    let topology = &app.shared.topology;
     let untried = usable(app, view, job)
         .filter(|upstream| !tried.contains(&upstream.id));
     let mut able: Vec<(bool, PlainCandidate)> =
@@ -35,8 +31,7 @@
                     upstream: upstream.id.clone(),
                     slots: upstream.slots,
                     running: load_of(app, &upstream.id).running,
-                    near: topology.distance(&upstream.data_centre)
-                        == Distance::SameDataCentre,
+                    way_ms: app.way_to(&upstream.data_centre).cost_ms(),
                 };
                 (app.is_suspect(&upstream.id), candidate)
             })
--- a/crates/valehold-gateway/src/traffic/pool.rs
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -33,7 +33,8 @@
 /// A connection that can take one request at a time.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
-    pub(super) is_new: bool,
+    /// How long it took to be made, if it was made just now.
+    pub(super) made_in: Option<Duration>,
 }
 
 struct Resting {
@@ -59,10 +60,10 @@
         address: SocketAddr,
     ) -> std::io::Result<Connection> {
         if let Some(sender) = self.take_resting(upstream) {
-            return Ok(Connection { sender, is_new: false });
+            return Ok(Connection { sender, made_in: None });
         }
-        let sender = connect(address).await?;
-        Ok(Connection { sender, is_new: true })
+        let (sender, made_in) = connect(address).await?;
+        Ok(Connection { sender, made_in: Some(made_in) })
     }
 
     fn take_resting(
@@ -120,13 +121,16 @@
     }
 }
 
+/// Connects, and says how long the upstream took to accept it.
 async fn connect(
     address: SocketAddr,
-) -> std::io::Result<SendRequest<Full<Bytes>>> {
+) -> std::io::Result<(SendRequest<Full<Bytes>>, Duration)> {
+    let began = Instant::now();
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT, connecting)
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    let made_in = began.elapsed();
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(SILENCE))?;
@@ -144,5 +148,5 @@
             log::debug!("a connection to an upstream ended: {error}");
         }
     });
-    Ok(sender)
+    Ok((sender, made_in))
 }
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -128,12 +128,17 @@
             app.judge(&upstream.id, |health, now| health.unreachable(now));
             SendFailure::not_sent()
         })?;
+        if let Some(made_in) = connection.made_in {
+            app.note_connected(&upstream.data_centre, made_in);
+        }
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => return begun(app, job, answer, connection.sender),
             Err(mut error) => match error.take_message() {
                 // It was never written: the connection was closed already.
-                Some(unsent) if !connection.is_new => request = unsent,
+                Some(unsent) if connection.made_in.is_none() => {
+                    request = unsent
+                }
                 Some(_) => return Err(SendFailure::not_sent()),
                 None => {
                     log::debug!(
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -4,6 +4,7 @@
     cell::{RefCell, RefMut},
     collections::BTreeMap,
     sync::Arc,
+    time::Duration,
 };
 
 use valehold_core::{
@@ -16,8 +17,9 @@
         share::RetryShare,
         slot_time::SlotTimes,
         turned_away::{TurnedAway, TurnedAwayMemory},
+        ways::{Way, Ways},
     },
-    id::{ModelName, ServiceName, UpstreamId},
+    id::{DataCentreId, ModelName, ServiceName, UpstreamId},
     prefix::PrefixHints,
 };
 use valehold_ports::port::fleet::Dialect;
@@ -48,6 +50,7 @@
     hints: RefCell<PrefixHints>,
     turned_away: RefCell<TurnedAwayMemory>,
     slot_times: RefCell<SlotTimes>,
+    ways: RefCell<Ways>,
 }
 
 impl App {
@@ -63,6 +66,7 @@
             hints: RefCell::new(PrefixHints::new(KEEP_HINTS_MS, MOST_HINTS)),
             turned_away: RefCell::default(),
             slot_times: RefCell::default(),
+            ways: RefCell::default(),
         }
     }
 
@@ -151,6 +155,19 @@
         self.slot_times.borrow().expected_ms(model, self.now())
     }
 
+    /// Notes how long a connection to a data centre took to be made.
+    pub(super) fn note_connected(&self, to: &DataCentreId, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        self.ways.borrow_mut().note(to, took_ms);
+    }
+
+    /// Returns the way to a data centre, as far as connections showed it.
+    pub(super) fn way_to(&self, data_centre: &DataCentreId) -> Way {
+        let shared = &self.shared;
+        let ways = self.ways.borrow();
+        ways.to(data_centre, &shared.topology, &shared.settings.distance)
+    }
+
     /// Forgets upstreams that are gone.
     pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
         self.health.borrow_mut().retain(|id, _| known(id));
--- a/crates/valehold-instance/examples/capacity.rs
+++ b/crates/valehold-instance/examples/capacity.rs
@@ -308,6 +308,7 @@
         service_ms: 2_000.0,
         report_age_ms: 500,
         cached_tokens: 64,
+        bytes_ms: 0.0,
         pause_within_ms: None,
     }
 }
--- a/crates/valehold-instance/src/traffic/generate.rs
+++ b/crates/valehold-instance/src/traffic/generate.rs
@@ -255,6 +255,7 @@
             service_ms: app.outstanding.service_ms(&engine.id),
             report_age_ms: now.since(engine.reported),
             cached_tokens: estimated_tokens(blocks * BLOCK_BYTES),
+            bytes_ms: 0.0,
             pause_within_ms: None,
         }
     }
--- a/crates/valehold-standin/src/experiment/driver.rs
+++ b/crates/valehold-standin/src/experiment/driver.rs
@@ -328,6 +328,7 @@
                     service_ms: self.service_ms,
                     report_age_ms: age,
                     cached_tokens: (cached_bytes / BYTES_PER_TOKEN) as u64,
+                    bytes_ms: 0.0,
                     pause_within_ms: None,
                 }
             })
