Placement by bound: a model that bound requests use is held inside the bound

Cause: demand was told by variant alone, and a model counted as reachable wherever one engine held it.

Ruled out: to hold each model inside each configured bound (148 places of the 120 that there are). Separate demand for each bound (twice the replicas where demand that may be served anywhere can use the same engines).

Change: a model has a claim to an engine anywhere and one inside each bound under which it was asked for in the last two minutes; an unload never takes the last replica of any; where a bound is full of models that nobody else holds, one is loaded outside of it first.

Tests: replicas_in_bounds (properties: no model is left unreachable inside a bound while an engine there has memory, never the last replica, memory, coming back, coming to rest), asked. roster's test of demand now holds two bounds; format's wish carries one: as strict as before.

--- a/crates/valehold-core/src/fleet/bound.rs
+++ b/crates/valehold-core/src/fleet/bound.rs
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Tells whether what is served inside this bound is inside another one
+    /// as well.
+    pub fn is_within(&self, other: &Self) -> bool {
+        match (self, other) {
+            (_, Self::Anywhere) => true,
+            (Self::Anywhere, Self::Within(_)) => false,
+            (Self::Within(a), Self::Within(b)) => a.is_subset(b),
+        }
+    }
+
     /// Tells whether there is no region in which a request may be served.
     pub fn is_empty(&self) -> bool {
         matches!(self, Self::Within(regions) if regions.is_empty())
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 //! and which models are to be loaded where ([`replicas`], [`adapters`]).
 
 pub mod adapters;
+pub mod asked;
 pub mod bound;
 pub mod catalog;
 pub mod choice;
@@ -31,6 +32,7 @@
 pub mod workspace;
 
 pub use self::{
+    asked::Asked,
     bound::RegionBound,
     catalog::{CallerLimits, Catalog, ModelSpec, Repetition, Route, Service},
     evacuation::{
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's decisions.
 
 mod adapters;
+mod asked;
 mod bound;
 mod catalog;
 mod evacuation;
@@ -12,6 +13,7 @@
 mod paces;
 mod peaks;
 mod replicas;
+mod replicas_in_bounds;
 mod share;
 mod slot_time;
 mod topology;
--- a/crates/valehold-gateway/src/control/demand.rs
+++ b/crates/valehold-gateway/src/control/demand.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use valehold_core::{Millis, fleet::Variant};
+use valehold_core::{Millis, fleet::Asked};
 
 use crate::{
-    peers::{message::VariantDemand, roster::sums::Loads},
+    peers::{
+        message::{BoundDemand, VariantDemand},
+        roster::sums::{DemandSum, Loads},
+    },
     shared::Work,
 };
 
@@ -21,17 +24,13 @@
 /// What all gateways together are asked for and have under way.
 #[derive(Debug, Default)]
 pub(super) struct Sums {
-    pub(super) demand: BTreeMap<Variant, VariantDemand>,
+    pub(super) demand: DemandSum,
     pub(super) loads: Loads,
     made: Option<Millis>,
 }
 
 impl Sums {
-    pub(super) fn new(
-        demand: BTreeMap<Variant, VariantDemand>,
-        loads: Loads,
-        now: Millis,
-    ) -> Self {
+    pub(super) fn new(demand: DemandSum, loads: Loads, now: Millis) -> Self {
         Self { demand, loads, made: Some(now) }
     }
 
@@ -43,13 +42,13 @@
 /// The demand that comes to this gateway.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
-    rates: BTreeMap<Variant, Work>,
+    rates: BTreeMap<Asked, Work>,
     updated: Millis,
 }
 
 impl Demand {
     /// Takes in the work that came since the last call.
-    pub(super) fn take(&mut self, work: BTreeMap<Variant, Work>, now: Millis) {
+    pub(super) fn take(&mut self, work: BTreeMap<Asked, Work>, now: Millis) {
         #[allow(clippy::cast_precision_loss)]
         let passed_ms = now.since(self.updated).max(1) as f64;
         self.updated = now;
@@ -59,31 +58,40 @@
             rate.busy_ms *= kept;
         }
         let gain = (1.0 - kept) / passed_ms;
-        for (variant, work) in work {
-            let rate = self.rates.entry(variant).or_default();
+        for (asked, work) in work {
+            let rate = self.rates.entry(asked).or_default();
             rate.requests += work.requests * 1_000.0 * gain;
             rate.busy_ms += work.busy_ms * gain;
         }
         self.rates.retain(|_, rate| rate.requests > LEAST);
     }
 
-    /// Returns the demand for each variant; `running` tells how many of its
-    /// requests are under way.
+    /// Returns the demand for each variant inside each bound; `running` tells
+    /// how many of its requests are under way.
     #[allow(clippy::cast_possible_truncation)]
     pub(super) fn list(
         &self,
-        running: &BTreeMap<Variant, u32>,
-    ) -> Vec<VariantDemand> {
+        running: &BTreeMap<Asked, u32>,
+    ) -> Vec<BoundDemand> {
         let mut rates = self.rates.clone();
-        for variant in running.keys() {
-            rates.entry(variant.clone()).or_default();
+        for asked in running.keys() {
+            rates.entry(asked.clone()).or_default();
         }
-        let one = |(variant, rate): (Variant, Work)| VariantDemand {
-            requests: rate.requests as f32,
-            busy: rate.busy_ms as f32,
-            running: running.get(&variant).copied().unwrap_or(0),
-            variant,
-        };
-        rates.into_iter().map(one).collect()
+        let mut list: Vec<BoundDemand> = Vec::new();
+        for (asked, rate) in rates {
+            let running = running.get(&asked).copied().unwrap_or(0);
+            let Asked { bound, variant } = asked;
+            let one = VariantDemand {
+                variant,
+                requests: rate.requests as f32,
+                busy: rate.busy_ms as f32,
+                running,
+            };
+            match list.last_mut().filter(|last| last.bound == bound) {
+                Some(last) => last.variants.push(one),
+                None => list.push(BoundDemand { bound, variants: vec![one] }),
+            }
+        }
+        list
     }
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -47,8 +47,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Catalog, EvacuationView, KnownUpstreams, Variant,
-        lapsed::StorePresence,
+        Asked, Catalog, EvacuationView, KnownUpstreams, lapsed::StorePresence,
     },
     id::{DataCentreId, InstanceId},
 };
@@ -108,7 +107,7 @@
     /// Where peers read state.
     pub state: TcpListener,
     /// Wishes of requests that wait.
-    pub wishes: mpsc::Receiver<Variant>,
+    pub wishes: mpsc::Receiver<Asked>,
     /// Whether this gateway was told to stop.
     pub stop: watch::Receiver<bool>,
     /// The newest seeds.
@@ -201,6 +200,7 @@
             authority,
             settings.loads.window_s,
             settings.mechanisms,
+            shared.topology.clone(),
         );
         let now = shared.clock.now();
         let known = &settings.peers.seeds;
@@ -255,7 +255,7 @@
     async fn follow(
         mut self,
         mut taken: mpsc::UnboundedReceiver<Input>,
-        mut wishes: mpsc::Receiver<Variant>,
+        mut wishes: mpsc::Receiver<Asked>,
         mut stop: watch::Receiver<bool>,
         mut new_seeds: watch::Receiver<Vec<SocketAddr>>,
     ) {
@@ -360,7 +360,7 @@
     /// Adds up what all gateways are asked for and have under way.
     fn sum_up(&self, now: Millis) -> Sums {
         let own = self.demand.list(&self.shared.running());
-        let demand = self.roster.sum_demand(own, now);
+        let demand = self.roster.sum_demand(&own, now);
         let mut loads = self.roster.loads(&self.told_loads, now);
         for (id, load) in self.shared.loads().iter() {
             let sum: &mut Load = loads.entry(id.tag()).or_default();
@@ -423,13 +423,13 @@
         }
     }
 
-    fn wish(&mut self, variant: Variant) {
+    fn wish(&mut self, asked: Asked) {
         let now = self.now();
         if self.lease.borrow().held_epoch(now).is_some() {
-            self.placer.wished(variant, now);
+            self.placer.wished(asked, now);
             self.place(now);
         } else if let Some(holder) = self.roster.holder(now) {
-            self.send([holder], &Message::Wish(variant));
+            self.send([holder], &Message::Wish(asked));
         }
     }
 
--- a/crates/valehold-gateway/src/control/placer/adapters.rs
+++ b/crates/valehold-gateway/src/control/placer/adapters.rs
@@ -5,7 +5,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Variant,
+        Asked, RegionBound, Variant,
         adapters::{
             AdapterHost, AdapterStep, AdapterUse, next_to_bring, place_adapter,
         },
@@ -16,7 +16,7 @@
 use valehold_ports::port::fleet::OrderWish;
 
 use super::Placer;
-use crate::peers::message::VariantDemand;
+use crate::peers::roster::sums::DemandSum;
 
 /// How many orders about adapters are under way at once while places are
 /// filled.
@@ -31,35 +31,37 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, VariantDemand>,
+        demand: &DemandSum,
     ) {
         self.wishes.retain(|_, at| now.since(*at) < KEEP_WISH_MS);
-        let wishes: Vec<Variant> = self.wishes.keys().cloned().collect();
-        for variant in wishes {
+        let wishes: Vec<Asked> = self.wishes.keys().cloned().collect();
+        for asked in wishes {
+            let Asked { bound, variant } = &asked;
             if variant.adapter.is_none()
                 || spec.model(&variant.model).is_none()
             {
                 continue;
             }
-            if self.ordered_now.contains(&variant) {
+            if self.ordered_now.contains(variant) {
                 continue;
             }
             let held = self.entries.values().any(|entry| {
                 entry.service == *service
                     && entry.is_sound()
-                    && entry.serves(&variant)
+                    && entry.serves(variant)
+                    && self.is_inside(bound, entry)
             });
             if held {
-                self.wishes.remove(&variant);
+                self.wishes.remove(&asked);
                 continue;
             }
-            let hosts = self.hosts(now, service);
+            let hosts = self.hosts(now, service, bound);
             let use_of = |variant: &Variant| use_of(demand, variant);
-            let step = place_adapter(&variant, &hosts, spec, use_of);
+            let step = place_adapter(variant, &hosts, spec, use_of);
             match step {
                 Some(AdapterStep::Load(engine)) => {
                     self.ordered_now.insert(variant.clone());
-                    self.order(&engine, OrderWish::Load(variant));
+                    self.order(&engine, OrderWish::Load(variant.clone()));
                 }
                 Some(AdapterStep::MakeRoom { engine, victim }) => {
                     self.order(&engine, OrderWish::Unload(victim));
@@ -76,19 +78,19 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, VariantDemand>,
+        demand: &DemandSum,
     ) {
         if self.ordered_now.len() >= MOST_BROUGHT_AT_ONCE {
             return;
         }
         let mut asked: BTreeMap<&ModelName, f64> = BTreeMap::new();
-        for (variant, one) in demand {
+        for (variant, one) in demand.values().flatten() {
             let requests = asked.entry(&variant.model).or_default();
             *requests += f64::from(one.requests);
         }
         let mut there = self.adapters_there();
         while self.ordered_now.len() < MOST_BROUGHT_AT_ONCE {
-            let hosts = self.hosts(now, service);
+            let hosts = self.hosts(now, service, &RegionBound::Anywhere);
             let is_held = |variant: &Variant| there.contains(variant);
             let found = next_to_bring(&hosts, spec, is_held, |model| {
                 asked.get(model).copied().unwrap_or(0.0)
@@ -110,17 +112,18 @@
         held.chain(self.ordered_now.iter().cloned()).collect()
     }
 
-    /// Returns the engines that take an order about an adapter now: one that
-    /// carries an order about a model out does not.
+    /// Returns the engines inside a bound that take an order about an adapter
+    /// now: one that carries an order about a model out does not.
     pub(super) fn hosts(
         &self,
         now: Millis,
         service: &ServiceName,
+        bound: &RegionBound,
     ) -> Vec<AdapterHost<'_>> {
         self.entries
             .iter()
             .filter(|(_, e)| e.service == *service && e.may_order(now))
-            .filter(|(_, entry)| !entry.busy)
+            .filter(|(_, entry)| !entry.busy && self.is_inside(bound, entry))
             .map(|(id, entry)| AdapterHost {
                 engine: id,
                 holding: &entry.holding,
@@ -130,12 +133,11 @@
     }
 }
 
-fn use_of(
-    demand: &BTreeMap<Variant, VariantDemand>,
-    variant: &Variant,
-) -> AdapterUse {
-    demand.get(variant).map_or_else(AdapterUse::default, |one| AdapterUse {
-        requests: one.requests.into(),
-        runs: one.running > 0,
-    })
+fn use_of(demand: &DemandSum, variant: &Variant) -> AdapterUse {
+    let mut used = AdapterUse::default();
+    for one in demand.values().filter_map(|variants| variants.get(variant)) {
+        used.requests += f64::from(one.requests);
+        used.runs |= one.running > 0;
+    }
+    used
 }
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -23,8 +23,9 @@
 use valehold_core::{
     Millis,
     fleet::{
-        EngineHolding, EvacuationView, KnownUpstreams, Listing, Upstream,
-        Variant, catalog::EngineSpec, peaks::Peaks,
+        Asked, EngineHolding, EvacuationView, KnownUpstreams, Listing,
+        RegionBound, Upstream, Variant, asked::BoundUse, catalog::EngineSpec,
+        peaks::Peaks, topology::Topology,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -38,7 +39,7 @@
 use super::{entry::Entry, input::Input};
 use crate::{
     mechanisms::MechanismSettings,
-    peers::{message::VariantDemand, roster::sums::Loads},
+    peers::roster::sums::{DemandSum, Loads},
 };
 
 /// How often the plan is made, in ms.
@@ -64,6 +65,9 @@
     pub(super) epoch: Rc<dyn Fn() -> Option<u64>>,
 }
 
+/// For each bound, the models that are missed inside it, and since when.
+type LostModels = BTreeMap<RegionBound, BTreeMap<ModelName, Millis>>;
+
 /// Gives orders to engines.
 pub(super) struct Placer {
     engines: Arc<dyn FleetEngines>,
@@ -72,13 +76,17 @@
     entries: BTreeMap<UpstreamId, Entry>,
     /// Data centres that are to be empty.
     emptied: BTreeSet<DataCentreId>,
-    wishes: BTreeMap<Variant, Millis>,
-    /// Models of each service that no sound engine holds, and since when.
-    lost: BTreeMap<ServiceName, BTreeMap<ModelName, Millis>>,
+    wishes: BTreeMap<Asked, Millis>,
+    /// Models of each service that no sound engine holds, or none inside a
+    /// bound in which they are used, and since when.
+    lost: BTreeMap<ServiceName, LostModels>,
+    /// Which models are used inside which bounds.
+    bound_use: BoundUse,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
     pacing: BTreeMap<ServiceName, Pacing>,
-    peaks: BTreeMap<ServiceName, Peaks>,
+    peaks: BTreeMap<ServiceName, BTreeMap<RegionBound, Peaks>>,
+    topology: Topology,
     load_window_s: f64,
     mechanisms: MechanismSettings,
     /// The last stamp that was given.
@@ -92,6 +100,7 @@
         authority: Authority,
         load_window_s: f64,
         mechanisms: MechanismSettings,
+        topology: Topology,
     ) -> Self {
         Self {
             engines,
@@ -104,6 +113,8 @@
             ordered_now: BTreeSet::new(),
             pacing: BTreeMap::new(),
             peaks: BTreeMap::new(),
+            bound_use: BoundUse::default(),
+            topology,
             load_window_s,
             mechanisms,
             stamp: Stamp::default(),
@@ -150,17 +161,22 @@
         }
     }
 
-    /// Takes in that a request waits for a variant.
-    pub(super) fn wished(&mut self, variant: Variant, now: Millis) {
+    /// Takes in that a request waits for a variant inside its bound.
+    pub(super) fn wished(&mut self, asked: Asked, now: Millis) {
+        let Asked { bound, variant } = &asked;
+        self.bound_use.note(bound, &variant.model, now);
+        let topology = &self.topology;
         // Who wishes for what is there has not been told.
         for entry in self.entries.values_mut() {
-            if entry.serves(&variant) && !entry.uncertain {
+            let is_inside =
+                bound.allows(topology.region_of(&entry.data_centre));
+            if is_inside && entry.serves(variant) && !entry.uncertain {
                 entry.changed = Some(now);
                 // It may be gone, too: whoever wishes did not reach it.
                 entry.uncertain = now.since(entry.asked) >= ASK_EVERY_MS;
             }
         }
-        self.wishes.insert(variant, now);
+        self.wishes.insert(asked, now);
     }
 
     /// Begins an epoch: another one may have given orders before.
@@ -216,12 +232,13 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, VariantDemand>,
+        demand: &DemandSum,
         loads: &Loads,
     ) {
         for entry in self.entries.values_mut() {
             entry.forget_arrivals(now);
         }
+        self.note_bound_use(demand, now);
         self.ask_where_due(service, now);
         self.place_adapters(now, service, spec, demand);
         if self.mechanisms.adapters_ahead {
@@ -235,6 +252,21 @@
         }
     }
 
+    /// Notes which models are used inside bounds.
+    fn note_bound_use(&mut self, demand: &DemandSum, now: Millis) {
+        for (bound, variants) in demand {
+            for variant in variants.keys() {
+                self.bound_use.note(bound, &variant.model, now);
+            }
+        }
+        self.bound_use.pass(now);
+    }
+
+    /// Tells whether an engine is inside a bound.
+    fn is_inside(&self, bound: &RegionBound, entry: &Entry) -> bool {
+        bound.allows(self.topology.region_of(&entry.data_centre))
+    }
+
     /// Asks engines of which a report is needed.
     fn ask_where_due(&mut self, service: &ServiceName, now: Millis) {
         let due: Vec<UpstreamId> = self
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -5,22 +5,25 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Variant,
+        RegionBound, Variant,
         catalog::EngineSpec,
-        replicas::{self, EngineState, ModelNeed, ReplicaStep},
+        replicas::{
+            self, EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
+        },
+        topology::Topology,
         window::Window,
     },
     id::{ModelName, ServiceName, UpstreamId},
 };
 use valehold_ports::port::fleet::OrderWish;
 
-use super::Placer;
+use super::{LostModels, Placer};
 use crate::{
     control::{
         entry::Entry,
-        needs::{needs, note_peaks},
+        needs::{needs, note_lost, note_peaks},
     },
-    peers::{message::VariantDemand, roster::sums::Loads},
+    peers::roster::sums::{DemandSum, Loads},
 };
 
 /// The part of a window in which only as much of its loads begins. The next
@@ -48,26 +51,50 @@
 }
 
 impl Placer {
-    /// Notes which models of a service no sound engine holds.
+    /// Notes which models of a service no sound engine holds, or none inside
+    /// a bound in which they are used.
     pub(super) fn note_lost(
         &mut self,
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
     ) {
-        let of_service =
-            self.entries.values().filter(|e| e.service == *service);
-        let held: BTreeSet<&ModelName> = of_service
-            .filter(|entry| entry.is_sound())
-            .flat_map(Entry::usable_models)
-            .collect();
-        let lost = self.lost.entry(service.clone()).or_default();
-        lost.retain(|model, _| !held.contains(model));
-        for model in &spec.models {
-            if !held.contains(&model.name) {
-                lost.entry(model.name.clone()).or_insert(now);
-            }
+        let mut last = self.lost.remove(service).unwrap_or_default();
+        let models = spec.models.iter().map(|model| &model.name);
+        let mut note = |bound: &RegionBound, missed: Vec<&ModelName>| {
+            let last = last.remove(bound).unwrap_or_default();
+            let since = |model| last.get(model).copied().unwrap_or(now);
+            let since = missed.into_iter().map(|m| (m.clone(), since(m)));
+            (bound.clone(), since.collect())
+        };
+        let anywhere = RegionBound::Anywhere;
+        let missed = self.missed(service, &anywhere, models);
+        let mut lost = LostModels::from([note(&anywhere, missed)]);
+        for (bound, models) in self.bound_use.bounds() {
+            let models = models.filter(|model| spec.model(model).is_some());
+            let missed = self.missed(service, bound, models);
+            lost.extend([note(bound, missed)]);
         }
+        self.lost.insert(service.clone(), lost);
+    }
+
+    /// Returns those models that no sound engine inside a bound takes
+    /// requests for.
+    fn missed<'a>(
+        &self,
+        service: &ServiceName,
+        bound: &RegionBound,
+        models: impl Iterator<Item = &'a ModelName>,
+    ) -> Vec<&'a ModelName> {
+        let entries = self.entries.values();
+        let sound = entries.filter(|entry| {
+            entry.service == *service
+                && entry.is_sound()
+                && self.is_inside(bound, entry)
+        });
+        let held: BTreeSet<&ModelName> =
+            sound.flat_map(Entry::usable_models).collect();
+        models.filter(|model| !held.contains(model)).collect()
     }
 
     pub(super) fn place_models(
@@ -75,11 +102,9 @@
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
-        demand: &BTreeMap<Variant, VariantDemand>,
+        demand: &DemandSum,
         loads: &Loads,
     ) {
-        let lost = self.lost.get(service).into_iter().flatten();
-        let mut needs = needs(demand, lost, now);
         let states: Vec<EngineState> = self
             .entries
             .iter()
@@ -98,15 +123,15 @@
                 load: load_of(loads, id),
             })
             .collect();
-        if self.mechanisms.busy_models_kept {
-            let peaks = self.peaks.entry(service.clone()).or_default();
-            note_peaks(peaks, &mut needs, &states, now);
-        }
+        let needs = self.needs(now, service, demand, &states);
         if log::log_enabled!(log::Level::Debug) {
-            log_needs(&needs, &states);
+            log_needs(&needs.everywhere, &states);
         }
         let allowed = self.loads_left(now, service, spec);
-        for step in replicas::plan(spec, &needs, &states, allowed) {
+        let topology = Some(&self.topology);
+        let steps =
+            replicas::plan_by_place(spec, &needs, &states, topology, allowed);
+        for step in steps {
             match step {
                 ReplicaStep::Load { engine, model, from_store } => {
                     if from_store {
@@ -125,6 +150,41 @@
         }
     }
 
+    /// Returns what the models need, everywhere and inside bounds.
+    fn needs(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        demand: &DemandSum,
+        states: &[EngineState],
+    ) -> Needs {
+        let mut needs = needs(demand, &self.bound_use);
+        let lost = self.lost.get(service);
+        let lost_in = |bound| lost.and_then(|lost| lost.get(bound));
+        let anywhere = RegionBound::Anywhere;
+        let everywhere = std::iter::once((&anywhere, &mut needs.everywhere));
+        let peaks = self.peaks.entry(service.clone()).or_default();
+        peaks.retain(|bound, _| {
+            *bound == anywhere || needs.bounds.contains_key(bound)
+        });
+        for (bound, needs) in everywhere.chain(&mut needs.bounds) {
+            if let Some(lost) = lost_in(bound) {
+                note_lost(needs, lost, now);
+            }
+            if self.mechanisms.busy_models_kept {
+                let mut replicas =
+                    replicas_inside(states, bound, &self.topology);
+                // Inside a bound, only what is used there is looked after.
+                replicas.retain(|model, _| {
+                    *bound == anywhere || needs.contains_key(model)
+                });
+                let peaks = peaks.entry(bound.clone()).or_default();
+                note_peaks(peaks, needs, replicas, now);
+            }
+        }
+        needs
+    }
+
     /// Returns how many loads may begin now.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(super) fn loads_left(
@@ -152,8 +212,24 @@
     }
 }
 
+/// Counts the engines inside a bound that hold each model.
+fn replicas_inside(
+    engines: &[EngineState],
+    bound: &RegionBound,
+    topology: &Topology,
+) -> BTreeMap<ModelName, usize> {
+    let inside = engines.iter().filter(|engine| {
+        bound.allows(topology.region_of(&engine.data_centre))
+    });
+    let mut replicas = BTreeMap::new();
+    for model in inside.flat_map(|engine| engine.holding.models.keys()) {
+        *replicas.entry(model.clone()).or_default() += 1;
+    }
+    replicas
+}
+
 /// Logs what each model needs and has.
-fn log_needs(needs: &BTreeMap<ModelName, ModelNeed>, engines: &[EngineState]) {
+fn log_needs(needs: &ModelNeeds, engines: &[EngineState]) {
     for (model, need) in needs {
         let holds = |e: &&EngineState| e.holding.models.contains_key(model);
         let held = engines.iter().filter(holds).count();
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -10,8 +10,8 @@
     peers::{
         Heartbeat, Message,
         message::{
-            GroupLoads, LeaseRumour, LeaseWord, LoadReport, MemberList,
-            Summary, VariantDemand,
+            BoundDemand, GroupLoads, LeaseRumour, LeaseWord, LoadReport,
+            MemberList, Summary,
         },
         roster::sums::as_loads,
     },
@@ -137,7 +137,7 @@
         if elsewhere.is_empty() {
             return;
         }
-        let digest = |demand: Vec<VariantDemand>| {
+        let digest = |demand: Vec<BoundDemand>| {
             let digest = self.roster.digest(own, demand, now);
             Message::Digest(Box::new(digest))
         };
@@ -261,8 +261,8 @@
             Message::Heartbeat(heartbeat) => {
                 self.hear_heartbeat(from, *heartbeat, now);
             }
-            Message::Wish(variant) => {
-                self.placer.wished(variant, now);
+            Message::Wish(asked) => {
+                self.placer.wished(asked, now);
                 self.place(now);
             }
             Message::Holdings(holdings) => {
--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     sync::{mpsc, watch},
     task::LocalSet,
 };
-use valehold_core::{chart::library, fleet::Variant};
+use valehold_core::{chart::library, fleet::Asked};
 use valehold_ports::port::fleet::{Dialect, FleetEngines, FleetStore};
 
 use crate::{
@@ -128,7 +128,7 @@
 struct ControlStart {
     shared: Arc<Shared>,
     ports: Ports,
-    wishes: mpsc::Receiver<Variant>,
+    wishes: mpsc::Receiver<Asked>,
     stop: watch::Receiver<bool>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 use valehold_core::{
     fleet::{
-        Catalog, EngineHolding, Evacuations, ListingDelta, Variant,
+        Asked, Catalog, EngineHolding, Evacuations, ListingDelta, RegionBound,
+        Variant,
         paces::{PaceNews, PaceObservation},
         usage::{Rulings, UsageTotal},
     },
@@ -25,7 +26,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB4;
+pub const FORMAT: u8 = 0xB6;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +50,15 @@
     pub running: u32,
 }
 
+/// The demand for what may be served inside one bound.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BoundDemand {
+    /// The bound.
+    pub bound: RegionBound,
+    /// The demand.
+    pub variants: Vec<VariantDemand>,
+}
+
 /// What a gateway says of the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeaseWord {
@@ -126,7 +136,7 @@
     /// What it has under way.
     pub loads: Vec<UpstreamLoad>,
     /// The demand that comes to it.
-    pub demand: Vec<VariantDemand>,
+    pub demand: Vec<BoundDemand>,
     /// What it let through of workspaces' requests, where that changed.
     pub usage: Vec<UsageTotal>,
     /// What it saw of first events, where no hubs hear it in between.
@@ -274,7 +284,7 @@
     /// What the hub knows of orders to empty data centres.
     pub evacuations: Option<EvacuationWord>,
     /// The demand that comes to the group; empty but for the holder.
-    pub demand: Vec<VariantDemand>,
+    pub demand: Vec<BoundDemand>,
 }
 
 /// What several gateways have under way, told again and again.
@@ -327,7 +337,7 @@
     /// A gateway's word about itself.
     Heartbeat(Box<Heartbeat>),
     /// To the holder: a request waits for this variant.
-    Wish(Variant),
+    Wish(Asked),
     /// From the holder: what engines hold since its last orders.
     Holdings(Vec<EngineHolding>),
     /// From an observer: changes of the platform's list.
--- a/crates/valehold-gateway/src/peers/roster/sums.rs
+++ b/crates/valehold-gateway/src/peers/roster/sums.rs
@@ -2,14 +2,21 @@
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
-use valehold_core::{Millis, fleet::Variant, id::UpstreamTag};
+use valehold_core::{
+    Millis,
+    fleet::{RegionBound, Variant},
+    id::UpstreamTag,
+};
 
 use super::{HUBS_KEEP, Roster};
 use crate::{
-    peers::message::{LoadNews, UpstreamLoad, VariantDemand},
+    peers::message::{BoundDemand, LoadNews, UpstreamLoad, VariantDemand},
     view::Load,
 };
 
+/// The demand for what may be served inside each bound.
+pub type DemandSum = BTreeMap<RegionBound, BTreeMap<Variant, VariantDemand>>;
+
 /// What is under way at upstreams, by their tags.
 pub type Loads = BTreeMap<UpstreamTag, Load>;
 
@@ -162,16 +169,12 @@
 
     /// Returns the demand that comes to all gateways, `own` being what comes
     /// to this one.
-    pub fn sum_demand(
-        &self,
-        own: Vec<VariantDemand>,
-        now: Millis,
-    ) -> BTreeMap<Variant, VariantDemand> {
-        let mut sum = BTreeMap::new();
+    pub fn sum_demand(&self, own: &[BoundDemand], now: Millis) -> DemandSum {
+        let mut sum = DemandSum::new();
         // Digests of its own group have this gateway's demand in them.
         let by_digests = self.standing.has_many_groups() && !self.is_hub();
         if !by_digests {
-            add_demand(&mut sum, &own);
+            add_demand(&mut sum, own);
             let peers = self.live_in_group(now);
             for peer in peers {
                 add_demand(&mut sum, &peer.heartbeat.demand);
@@ -189,15 +192,19 @@
     /// Returns the demand that comes to this gateway's group.
     pub fn group_demand(
         &self,
-        own: &[VariantDemand],
+        own: &[BoundDemand],
         now: Millis,
-    ) -> Vec<VariantDemand> {
-        let mut sum = BTreeMap::new();
+    ) -> Vec<BoundDemand> {
+        let mut sum = DemandSum::new();
         add_demand(&mut sum, own);
         for peer in self.live_in_group(now) {
             add_demand(&mut sum, &peer.heartbeat.demand);
         }
-        sum.into_values().collect()
+        let one = |(bound, variants): (_, BTreeMap<_, _>)| BoundDemand {
+            bound,
+            variants: variants.into_values().collect(),
+        };
+        sum.into_iter().map(one).collect()
     }
 }
 
@@ -217,7 +224,13 @@
     loads.iter().map(as_load).collect()
 }
 
-fn add_demand(
+fn add_demand(sum: &mut DemandSum, demand: &[BoundDemand]) {
+    for BoundDemand { bound, variants } in demand {
+        add_variants(sum.entry(bound.clone()).or_default(), variants);
+    }
+}
+
+fn add_variants(
     sum: &mut BTreeMap<Variant, VariantDemand>,
     demand: &[VariantDemand],
 ) {
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -6,8 +6,8 @@
 
 use super::{HUBS_KEEP, Heard, Roster, standing::Member};
 use crate::peers::message::{
-    Digest, Heartbeat, LeaseRumour, LeaseWord, MemberList, Newest, Summary,
-    VariantDemand,
+    BoundDemand, Digest, Heartbeat, LeaseRumour, LeaseWord, MemberList,
+    Newest, Summary,
 };
 
 impl Roster {
@@ -184,7 +184,7 @@
     pub fn digest(
         &self,
         own: &Heartbeat,
-        demand: Vec<VariantDemand>,
+        demand: Vec<BoundDemand>,
         now: Millis,
     ) -> Digest {
         Digest {
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use valehold_core::{
     fleet::{
-        Variant,
+        Asked,
         paces::{PaceObservation, Paces},
         topology::Topology,
         usage::UsageMeter,
@@ -32,7 +32,7 @@
 /// some hundred milliseconds.
 const MOST_SEEN_PACES: usize = 128;
 
-/// The work that requests for a variant made, since it was last taken.
+/// The work that requests for a variant inside a bound made, since it was last taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
     /// Requests that came.
@@ -62,10 +62,10 @@
     pub paces: ArcSwap<Paces>,
     loads: Mutex<BTreeMap<UpstreamId, Load>>,
     seen_paces: Mutex<Vec<PaceObservation>>,
-    work: Mutex<BTreeMap<Variant, Work>>,
-    running: Mutex<BTreeMap<Variant, u32>>,
+    work: Mutex<BTreeMap<Asked, Work>>,
+    running: Mutex<BTreeMap<Asked, u32>>,
     usage: Mutex<UsageMeter>,
-    wishes: mpsc::Sender<Variant>,
+    wishes: mpsc::Sender<Asked>,
     life: watch::Sender<Life>,
 }
 
@@ -74,7 +74,7 @@
     pub fn new(
         settings: Settings,
         metrics: Metrics,
-    ) -> (Arc<Self>, mpsc::Receiver<Variant>) {
+    ) -> (Arc<Self>, mpsc::Receiver<Asked>) {
         let (wishes, taken) = mpsc::channel(WISHES);
         let topology = Topology::new(
             settings.data_centre.clone(),
@@ -99,11 +99,11 @@
         (Arc::new(shared), taken)
     }
 
-    /// Asks control for a variant that no engine holds.
+    /// Asks control for a variant that no engine inside its bound holds.
     ///
     /// A wish that finds no room is lost; who waits wishes again.
-    pub fn wish(&self, variant: &Variant) {
-        let _ = self.wishes.try_send(variant.clone());
+    pub fn wish(&self, asked: &Asked) {
+        let _ = self.wishes.try_send(asked.clone());
     }
 
     /// What this gateway has under way at each upstream.
@@ -113,12 +113,12 @@
     }
 
     /// The work that came since control last took it.
-    pub fn work(&self) -> MutexGuard<'_, BTreeMap<Variant, Work>> {
+    pub fn work(&self) -> MutexGuard<'_, BTreeMap<Asked, Work>> {
         self.work.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// How many requests for each variant this gateway has under way.
-    pub fn running(&self) -> MutexGuard<'_, BTreeMap<Variant, u32>> {
+    pub fn running(&self) -> MutexGuard<'_, BTreeMap<Asked, u32>> {
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
-    fleet::{Repetition, Upstream, Variant, event::EventOrder},
+    fleet::{Asked, Repetition, Upstream, Variant, event::EventOrder},
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
@@ -136,7 +136,7 @@
 
 /// Tells control which work a request makes.
 fn note_work(app: &App, job: &Job) {
-    let Some(variant) = &job.request.variant else { return };
+    let Some(asked) = job.asked() else { return };
     #[allow(clippy::cast_precision_loss)]
     let tokens = |count: u64| count as f64;
     let parts = &job.request.parts;
@@ -146,7 +146,7 @@
     let busy_ms = read * PROMPT_TOKEN_MS
         + tokens(job.request.output_tokens) * OUTPUT_TOKEN_MS;
     let mut work = app.shared.work();
-    let work = work.entry(variant.clone()).or_default();
+    let work = work.entry(asked).or_default();
     *work = Work {
         requests: work.requests + 1.0,
         busy_ms: work.busy_ms + busy_ms,
@@ -266,11 +266,13 @@
     }
 
     fn wish(&self, looks: u32) {
-        let variant: Option<&Variant> = self.job.request.variant.as_ref();
-        let is_due = looks.is_multiple_of(WISH_EVERY);
-        if let (Some(variant), true) = (variant, is_due) {
-            self.app.shared.wish(variant);
+        if !looks.is_multiple_of(WISH_EVERY) {
+            return;
         }
+        let Some(asked) = self.job.asked() else { return };
+        let view = self.app.shared.view.load();
+        let bound = bound_now(&view, &self.job).into_owned();
+        self.app.shared.wish(&Asked { bound, ..asked });
     }
 
     /// Sends the request once, and takes as much of the answer as is needed
@@ -518,8 +520,8 @@
     order: &mut EventOrder,
 ) -> Result<Passable, SendFailure> {
     let upstream = &chosen.upstream;
-    let variant = job.request.variant.as_ref();
-    let under_way = app.under_way(&upstream.id, variant, chosen.read_tokens);
+    let asked = job.asked();
+    let under_way = app.under_way(&upstream.id, asked, chosen.read_tokens);
     let begun = send(app, job, upstream, order.last()).await?;
     let head = begun.head.clone();
     if !(job.route.streaming && head.status.is_success()) {
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 use valehold_core::{
     fleet::{
-        Catalog, RegionBound, Route, catalog::EngineSpec, workspace::Workspace,
+        Asked, Catalog, RegionBound, Route, catalog::EngineSpec,
+        workspace::Workspace,
     },
     id::ServiceName,
     reason::RefusalReason,
@@ -68,6 +69,12 @@
         String::from_utf8_lossy(id.unwrap_or_default())
     }
 
+    /// Returns which variant it asks for, inside its bound.
+    pub(super) fn asked(&self) -> Option<Asked> {
+        let variant = self.request.variant.clone()?;
+        Some(Asked { bound: self.bound.clone(), variant })
+    }
+
     /// Returns how urgent it is, 0 being the most: by the rank of its
     /// workspace, and within that by that of its route.
     pub(super) fn urgency(&self) -> u8 {
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -9,7 +9,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Variant,
+        Asked, Variant,
         health::Health,
         pace::Pace,
         paces::{LogRatio, PaceObservation},
@@ -235,12 +235,12 @@
     pub(super) fn under_way(
         &self,
         upstream: &UpstreamId,
-        variant: Option<&Variant>,
+        asked: Option<Asked>,
         tokens: u64,
     ) -> UnderWay {
-        if let Some(variant) = variant {
+        if let Some(asked) = &asked {
             let mut running = self.shared.running();
-            *running.entry(variant.clone()).or_default() += 1;
+            *running.entry(asked.clone()).or_default() += 1;
         }
         let one = Load { running: 1, waiting_tokens: tokens };
         let mut loads = self.shared.loads();
@@ -249,7 +249,7 @@
         UnderWay {
             shared: self.shared.clone(),
             upstream: upstream.clone(),
-            variant: variant.cloned(),
+            asked,
             waiting: tokens,
         }
     }
@@ -259,7 +259,7 @@
 pub(super) struct UnderWay {
     shared: Arc<Shared>,
     upstream: UpstreamId,
-    variant: Option<Variant>,
+    asked: Option<Asked>,
     waiting: u64,
 }
 
@@ -276,12 +276,12 @@
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
-        if let Some(variant) = &self.variant {
+        if let Some(asked) = &self.asked {
             let mut running = self.shared.running();
-            let left = running.get(variant).map_or(0, |count| count - 1);
+            let left = running.get(asked).map_or(0, |count| count - 1);
             match left {
-                0 => running.remove(variant),
-                left => running.insert(variant.clone(), left),
+                0 => running.remove(asked),
+                left => running.insert(asked.clone(), left),
             };
         }
         let mut loads = self.shared.loads();
--- a/crates/valehold-gateway/tests/format.rs
+++ b/crates/valehold-gateway/tests/format.rs
@@ -1,7 +1,7 @@
 //! What gateways of two versions make of each other's bytes.
 
 use googletest::prelude::*;
-use valehold_core::fleet::Variant;
+use valehold_core::fleet::{Asked, RegionBound, Variant};
 use valehold_gateway::peers::{
     Message,
     message::{FORMAT, MAX_DATAGRAM, MessageError},
@@ -11,7 +11,10 @@
 
 #[gtest]
 fn a_datagram_is_read_as_it_was_written() {
-    let wish = Message::Wish(Variant::adapted("alpha", "a1"));
+    let wish = Message::Wish(Asked {
+        bound: RegionBound::within(["north"]),
+        variant: Variant::adapted("alpha", "a1"),
+    });
     let bytes = wish.encode().unwrap();
     expect_that!(bytes[0], eq(FORMAT));
     expect_that!(Message::decode(&bytes).unwrap(), eq(&wish));
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -5,15 +5,15 @@
 use googletest::prelude::*;
 use valehold_core::{
     Millis,
-    fleet::Variant,
+    fleet::{RegionBound, Variant},
     id::{DataCentreId, InstanceId, UpstreamId, UpstreamTag},
 };
 use valehold_gateway::{
     peers::{
         Heartbeat, Roster,
         message::{
-            Digest, Duty, GroupLoads, LeaseWord, LoadNews, LoadReport, Rank,
-            StoreSight, UpstreamLoad, VariantDemand,
+            BoundDemand, Digest, Duty, GroupLoads, LeaseWord, LoadNews,
+            LoadReport, Rank, StoreSight, UpstreamLoad, VariantDemand,
         },
         roster::{
             Observing, Own, OwnWord,
@@ -416,9 +416,16 @@
     expect_that!(hub.hubs_elsewhere().len(), eq(4));
 }
 
-fn demand(requests: f32) -> VariantDemand {
-    let variant = Variant::plain("alpha");
-    VariantDemand { variant, requests, busy: 0.5, running: 1 }
+/// Demand that may be served anywhere, and half as much inside a bound.
+fn demand(requests: f32) -> Vec<BoundDemand> {
+    let one = |bound: RegionBound, requests: f32| {
+        let variant = Variant::plain("alpha");
+        let demand =
+            VariantDemand { variant, requests, busy: 0.5, running: 1 };
+        BoundDemand { bound, variants: vec![demand] }
+    };
+    let inside = one(RegionBound::within(["north"]), requests / 2.0);
+    vec![one(RegionBound::Anywhere, requests), inside]
 }
 
 fn digest_of(number: u16, now: Millis) -> Digest {
@@ -426,7 +433,7 @@
     let mut own = spread_heartbeat(number);
     own.catalog = 9;
     own.lease = Some(LeaseWord::Holds { epoch: 7, version: 90 });
-    let demand = hub.group_demand(&[demand(2.0)], now);
+    let demand = hub.group_demand(&demand(2.0), now);
     hub.digest(&own, demand, now)
 }
 
@@ -454,8 +461,11 @@
 fn demand_is_counted_once() {
     let now = Millis::new(500);
     let sum_at = |roster: &Roster| {
-        let sum = roster.sum_demand(vec![demand(1.0)], now);
-        sum[&Variant::plain("alpha")].requests
+        let sum = roster.sum_demand(&demand(1.0), now);
+        let of = |bound| sum[&bound][&Variant::plain("alpha")].requests;
+        let all = of(RegionBound::Anywhere);
+        expect_that!(of(RegionBound::within(["north"])), eq(all / 2.0));
+        all
     };
     // A hub adds up its own data centre, and what digests say of others.
     let mut hub = one_of_150(150, now);
