--- a/crates/valehold-core/src/fleet/evacuation.rs
+++ b/crates/valehold-core/src/fleet/evacuation.rs
@@ -161,7 +161,7 @@
         left.max().unwrap_or(0)
     }
 
-    /// Returns the data centres that are known to be to be empty.
+    /// Returns the data centres of which an order is known.
     pub fn ordered(&self) -> impl Iterator<Item = &DataCentreId> {
         self.orders.iter().flat_map(|orders| &orders.data_centres)
     }
