Cold upstreams get no more than they bear, over all gateways

Change: core fleet/cold. It is taken at the choice and checked when the request is written; resumptions and plain services likewise. A refusal because all are cold is upstreams_cold and says when one may. Deltas of the list leave out entries that only say that an upstream is cold for less long.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -70,6 +70,11 @@
         &self.known
     }
 
+    /// Returns an upstream's entry, as the platform's list has it.
+    pub fn listed(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
+        self.rows.upstreams.get(id)
+    }
+
     /// Returns those that are kept although they fell off the list.
     pub fn lapsed(&self) -> &LapsedUpstreams {
         &self.lapsed
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -3,7 +3,8 @@
 //! A [`Catalog`] says which routes there are and which services answer them.
 //! The upstreams of a service list themselves; those that run models also
 //! say which models they hold. From both follow the choice of an upstream
-//! ([`choice`]), how many second sends one instance may make ([`share`]),
+//! ([`choice`]), who may send to one that is cold ([`cold`]), how many second
+//! sends one instance may make ([`share`]),
 //! and which models are to be loaded where ([`replicas`], [`adapters`]).
 
 pub mod adapters;
@@ -11,6 +12,7 @@
 pub mod bound;
 pub mod catalog;
 pub mod choice;
+pub mod cold;
 pub mod evacuation;
 pub mod event;
 pub mod health;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -5,6 +5,7 @@
 mod bound;
 mod catalog;
 mod choice;
+mod cold;
 mod evacuation;
 mod event;
 mod health;
--- a/crates/valehold-core/src/fleet/usage/presence.rs
+++ b/crates/valehold-core/src/fleet/usage/presence.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Tells whether more than half of those that were there lately are.
+    pub fn are_most(&self) -> bool {
+        self.few_since.is_none()
+    }
+
     /// Returns how many gateways are there now.
     pub fn present(&self) -> usize {
         self.present
--- a/crates/valehold-core/src/fleet/window.rs
+++ b/crates/valehold-core/src/fleet/window.rs
@@ -28,6 +28,11 @@
         self.times.truncate(left);
     }
 
+    /// Returns when the oldest event happened that was counted last.
+    pub fn oldest(&self) -> Option<Millis> {
+        self.times.front().copied()
+    }
+
     /// Counts the events that are still within the window.
     pub fn count(&mut self, now: Millis) -> usize {
         while let Some(first) = self.times.front() {
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -66,6 +66,8 @@
         NoUpstreamInBound = "no_upstream_in_bound",
         /// No region is allowed by both its route and its workspace.
         EmptyBound = "empty_bound",
+        /// All upstreams that could answer are cold and get no more for now.
+        UpstreamsCold = "upstreams_cold",
         /// Every attempt failed, or the budget for retries is spent.
         UpstreamFailed = "upstream_failed",
         /// The answer did not begin within its time.
@@ -102,6 +104,7 @@
             | Self::NoUpstream
             | Self::NoUpstreamInBound
             | Self::EmptyBound
+            | Self::UpstreamsCold
             | Self::NotReady
             | Self::StoreDown => 503,
         }
@@ -127,6 +130,8 @@
         RefusedByUpstream = "refused_by_upstream",
         /// The upstream failed before the caller had received anything.
         FailedBeforeOutput = "failed_before_output",
+        /// The upstream is cold, and the right to send to it was over.
+        RightOver = "right_over",
         /// A broken stream was resumed at the same upstream.
         StreamResumed = "stream_resumed",
         /// A call that may be repeated had no whole answer.
--- /dev/null
+++ b/crates/valehold-gateway/src/control/cold.rs
@@ -0,0 +1,150 @@
+//! Which upstreams are cold, and who may send to them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use valehold_core::{
+    Millis,
+    fleet::{
+        Listing, Upstream,
+        catalog::ColdSpec,
+        cold::{RightAnswer, RightAsk},
+    },
+    id::{DataCentreId, UpstreamId},
+};
+
+use super::Control;
+use crate::peers::message::Message;
+
+/// In how many ms to ask again for an upstream that this gateway does not know
+/// yet.
+const NOT_KNOWN_MS: u32 = 200;
+
+/// By how much another time than is believed already an upstream may say that
+/// it is cold, in ms, for its entry to be no news: heartbeats come that
+/// unevenly.
+const COOLS_AS_BELIEVED_MS: u64 = 300;
+
+impl Control {
+    /// Takes in what entries say of whether upstreams are cold.
+    pub(super) fn hear_cold(
+        &mut self,
+        entries: &[Arc<Upstream>],
+        now: Millis,
+    ) {
+        let mut book = self.shared.cold();
+        for entry in entries {
+            let spec = self.cold_spec(entry);
+            let lasts_ms = spec.map_or(0, |spec| spec.lasts_ms);
+            book.belief.hear(entry, lasts_ms, now);
+        }
+    }
+
+    /// Returns the entries of a whole list that say something else of whether
+    /// upstreams are cold than what is known: the list may be a peer's, and
+    /// what it says as old as the last change.
+    pub(super) fn words_of_cold(
+        &self,
+        listing: &Listing,
+    ) -> Vec<Arc<Upstream>> {
+        let known = &self.upstreams.listing().upstreams;
+        let differs = |entry: &&Arc<Upstream>| {
+            known.get(&entry.id).is_none_or(|known| {
+                (known.cold_for_ms, known.birth)
+                    != (entry.cold_for_ms, entry.birth)
+            })
+        };
+        listing.upstreams.values().filter(differs).cloned().collect()
+    }
+
+    /// Notes that the upstreams of a data centre may have become cold, since it
+    /// was evacuated until just now.
+    pub(super) fn may_have_cooled(
+        &self,
+        data_centre: &DataCentreId,
+        now: Millis,
+    ) {
+        let mut book = self.shared.cold();
+        let all = self.upstreams.listing().upstreams.values();
+        for upstream in all.filter(|one| one.data_centre == *data_centre) {
+            let lasts_ms = self.cold_spec(upstream).map_or(0, |s| s.lasts_ms);
+            book.belief.doubt(&upstream.id, lasts_ms, 0, now);
+        }
+    }
+
+    /// Leaves out entries in which nothing changed but that an upstream is
+    /// cold for less time than before, as everybody expects.
+    ///
+    /// Cold upstreams change their entries with each heartbeat. Passed on, a
+    /// data centre of 100 that comes back would be some 30 KB to each gateway
+    /// a heartbeat.
+    pub(super) fn without_cooling(
+        &self,
+        mut changed: Vec<Arc<Upstream>>,
+        now: Millis,
+    ) -> Vec<Arc<Upstream>> {
+        let book = self.shared.cold();
+        changed.retain(|entry| {
+            let left_ms = book.belief.left_ms(&entry.id, now);
+            let other_ms = left_ms.abs_diff(entry.cold_for_ms);
+            let is_cooling =
+                entry.cold_for_ms > 0 && other_ms <= COOLS_AS_BELIEVED_MS;
+            let known = self.upstreams.listed(&entry.id);
+            let is_alike = known.is_some_and(|known| {
+                let cold_for_ms = known.cold_for_ms;
+                Upstream { cold_for_ms, ..(**entry).clone() } == **known
+            });
+            !(left_ms > 0 && is_cooling && is_alike)
+        });
+        changed
+    }
+
+    fn cold_spec(&self, upstream: &Upstream) -> Option<&ColdSpec> {
+        let services = &self.catalog.as_ref()?.services;
+        services.get(&upstream.service)?.cold.as_ref()
+    }
+
+    /// Takes in which gateways are there.
+    pub(super) fn hear_members(&mut self, now: Millis) {
+        let staying = self.roster.staying();
+        let are_most = self.limits.hears_most();
+        self.grantor.hear(&staying, are_most, now);
+        self.grantor.sweep(now);
+    }
+
+    /// Asks for the right to send to a cold upstream.
+    pub(super) fn ask_right(&mut self, ask: RightAsk) {
+        let now = self.now();
+        let own = self.shared.settings.peers.heartbeats;
+        match self.grantor.grantor(&ask.upstream) {
+            Some(grantor) if grantor != own => {
+                self.send([grantor], &Message::AskRight(ask));
+            }
+            _ => {
+                let answer = self.right(&ask.upstream, now);
+                let mut book = self.shared.cold();
+                book.rights.answered(ask.number, answer, now);
+            }
+        }
+    }
+
+    /// Answers a gateway that asks for the right to send to a cold upstream.
+    pub(super) fn answer_right(
+        &mut self,
+        from: SocketAddr,
+        ask: &RightAsk,
+        now: Millis,
+    ) {
+        let answer = self.right(&ask.upstream, now);
+        self.send([from], &Message::Right { number: ask.number, answer });
+    }
+
+    fn right(&mut self, id: &UpstreamId, now: Millis) -> RightAnswer {
+        let bound = self.shared.settings.cold.bound();
+        let known = self.upstreams.listing().upstreams.get(id);
+        let spec = known.and_then(|upstream| self.cold_spec(upstream));
+        let Some(most) = spec.map(|spec| bound.rights_in_window(spec)) else {
+            return RightAnswer::Denied { next_ms: NOT_KNOWN_MS };
+        };
+        self.grantor.answer(id, most, now)
+    }
+}
--- a/crates/valehold-gateway/src/control/evacuating.rs
+++ b/crates/valehold-gateway/src/control/evacuating.rs
@@ -114,6 +114,7 @@
             .log();
         }
         for data_centre in changed.taken_back {
+            self.may_have_cooled(&data_centre, now);
             Event::EvacuationTakenBack { data_centre, version, source }.log();
         }
         if !was_known {
--- a/crates/valehold-gateway/src/control/limits.rs
+++ b/crates/valehold-gateway/src/control/limits.rs
@@ -58,6 +58,11 @@
         u32::try_from(self.presence.seen()).unwrap_or(u32::MAX)
     }
 
+    /// Tells whether this gateway hears most of those that were there lately.
+    pub(super) fn hears_most(&self) -> bool {
+        self.presence.are_most()
+    }
+
     fn rule(&mut self, workspaces: &Workspaces, now: Millis) -> Rulings {
         let part = self.presence.part(now);
         self.book.pass(workspaces, part, now);
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -11,11 +11,13 @@
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
+//! - `cold` says which upstreams are cold, and gives out rights to send to them.
 //! - `upstreams` puts together what is known of upstreams, and `publishing`
 //!   gives it to traffic.
 //! - `lease`, `placer`, `entry`, `needs` and `demand` place models.
 
 mod behind;
+mod cold;
 mod configuring;
 mod counted_store;
 mod demand;
@@ -47,7 +49,8 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Asked, Catalog, EvacuationView, KnownUpstreams, lapsed::StorePresence,
+        Asked, Catalog, EvacuationView, KnownUpstreams, cold::Grantor,
+        lapsed::StorePresence,
     },
     id::{DataCentreId, InstanceId},
 };
@@ -77,7 +80,7 @@
         state,
     },
     settings::Settings,
-    shared::Shared,
+    shared::{Shared, Wishes},
     view::{Life, Load},
 };
 
@@ -107,7 +110,7 @@
     /// Where peers read state.
     pub state: TcpListener,
     /// Wishes of requests that wait.
-    pub wishes: mpsc::Receiver<Asked>,
+    pub wishes: Wishes,
     /// Whether this gateway was told to stop.
     pub stop: watch::Receiver<bool>,
     /// The newest seeds.
@@ -123,6 +126,7 @@
     lease: Rc<RefCell<LeaseDuty>>,
     limits: LimitDuty,
     paces: PaceDuty,
+    grantor: Grantor,
     placer: Placer,
     demand: Demand,
     sums: Sums,
@@ -224,6 +228,7 @@
             lease,
             limits: LimitDuty::new(settings.limits, is_alone, now),
             paces: PaceDuty::default(),
+            grantor: Grantor::new(settings.peers.heartbeats, now),
             placer,
             demand: Demand::default(),
             sums: Sums::default(),
@@ -255,7 +260,7 @@
     async fn follow(
         mut self,
         mut taken: mpsc::UnboundedReceiver<Input>,
-        mut wishes: mpsc::Receiver<Asked>,
+        mut wishes: Wishes,
         mut stop: watch::Receiver<bool>,
         mut new_seeds: watch::Receiver<Vec<SocketAddr>>,
     ) {
@@ -272,7 +277,8 @@
                     }
                     self.publish_if_due();
                 }
-                Some(wish) = wishes.recv() => self.wish(wish),
+                Some(wish) = wishes.variants.recv() => self.wish(wish),
+                Some(ask) = wishes.rights.recv() => self.ask_right(ask),
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
                     let own = self.shared.settings.peers.heartbeats;
@@ -291,6 +297,7 @@
         let now = self.now();
         if self.roster.tick(self.own_word(), now) {
             self.members_changed();
+            self.hear_members(now);
         }
         self.upstreams.pass(now);
         self.tell_evacuations(now);
@@ -303,6 +310,7 @@
         if self.beat.is_none_or(|beat| now.since(beat) >= beat_ms) {
             self.beat = Some(now);
             self.presence_changed(now);
+            self.hear_members(now);
             let work = std::mem::take(&mut *self.shared.work());
             self.demand.take(work, now);
             self.send_heartbeats(now);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -308,6 +308,10 @@
             Message::Evacuations(word) => {
                 self.hear_evacuations(Some(word), CatalogSource::Push, now);
             }
+            Message::AskRight(ask) => self.answer_right(from, &ask, now),
+            Message::Right { number, answer } => {
+                self.shared.cold().rights.answered(number, answer, now);
+            }
             // Only its first receiver passes a message on.
             Message::Relay(_) => {}
         }
--- a/crates/valehold-gateway/src/control/upstreams.rs
+++ b/crates/valehold-gateway/src/control/upstreams.rs
@@ -13,7 +13,9 @@
     /// Takes in a whole list.
     pub(super) fn list(&mut self, listing: Listing, now: Millis) {
         let after_outage = self.store_presence.has_just_returned(now);
+        let words = self.words_of_cold(&listing);
         if self.upstreams.replace(listing, after_outage, now) {
+            self.hear_cold(&words, now);
             self.list_changed();
             self.live();
         }
@@ -25,6 +27,7 @@
             return;
         };
         let Some(version) = version else { return };
+        let changed = self.without_cooling(changed, now);
         let before = self.upstreams.version();
         let after_outage = self.store_presence.has_just_returned(now);
         let delta =
@@ -42,6 +45,7 @@
     ) -> bool {
         let is_new = self.upstreams.apply(delta, now);
         if is_new {
+            self.hear_cold(&delta.changed, now);
             self.list_changed();
         }
         is_new
--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -8,10 +8,10 @@
 
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{mpsc, watch},
+    sync::watch,
     task::LocalSet,
 };
-use valehold_core::{chart::library, fleet::Asked};
+use valehold_core::chart::library;
 use valehold_ports::port::fleet::{Dialect, FleetEngines, FleetStore};
 
 use crate::{
@@ -19,7 +19,7 @@
     error::Error,
     metrics::Metrics,
     settings::Settings,
-    shared::Shared,
+    shared::{Shared, Wishes},
     traffic::{self, App},
 };
 
@@ -128,7 +128,7 @@
 struct ControlStart {
     shared: Arc<Shared>,
     ports: Ports,
-    wishes: mpsc::Receiver<Asked>,
+    wishes: Wishes,
     stop: watch::Receiver<bool>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -13,6 +13,7 @@
     fleet::{
         Asked, Catalog, EngineHolding, Evacuations, ListingDelta, RegionBound,
         Variant,
+        cold::{RightAnswer, RightAsk},
         paces::{PaceNews, PaceObservation},
         usage::{Rulings, UsageTotal},
     },
@@ -26,7 +27,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB5;
+pub const FORMAT: u8 = 0xB6;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -362,6 +363,15 @@
     Evacuations(EvacuationWord),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
+    /// To the grantor of a cold upstream: a request is to be sent to it.
+    AskRight(RightAsk),
+    /// From the grantor: its answer to the wish with a number.
+    Right {
+        /// The wish's number.
+        number: u64,
+        /// The answer.
+        answer: RightAnswer,
+    },
 }
 
 /// Why a datagram cannot be read or written.
@@ -416,6 +426,8 @@
             Self::Catalog(_) => "configuration",
             Self::Evacuations(_) => "evacuations",
             Self::Relay(_) => "relay",
+            Self::AskRight(_) => "ask_right",
+            Self::Right { .. } => "right",
         }
     }
 
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -6,7 +6,8 @@
 use valehold_core::{
     admission::AdmissionSettings,
     fleet::{
-        share::RetryBudget, usage::LimitSettings, ways::DistanceSettings,
+        cold::ColdBound, share::RetryBudget, usage::LimitSettings,
+        ways::DistanceSettings,
     },
     id::{DataCentreId, InstanceId, RegionId},
     routing::RoutingSettings,
@@ -173,6 +174,13 @@
     pub slack: f64,
 }
 
+impl ColdSettings {
+    /// Returns what cold upstreams survive.
+    pub fn bound(&self) -> ColdBound {
+        ColdBound { overshoot: self.overshoot, slack: self.slack }
+    }
+}
+
 impl Default for ColdSettings {
     fn default() -> Self {
         Self { overshoot: 1.0, slack: 0.0 }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use valehold_core::{
     fleet::{
         Asked,
+        cold::{ColdBook, RightAsk},
         paces::{PaceObservation, Paces},
         topology::Topology,
         usage::UsageMeter,
@@ -28,6 +29,10 @@
 /// How many wishes may wait for control.
 const WISHES: usize = 256;
 
+/// How many wishes for rights to send to cold upstreams may wait for control:
+/// a burst of requests, which give up on it within some ten milliseconds.
+const RIGHT_ASKS: usize = 256;
+
 /// How many first events are noted between two times that control takes them:
 /// some hundred milliseconds.
 const MOST_SEEN_PACES: usize = 128;
@@ -41,6 +46,15 @@
     pub busy_ms: f64,
 }
 
+/// The ends at which control takes wishes of requests.
+#[derive(Debug)]
+pub struct Wishes {
+    /// Variants that no engine holds.
+    pub variants: mpsc::Receiver<Asked>,
+    /// Rights to send to cold upstreams.
+    pub rights: mpsc::Receiver<RightAsk>,
+}
+
 /// What control and traffic have in common.
 #[derive(Debug)]
 pub struct Shared {
@@ -65,17 +79,17 @@
     work: Mutex<BTreeMap<Asked, Work>>,
     running: Mutex<BTreeMap<Asked, u32>>,
     usage: Mutex<UsageMeter>,
+    cold: Mutex<ColdBook>,
     wishes: mpsc::Sender<Asked>,
+    right_asks: mpsc::Sender<RightAsk>,
     life: watch::Sender<Life>,
 }
 
 impl Shared {
-    /// Makes the shared part, and the end at which control takes wishes.
-    pub fn new(
-        settings: Settings,
-        metrics: Metrics,
-    ) -> (Arc<Self>, mpsc::Receiver<Asked>) {
-        let (wishes, taken) = mpsc::channel(WISHES);
+    /// Makes the shared part, and the ends at which control takes wishes.
+    pub fn new(settings: Settings, metrics: Metrics) -> (Arc<Self>, Wishes) {
+        let (wishes, variants) = mpsc::channel(WISHES);
+        let (right_asks, rights) = mpsc::channel(RIGHT_ASKS);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -92,11 +106,13 @@
             work: Mutex::default(),
             running: Mutex::default(),
             usage: Mutex::new(UsageMeter::new(settings.limits)),
+            cold: Mutex::new(ColdBook::new(rand::random())),
             wishes,
+            right_asks,
             life: watch::Sender::new(Life::Starting),
             settings,
         };
-        (Arc::new(shared), taken)
+        (Arc::new(shared), Wishes { variants, rights })
     }
 
     /// Asks control for a variant that no engine inside its bound holds.
@@ -106,6 +122,19 @@
         let _ = self.wishes.try_send(asked.clone());
     }
 
+    /// Asks control for the right to send to a cold upstream.
+    ///
+    /// A wish that finds no room is lost; who waits goes elsewhere soon.
+    pub fn ask_right(&self, ask: RightAsk) {
+        let _ = self.right_asks.try_send(ask);
+    }
+
+    /// What this gateway believes of cold upstreams, and its rights.
+    pub fn cold(&self) -> MutexGuard<'_, ColdBook> {
+        // Each entry stands for itself: any that a panic left is valid.
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this gateway has under way at each upstream.
     pub fn loads(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Load>> {
         // Plain numbers: any value that a panic left is a valid one.
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -2,16 +2,20 @@
 //!
 //! Those outside the regions that bind it never do, and those in a data centre
 //! that is to be empty none from a moment after this gateway heard so. Until
-//! then they get what no other upstream can take.
+//! then they get what no other upstream can take. A cold one gets a request
+//! only with a right to send to it.
 
 use std::{borrow::Cow, sync::Arc};
 
 use valehold_core::{
-    fleet::{RegionBound, Upstream, Variant},
+    fleet::{RegionBound, Upstream, Variant, cold::ColdSight},
     id::UpstreamId,
 };
 
-use super::super::{route::Job, state::App};
+use super::{
+    super::{route::Job, state::App},
+    NoChoice,
+};
 use crate::view::View;
 
 /// Returns the regions that bind a request now.
@@ -84,16 +88,17 @@
 
 /// Leaves out upstreams in data centres that are to be empty, where there are
 /// others.
-pub(super) fn staying<'a>(
+pub(super) fn staying<T: AsRef<Upstream>>(
     view: &View,
-    upstreams: Vec<&'a Arc<Upstream>>,
-) -> Vec<&'a Arc<Upstream>> {
+    upstreams: Vec<T>,
+) -> Vec<T> {
     if !view.evacuations.is_any() {
         return upstreams;
     }
-    let (emptying, staying): (Vec<_>, Vec<_>) = upstreams
-        .into_iter()
-        .partition(|one| view.evacuations.is_emptying(&one.data_centre));
+    let is_emptying =
+        |one: &T| view.evacuations.is_emptying(&one.as_ref().data_centre);
+    let (emptying, staying): (Vec<_>, Vec<_>) =
+        upstreams.into_iter().partition(is_emptying);
     if staying.is_empty() { emptying } else { staying }
 }
 
@@ -112,18 +117,63 @@
     variant.is_none_or(|variant| upstream.holding.has(variant))
 }
 
-/// Returns the holders that were not tried; those that turned the variant
-/// away lately only where no other one is left, and of these such in data
-/// centres that are to be empty likewise.
+/// An upstream that may get a request.
+#[derive(Clone, Copy)]
+pub(super) struct Able<'a> {
+    pub(super) upstream: &'a Arc<Upstream>,
+    /// Whether it is cold, so that a right is needed.
+    pub(super) is_cold: bool,
+}
+
+impl AsRef<Upstream> for Able<'_> {
+    fn as_ref(&self) -> &Upstream {
+        self.upstream
+    }
+}
+
+/// Returns the upstreams that were not tried and that are warm, or cold and a
+/// right to send to them may be had.
 pub(super) fn able<'a>(
     app: &App,
-    view: &View,
-    holders: &[&'a Arc<Upstream>],
-    variant: &Variant,
+    job: &Job,
+    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
     tried: &[UpstreamId],
-) -> Vec<&'a Arc<Upstream>> {
-    let untried = holders.iter().filter(|h| !tried.contains(&h.id)).copied();
-    let (noted, able): (Vec<_>, Vec<_>) =
-        untried.partition(|holder| app.turned_away(&holder.id, variant));
-    staying(view, if able.is_empty() { noted } else { able })
+) -> Result<Vec<Able<'a>>, NoChoice> {
+    let untried = upstreams.filter(|one| !tried.contains(&one.id));
+    if job.cold_spec().is_none() {
+        let warm = |upstream| Able { upstream, is_cold: false };
+        return Ok(untried.map(warm).collect());
+    }
+    let (book, now) = (app.shared.cold(), app.now());
+    let mut able = Vec::new();
+    let mut soonest_ms: Option<u64> = None;
+    for upstream in untried {
+        match book.sight(&upstream.id, now) {
+            ColdSight::Warm => able.push(Able { upstream, is_cold: false }),
+            ColdSight::NeedsRight => {
+                able.push(Able { upstream, is_cold: true });
+            }
+            ColdSight::NoRight { next_ms } => {
+                let soonest = soonest_ms.map_or(next_ms, |s| s.min(next_ms));
+                soonest_ms = Some(soonest);
+            }
+        }
+    }
+    match soonest_ms {
+        Some(next_ms) if able.is_empty() => Err(NoChoice::AllCold { next_ms }),
+        _ => Ok(able),
+    }
+}
+
+/// Leaves those that turned a variant away lately only where no other one is
+/// left.
+pub(super) fn unless_turned_away<'a>(
+    app: &App,
+    able: Vec<Able<'a>>,
+    variant: &Variant,
+) -> Vec<Able<'a>> {
+    let (noted, able): (Vec<_>, Vec<_>) = able
+        .into_iter()
+        .partition(|one| app.turned_away(&one.upstream.id, variant));
+    if able.is_empty() { noted } else { able }
 }
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -13,7 +13,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{able, holders, staying},
+    eligible::{Able, able, holders, staying, unless_turned_away},
     load_of,
     prompt::Prompt,
 };
@@ -52,13 +52,16 @@
         true => prompt.home(&staying(view, holders.clone())),
         false => None,
     };
-    let candidates: Vec<Candidate> = able(app, view, &holders, variant, tried)
-        .into_iter()
-        .map(|upstream| {
-            let is_home = home.as_ref() == Some(&upstream.id);
+    let able = able(app, job, holders.iter().copied(), tried)?;
+    let able = staying(view, unless_turned_away(app, able, variant));
+    let candidates: Vec<Candidate> = able
+        .iter()
+        .map(|one| {
+            let is_home = home.as_ref() == Some(&one.upstream.id);
             Candidate {
                 pause_within_ms: pause_within_ms(app, job),
-                ..candidate(app, spec, upstream, &prompt, is_home)
+                slots: slots(job, spec, one),
+                ..candidate(app, spec, one.upstream, &prompt, is_home)
             }
         })
         .collect();
@@ -93,9 +96,22 @@
         upstream,
         read_tokens: prompt.usual_tokens(prompt.tokens).saturating_sub(cached),
         blocks: prompt.blocks,
+        is_cold: able
+            .iter()
+            .any(|one| one.is_cold && one.upstream.id == choice.engine),
     })
 }
 
+/// Returns how many requests an engine works on at once: a cold one as many as
+/// it gets in a second, since it is slow and takes no more for now.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn slots(job: &Job, spec: &EngineSpec, able: &Able<'_>) -> u32 {
+    match job.cold_spec().filter(|_| able.is_cold) {
+        Some(cold) => spec.slots.min(cold.bears_per_second.max(1.0) as u32),
+        None => spec.slots,
+    }
+}
+
 fn admit(app: &App, job: &Job, predicted_ms: f64) -> Result<(), NoChoice> {
     let priority = MAX_PRIORITY.saturating_sub(job.urgency());
     admission::admit(
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -1,10 +1,10 @@
 //! Which upstream a request goes to.
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
-//! that bind it, by data centres that are to be empty, and by what was tried.
-//! Of these, `process` chooses a process of a plain service, and `engine` an
-//! engine that holds the model; `prompt` says what of a prompt an engine may
-//! have read already.
+//! that bind it, by data centres that are to be empty, by what was tried, and
+//! by which are cold. Of these, `process` chooses a process of a plain service,
+//! and `engine` an engine that holds the model; `prompt` says what of a prompt
+//! an engine may have read already.
 
 mod eligible;
 mod engine;
@@ -13,10 +13,13 @@
 
 use std::sync::Arc;
 
-use valehold_core::{fleet::Upstream, id::UpstreamId};
+use valehold_core::{
+    fleet::{Upstream, cold::SendRight},
+    id::UpstreamId,
+};
 
 pub(super) use self::eligible::{able_elsewhere, bound_now, holders, usable};
-use super::{route::Job, state::App};
+use super::{cold, route::Job, state::App};
 use crate::view::Load;
 
 /// An upstream that was chosen.
@@ -39,6 +42,8 @@
     pub(super) pace: f64,
     /// The hashes of the prompt's leading parts.
     pub(super) blocks: Vec<u64>,
+    /// Whether it is cold, so that a right is needed to send to it.
+    pub(super) is_cold: bool,
 }
 
 /// Why none was chosen.
@@ -52,6 +57,11 @@
     EmptyBound,
     /// No engine holds the model or the adapter.
     NotHeld,
+    /// All that could take it are cold, and get no more for now.
+    AllCold {
+        /// In how many ms one may get a request.
+        next_ms: u64,
+    },
     /// Its answer would begin too late.
     WouldBeLate {
         /// When its first event was predicted, in ms.
@@ -82,6 +92,25 @@
     }
 }
 
+/// Chooses an upstream that was not `tried`; gets the right to send to it if
+/// it is cold.
+pub(super) async fn choose_with_right(
+    app: &App,
+    job: &Job,
+    tried: &[UpstreamId],
+) -> Result<(Chosen, Option<SendRight>), NoChoice> {
+    loop {
+        let chosen = choose(app, job, tried)?;
+        if !chosen.is_cold {
+            return Ok((chosen, None));
+        }
+        // Who gets none passes the upstream over from now on.
+        if let Some(right) = cold::right_for(app, &chosen.upstream.id).await {
+            return Ok((chosen, Some(right)));
+        }
+    }
+}
+
 /// Returns what all gateways have under way at an upstream.
 fn load_of(app: &App, upstream: &UpstreamId) -> Load {
     let own = app.shared.loads().get(upstream).copied();
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -8,7 +8,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{staying, usable},
+    eligible::{able, staying, usable},
     load_of,
 };
 use crate::view::View;
@@ -21,21 +21,21 @@
     job: &Job,
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
-    let untried = usable(app, view, job)
-        .filter(|upstream| !tried.contains(&upstream.id));
-    let mut able: Vec<(bool, PlainCandidate)> =
-        staying(view, untried.collect())
-            .into_iter()
-            .map(|upstream| {
-                let candidate = PlainCandidate {
-                    upstream: upstream.id.clone(),
-                    slots: upstream.slots,
-                    running: load_of(app, &upstream.id).running,
-                    way_ms: app.way_to(&upstream.data_centre).cost_ms(),
-                };
-                (app.is_suspect(&upstream.id), candidate)
-            })
-            .collect();
+    let all = able(app, job, usable(app, view, job), tried)?;
+    let all = staying(view, all);
+    let mut able: Vec<(bool, PlainCandidate)> = all
+        .iter()
+        .map(|one| {
+            let upstream = one.upstream;
+            let candidate = PlainCandidate {
+                upstream: upstream.id.clone(),
+                slots: upstream.slots,
+                running: load_of(app, &upstream.id).running,
+                way_ms: app.way_to(&upstream.data_centre).cost_ms(),
+            };
+            (app.is_suspect(&upstream.id), candidate)
+        })
+        .collect();
     if able.iter().any(|(suspect, _)| !suspect) {
         able.retain(|(suspect, _)| !suspect);
     }
@@ -54,5 +54,8 @@
         reading_ms: 0.0,
         pace: 1.0,
         blocks: Vec::new(),
+        is_cold: all
+            .iter()
+            .any(|one| one.is_cold && one.upstream.id == chosen.upstream),
     })
 }
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/cold.rs
@@ -0,0 +1,77 @@
+//! Sending to cold upstreams.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use valehold_core::{
+    fleet::{Upstream, cold::SendRight},
+    id::UpstreamId,
+};
+
+use super::{route::Job, state::App};
+
+/// How long a request waits for the right to send to a cold upstream, before
+/// it goes elsewhere: the way to the grantor and back, and two machines that
+/// are busy. It is a tenth of what callers expect an answer to begin in.
+const PATIENCE: Duration = Duration::from_millis(60);
+
+/// How often it looks whether the right has come.
+const LOOK_AGAIN: Duration = Duration::from_millis(3);
+
+/// Gets the right to send a request to a cold upstream; `None` if there is
+/// none to be had now.
+pub(super) async fn right_for(
+    app: &App,
+    upstream: &UpstreamId,
+) -> Option<SendRight> {
+    let until = Instant::now() + PATIENCE;
+    if let Some(right) = take(app, upstream) {
+        return Some(right);
+    }
+    let ask = app.shared.cold().rights.ask(upstream, app.now());
+    app.shared.ask_right(ask);
+    while Instant::now() < until {
+        tokio::time::sleep(LOOK_AGAIN).await;
+        if let Some(right) = take(app, upstream) {
+            return Some(right);
+        }
+        if app.shared.cold().rights.denied_ms(upstream, app.now()) > 0 {
+            return None;
+        }
+    }
+    app.shared.cold().rights.unanswered(upstream, app.now());
+    None
+}
+
+fn take(app: &App, upstream: &UpstreamId) -> Option<SendRight> {
+    app.shared.cold().rights.take(upstream, app.now())
+}
+
+/// Tells whether a request may be sent to an upstream at this moment: it is
+/// warm, or the right to send to it still holds.
+pub(super) fn may_send(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+    right: Option<SendRight>,
+) -> bool {
+    if job.cold_spec().is_none() {
+        return true;
+    }
+    let now = app.now();
+    right.is_some_and(|right| right.holds(now))
+        || !app.shared.cold().belief.is_cold(&upstream.id, now)
+}
+
+/// Notes that an upstream closed a connection or cannot be reached: where
+/// starts are told apart by their birth, another one may have come under the
+/// same name. Elsewhere that one has another name, and refuses what is meant
+/// for this.
+pub(super) fn may_have_restarted(app: &App, job: &Job, upstream: &Upstream) {
+    let Some(spec) = job.cold_spec() else { return };
+    if upstream.birth.is_some() {
+        let now = app.now();
+        let mut book = app.shared.cold();
+        book.belief.doubt(&upstream.id, spec.lasts_ms, 0, now);
+    }
+}
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -8,7 +8,9 @@
 use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
-    fleet::{Repetition, Upstream, Variant, event::EventOrder},
+    fleet::{
+        Repetition, Upstream, Variant, cold::SendRight, event::EventOrder,
+    },
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
@@ -18,7 +20,8 @@
     answer::{self, Relay},
     charge::{Charge, charge},
     choose::{
-        Chosen, NoChoice, able_elsewhere, bound_now, choose, holders, usable,
+        Chosen, NoChoice, able_elsewhere, bound_now, choose,
+        choose_with_right, holders, usable,
     },
     record::Record,
     refusal::Refusal,
@@ -160,8 +163,8 @@
         self.charge = charge(&self.app, &self.job)?;
         note_work(&self.app, &self.job);
         for _ in 0..MOST_TRIES {
-            let chosen = self.choose_or_wait().await?;
-            match self.attempt(&chosen).await {
+            let (chosen, right) = self.choose_or_wait().await?;
+            match self.attempt(&chosen, right).await {
                 Ok(passable) => return Ok(passable),
                 Err(failure) => self.failed(&chosen, failure)?,
             }
@@ -185,13 +188,17 @@
     }
 
     /// Chooses an upstream; waits a little for a model that is not held.
-    async fn choose_or_wait(&mut self) -> Result<Chosen, Refusal> {
+    async fn choose_or_wait(
+        &mut self,
+    ) -> Result<(Chosen, Option<SendRight>), Refusal> {
         let objective = Duration::from_millis(self.job.route.begin_within_ms);
         let until = Instant::now() + objective.mul_f64(WAIT_PART);
         let until = until.min(self.job.deadline);
         let mut looks: u32 = 0;
         loop {
-            let no_choice = match choose(&self.app, &self.job, &self.tried) {
+            let choosing =
+                choose_with_right(&self.app, &self.job, &self.tried);
+            let no_choice = match choosing.await {
                 Ok(chosen) => {
                     if looks > 0 {
                         tokio::time::sleep(ADAPTER_SETTLES).await;
@@ -214,6 +221,14 @@
                     let come_back = Some(NONE_IN_BOUND_COME_BACK_MS);
                     return Err(self.give_up(reason, come_back));
                 }
+                NoChoice::AllCold { next_ms }
+                    if Instant::now() + Duration::from_millis(next_ms)
+                        >= until =>
+                {
+                    let reason = RefusalReason::UpstreamsCold;
+                    return Err(self.give_up(reason, Some(next_ms)));
+                }
+                NoChoice::AllCold { .. } => {}
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
                     // The holder of the lease looks after those that failed.
@@ -279,6 +294,7 @@
     async fn attempt(
         &mut self,
         chosen: &Chosen,
+        right: Option<SendRight>,
     ) -> Result<Passable, SendFailure> {
         let app = self.app.clone();
         if self.sends == 0 {
@@ -290,7 +306,7 @@
         let mut order = self.order;
         let patience = self.patience();
         let sent = Instant::now();
-        let beginning = begin(&app, &self.job, chosen, &mut order);
+        let beginning = begin(&app, &self.job, chosen, right, &mut order);
         let begun = self.patiently(id, patience, beginning).await;
         let begun = begun.ok_or_else(SendFailure::broken)??;
         let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
@@ -465,9 +481,11 @@
             if !self.take_second_send(Verdict::MayHaveRun) {
                 return None;
             }
-            let chosen = choose(&self.app, &self.job, &self.tried).ok()?;
+            let choosing =
+                choose_with_right(&self.app, &self.job, &self.tried);
+            let (chosen, right) = choosing.await.ok()?;
             self.app.shared.metrics.retried(RetryReason::StreamResumed);
-            match self.attempt(&chosen).await {
+            match self.attempt(&chosen, right).await {
                 Ok(Passable::Stream { relay, .. }) => return Some(*relay),
                 Ok(Passable::Whole { .. }) => return None,
                 Err(failure) => {
@@ -516,12 +534,13 @@
     app: &App,
     job: &Job,
     chosen: &Chosen,
+    right: Option<SendRight>,
     order: &mut EventOrder,
 ) -> Result<Passable, SendFailure> {
     let upstream = &chosen.upstream;
     let asked = job.asked();
     let under_way = app.under_way(&upstream.id, asked, chosen.read_tokens);
-    let begun = send(app, job, upstream, order.last()).await?;
+    let begun = send(app, job, upstream, right, order.last()).await?;
     let head = begun.head.clone();
     if !(job.route.streaming && head.status.is_success()) {
         let body = take_whole(app, upstream, begun).await?;
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -3,7 +3,7 @@
 //! A request goes straight through these modules: `face` takes it from the
 //! connection and answers calls to the gateway itself, `route` finds what the
 //! configuration says of it, `charge` counts it to its workspace's limit,
-//! `choose` finds an upstream, `send` brings it there,
+//! `choose` finds an upstream, `cold` the right to send to a cold one, `send` brings it there,
 //! and `answer` passes the whole answer back, event by event where it is a
 //! stream. `exchange` leads it from one to the next.
 
@@ -11,6 +11,7 @@
 mod answer;
 mod charge;
 mod choose;
+mod cold;
 mod exchange;
 mod face;
 mod pool;
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -9,7 +9,8 @@
 use tokio::time::Instant;
 use valehold_core::{
     fleet::{
-        Asked, Catalog, RegionBound, Route, catalog::EngineSpec,
+        Asked, Catalog, RegionBound, Route,
+        catalog::{ColdSpec, EngineSpec},
         workspace::Workspace,
     },
     id::ServiceName,
@@ -83,6 +84,12 @@
         before.saturating_mul(RANKS_OF_ROUTES).saturating_add(within)
     }
 
+    /// Returns what the service's upstreams bear while they are cold, if they
+    /// ever are.
+    pub(super) fn cold_spec(&self) -> Option<&ColdSpec> {
+        self.catalog.services.get(&self.service_name)?.cold.as_ref()
+    }
+
     /// Returns what the service's engines can do, if it runs models.
     pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
         self.catalog.engine_spec(&self.service_name)
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -12,12 +12,12 @@
 use tokio::time::Instant;
 use valehold_core::{
     Verdict,
-    fleet::{Upstream, turned_away::TurnedAway},
+    fleet::{Upstream, cold::SendRight, turned_away::TurnedAway},
     reason::RetryReason,
 };
 use valehold_ports::port::fleet::Sending;
 
-use super::{route::Job, state::App};
+use super::{cold, route::Job, state::App};
 use crate::events::Event;
 
 /// How many connections in a row may turn out closed before the request was
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Nothing left this gateway: the upstream is cold, and there is no right
+    /// to send to it any more.
+    fn right_over() -> Self {
+        Self { reason: RetryReason::RightOver, ..Self::not_sent() }
+    }
+
     /// The upstream says that it did not run the request.
     fn refused(why: TurnedAway, come_back: Option<Duration>) -> Self {
         Self {
@@ -109,6 +115,7 @@
     app: &App,
     job: &Job,
     upstream: &Upstream,
+    right: Option<SendRight>,
     after_event: Option<u64>,
 ) -> Result<BegunAnswer, SendFailure> {
     let sending = Sending {
@@ -126,11 +133,15 @@
             let error = error.to_string();
             Event::UpstreamUnreachable { upstream: upstream_id, error }.log();
             app.judge(&upstream.id, |health, now| health.unreachable(now));
+            cold::may_have_restarted(app, job, upstream);
             SendFailure::not_sent()
         })?;
         if let Some(made_in) = connection.made_in {
             app.note_connected(&upstream.data_centre, made_in);
         }
+        if !cold::may_send(app, job, upstream, right) {
+            return Err(SendFailure::right_over());
+        }
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => return begun(app, job, answer, connection.sender),
@@ -146,6 +157,7 @@
                         upstream.id,
                         error.error()
                     );
+                    cold::may_have_restarted(app, job, upstream);
                     return Err(SendFailure::broken());
                 }
             },
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -174,6 +174,7 @@
         self.paces.borrow_mut().retain(|id, _| known(id));
         self.turned_away.borrow_mut().sweep(&known, self.now());
         self.slot_times.borrow_mut().sweep(self.now());
+        self.shared.cold().sweep(&known, self.now());
         self.pool.sweep(known);
     }
 
