Cold upstreams: entries that only cool are not told again, decided in core

Cause: a cold upstream changes its entry with each heartbeat; what to leave out of the deltas was decided in control, without a test. Change: ColdBelief::expects; one that says another time than is believed (300 ms either way) is passed on. Shown: fleet/tests/cold.rs.

--- a/crates/valehold-core/src/fleet/cold/belief.rs
+++ b/crates/valehold-core/src/fleet/cold/belief.rs
@@ -10,6 +10,11 @@
 /// to it later than so long ago.
 const ENTRY_LAG_MS: u64 = 2_000;
 
+/// By how much another time than is believed already an upstream may say that
+/// it is cold, in ms, for its entry to be no news: heartbeats come that
+/// unevenly.
+const COOLS_AS_BELIEVED_MS: u64 = 300;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Cold {
     until: Millis,
@@ -85,6 +90,22 @@
         self.cold.get(id).map_or(0, |cold| cold.until.since(now))
     }
 
+    /// Tells whether nothing changed in an entry since it was `known` but that
+    /// its upstream is cold for less time, as is believed already.
+    pub fn expects(
+        &self,
+        known: &Upstream,
+        entry: &Upstream,
+        now: Millis,
+    ) -> bool {
+        let left_ms = self.left_ms(&entry.id, now);
+        let is_cooling = entry.cold_for_ms > 0
+            && left_ms > 0
+            && left_ms.abs_diff(entry.cold_for_ms) <= COOLS_AS_BELIEVED_MS;
+        let cold_for_ms = known.cold_for_ms;
+        is_cooling && Upstream { cold_for_ms, ..entry.clone() } == *known
+    }
+
     /// Forgets what is over, and upstreams that are not `known`.
     pub fn sweep(&mut self, known: impl Fn(&UpstreamId) -> bool, now: Millis) {
         self.cold.retain(|id, cold| now < cold.until && known(id));
--- a/crates/valehold-core/src/fleet/tests/cold.rs
+++ b/crates/valehold-core/src/fleet/tests/cold.rs
@@ -109,6 +109,27 @@
     expect_false!(belief.is_cold(&id("e2"), at(1_000)));
 }
 
+/// What everybody expects is not told to all at each heartbeat.
+#[gtest]
+fn an_entry_that_only_says_that_less_time_is_left_is_expected() {
+    let mut belief = ColdBelief::default();
+    let first = entry(3_000, Some(5));
+    expect_false!(belief.expects(&entry(0, Some(5)), &first, at(0)));
+    belief.hear(&first, 3_000, at(0));
+    let later = entry(1_800, Some(5));
+    expect_true!(belief.expects(&first, &later, at(1_200)));
+    expect_true!(belief.expects(&first, &later, at(1_000)));
+    // It became cold again, is warm, or something else changed.
+    let again = entry(3_000, Some(5));
+    expect_false!(belief.expects(&first, &again, at(1_200)));
+    expect_false!(belief.expects(&first, &entry(700, Some(5)), at(1_200)));
+    expect_false!(belief.expects(&first, &entry(0, Some(5)), at(1_200)));
+    expect_false!(belief.expects(&first, &entry(0, Some(5)), at(2_900)));
+    expect_false!(belief.expects(&first, &entry(1_800, Some(6)), at(1_200)));
+    let leaving = Upstream { leaving: true, ..later };
+    expect_false!(belief.expects(&first, &leaving, at(1_200)));
+}
+
 #[gtest]
 fn a_right_is_for_one_request_and_ends_by_the_askers_clock() {
     let mut rights = SendRights::new(u64::MAX);
--- a/crates/valehold-gateway/src/control/cold.rs
+++ b/crates/valehold-gateway/src/control/cold.rs
@@ -19,11 +19,6 @@
 /// yet.
 const NOT_KNOWN_MS: u32 = 200;
 
-/// By how much another time than is believed already an upstream may say that
-/// it is cold, in ms, for its entry to be no news: heartbeats come that
-/// unevenly.
-const COOLS_AS_BELIEVED_MS: u64 = 300;
-
 impl Control {
     /// Takes in what entries say of whether upstreams are cold.
     pub(super) fn hear_cold(
@@ -84,16 +79,10 @@
     ) -> Vec<Arc<Upstream>> {
         let book = self.shared.cold();
         changed.retain(|entry| {
-            let left_ms = book.belief.left_ms(&entry.id, now);
-            let other_ms = left_ms.abs_diff(entry.cold_for_ms);
-            let is_cooling =
-                entry.cold_for_ms > 0 && other_ms <= COOLS_AS_BELIEVED_MS;
             let known = self.upstreams.listed(&entry.id);
-            let is_alike = known.is_some_and(|known| {
-                let cold_for_ms = known.cold_for_ms;
-                Upstream { cold_for_ms, ..(**entry).clone() } == **known
-            });
-            !(left_ms > 0 && is_cooling && is_alike)
+            let is_expected =
+                |known: &Arc<Upstream>| book.belief.expects(known, entry, now);
+            !known.is_some_and(is_expected)
         });
         changed
     }
