--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -4,7 +4,9 @@
 //! lease, which knows earlier than the list what engines hold since its
 //! orders, and the memory of those that fell off the list with the store.
 //! What they say together is kept up to date one upstream at a time, so that
-//! a change costs what changed and not the whole list.
+//! a change costs what changed and not the whole list. An upstream may start
+//! again under its name: what any source says of an earlier start changes
+//! nothing, and of a later one voids what was said before.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    identity::Births,
     lapsed::LapsedUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream},
 };
@@ -27,6 +30,8 @@
 pub struct EngineHolding {
     /// The engine.
     pub engine: UpstreamId,
+    /// When the start of it began that holds this, in ms, if it says so.
+    pub birth: Option<u64>,
     /// What it holds.
     pub holding: Holding,
     /// Orders what holders say of one engine.
@@ -36,6 +41,7 @@
 /// What the holder said of an engine.
 #[derive(Debug, Clone)]
 struct Told {
+    birth: Option<u64>,
     holding: Holding,
     stamp: Stamp,
     at: Millis,
@@ -48,6 +54,7 @@
     rows: Listing,
     lapsed: LapsedUpstreams,
     told: BTreeMap<UpstreamId, Told>,
+    births: Births,
     /// All three together.
     known: Arc<Listing>,
     /// Those that changed since they were last taken.
@@ -82,13 +89,14 @@
     /// that those that it misses may only have lapsed.
     pub fn replace(
         &mut self,
-        listing: Listing,
+        mut listing: Listing,
         after_outage: bool,
         now: Millis,
     ) -> bool {
         if listing.version < self.rows.version || listing.version == 0 {
             return false;
         }
+        self.void_earlier_starts(&mut listing, now);
         let before = std::mem::replace(&mut self.rows, listing);
         if after_outage {
             self.keep_missing(&before, now);
@@ -107,6 +115,18 @@
         true
     }
 
+    /// Puts what was listed before in the place of entries of earlier starts.
+    fn void_earlier_starts(&mut self, listing: &mut Listing, now: Millis) {
+        let (births, rows) = (&mut self.births, &self.rows);
+        listing.upstreams.retain(|id, upstream| {
+            if births.note(id, upstream.birth, now) {
+                return true;
+            }
+            let before = rows.upstreams.get(id);
+            before.inspect(|b| *upstream = Arc::clone(b)).is_some()
+        });
+    }
+
     fn keep_missing(&mut self, before: &Listing, now: Millis) {
         for (id, upstream) in &before.upstreams {
             if !self.rows.upstreams.contains_key(id) {
@@ -117,6 +137,7 @@
 
     /// Takes in changes of the list; tells whether they were new.
     pub fn apply(&mut self, delta: &ListingDelta, now: Millis) -> bool {
+        let delta = &self.of_latest_starts(delta, now);
         let gone = delta.gone.iter().filter(|_| delta.after_outage);
         let lapsed: Vec<Arc<Upstream>> = gone
             .filter_map(|id| self.rows.upstreams.get(id).cloned())
@@ -141,6 +162,18 @@
         true
     }
 
+    /// Returns changes of the list without entries of earlier starts.
+    fn of_latest_starts(
+        &mut self,
+        delta: &ListingDelta,
+        now: Millis,
+    ) -> ListingDelta {
+        let mut delta = delta.clone();
+        let births = &mut self.births;
+        delta.changed.retain(|one| births.note(&one.id, one.birth, now));
+        delta
+    }
+
     /// Takes in what the holder says engines hold; tells whether that
     /// changes what is known.
     pub fn tell(&mut self, told: Vec<EngineHolding>, now: Millis) -> bool {
@@ -149,14 +182,19 @@
             let known = self.told.get(&one.engine);
             let is_older = known.is_some_and(|known| known.stamp > one.stamp);
             let is_there = self.known.upstreams.contains_key(&one.engine);
-            if is_older || !is_there {
+            let EngineHolding { engine, birth, holding, stamp } = one;
+            let is_of_earlier = birth < self.births.of(&engine);
+            if is_older || !is_there || is_of_earlier {
                 continue;
             }
-            if known.is_none_or(|known| known.holding != one.holding) {
-                changed.insert(one.engine.clone());
+            self.births.note(&engine, birth, now);
+            let is_same = known.is_some_and(|known| {
+                known.birth == birth && known.holding == holding
+            });
+            if !is_same {
+                changed.insert(engine.clone());
             }
-            let (holding, stamp) = (one.holding, one.stamp);
-            self.told.insert(one.engine, Told { holding, stamp, at: now });
+            self.told.insert(engine, Told { birth, holding, stamp, at: now });
         }
         let is_new = !changed.is_empty();
         self.touch(changed);
@@ -174,6 +212,8 @@
     pub fn pass(&mut self, now: Millis) {
         let over = self.lapsed.pass(&self.rows, now);
         self.touch(over);
+        let listed = &self.known.upstreams;
+        self.births.sweep(|id| listed.contains_key(id), now);
     }
 
     /// Tells whether something changed since changes were last taken.
@@ -204,13 +244,40 @@
             Arc::make_mut(&mut self.known).upstreams.remove(id);
             return;
         };
-        let mut upstream = listed.clone();
-        if let Some(told) = self.told.get(id)
-            && told.holding != upstream.holding
-        {
-            Arc::make_mut(&mut upstream).holding = told.holding.clone();
+        let listed = listed.clone();
+        let birth = self.births.of(id);
+        let told = self.told.get(id).filter(|told| told.birth == birth);
+        let upstream = as_of(listed, birth, told);
+        if told.is_none() {
+            self.told.remove(id);
         }
         let known = Arc::make_mut(&mut self.known);
         known.upstreams.insert(id.clone(), upstream);
     }
 }
+
+/// Puts together what is known of an upstream's latest start: of an entry of
+/// another one, what it holds is left out.
+fn as_of(
+    listed: Arc<Upstream>,
+    birth: Option<u64>,
+    told: Option<&Told>,
+) -> Arc<Upstream> {
+    let is_of_another = listed.birth.is_some() && listed.birth != birth;
+    let holding = match told {
+        Some(told) => Some(told.holding.clone()),
+        None if is_of_another => Some(Holding::default()),
+        None => None,
+    };
+    let holding = holding.filter(|holding| *holding != listed.holding);
+    if holding.is_none() && listed.birth == birth {
+        return listed;
+    }
+    let mut upstream = listed;
+    let changed = Arc::make_mut(&mut upstream);
+    changed.birth = birth;
+    if let Some(holding) = holding {
+        changed.holding = holding;
+    }
+    upstream
+}
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::identity::UpstreamStart;
 use crate::id::{
     AdapterName, DataCentreId, ModelName, ServiceName, UpstreamId,
 };
@@ -84,7 +85,7 @@
 /// One upstream: an engine, or a process of a plain service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// Its name, which no other start of it has.
+    /// Its name, under which it may start again.
     pub id: UpstreamId,
     /// The service that it belongs to.
     pub service: ServiceName,
@@ -105,6 +106,13 @@
     pub holding: Holding,
 }
 
+impl Upstream {
+    /// Returns which start of it this tells of.
+    pub fn start(&self) -> UpstreamStart {
+        UpstreamStart { id: self.id.clone(), birth: self.birth }
+    }
+}
+
 /// Changes of the platform's list from one version to a later one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListingDelta {
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod health;
+pub mod identity;
 pub mod known;
 pub mod lapsed;
 pub mod listing;
@@ -39,6 +40,7 @@
     evacuation::{
         EvacuationChange, EvacuationNews, EvacuationView, Evacuations,
     },
+    identity::UpstreamStart,
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
 };
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -47,6 +47,7 @@
 fn told(id: &str, sequence: u64, models: &[&str]) -> EngineHolding {
     EngineHolding {
         engine: UpstreamId::new(id),
+        birth: None,
         holding: holding(models),
         stamp: Stamp { epoch: 1, sequence },
     }
@@ -128,6 +129,107 @@
     expect_that!(known.listing().upstreams.len(), eq(0));
 }
 
+fn born(birth: u64, id: &str, models: &[&str]) -> Arc<Upstream> {
+    let mut upstream = engine(id, models);
+    Arc::make_mut(&mut upstream).birth = Some(birth);
+    upstream
+}
+
+fn told_of(
+    birth: u64,
+    id: &str,
+    sequence: u64,
+    models: &[&str],
+) -> EngineHolding {
+    EngineHolding { birth: Some(birth), ..told(id, sequence, models) }
+}
+
+fn birth(known: &KnownUpstreams, id: &str) -> Option<u64> {
+    known.listing().upstreams.get(&UpstreamId::new(id))?.birth
+}
+
+#[gtest]
+fn another_start_holds_nothing_of_before() {
+    let mut known = KnownUpstreams::default();
+    known.replace(list(5, &[born(1, "e1", &["alpha"])]), false, at(0));
+    known.tell(vec![told_of(1, "e1", 7, &["alpha", "beta"])], at(10));
+    expect_true!(holds(&known, "e1", "beta"));
+    let mut change = delta(5, 6);
+    change.changed.push(born(2, "e1", &[]));
+    expect_true!(known.apply(&change, at(100)));
+    expect_false!(holds(&known, "e1", "alpha"));
+    expect_false!(holds(&known, "e1", "beta"));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+    // The holder's word of the earlier start, under a greater stamp.
+    expect_false!(known.tell(vec![told_of(1, "e1", 8, &["beta"])], at(110)));
+    expect_false!(known.tell(vec![told("e1", 9, &["beta"])], at(120)));
+    expect_false!(holds(&known, "e1", "beta"));
+    // A stamp of before says nothing of the start that is there.
+    expect_true!(known.tell(vec![told_of(2, "e1", 10, &["gamma"])], at(130)));
+    expect_true!(holds(&known, "e1", "gamma"));
+}
+
+#[gtest]
+fn a_late_entry_brings_no_earlier_start_back() {
+    let mut known = KnownUpstreams::default();
+    known.replace(list(5, &[born(2, "e1", &["beta"])]), false, at(0));
+    let mut change = delta(5, 6);
+    change.changed.push(born(1, "e1", &["alpha"]));
+    expect_true!(known.apply(&change, at(10)));
+    expect_true!(holds(&known, "e1", "beta"));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+    let late = list(7, &[born(1, "e1", &["alpha"])]);
+    expect_true!(known.replace(late.clone(), false, at(20)));
+    expect_true!(holds(&known, "e1", "beta"));
+    expect_that!(known.version(), eq(7));
+    // Also once the later one is gone.
+    let mut change = delta(7, 8);
+    change.gone.push(UpstreamId::new("e1"));
+    expect_true!(known.apply(&change, at(30)));
+    let later = Listing { version: 9, ..late };
+    expect_true!(known.replace(later, false, at(40)));
+    expect_that!(known.listing().upstreams.len(), eq(0));
+}
+
+#[gtest]
+fn the_holder_may_know_of_another_start_first() {
+    let mut known = KnownUpstreams::default();
+    let early = [born(1, "e1", &["alpha"])];
+    known.replace(list(5, &early), false, at(0));
+    known.take_changes();
+    expect_true!(known.tell(vec![told_of(2, "e1", 3, &[])], at(10)));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+    expect_false!(holds(&known, "e1", "alpha"));
+    let changes = known.take_changes();
+    expect_that!(changes, elements_are![eq(&UpstreamId::new("e1"))]);
+    // The list lags: the entry of the earlier start is read again.
+    known.replace(list(6, &early), false, at(3_000));
+    expect_false!(holds(&known, "e1", "alpha"));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+}
+
+#[gtest]
+fn an_entry_without_a_birth_tells_of_the_latest_start() {
+    let mut known = KnownUpstreams::default();
+    known.replace(list(5, &[born(2, "e1", &["alpha"])]), false, at(0));
+    known.replace(list(6, &[engine("e1", &["beta"])]), false, at(10));
+    expect_true!(holds(&known, "e1", "beta"));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+}
+
+#[gtest]
+fn a_clock_that_went_back_shuts_no_start_out_for_good() {
+    let mut known = KnownUpstreams::default();
+    known.replace(list(5, &[born(2, "e1", &["alpha"])]), false, at(0));
+    let later = list(6, &[born(1, "e1", &["beta"])]);
+    known.replace(later, false, at(599_999));
+    expect_that!(birth(&known, "e1"), some(eq(2)));
+    let later = list(7, &[born(1, "e1", &["beta"])]);
+    known.replace(later, false, at(600_000));
+    expect_true!(holds(&known, "e1", "beta"));
+    expect_that!(birth(&known, "e1"), some(eq(1)));
+}
+
 /// One step of what may be said of three engines.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/valehold-core/src/fleet/tests/paces.rs
+++ b/crates/valehold-core/src/fleet/tests/paces.rs
@@ -8,12 +8,12 @@
     fleet::paces::{
         LogRatio, PaceBook, PaceNews, PaceObservation, Paces, ToldPaces,
     },
-    id::{ModelName, ModelTag, UpstreamId, UpstreamTag},
+    id::{ModelName, ModelTag, UpstreamTag},
     testing::cases,
 };
 
 fn engine(number: usize) -> UpstreamTag {
-    UpstreamId::new(format!("e{number}")).tag()
+    UpstreamTag::new(u32::try_from(number).unwrap())
 }
 
 fn model(number: usize) -> ModelTag {
--- a/crates/valehold-core/src/fleet/tests/turned_away.rs
+++ b/crates/valehold-core/src/fleet/tests/turned_away.rs
@@ -4,20 +4,24 @@
 
 use crate::{
     fleet::{
-        Variant,
+        UpstreamStart, Variant,
         turned_away::{TurnedAway, TurnedAwayMemory},
     },
     id::UpstreamId,
     time::Millis,
 };
 
+fn start(id: &str, birth: Option<u64>) -> UpstreamStart {
+    UpstreamStart { id: UpstreamId::new(id), birth }
+}
+
 fn at(ms: u64) -> Millis {
     Millis::new(ms)
 }
 
 #[gtest]
 fn a_refusal_of_the_model_concerns_its_adapters() {
-    let engine = UpstreamId::new("e1");
+    let engine = start("e1", None);
     let (plain, adapted) =
         (Variant::plain("m1"), Variant::adapted("m1", "a1"));
     let mut memory = TurnedAwayMemory::default();
@@ -26,13 +30,13 @@
     expect_true!(memory.is_noted(&engine, &adapted, at(1_399)));
     expect_false!(memory.is_noted(&engine, &plain, at(1_400)));
     expect_false!(memory.is_noted(&engine, &Variant::plain("m2"), at(1_001)));
-    let other = UpstreamId::new("e2");
+    let other = start("e2", None);
     expect_false!(memory.is_noted(&other, &plain, at(1_001)));
 }
 
 #[gtest]
 fn a_refusal_of_an_adapter_concerns_it_alone() {
-    let engine = UpstreamId::new("e1");
+    let engine = start("e1", None);
     let (plain, adapted) =
         (Variant::plain("m1"), Variant::adapted("m1", "a1"));
     let mut memory = TurnedAwayMemory::default();
@@ -45,7 +49,7 @@
 
 #[gtest]
 fn engines_that_are_gone_are_forgotten() {
-    let engine = UpstreamId::new("e1");
+    let engine = start("e1", None);
     let variant = Variant::plain("m1");
     let mut memory = TurnedAwayMemory::default();
     memory.note(&engine, &variant, TurnedAway::NotHeld, at(1_000));
@@ -54,3 +58,12 @@
     memory.sweep(|_| false, at(1_003));
     expect_false!(memory.is_noted(&engine, &variant, at(1_004)));
 }
+
+#[gtest]
+fn another_start_of_an_engine_turned_nothing_away() {
+    let (first, second) = (start("e1", Some(1)), start("e1", Some(2)));
+    let variant = Variant::plain("m1");
+    let mut memory = TurnedAwayMemory::default();
+    memory.note(&first, &variant, TurnedAway::NotHeld, at(1_000));
+    expect_false!(memory.is_noted(&second, &variant, at(1_001)));
+}
--- a/crates/valehold-core/src/fleet/turned_away.rs
+++ b/crates/valehold-core/src/fleet/turned_away.rs
@@ -7,8 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use super::listing::Variant;
-use crate::{id::UpstreamId, time::Millis};
+use super::{identity::UpstreamStart, listing::Variant};
+use crate::time::Millis;
 
 /// Why an engine did not run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,14 +32,14 @@
 /// Which engines turned a variant away lately.
 #[derive(Debug, Clone, Default)]
 pub struct TurnedAwayMemory {
-    until: BTreeMap<UpstreamId, BTreeMap<Variant, Millis>>,
+    until: BTreeMap<UpstreamStart, BTreeMap<Variant, Millis>>,
 }
 
 impl TurnedAwayMemory {
     /// Notes that an engine turned a variant away.
     pub fn note(
         &mut self,
-        engine: &UpstreamId,
+        engine: &UpstreamStart,
         variant: &Variant,
         why: TurnedAway,
         now: Millis,
@@ -50,7 +50,7 @@
     }
 
     /// Notes that an engine took a variant.
-    pub fn taken(&mut self, engine: &UpstreamId, variant: &Variant) {
+    pub fn taken(&mut self, engine: &UpstreamStart, variant: &Variant) {
         if let Some(of_engine) = self.until.get_mut(engine) {
             of_engine.remove(variant);
             of_engine.remove(&Variant::plain(variant.model.as_str()));
@@ -61,7 +61,7 @@
     /// adapter, away lately.
     pub fn is_noted(
         &self,
-        engine: &UpstreamId,
+        engine: &UpstreamStart,
         variant: &Variant,
         now: Millis,
     ) -> bool {
@@ -74,7 +74,11 @@
     }
 
     /// Forgets what is over, and engines that are not `known`.
-    pub fn sweep(&mut self, known: impl Fn(&UpstreamId) -> bool, now: Millis) {
+    pub fn sweep(
+        &mut self,
+        known: impl Fn(&UpstreamStart) -> bool,
+        now: Millis,
+    ) {
         self.until.retain(|engine, of_engine| {
             of_engine.retain(|_, until| now < *until);
             known(engine) && !of_engine.is_empty()
--- a/crates/valehold-core/src/id.rs
+++ b/crates/valehold-core/src/id.rs
@@ -71,9 +71,9 @@
     RequestId;
 }
 
-/// A short stand-in for an upstream's name, where many are told at once.
+/// A short stand-in for one start of an upstream, where many are told at once.
 ///
-/// Two names may share a tag, though rarely: of 1,500 upstreams some two do
+/// Two starts may share a tag, though rarely: of 1,500 upstreams some two do
 /// in one of 4,000 fleets. It is therefore used for figures that may be off,
 /// such as loads, and never to address an upstream.
 #[derive(
@@ -91,11 +91,10 @@
 #[serde(transparent)]
 pub struct UpstreamTag(u32);
 
-impl UpstreamId {
-    /// Returns the name's tag.
-    #[allow(clippy::cast_possible_truncation)]
-    pub fn tag(&self) -> UpstreamTag {
-        UpstreamTag(xxh3_64(self.as_str().as_bytes()) as u32)
+impl UpstreamTag {
+    /// Makes a tag of a hash.
+    pub const fn new(hash: u32) -> Self {
+        Self(hash)
     }
 }
 
--- a/crates/valehold-core/src/prefix.rs
+++ b/crates/valehold-core/src/prefix.rs
@@ -8,7 +8,10 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::Hash,
+};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -68,16 +71,16 @@
     bytes.div_ceil(BYTES_PER_TOKEN) as u64
 }
 
-/// Hints of which engine has which block.
+/// Hints of which engine has which block, engines being told apart by `E`.
 #[derive(Debug, Clone)]
-pub struct PrefixHints {
+pub struct PrefixHints<E = UpstreamId> {
     keep_ms: u64,
     capacity: usize,
-    seen: HashMap<(UpstreamId, u64), Millis>,
-    order: VecDeque<(UpstreamId, u64, Millis)>,
+    seen: HashMap<(E, u64), Millis>,
+    order: VecDeque<(E, u64, Millis)>,
 }
 
-impl PrefixHints {
+impl<E: Clone + Eq + Hash> PrefixHints<E> {
     /// Makes an empty set of at most `capacity` hints, each kept for a while.
     pub fn new(keep_ms: u64, capacity: usize) -> Self {
         Self {
@@ -89,7 +92,7 @@
     }
 
     /// Notes that an engine has read these blocks.
-    pub fn note(&mut self, engine: &UpstreamId, blocks: &[u64], now: Millis) {
+    pub fn note(&mut self, engine: &E, blocks: &[u64], now: Millis) {
         for block in blocks {
             self.seen.insert((engine.clone(), *block), now);
             self.order.push_back((engine.clone(), *block, now));
@@ -102,7 +105,7 @@
     /// Returns how many leading blocks an engine is likely to have.
     pub fn cached_blocks(
         &self,
-        engine: &UpstreamId,
+        engine: &E,
         blocks: &[u64],
         now: Millis,
     ) -> usize {
@@ -115,7 +118,7 @@
     }
 
     /// Drops all hints about an engine: its events have a gap.
-    pub fn forget(&mut self, engine: &UpstreamId) {
+    pub fn forget(&mut self, engine: &E) {
         self.seen.retain(|(known, _), _| known != engine);
         self.order.retain(|(known, _, _)| known != engine);
     }
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -3,11 +3,12 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use valehold_core::{
     Millis,
-    fleet::{Holding, Upstream, Variant},
+    fleet::{Holding, Upstream, UpstreamStart, Variant},
     id::{DataCentreId, ModelName, ServiceName},
     order::Stamp,
 };
@@ -25,6 +26,8 @@
 /// What is known of one engine.
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
+    /// Which start of the engine this is about.
+    pub(super) start: UpstreamStart,
     pub(super) service: ServiceName,
     pub(super) address: SocketAddr,
     pub(super) data_centre: DataCentreId,
@@ -64,13 +67,14 @@
     /// Adapters that it was told to load lately, and when.
     pub(super) arrivals: BTreeMap<Variant, Millis>,
     /// What the list said last.
-    pub(super) listed: Holding,
+    pub(super) listed: Arc<Upstream>,
 }
 
 impl Entry {
     /// Makes the entry of an engine that has not reported yet.
-    pub(super) fn new(upstream: &Upstream) -> Self {
+    pub(super) fn new(upstream: &Arc<Upstream>) -> Self {
         Self {
+            start: upstream.start(),
             service: upstream.service.clone(),
             address: upstream.address,
             data_centre: upstream.data_centre.clone(),
@@ -93,20 +97,45 @@
             changed: None,
             stamp: Stamp::default(),
             arrivals: BTreeMap::new(),
-            listed: upstream.holding.clone(),
+            listed: upstream.clone(),
         }
     }
 
-    /// Takes in what the list says.
-    pub(super) fn list(&mut self, upstream: &Upstream) {
+    /// Takes in what the list says. Nothing that was known, ordered or
+    /// expected of an earlier start says anything of a later one.
+    pub(super) fn list(&mut self, upstream: &Arc<Upstream>) {
+        if self.start.birth < upstream.birth {
+            *self = Self::new(upstream);
+            return;
+        }
         self.leaving = upstream.leaving;
-        if self.listed != upstream.holding {
-            self.listed = upstream.holding.clone();
+        let is_news = self.listed.holding != upstream.holding;
+        self.listed = upstream.clone();
+        if is_news {
             // Another one's orders, or none: the engine itself tells.
-            self.uncertain |= self.listed.models != self.holding.models;
+            self.uncertain |= upstream.holding.models != self.holding.models;
         }
     }
 
+    /// Tells whether a report that states a birth is of a later start.
+    pub(super) fn is_later(&self, birth: Option<u64>) -> bool {
+        self.start.birth < birth
+    }
+
+    /// Tells whether what states a birth, or none, is of this start.
+    pub(super) fn is_of_this_start(&self, birth: Option<u64>) -> bool {
+        birth.is_none() || birth == self.start.birth
+    }
+
+    /// Begins anew with a later start, which has not been listed yet.
+    pub(super) fn begin_anew(&mut self, birth: Option<u64>) {
+        let listed = Upstream::clone(&self.listed);
+        let holding = Holding::default();
+        let emptied = self.emptied;
+        let started = Arc::new(Upstream { birth, holding, ..listed });
+        *self = Self { emptied, ..Self::new(&started) };
+    }
+
     /// Takes in whether its data centre is to be empty. What it holds after
     /// that has to be asked: it may have started anew meanwhile.
     pub(super) fn empty(&mut self, emptied: bool) {
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -4,8 +4,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Catalog, EvacuationNews, Listing},
-    id::UpstreamId,
+    fleet::{Catalog, EvacuationNews, Listing, UpstreamStart},
 };
 use valehold_ports::{
     PortError,
@@ -29,7 +28,7 @@
 /// An order that was given, or was to be.
 #[derive(Debug, Clone)]
 pub(super) struct GivenOrder {
-    pub(super) engine: UpstreamId,
+    pub(super) engine: UpstreamStart,
     pub(super) address: SocketAddr,
     pub(super) wish: OrderWish,
     pub(super) expected_sequence: u64,
@@ -97,7 +96,7 @@
     /// A write of the lease ended.
     LeaseWritten(SentLease, Result<LeaseWrite, PortError>),
     /// An engine reported.
-    Reported { engine: UpstreamId, report: Result<EngineReport, PortError> },
+    Reported { start: UpstreamStart, report: Result<EngineReport, PortError> },
     /// An order ended.
     Ordered(GivenOrder, OrderEnd),
     /// A datagram came.
--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use valehold_core::Millis;
+use valehold_core::{Millis, fleet::UpstreamStart};
 
 use super::Control;
 use crate::{
@@ -119,8 +119,11 @@
     pub(super) fn own_loads(&self) -> Vec<UpstreamLoad> {
         let loads = self.shared.loads();
         let busy = loads.iter().filter(|(_, load)| **load != Load::default());
-        busy.map(|(id, load)| UpstreamLoad { upstream: id.tag(), load: *load })
-            .collect()
+        let as_told = |(start, load): (&UpstreamStart, &Load)| UpstreamLoad {
+            upstream: start.tag(),
+            load: *load,
+        };
+        busy.map(as_told).collect()
     }
 
     /// Publishes what the others have under way.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -362,8 +362,8 @@
         let own = self.demand.list(&self.shared.running());
         let demand = self.roster.sum_demand(&own, now);
         let mut loads = self.roster.loads(&self.told_loads, now);
-        for (id, load) in self.shared.loads().iter() {
-            let sum: &mut Load = loads.entry(id.tag()).or_default();
+        for (start, load) in self.shared.loads().iter() {
+            let sum: &mut Load = loads.entry(start.tag()).or_default();
             *sum = sum.plus(*load);
         }
         Sums::new(demand, loads, now)
@@ -409,8 +409,8 @@
                 }
                 self.shared.metrics.holds_lease(epoch.is_some());
             }
-            Input::Reported { engine, report } => {
-                self.placer.reported(&engine, report, now);
+            Input::Reported { start, report } => {
+                self.placer.reported(&start, report, now);
                 self.spread_news_if_few(now);
             }
             Input::Ordered(order, end) => {
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -12,6 +12,8 @@
 mod adapters;
 mod models;
 mod orders;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,8 +26,8 @@
     Millis,
     fleet::{
         Asked, EngineHolding, EvacuationView, KnownUpstreams, Listing,
-        RegionBound, Upstream, Variant, asked::BoundUse, catalog::EngineSpec,
-        peaks::Peaks, topology::Topology,
+        RegionBound, Upstream, UpstreamStart, Variant, asked::BoundUse,
+        catalog::EngineSpec, peaks::Peaks, topology::Topology,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -139,7 +141,7 @@
         }
     }
 
-    fn list(&mut self, upstream: &Upstream) {
+    fn list(&mut self, upstream: &Arc<Upstream>) {
         let entry = self.entries.entry(upstream.id.clone());
         let entry = entry.or_insert_with(|| Entry::new(upstream));
         entry.list(upstream);
@@ -220,6 +222,7 @@
         let entries = self.entries.iter().filter(|(id, one)| which(id, one));
         let told = entries.map(|(id, entry)| EngineHolding {
             engine: id.clone(),
+            birth: entry.start.birth,
             holding: entry.usable(),
             stamp: entry.stamp,
         });
@@ -293,40 +296,54 @@
         entry.under_way = true;
         entry.asked = now;
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
-        let (engine, address) = (id.clone(), entry.address);
+        let (start, address) = (entry.start.clone(), entry.address);
         tokio::task::spawn_local(async move {
             let report = engines.report(address).await;
-            let input = Input::Reported { engine, report };
+            let input = Input::Reported { start, report };
             let _ = inputs.send(input);
         });
     }
 
-    /// Takes in an engine's report.
+    /// Takes in an engine's report, which one of its starts was asked for.
     pub(super) fn reported(
         &mut self,
-        engine: &UpstreamId,
+        start: &UpstreamStart,
         report: Result<EngineReport, PortError>,
         now: Millis,
     ) {
-        let Some(entry) = self.entries.get_mut(engine) else { return };
+        let Some(entry) = self.entries.get_mut(&start.id) else { return };
+        if entry.start != *start {
+            // An earlier start was asked.
+            return;
+        }
         entry.under_way = false;
         let report = match report {
             Ok(report) => report,
             Err(error) => {
-                log::debug!("{engine} did not report: {error}");
+                log::debug!("{} did not report: {error}", start.id);
                 entry.failures += 1;
                 entry.left_alone_until = now + AFTER_FAILURE_MS;
                 return;
             }
         };
         entry.failures = 0;
-        let is_old = report.holding.sequence < entry.holding.sequence;
+        if entry.is_later(report.birth) {
+            entry.begin_anew(report.birth);
+            entry.change(now, &mut self.stamp);
+        }
+        let is_old = !entry.is_of_this_start(report.birth)
+            || report.holding.sequence < entry.holding.sequence;
         if is_old && entry.old_reports < MOST_OLD_REPORTS {
             // It is from before the last order.
             entry.old_reports += 1;
             entry.left_alone_until = now + ASK_EVERY_MS / 4;
             return;
         }
+        if !entry.is_of_this_start(report.birth) {
+            // Its clock went back.
+            entry.begin_anew(report.birth);
+            entry.change(now, &mut self.stamp);
+        }
         entry.old_reports = 0;
         entry.uncertain = false;
         entry.busy = report.busy;
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -5,7 +5,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        RegionBound, Variant,
+        RegionBound, UpstreamStart, Variant,
         catalog::EngineSpec,
         replicas::{
             self, EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
@@ -13,7 +13,7 @@
         topology::Topology,
         window::Window,
     },
-    id::{ModelName, ServiceName, UpstreamId},
+    id::{ModelName, ServiceName},
 };
 use valehold_ports::port::fleet::OrderWish;
 
@@ -120,7 +120,7 @@
                     true => entry.copies.clone(),
                     false => BTreeSet::new(),
                 },
-                load: load_of(loads, id),
+                load: load_of(loads, &entry.start),
             })
             .collect();
         let needs = self.needs(now, service, demand, &states);
@@ -238,12 +238,7 @@
     }
 }
 
-/// Returns the least time that a load from the weight store takes, in ms.
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_precision_loss,
-    clippy::cast_sign_loss
-)]
-fn load_of(loads: &Loads, id: &UpstreamId) -> f64 {
-    loads.get(&id.tag()).map_or(0.0, |load| f64::from(load.running))
+/// Returns how many requests are under way at one start of an engine.
+fn load_of(loads: &Loads, start: &UpstreamStart) -> f64 {
+    loads.get(&start.tag()).map_or(0.0, |load| f64::from(load.running))
 }
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -13,7 +13,10 @@
 
 use super::{AFTER_FAILURE_MS, Authority, Placer};
 use crate::{
-    control::input::{GivenOrder, Input, OrderEnd},
+    control::{
+        entry::Entry,
+        input::{GivenOrder, Input, OrderEnd},
+    },
     events::Event,
 };
 
@@ -70,6 +73,8 @@
             let report = engines.report(order.address).await;
             let as_known = report.is_ok_and(|report| {
                 !report.busy
+                    && (report.birth.is_none()
+                        || report.birth == order.engine.birth)
                     && report.holding == known
                     && fits(&report.holding, &order.wish, &spec)
             });
@@ -89,7 +94,7 @@
         let entry = self.entries.get_mut(engine)?;
         entry.under_way = true;
         Some(GivenOrder {
-            engine: engine.clone(),
+            engine: entry.start.clone(),
             address: entry.address,
             wish: wish.clone(),
             expected_sequence: entry.holding.sequence,
@@ -107,7 +112,7 @@
         let (OrderWish::Load(variant) | OrderWish::Unload(variant)) =
             &order.wish;
         Event::OrderEnded {
-            engine: order.engine.clone(),
+            engine: order.engine.id.clone(),
             wish: order.wish.verb().to_owned(),
             variant: variant.to_string(),
             outcome: end.label().to_owned(),
@@ -115,7 +120,9 @@
         .log();
         self.ordered_now.remove(variant);
         let is_model = variant.adapter.is_none();
-        let Some(entry) = self.entries.get_mut(&order.engine) else { return };
+        let entry = self.entries.get_mut(&order.engine.id);
+        let of_this_start = |entry: &&mut Entry| entry.start == order.engine;
+        let Some(entry) = entry.filter(of_this_start) else { return };
         entry.under_way = false;
         match end {
             OrderEnd::Answered(
@@ -154,7 +161,8 @@
                 entry.forget_guess(order.expected_sequence);
             }
             OrderEnd::Unanswered(error) => {
-                log::debug!("an order to {} was lost: {error}", order.engine);
+                let id = &order.engine.id;
+                log::debug!("an order to {id} was lost: {error}");
                 entry.uncertain = true;
                 entry.left_alone_until = now + AFTER_FAILURE_MS;
                 if is_model && matches!(order.wish, OrderWish::Load(_)) {
@@ -191,7 +199,7 @@
 ) -> OrderEnd {
     let Some(epoch) = (authority.epoch)() else { return OrderEnd::NotSent };
     let order = EngineOrder {
-        engine: given.engine.clone(),
+        engine: given.engine.id.clone(),
         address: given.address,
         wish: given.wish.clone(),
         expected_sequence: given.expected_sequence,
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -7,14 +7,11 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
-use valehold_core::{
-    fleet::{
-        Asked,
-        paces::{PaceObservation, Paces},
-        topology::Topology,
-        usage::UsageMeter,
-    },
-    id::UpstreamId,
+use valehold_core::fleet::{
+    Asked, UpstreamStart,
+    paces::{PaceObservation, Paces},
+    topology::Topology,
+    usage::UsageMeter,
 };
 
 use crate::{
@@ -60,7 +57,7 @@
     /// How fast engines and models are, as all gateways learned together;
     /// written by control.
     pub paces: ArcSwap<Paces>,
-    loads: Mutex<BTreeMap<UpstreamId, Load>>,
+    loads: Mutex<BTreeMap<UpstreamStart, Load>>,
     seen_paces: Mutex<Vec<PaceObservation>>,
     work: Mutex<BTreeMap<Asked, Work>>,
     running: Mutex<BTreeMap<Asked, u32>>,
@@ -107,7 +104,7 @@
     }
 
     /// What this gateway has under way at each upstream.
-    pub fn loads(&self) -> MutexGuard<'_, BTreeMap<UpstreamId, Load>> {
+    pub fn loads(&self) -> MutexGuard<'_, BTreeMap<UpstreamStart, Load>> {
         // Plain numbers: any value that a panic left is a valid one.
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -9,12 +9,9 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use tokio::time::Instant;
-use valehold_core::{
-    fleet::{
-        Upstream, Variant,
-        event::{EventOrder, EventPassage, EventSplitter},
-    },
-    id::UpstreamId,
+use valehold_core::fleet::{
+    Upstream, UpstreamStart, Variant,
+    event::{EventOrder, EventPassage, EventSplitter},
 };
 
 use super::{
@@ -146,12 +143,12 @@
             app.note_slot_time(&variant.model, took_ms);
         }
         if let (Some(sender), Some(rest)) = (self.sender.take(), self.rest) {
-            app.pool.rest(&self.upstream.id, sender, rest.stated);
+            app.pool.rest(&self.upstream.start(), sender, rest.stated);
         }
     }
 
-    fn upstream_id(&self) -> UpstreamId {
-        self.upstream.id.clone()
+    fn upstream_start(&self) -> UpstreamStart {
+        self.upstream.start()
     }
 }
 
@@ -168,10 +165,12 @@
             let relay = self.relay.as_mut()?;
             let app = self.exchange.app.clone();
             let mut order = self.exchange.order;
-            let id = relay.upstream_id();
+            let start = relay.upstream_start();
             let taking = relay.next(&app, &mut order);
-            let taken =
-                self.exchange.patiently(&id, LONGEST_PAUSE, taking).await;
+            let taken = self
+                .exchange
+                .patiently(&start.id, LONGEST_PAUSE, taking)
+                .await;
             self.exchange.order = order;
             match taken {
                 Some(Ok(Next::Events(events))) => {
@@ -196,10 +195,10 @@
     /// Takes the stream up at another engine, if that is allowed.
     async fn resume(&mut self) -> Result<(), BrokenOff> {
         let relay = self.relay.take().ok_or(BrokenOff)?;
-        let id = relay.upstream_id();
+        let start = relay.upstream_start();
         // The engine stops working on it when its connection goes.
         drop(relay);
-        let resumed = self.exchange.resume(&id).await;
+        let resumed = self.exchange.resume(&start).await;
         self.relay = Some(resumed.ok_or(BrokenOff)?);
         Ok(())
     }
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -124,6 +124,6 @@
 ) -> Vec<&'a Arc<Upstream>> {
     let untried = holders.iter().filter(|h| !tried.contains(&h.id)).copied();
     let (noted, able): (Vec<_>, Vec<_>) =
-        untried.partition(|holder| app.turned_away(&holder.id, variant));
+        untried.partition(|holder| app.turned_away(&holder.start(), variant));
     staying(view, if able.is_empty() { noted } else { able })
 }
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -82,11 +82,11 @@
         .find(|prediction| prediction.engine == choice.engine)
         .ok_or(NoChoice::NoUpstream)?;
     let cached = prediction.cached_tokens;
-    let slowness = app.slowness(&upstream.id);
+    let slowness = app.slowness(&upstream.start());
     let reading_ms = prediction.queue_ms + prediction.prompt_ms;
     Ok(Chosen {
         predicted_ms: prediction.total_ms,
-        load: load_of(app, &upstream.id),
+        load: load_of(app, &upstream.start()),
         usual_ms: prediction.total_ms - reading_ms + reading_ms / slowness,
         reading_ms,
         pace: slowness * prompt.pace,
@@ -117,15 +117,16 @@
     prompt: &Prompt,
     is_home: bool,
 ) -> Candidate {
-    let load = load_of(app, &upstream.id);
+    let start = upstream.start();
+    let load = load_of(app, &start);
     let now = app.now();
     let hinted = match app.mechanisms().prefix_affinity {
-        true => app.hints().cached_blocks(&upstream.id, &prompt.blocks, now),
+        true => app.hints().cached_blocks(&start, &prompt.blocks, now),
         false => 0,
     };
     let known = if is_home { prompt.shared.max(hinted) } else { hinted };
     let way = app.way_to(&upstream.data_centre);
-    let connection_ms = match app.pool.has_resting(&upstream.id) {
+    let connection_ms = match app.pool.has_resting(&start) {
         true => 0.0,
         false => app.shared.settings.routing.connection_ms,
     };
@@ -139,10 +140,10 @@
             / 2.0,
         bytes_ms: way.bytes_ms,
         connection_ms,
-        suspect: app.is_suspect(&upstream.id),
+        suspect: app.is_suspect(&start),
         slots: spec.slots,
         prefill_tokens_per_second: READ_TOKENS_PER_SECOND
-            / app.slowness(&upstream.id),
+            / app.slowness(&start),
         running: load.running,
         waiting_tokens: load.waiting_tokens,
         service_ms: app.slot_ms(&prompt.model),
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -13,7 +13,10 @@
 
 use std::sync::Arc;
 
-use valehold_core::{fleet::Upstream, id::UpstreamId};
+use valehold_core::{
+    fleet::{Upstream, UpstreamStart},
+    id::UpstreamId,
+};
 
 pub(super) use self::eligible::{able_elsewhere, bound_now, holders, usable};
 use super::{route::Job, state::App};
@@ -82,8 +85,8 @@
     }
 }
 
-/// Returns what all gateways have under way at an upstream.
-fn load_of(app: &App, upstream: &UpstreamId) -> Load {
+/// Returns what all gateways have under way at one start of an upstream.
+fn load_of(app: &App, upstream: &UpstreamStart) -> Load {
     let own = app.shared.loads().get(upstream).copied();
     let others = app.shared.peer_loads.load().get(&upstream.tag()).copied();
     own.unwrap_or_default().plus(others.unwrap_or_default())
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -30,10 +30,10 @@
                 let candidate = PlainCandidate {
                     upstream: upstream.id.clone(),
                     slots: upstream.slots,
-                    running: load_of(app, &upstream.id).running,
+                    running: load_of(app, &upstream.start()).running,
                     way_ms: app.way_to(&upstream.data_centre).cost_ms(),
                 };
-                (app.is_suspect(&upstream.id), candidate)
+                (app.is_suspect(&upstream.start()), candidate)
             })
             .collect();
     if able.iter().any(|(suspect, _)| !suspect) {
@@ -47,7 +47,7 @@
     let upstream = upstream.cloned().ok_or(NoChoice::NoUpstream)?;
     Ok(Chosen {
         predicted_ms: 0.0,
-        load: load_of(app, &upstream.id),
+        load: load_of(app, &upstream.start()),
         upstream,
         read_tokens: 0,
         usual_ms: 0.0,
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
-    fleet::{Repetition, Upstream, Variant, event::EventOrder},
+    fleet::{Repetition, Upstream, UpstreamStart, Variant, event::EventOrder},
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
@@ -302,19 +302,20 @@
                     false => SendEnd::Answered,
                 };
                 self.record.began(took_ms, end);
-                self.judge_whole(id, head, body)
+                self.judge_whole(&chosen.upstream, head, body)
             }
             stream @ Passable::Stream { .. } => {
                 self.record.began(took_ms, SendEnd::Answered);
-                app.judge(id, |health, now| health.succeeded(now));
+                let start = &chosen.upstream.start();
+                app.judge(start, |health, now| health.succeeded(now));
                 if let Some(variant) = &self.job.request.variant {
-                    app.note_taken(id, variant);
+                    app.note_taken(start, variant);
                     app.note_pace(chosen, &variant.model, took_ms);
                 }
-                app.observe(id, |pace, now| {
+                app.observe(start, |pace, now| {
                     pace.began(took_ms, chosen.usual_ms, now);
                 });
-                app.hints().note(id, &chosen.blocks, app.now());
+                app.hints().note(start, &chosen.blocks, app.now());
                 Ok(stream)
             }
         }
@@ -369,17 +370,17 @@
 
     fn judge_whole(
         &self,
-        upstream: &UpstreamId,
+        upstream: &Upstream,
         mut head: http::response::Parts,
         body: Bytes,
     ) -> Result<Passable, SendFailure> {
         let failed = head.status.is_server_error();
-        self.app.judge(upstream, |health, now| match failed {
+        self.app.judge(&upstream.start(), |health, now| match failed {
             true => health.failed(now),
             false => health.succeeded(now),
         });
         let repeatable = self.job.route.repetition.is_allowed();
-        if failed && self.can_move_from(upstream) {
+        if failed && self.can_move_from(&upstream.id) {
             return Err(SendFailure {
                 reason: RetryReason::RepeatableCall,
                 ..SendFailure::broken()
@@ -399,13 +400,13 @@
         chosen: &Chosen,
         failure: SendFailure,
     ) -> Result<(), Refusal> {
-        let id = &chosen.upstream.id;
+        let start = &chosen.upstream.start();
         self.record.failed(&failure);
         if failure.verdict != Verdict::NotRun {
-            self.app.judge(id, |health, now| health.failed(now));
+            self.app.judge(start, |health, now| health.failed(now));
         }
-        self.note_turned_away(id, failure);
-        self.leave(id, failure.arrived);
+        self.note_turned_away(start, failure);
+        self.leave(&start.id, failure.arrived);
         self.verdict = self.verdict.worst(failure.verdict);
         self.keep_charge(self.verdict != Verdict::NotRun);
         let free = !failure.arrived && self.sends == 0;
@@ -425,7 +426,7 @@
         }
     }
 
-    fn note_turned_away(&self, engine: &UpstreamId, failure: SendFailure) {
+    fn note_turned_away(&self, engine: &UpstreamStart, failure: SendFailure) {
         let variant = self.job.request.variant.as_ref();
         if let (Some(variant), Some(why)) = (variant, failure.turned_away) {
             self.app.note_turned_away(engine, variant, why);
@@ -456,11 +457,11 @@
     /// after the last event that was passed on.
     pub(super) async fn resume(
         &mut self,
-        broken: &UpstreamId,
+        broken: &UpstreamStart,
     ) -> Option<Relay> {
         self.app.judge(broken, |health, now| health.failed(now));
         self.record.broke_off();
-        self.leave(broken, true);
+        self.leave(&broken.id, true);
         for _ in 0..MOST_TRIES {
             if !self.take_second_send(Verdict::MayHaveRun) {
                 return None;
@@ -472,8 +473,9 @@
                 Ok(Passable::Whole { .. }) => return None,
                 Err(failure) => {
                     self.record.failed(&failure);
-                    self.note_turned_away(&chosen.upstream.id, failure);
-                    self.leave(&chosen.upstream.id, failure.arrived);
+                    let start = chosen.upstream.start();
+                    self.note_turned_away(&start, failure);
+                    self.leave(&start.id, failure.arrived);
                 }
             }
         }
@@ -520,7 +522,8 @@
 ) -> Result<Passable, SendFailure> {
     let upstream = &chosen.upstream;
     let asked = job.asked();
-    let under_way = app.under_way(&upstream.id, asked, chosen.read_tokens);
+    let start = upstream.start();
+    let under_way = app.under_way(&start, asked, chosen.read_tokens);
     let begun = send(app, job, upstream, order.last()).await?;
     let head = begun.head.clone();
     if !(job.route.streaming && head.status.is_success()) {
@@ -542,7 +545,7 @@
     let taking = Limited::new(begun.body, MOST_ANSWER_BYTES).collect();
     let taken = taking.await.map_err(|_| SendFailure::broken())?;
     if let Some(rest) = begun.rest {
-        app.pool.rest(&upstream.id, begun.sender, rest.stated);
+        app.pool.rest(&upstream.start(), begun.sender, rest.stated);
     }
     Ok(taken.to_bytes())
 }
--- a/crates/valehold-gateway/src/traffic/pool.rs
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::Instant};
-use valehold_core::id::UpstreamId;
+use valehold_core::fleet::UpstreamStart;
 
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -45,7 +45,7 @@
 /// Connections that rest between requests.
 #[derive(Default)]
 pub(super) struct Pool {
-    resting: RefCell<BTreeMap<UpstreamId, Vec<Resting>>>,
+    resting: RefCell<BTreeMap<UpstreamStart, Vec<Resting>>>,
 }
 
 impl Pool {
@@ -56,7 +56,7 @@
     /// If none can be made: nothing was sent.
     pub(super) async fn take(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         address: SocketAddr,
     ) -> std::io::Result<Connection> {
         if let Some(sender) = self.take_resting(upstream) {
@@ -68,7 +68,7 @@
 
     fn take_resting(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
     ) -> Option<SendRequest<Full<Bytes>>> {
         let now = Instant::now();
         let mut resting = self.resting.borrow_mut();
@@ -79,7 +79,7 @@
     }
 
     /// Tells whether a connection to an upstream rests.
-    pub(super) fn has_resting(&self, upstream: &UpstreamId) -> bool {
+    pub(super) fn has_resting(&self, upstream: &UpstreamStart) -> bool {
         let now = Instant::now();
         let resting = self.resting.borrow();
         let connections = resting.get(upstream).map_or(&[][..], Vec::as_slice);
@@ -91,7 +91,7 @@
     /// Lets a connection rest whose answer was taken whole.
     pub(super) fn rest(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         sender: SendRequest<Full<Bytes>>,
         stated: Option<Duration>,
     ) {
@@ -108,9 +108,9 @@
         }
     }
 
-    /// Closes what rested too long, and connections to upstreams that are
-    /// not `known`.
-    pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
+    /// Closes what rested too long, and connections to starts of
+    /// upstreams that are not `known`.
+    pub(super) fn sweep(&self, known: impl Fn(&UpstreamStart) -> bool) {
         let now = Instant::now();
         let mut resting = self.resting.borrow_mut();
         resting.retain(|id, connections| {
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -120,12 +120,13 @@
     };
     let mut request = write_request(app, job, &sending);
     for _ in 0..MOST_CLOSED {
-        let taken = app.pool.take(&upstream.id, upstream.address).await;
+        let taken = app.pool.take(&upstream.start(), upstream.address).await;
         let mut connection = taken.map_err(|error| {
             let upstream_id = upstream.id.clone();
             let error = error.to_string();
             Event::UpstreamUnreachable { upstream: upstream_id, error }.log();
-            app.judge(&upstream.id, |health, now| health.unreachable(now));
+            let start = upstream.start();
+            app.judge(&start, |health, now| health.unreachable(now));
             SendFailure::not_sent()
         })?;
         if let Some(made_in) = connection.made_in {
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -183,6 +183,10 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let view = app.shared.view.load_full();
-        app.sweep(|id| view.listing.upstreams.contains_key(id));
+        let upstreams = &view.listing.upstreams;
+        app.sweep(|start| {
+            let upstream = upstreams.get(&start.id);
+            upstream.is_some_and(|one| one.birth == start.birth)
+        });
     }
 }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -10,7 +10,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Asked, Variant,
+        Asked, UpstreamStart, Variant,
         health::Health,
         pace::Pace,
         paces::{LogRatio, PaceObservation},
@@ -19,7 +19,7 @@
         turned_away::{TurnedAway, TurnedAwayMemory},
         ways::{Way, Ways},
     },
-    id::{DataCentreId, ModelName, ServiceName, UpstreamId},
+    id::{DataCentreId, ModelName, ServiceName},
     prefix::PrefixHints,
 };
 use valehold_ports::port::fleet::Dialect;
@@ -44,10 +44,10 @@
     /// How requests and answers are written.
     pub dialect: Arc<dyn Dialect>,
     pub(super) pool: Pool,
-    health: RefCell<BTreeMap<UpstreamId, Health>>,
-    paces: RefCell<BTreeMap<UpstreamId, Pace>>,
+    health: RefCell<BTreeMap<UpstreamStart, Health>>,
+    paces: RefCell<BTreeMap<UpstreamStart, Pace>>,
     shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
-    hints: RefCell<PrefixHints>,
+    hints: RefCell<PrefixHints<UpstreamStart>>,
     turned_away: RefCell<TurnedAwayMemory>,
     slot_times: RefCell<SlotTimes>,
     ways: RefCell<Ways>,
@@ -82,7 +82,7 @@
     /// Changes an upstream's health.
     pub(super) fn judge(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         change: impl FnOnce(&mut Health, Millis),
     ) {
         let now = self.now();
@@ -93,7 +93,7 @@
     /// Changes what is known of an engine's pace.
     pub(super) fn observe(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         change: impl FnOnce(&mut Pace, Millis),
     ) {
         if !self.mechanisms().learned_pace {
@@ -105,7 +105,7 @@
     }
 
     /// Returns how many times as long an engine takes to read as all.
-    pub(super) fn slowness(&self, upstream: &UpstreamId) -> f64 {
+    pub(super) fn slowness(&self, upstream: &UpstreamStart) -> f64 {
         if self.mechanisms().paces_told {
             return self.shared.paces.load().of_engine(upstream.tag());
         }
@@ -136,7 +136,7 @@
         let read_ms = (took_ms - beside_ms).max(1.0);
         let against_all = read_ms / chosen.reading_ms * chosen.pace;
         self.shared.note_pace(PaceObservation {
-            engine: chosen.upstream.id.tag(),
+            engine: chosen.upstream.start().tag(),
             model: model.tag(),
             took: LogRatio::from_ln(against_all.ln()),
         });
@@ -168,8 +168,8 @@
         ways.to(data_centre, &shared.topology, &shared.settings.distance)
     }
 
-    /// Forgets upstreams that are gone.
-    pub(super) fn sweep(&self, known: impl Fn(&UpstreamId) -> bool) {
+    /// Forgets starts of upstreams that are over.
+    pub(super) fn sweep(&self, known: impl Fn(&UpstreamStart) -> bool) {
         self.health.borrow_mut().retain(|id, _| known(id));
         self.paces.borrow_mut().retain(|id, _| known(id));
         self.turned_away.borrow_mut().sweep(&known, self.now());
@@ -177,7 +177,7 @@
         self.pool.sweep(known);
     }
 
-    pub(super) fn is_suspect(&self, upstream: &UpstreamId) -> bool {
+    pub(super) fn is_suspect(&self, upstream: &UpstreamStart) -> bool {
         let now = self.now();
         let health = self.health.borrow();
         health.get(upstream).is_some_and(|health| health.is_suspect(now))
@@ -186,7 +186,7 @@
     /// Notes that an engine turned a variant away.
     pub(super) fn note_turned_away(
         &self,
-        engine: &UpstreamId,
+        engine: &UpstreamStart,
         variant: &Variant,
         why: TurnedAway,
     ) {
@@ -195,14 +195,18 @@
     }
 
     /// Notes that an engine took a variant.
-    pub(super) fn note_taken(&self, engine: &UpstreamId, variant: &Variant) {
+    pub(super) fn note_taken(
+        &self,
+        engine: &UpstreamStart,
+        variant: &Variant,
+    ) {
         self.turned_away.borrow_mut().taken(engine, variant);
     }
 
     /// Tells whether an engine turned a variant away lately.
     pub(super) fn turned_away(
         &self,
-        engine: &UpstreamId,
+        engine: &UpstreamStart,
         variant: &Variant,
     ) -> bool {
         self.turned_away.borrow().is_noted(engine, variant, self.now())
@@ -243,7 +247,7 @@
         act(share)
     }
 
-    pub(super) fn hints(&self) -> RefMut<'_, PrefixHints> {
+    pub(super) fn hints(&self) -> RefMut<'_, PrefixHints<UpstreamStart>> {
         self.hints.borrow_mut()
     }
 
@@ -251,7 +255,7 @@
     /// goes.
     pub(super) fn under_way(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         asked: Option<Asked>,
         tokens: u64,
     ) -> UnderWay {
@@ -275,7 +279,7 @@
 /// A request that is under way at an upstream.
 pub(super) struct UnderWay {
     shared: Arc<Shared>,
-    upstream: UpstreamId,
+    upstream: UpstreamStart,
     asked: Option<Asked>,
     waiting: u64,
 }
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use valehold_core::{
     Millis,
-    fleet::{RegionBound, Variant, topology::Topology},
+    fleet::{RegionBound, UpstreamStart, Variant, topology::Topology},
     id::{DataCentreId, InstanceId, RegionId, UpstreamId, UpstreamTag},
 };
 use valehold_gateway::{
@@ -95,7 +95,8 @@
 }
 
 fn tag(upstream: &str) -> UpstreamTag {
-    UpstreamId::new(upstream).tag()
+    let id = UpstreamId::new(upstream);
+    UpstreamStart { id, birth: None }.tag()
 }
 
 #[gtest]
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -157,6 +157,8 @@
 /// What an engine says of itself, as of a moment ago.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
+    /// When the start of it began that this is of, in ms, if it says so.
+    pub birth: Option<u64>,
     /// What it holds, adapters on their way among them.
     pub holding: Holding,
     /// Models of which it keeps copies, which it loads sooner and without
@@ -185,16 +187,17 @@
     }
 }
 
-/// An order to one start of one engine.
+/// An order to one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineOrder {
-    /// The engine, by the name of its start: another start refuses.
+    /// The engine: another one at its address refuses.
     pub engine: UpstreamId,
     /// Where it is reached.
     pub address: SocketAddr,
     /// What is wanted.
     pub wish: OrderWish,
-    /// How many orders the engine must have taken before this one.
+    /// How many orders the engine must have taken before this one since it
+    /// started.
     pub expected_sequence: u64,
     /// Who holds the lease.
     pub holder: InstanceId,
