What hubs say is numbered: a datagram that overtakes another brings no old figures back

Cause: sums of loads, rulings of limits and who is there, told by hubs, carried no number, so that of two datagrams the later to arrive counted, not the later to be said. Change: Summary, HubNews, Digest and GroupLoads carry start and sequence (WordNumber); Control::hear passes over what is not newer of the same sender and audience; words of a start before the newest are old. Before and after: with the check off, both new tests of tests/roster.rs fail (an old figure of 9 stands over 3); with it they pass. Some ten bytes a datagram.

--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -12,6 +12,7 @@
 use super::Control;
 use crate::{
     peers::{
+        WordNumber,
         message::{
             GroupLoads, HubNews, LoadNews, LoadReport, Message, UpstreamLoad,
         },
@@ -53,13 +54,15 @@
     fn tell_sums(&mut self, now: Millis) {
         let rulings = self.rule_limits(now);
         let own = self.loads_to_tell();
+        self.sequence += 1;
+        let number = WordNumber { start: self.start, sequence: self.sequence };
         if !self.roster.hubs_elsewhere().is_empty() {
             let sums = self.roster.sum_group_loads(&own, now);
             let usage = self.group_usage(now);
             let told = &mut self.told_group_sums;
             let message = Message::GroupLoads(GroupLoads {
                 instance: self.shared.settings.instance.clone(),
-                start: self.start,
+                number,
                 usage,
                 data_centre: self.shared.settings.data_centre.clone(),
                 news: told.news(&sums, MOST_SUMS_AT_ONCE, now),
@@ -74,7 +77,7 @@
         };
         let group = self.roster.summary_targets();
         let paces = self.pace_news(now);
-        let news = HubNews { loads, rulings, paces };
+        let news = HubNews { number, loads, rulings, paces };
         self.send(group, &Message::HubNews(news));
     }
 
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -257,6 +257,12 @@
     }
 
     fn hear(&mut self, from: SocketAddr, message: Message, now: Millis) {
+        if let Some(number) = message.number()
+            && !self.roster.takes(from, number, now)
+        {
+            log::debug!("{} of {from} was overtaken", message.label());
+            return;
+        }
         match message {
             Message::Heartbeat(heartbeat) => {
                 self.hear_heartbeat(from, *heartbeat, now);
@@ -298,8 +304,8 @@
                 self.publish_loads(now);
             }
             Message::GroupLoads(group) => {
-                let GroupLoads { instance, start, usage, .. } = &group;
-                self.hear_group_usage(instance, *start, usage, now);
+                let GroupLoads { instance, number, usage, .. } = &group;
+                self.hear_group_usage(instance, number.start, usage, now);
                 self.roster.group_loads_heard(group, now);
             }
             Message::Catalog(catalog) => {
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -19,6 +19,7 @@
     id::{DataCentreId, InstanceId, UpstreamTag},
 };
 
+use super::number::{Audience, WordNumber};
 use crate::view::{Life, Load};
 
 /// The largest datagram that is sent, in bytes.
@@ -147,6 +148,13 @@
     pub holdings: Vec<EngineHolding>,
 }
 
+impl Heartbeat {
+    /// Returns its place among what the gateway says.
+    pub const fn number(&self) -> WordNumber {
+        WordNumber { start: self.start, sequence: self.sequence }
+    }
+}
+
 /// What a gateway has under way and let through, between its heartbeats.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -249,6 +257,8 @@
 /// What a hub says to the gateways of its group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
+    /// Its place among what the hub says.
+    pub number: WordNumber,
     /// Every gateway that it hears of, itself among them; `None` if they are
     /// as when it told of them last.
     pub members: Option<MemberList>,
@@ -271,6 +281,8 @@
 /// the holder of the lease.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
+    /// Its place among what the hub says.
+    pub number: WordNumber,
     /// The data centre whose gateways are the group.
     pub data_centre: DataCentreId,
     /// The gateways of the group.
@@ -301,8 +313,8 @@
 pub struct GroupLoads {
     /// The hub that tells it.
     pub instance: InstanceId,
-    /// Differs between its starts.
-    pub start: u64,
+    /// Its place among what the hub says.
+    pub number: WordNumber,
     /// The data centre whose gateways are the group.
     pub data_centre: DataCentreId,
     /// What they have under way.
@@ -314,6 +326,8 @@
 /// What the foremost hub of a group tells it between summaries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HubNews {
+    /// Its place among what the hub says.
+    pub number: WordNumber,
     /// What all gateways have under way.
     pub loads: LoadNews,
     /// What is ruled of workspaces' limits, as in a summary.
@@ -419,6 +433,26 @@
         }
     }
 
+    /// Returns its place among what its sender says to whom, if it replaces
+    /// what was said before and nothing else in it is newer or older.
+    pub fn number(&self) -> Option<(Audience, WordNumber)> {
+        let (to, number) = match self {
+            Self::Summary(summary) => (Audience::Group, summary.number),
+            Self::HubNews(news) => (Audience::Group, news.number),
+            Self::Digest(digest) => (Audience::Hubs, digest.number),
+            Self::GroupLoads(group) => (Audience::Hubs, group.number),
+            Self::Heartbeat(_)
+            | Self::Wish(_)
+            | Self::Holdings(_)
+            | Self::Listed(_)
+            | Self::Loads(_)
+            | Self::Catalog(_)
+            | Self::Evacuations(_)
+            | Self::Relay(_) => return None,
+        };
+        Some((to, number))
+    }
+
     /// Writes a datagram.
     ///
     /// # Errors
--- a/crates/valehold-gateway/src/peers/mod.rs
+++ b/crates/valehold-gateway/src/peers/mod.rs
@@ -6,10 +6,12 @@
 //! peer has something newer.
 
 pub mod message;
+pub mod number;
 pub mod roster;
 pub mod state;
 
 pub use self::{
     message::{Heartbeat, Message},
+    number::WordNumber,
     roster::Roster,
 };
--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -39,6 +39,7 @@
     Digest, GroupLoads, Heartbeat, LoadNews, LoadReport, Newest, Rank,
     StoreSight, Summary,
 };
+use super::number::{Audience, WordNumber, WordOrder};
 use crate::view::{Life, ReadyMember};
 
 /// For how long a silent gateway is still sent heartbeats, in ms.
@@ -97,6 +98,7 @@
     /// one hears of: it may stand in a group that lost the others.
     unmet: BTreeSet<SocketAddr>,
     standing: Standing,
+    words: WordOrder,
     beats: u64,
 }
 
@@ -119,6 +121,7 @@
             named: BTreeMap::new(),
             seeds: BTreeSet::new(),
             unmet: BTreeSet::new(),
+            words: WordOrder::default(),
             beats: 0,
         };
         roster.set_seeds(seeds);
@@ -167,6 +170,17 @@
         is_new
     }
 
+    /// Takes in the number of a gateway's word; tells whether the word is to
+    /// be taken in: none that is newer was heard of that gateway.
+    pub fn takes(
+        &mut self,
+        from: SocketAddr,
+        number: (Audience, WordNumber),
+        now: Millis,
+    ) -> bool {
+        self.words.take(from, number, now)
+    }
+
     /// Takes in what a hub says to its group.
     pub fn summed_up(
         &mut self,
@@ -251,6 +265,7 @@
         self.named.retain(|_, heard| young(*heard));
         self.summaries.retain(|_, one| young(one.at));
         self.digests.retain(|_, one| young(one.at));
+        self.words.forget_silent(FORGET_AFTER_MS, now);
     }
 
     /// Works out anew who does what; returns whether the gateways that
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -169,6 +169,7 @@
         let catalogs = digests().map(|digest| digest.catalog);
         let listings = digests().map(|digest| digest.listing);
         Summary {
+            number: own.number(),
             members: Some(members),
             loads: self.sum_loads(&own.loads, now),
             lease: self.rumours_to_tell(own, now),
@@ -188,6 +189,7 @@
         now: Millis,
     ) -> Digest {
         Digest {
+            number: own.number(),
             data_centre: self.own.data_centre.clone(),
             members: self.group_members(own, now),
             lease: self.rumours_to_tell(own, now),
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -5,15 +5,19 @@
 use googletest::prelude::*;
 use valehold_core::{
     Millis,
-    fleet::{RegionBound, UpstreamStart, Variant, topology::Topology},
+    fleet::{
+        RegionBound, UpstreamStart, Variant, paces::PaceNews,
+        topology::Topology,
+    },
     id::{DataCentreId, InstanceId, RegionId, UpstreamId, UpstreamTag},
 };
 use valehold_gateway::{
     peers::{
-        Heartbeat, Roster,
+        Heartbeat, Message, Roster, WordNumber,
         message::{
-            BoundDemand, Digest, Duty, GroupLoads, LeaseWord, LoadNews,
-            LoadReport, Rank, StoreSight, UpstreamLoad, VariantDemand,
+            BoundDemand, Digest, Duty, GroupLoads, HubNews, LeaseWord,
+            LoadNews, LoadReport, Rank, StoreSight, UpstreamLoad,
+            VariantDemand,
         },
         roster::{
             Observing, Own, OwnWord,
@@ -487,7 +491,7 @@
     let mut hub = one_of_150(150, now);
     let group = |name: &str, running| GroupLoads {
         instance: InstanceId::new(name),
-        start: 1,
+        number: WordNumber { start: 1, sequence: 1 },
         usage: Vec::new(),
         data_centre: DataCentreId::new(name),
         news: LoadNews { is_whole: true, loads: vec![load_of("u1", running)] },
@@ -633,3 +637,72 @@
     let near = read_at(&["s1", "n1"], &undeclared);
     expect_that!(near, some(eq(address(3))));
 }
+
+/// Hears a datagram as control does.
+fn hear(roster: &mut Roster, from: SocketAddr, message: Message, now: Millis) {
+    let number = message.number().expect("it is numbered");
+    if !roster.takes(from, number, now) {
+        return;
+    }
+    match message {
+        Message::HubNews(news) => roster.load_sums_heard(news.loads, now),
+        Message::Summary(summary) => roster.summed_up(from, *summary, now),
+        other => panic!("{}", other.label()),
+    }
+}
+
+fn hub_news(start: u64, sequence: u64, running: u32) -> Message {
+    let loads = vec![load_of("u1", running)];
+    Message::HubNews(HubNews {
+        number: WordNumber { start, sequence },
+        loads: LoadNews { is_whole: true, loads },
+        rulings: None,
+        paces: PaceNews::default(),
+    })
+}
+
+fn running_at(roster: &Roster, now: Millis) -> u32 {
+    let loads = roster.loads(&Loads::new(), now);
+    loads.get(&tag("u1")).map_or(0, |load| load.running)
+}
+
+#[gtest]
+fn a_word_that_was_overtaken_brings_no_old_figures_back() {
+    let now = Millis::new(10_000);
+    let mut roster = hearing_all(1, 40, now);
+    let hub = address(40);
+    hear(&mut roster, hub, hub_news(1, 6, 3), now);
+    hear(&mut roster, hub, hub_news(1, 5, 9), now);
+    expect_that!(running_at(&roster, now), eq(3));
+    // Twice the same, as datagrams may come.
+    hear(&mut roster, hub, hub_news(1, 6, 9), now);
+    expect_that!(running_at(&roster, now), eq(3));
+    // The hub starts again, and counts anew; its earlier start is over.
+    hear(&mut roster, hub, hub_news(2, 1, 4), now);
+    expect_that!(running_at(&roster, now), eq(4));
+    hear(&mut roster, hub, hub_news(1, 7, 9), now);
+    expect_that!(running_at(&roster, now), eq(4));
+    // Another hub counts for itself.
+    hear(&mut roster, address(39), hub_news(1, 1, 5), now);
+    expect_that!(running_at(&roster, now), eq(5));
+}
+
+#[gtest]
+fn a_summary_and_news_of_one_hub_have_one_order() {
+    let now = Millis::new(10_000);
+    let mut roster = hearing_all(1, 40, now);
+    let sender = hearing_all(40, 40, now);
+    let mut own = heartbeat(40, 8);
+    own.loads = vec![load_of("u1", 9)];
+    let summary = sender.sum_up(&own, None, now);
+    hear(&mut roster, address(40), hub_news(1, 9, 3), now);
+    let message = Message::Summary(Box::new(summary));
+    hear(&mut roster, address(40), message, now);
+    expect_that!(running_at(&roster, now), eq(3));
+    // What the same hub says to other hubs under that number counts for
+    // itself.
+    let digest = sender.digest(&own, Vec::new(), now);
+    let number = Message::Digest(Box::new(digest)).number().unwrap();
+    expect_true!(roster.takes(address(40), number, now));
+    expect_false!(roster.takes(address(40), number, now));
+}
