--- a/crates/valehold-gateway/src/peers/roster/sums.rs
+++ b/crates/valehold-gateway/src/peers/roster/sums.rs
@@ -239,7 +239,7 @@
             .and_modify(|all| {
                 all.requests += one.requests;
                 all.busy += one.busy;
-                all.running += one.running;
+                all.running = all.running.saturating_add(one.running);
             })
             .or_insert_with(|| one.clone());
     }
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -122,7 +122,7 @@
         };
         let since = now.since(at);
         let later = heard.iter().map(|rumour| LeaseRumour {
-            age_ms: rumour.age_ms + since,
+            age_ms: rumour.age_ms.saturating_add(since),
             ..*rumour
         });
         all.extend(later.filter(|rumour| {
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -38,12 +38,14 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load, which may be any that a peer told.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            running: self.running + other.running,
-            waiting_tokens: self.waiting_tokens + other.waiting_tokens,
+            running: self.running.saturating_add(other.running),
+            waiting_tokens: self
+                .waiting_tokens
+                .saturating_add(other.waiting_tokens),
         }
     }
 
@@ -52,7 +54,7 @@
     pub fn difference(self, other: Self) -> u64 {
         let running = self.running.abs_diff(other.running);
         let tokens = self.waiting_tokens.abs_diff(other.waiting_tokens);
-        u64::from(running) * TOKENS_OF_RUNNING + tokens
+        tokens.saturating_add(u64::from(running) * TOKENS_OF_RUNNING)
     }
 
     /// Takes another load away, as far as there is any.
