--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod health;
+pub mod identity;
 pub mod known;
 pub mod lapsed;
 pub mod listing;
@@ -41,6 +42,7 @@
     evacuation::{
         EvacuationChange, EvacuationNews, EvacuationView, Evacuations,
     },
+    identity::UpstreamStart,
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
 };
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -174,6 +174,6 @@
 ) -> Vec<Able<'a>> {
     let (noted, able): (Vec<_>, Vec<_>) = able
         .into_iter()
-        .partition(|one| app.turned_away(&one.upstream.id, variant));
+        .partition(|one| app.turned_away(&one.upstream.start(), variant));
     if able.is_empty() { noted } else { able }
 }
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use valehold_core::{
-    fleet::{Upstream, cold::SendRight},
+    fleet::{Upstream, UpstreamStart, cold::SendRight},
     id::UpstreamId,
 };
 
@@ -111,8 +111,8 @@
     }
 }
 
-/// Returns what all gateways have under way at an upstream.
-fn load_of(app: &App, upstream: &UpstreamId) -> Load {
+/// Returns what all gateways have under way at one start of an upstream.
+fn load_of(app: &App, upstream: &UpstreamStart) -> Load {
     let own = app.shared.loads().get(upstream).copied();
     let others = app.shared.peer_loads.load().get(&upstream.tag()).copied();
     own.unwrap_or_default().plus(others.unwrap_or_default())
