--- a/crates/valehold-core/examples/plan_time.rs
+++ b/crates/valehold-core/examples/plan_time.rs
@@ -9,11 +9,12 @@
 
 use valehold_core::{
     fleet::{
-        Holding, ModelSpec,
+        Holding, ModelSpec, RegionBound,
         catalog::EngineSpec,
-        replicas::{EngineState, ModelNeed, plan},
+        replicas::{EngineState, ModelNeed, ModelNeeds, Needs, plan_by_place},
+        topology::Topology,
     },
-    id::{AdapterName, DataCentreId, ModelName, UpstreamId},
+    id::{AdapterName, DataCentreId, ModelName, RegionId, UpstreamId},
 };
 
 /// Engines and models: the users' deployments and their target.
@@ -64,7 +65,7 @@
 }
 
 /// Every tenth model has just become ten times as busy as the others.
-fn needs(models: usize) -> BTreeMap<ModelName, ModelNeed> {
+fn needs(models: usize) -> ModelNeeds {
     let need = |number: usize| ModelNeed {
         busy: if number.is_multiple_of(10) { 4.0 } else { 0.2 },
         ..ModelNeed::default()
@@ -72,20 +73,61 @@
     (0..models).map(|number| (name(number), need(number))).collect()
 }
 
+/// Six data centres in three regions.
+fn topology() -> Topology {
+    let region = |number: usize| {
+        let data_centre = DataCentreId::new(format!("dc-{number}"));
+        (data_centre, RegionId::new(format!("region-{}", number / 2)))
+    };
+    Topology::new(DataCentreId::new("dc-0"), (0..6).map(region).collect())
+}
+
+/// Each third of the models is used inside one region by a half of its
+/// requests.
+fn bounds(needs: &ModelNeeds) -> BTreeMap<RegionBound, ModelNeeds> {
+    let mut bounds: BTreeMap<RegionBound, ModelNeeds> = BTreeMap::new();
+    for (number, (model, need)) in needs.iter().enumerate() {
+        let region = format!("region-{}", number % 3);
+        let half = ModelNeed { busy: need.busy / 2.0, ..*need };
+        let inside = bounds.entry(RegionBound::within([region])).or_default();
+        inside.insert(model.clone(), half);
+    }
+    bounds
+}
+
+/// Returns how many steps a plan has, and the least time that it takes.
+fn time(
+    spec: &EngineSpec,
+    needs: &Needs,
+    engines: &[EngineState],
+) -> (usize, f64) {
+    let topology = topology();
+    let mut least_ms = f64::MAX;
+    let mut steps = 0;
+    for _ in 0..ROUNDS {
+        let began = Instant::now();
+        let plan = plan_by_place(spec, needs, engines, Some(&topology), 60);
+        let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
+        least_ms = least_ms.min(took_ms);
+        steps = plan.len();
+    }
+    (steps, least_ms)
+}
+
 fn main() {
-    println!("engines  models  steps  ms");
+    println!("engines  models  bounds  steps  ms");
     for (engine_count, model_count) in SIZES {
         let spec = spec(model_count);
         let engines = engines(engine_count, model_count);
-        let needs = needs(model_count);
-        let mut least_ms = f64::MAX;
-        let mut steps = 0;
-        for _ in 0..ROUNDS {
-            let began = Instant::now();
-            steps = plan(&spec, &needs, &engines, 60).len();
-            let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
-            least_ms = least_ms.min(took_ms);
+        let everywhere = needs(model_count);
+        let bounds = bounds(&everywhere);
+        let unbound = Needs::from(everywhere.clone());
+        for needs in [unbound, Needs { everywhere, bounds }] {
+            let (steps, ms) = time(&spec, &needs, &engines);
+            let bounds = needs.bounds.len();
+            println!(
+                "{engine_count:7} {model_count:7} {bounds:7} {steps:6}  {ms:.1}"
+            );
         }
-        println!("{engine_count:7} {model_count:7} {steps:6}  {least_ms:.1}");
     }
 }
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
-    fleet::{Repetition, Upstream, Variant, event::EventOrder},
+    fleet::{Asked, Repetition, Upstream, Variant, event::EventOrder},
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
@@ -269,9 +269,10 @@
         if !looks.is_multiple_of(WISH_EVERY) {
             return;
         }
-        if let Some(asked) = self.job.asked() {
-            self.app.shared.wish(&asked);
-        }
+        let Some(asked) = self.job.asked() else { return };
+        let view = self.app.shared.view.load();
+        let bound = bound_now(&view, &self.job).into_owned();
+        self.app.shared.wish(&Asked { bound, ..asked });
     }
 
     /// Sends the request once, and takes as much of the answer as is needed
