--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -0,0 +1,46 @@
+//! How a request ends that gets no answer from an upstream.
+
+use tokio::time::Instant;
+use valehold_core::{Millis, Verdict, reason::RefusalReason};
+
+use super::{super::refusal::Refusal, Exchange, LEAST_LEFT};
+
+/// In how many ms to come back when no upstream takes a request.
+pub(super) const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
+
+/// The part of its time that a caller is told to wait at the most.
+const MOST_COME_BACK: f64 = 0.3;
+
+impl Exchange {
+    /// Returns how long the caller can be told to wait.
+    fn most_wait_ms(&self) -> u64 {
+        let now = Instant::now();
+        let left = self.job.deadline.saturating_duration_since(now);
+        let most = left.mul_f64(MOST_COME_BACK);
+        Millis::from(most).get().max(1)
+    }
+
+    /// Returns the refusal that ends the request: whether it may have run,
+    /// and if not, when to come back.
+    pub(super) fn give_up(
+        &self,
+        reason: RefusalReason,
+        come_back_ms: Option<u64>,
+    ) -> Refusal {
+        let is_late = Instant::now() + LEAST_LEFT >= self.job.deadline;
+        let reason = match reason {
+            RefusalReason::UpstreamFailed if is_late => {
+                RefusalReason::TimedOut
+            }
+            reason => reason,
+        };
+        match self.verdict {
+            Verdict::NotRun => {
+                let come_back =
+                    come_back_ms.unwrap_or(NO_UPSTREAM_COME_BACK_MS);
+                Refusal::not_run(reason, come_back.min(self.most_wait_ms()))
+            }
+            _ => Refusal::may_have_run(reason),
+        }
+    }
+}
--- a/crates/valehold-gateway/src/traffic/exchange.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -1,39 +1,42 @@
 //! Leading a request from its route to its answer.
+//!
+//! `waiting` finds the upstream for each send, `beginning` sends the request
+//! and takes the beginning of the answer, and `giving_up` says how a request
+//! ends that gets none. `work` tells control what the request costs.
+
+mod beginning;
+mod giving_up;
+mod waiting;
+mod work;
 
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
     fleet::{
-        Asked, Repetition, Upstream, UpstreamStart, Variant, cold::SendRight,
+        Repetition, Upstream, UpstreamStart, cold::SendRight,
         event::EventOrder,
     },
     id::UpstreamId,
     reason::{RefusalReason, RetryReason},
 };
 
+use self::{beginning::begin, work::note_work};
 use super::{
     Body,
     answer::{self, Relay},
     charge::{Charge, charge},
-    choose::{
-        Chosen, NoChoice, able_elsewhere, bound_now, choose,
-        choose_with_right, holders, usable,
-    },
+    choose::{Chosen, choose, choose_with_right},
     record::Record,
     refusal::Refusal,
     route::Job,
-    send::{BegunAnswer, SendFailure, is_promise, send},
+    send::{SendFailure, is_promise},
     state::App,
 };
-use crate::{events::SendEnd, shared::Work};
-
-/// The most bytes of an answer that is passed on whole.
-const MOST_ANSWER_BYTES: usize = 16 << 20;
+use crate::events::SendEnd;
 
 /// How many upstreams are tried, counting those that were not reached.
 const MOST_TRIES: usize = 4;
@@ -41,56 +44,10 @@
 /// The least time that another send is worth.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 
-/// How often a request that waits for an adapter looks again.
-const LOOK_AGAIN: Duration = Duration::from_millis(8);
-
-/// After how many looks the wish is repeated.
-const WISH_EVERY: u32 = 12;
-
-/// How long an engine takes from an order about an adapter to having it.
-const ADAPTER_SETTLES: Duration = Duration::from_millis(30);
-
-/// The part of its objective that a request may wait for its model.
-const WAIT_PART: f64 = 0.22;
-
-/// In how many ms to come back when no upstream takes a request.
-const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
-
-/// In how many ms to come back for an adapter that is not loaded.
-const ADAPTER_COME_BACK_MS: u64 = 800;
-
-/// In how many ms to come back for a model that is not loaded: a load from
-/// the weight store takes about so long.
-const MODEL_COME_BACK_MS: u64 = 3_500;
-
-/// In how many ms to come back while nobody may give orders.
-const NO_HOLDER_COME_BACK_MS: u64 = 3_500;
-
-/// In how many ms to come back to a bound without upstreams: one has to start
-/// there and to be listed.
-const NONE_IN_BOUND_COME_BACK_MS: u64 = 3_500;
-
-/// In how many ms to come back where no region is allowed: operators have to
-/// change the configuration.
-const EMPTY_BOUND_COME_BACK_MS: u64 = 30_000;
-
-/// The part of its time that a caller is told to wait at the most.
-const MOST_COME_BACK: f64 = 0.3;
-
 /// How many times its objective a resumable stream may take to begin while
 /// another engine could take it.
 const BEGIN_OBJECTIVES: u32 = 2;
 
-/// How busy a token of output keeps an engine, in ms.
-const OUTPUT_TOKEN_MS: f64 = 0.1;
-
-/// How busy a token of prompt keeps an engine, in ms.
-const PROMPT_TOKEN_MS: f64 = 1.0 / 38.0;
-
-/// The part of a prompt's shared tokens that an engine is expected to read:
-/// most are cached where requests with the same beginning meet.
-const SHARED_READ_PART: f64 = 0.25;
-
 /// One request's way to an answer.
 pub(super) struct Exchange {
     pub(super) app: Rc<App>,
@@ -138,25 +95,6 @@
     }
 }
 
-/// Tells control which work a request makes.
-fn note_work(app: &App, job: &Job) {
-    let Some(asked) = job.asked() else { return };
-    #[allow(clippy::cast_precision_loss)]
-    let tokens = |count: u64| count as f64;
-    let parts = &job.request.parts;
-    let shared: u64 = parts.iter().rev().skip(1).map(|part| part.tokens).sum();
-    let own = tokens(job.request.prompt_tokens.saturating_sub(shared));
-    let read = own + tokens(shared) * SHARED_READ_PART;
-    let busy_ms = read * PROMPT_TOKEN_MS
-        + tokens(job.request.output_tokens) * OUTPUT_TOKEN_MS;
-    let mut work = app.shared.work();
-    let work = work.entry(asked).or_default();
-    *work = Work {
-        requests: work.requests + 1.0,
-        busy_ms: work.busy_ms + busy_ms,
-    };
-}
-
 impl Exchange {
     /// Sends the request until there is an answer to pass on.
     async fn run(&mut self) -> Result<Passable, Refusal> {
@@ -173,124 +111,6 @@
         Err(self.give_up(RefusalReason::UpstreamFailed, None))
     }
 
-    /// Refuses a request that no region may serve before its workspace is
-    /// charged for it.
-    fn refuse_if_unservable(&self) -> Result<(), Refusal> {
-        let view = self.app.shared.view.load();
-        match bound_now(&view, &self.job).is_empty() {
-            true => Err(self.refuse_for_empty_bound()),
-            false => Ok(()),
-        }
-    }
-
-    fn refuse_for_empty_bound(&self) -> Refusal {
-        let come_back = Some(EMPTY_BOUND_COME_BACK_MS);
-        self.give_up(RefusalReason::EmptyBound, come_back)
-    }
-
-    /// Chooses an upstream; waits a little for a model that is not held.
-    async fn choose_or_wait(
-        &mut self,
-    ) -> Result<(Chosen, Option<SendRight>), Refusal> {
-        let objective = Duration::from_millis(self.job.route.begin_within_ms);
-        let until = Instant::now() + objective.mul_f64(WAIT_PART);
-        let until = until.min(self.job.deadline);
-        let mut looks: u32 = 0;
-        loop {
-            let choosing =
-                choose_with_right(&self.app, &self.job, &self.tried);
-            let no_choice = match choosing.await {
-                Ok(chosen) => {
-                    if looks > 0 {
-                        tokio::time::sleep(ADAPTER_SETTLES).await;
-                    }
-                    return Ok(chosen);
-                }
-                Err(no_choice) => no_choice,
-            };
-            match no_choice {
-                NoChoice::WouldBeLate { predicted_ms, come_back_ms } => {
-                    self.record.predicted(predicted_ms);
-                    let reason = RefusalReason::WouldBeLate;
-                    return Err(self.give_up(reason, Some(come_back_ms)));
-                }
-                NoChoice::EmptyBound => {
-                    return Err(self.refuse_for_empty_bound());
-                }
-                NoChoice::NoneInBound => {
-                    let reason = RefusalReason::NoUpstreamInBound;
-                    let come_back = Some(NONE_IN_BOUND_COME_BACK_MS);
-                    return Err(self.give_up(reason, come_back));
-                }
-                NoChoice::AllCold { next_ms }
-                    if Instant::now() + Duration::from_millis(next_ms)
-                        >= until =>
-                {
-                    let reason = RefusalReason::UpstreamsCold;
-                    return Err(self.give_up(reason, Some(next_ms)));
-                }
-                NoChoice::AllCold { .. } => {}
-                NoChoice::NoUpstream if self.tried.is_empty() => {}
-                NoChoice::NoUpstream => {
-                    // The holder of the lease looks after those that failed.
-                    self.wish(0);
-                    let reason = RefusalReason::UpstreamFailed;
-                    return Err(self.give_up(reason, None));
-                }
-                NoChoice::NotHeld => self.wish(looks),
-            }
-            if Instant::now() >= until {
-                let reason = self.lack();
-                let come_back = self.come_back_ms(no_choice);
-                return Err(self.give_up(reason, Some(come_back)));
-            }
-            looks += 1;
-            tokio::time::sleep(LOOK_AGAIN).await;
-        }
-    }
-
-    /// Returns what keeps a request waiting in vain: its bound where others
-    /// outside could take it, so that operators can tell that from a lack of
-    /// upstreams altogether.
-    fn lack(&self) -> RefusalReason {
-        let view = self.app.shared.view.load();
-        let is_held = holders(&self.app, &view, &self.job).next().is_some();
-        let elsewhere = able_elsewhere(&self.app, &view, &self.job);
-        match !is_held && elsewhere > 0 {
-            true => RefusalReason::NoUpstreamInBound,
-            false => RefusalReason::NoUpstream,
-        }
-    }
-
-    /// Returns in how many ms what is missing may be there.
-    fn come_back_ms(&self, no_choice: NoChoice) -> u64 {
-        if no_choice != NoChoice::NotHeld {
-            return NO_UPSTREAM_COME_BACK_MS;
-        }
-        let view = self.app.shared.view.load();
-        let variant = self.job.request.variant.as_ref();
-        let holds_model = variant.is_some_and(|variant| {
-            let model = Variant::plain(variant.model.as_str());
-            let mut usable = usable(&self.app, &view, &self.job);
-            usable.any(|upstream| upstream.holding.has(&model))
-        });
-        match (view.has_holder, holds_model) {
-            (false, _) => NO_HOLDER_COME_BACK_MS,
-            (true, true) => ADAPTER_COME_BACK_MS,
-            (true, false) => MODEL_COME_BACK_MS,
-        }
-    }
-
-    fn wish(&self, looks: u32) {
-        if !looks.is_multiple_of(WISH_EVERY) {
-            return;
-        }
-        let Some(asked) = self.job.asked() else { return };
-        let view = self.app.shared.view.load();
-        let bound = bound_now(&view, &self.job).into_owned();
-        self.app.shared.wish(&Asked { bound, ..asked });
-    }
-
     /// Sends the request once, and takes as much of the answer as is needed
     /// to pass it on.
     async fn attempt(
@@ -501,72 +321,4 @@
         }
         None
     }
-
-    /// Returns how long the caller can be told to wait.
-    fn most_wait_ms(&self) -> u64 {
-        let now = Instant::now();
-        let left = self.job.deadline.saturating_duration_since(now);
-        let most = left.mul_f64(MOST_COME_BACK);
-        Millis::from(most).get().max(1)
-    }
-
-    fn give_up(
-        &self,
-        reason: RefusalReason,
-        come_back_ms: Option<u64>,
-    ) -> Refusal {
-        let is_late = Instant::now() + LEAST_LEFT >= self.job.deadline;
-        let reason = match reason {
-            RefusalReason::UpstreamFailed if is_late => {
-                RefusalReason::TimedOut
-            }
-            reason => reason,
-        };
-        match self.verdict {
-            Verdict::NotRun => {
-                let come_back =
-                    come_back_ms.unwrap_or(NO_UPSTREAM_COME_BACK_MS);
-                Refusal::not_run(reason, come_back.min(self.most_wait_ms()))
-            }
-            _ => Refusal::may_have_run(reason),
-        }
-    }
-}
-
-/// Sends a request, and takes its whole answer or a stream's first events.
-async fn begin(
-    app: &App,
-    job: &Job,
-    chosen: &Chosen,
-    right: Option<SendRight>,
-    order: &mut EventOrder,
-) -> Result<Passable, SendFailure> {
-    let upstream = &chosen.upstream;
-    let asked = job.asked();
-    let start = upstream.start();
-    let under_way = app.under_way(&start, asked, chosen.read_tokens);
-    let begun = send(app, job, upstream, right, order.last()).await?;
-    let head = begun.head.clone();
-    if !(job.route.streaming && head.status.is_success()) {
-        let body = take_whole(app, upstream, begun).await?;
-        return Ok(Passable::Whole { head, body });
-    }
-    let mut relay = Relay::new(upstream.clone(), job, begun, under_way);
-    let first = relay.first_events(app, order).await?;
-    relay.hold(first);
-    Ok(Passable::Stream { head, relay: Box::new(relay) })
-}
-
-/// Takes the body of a whole answer.
-async fn take_whole(
-    app: &App,
-    upstream: &Upstream,
-    begun: BegunAnswer,
-) -> Result<Bytes, SendFailure> {
-    let taking = Limited::new(begun.body, MOST_ANSWER_BYTES).collect();
-    let taken = taking.await.map_err(|_| SendFailure::broken())?;
-    if let Some(rest) = begun.rest {
-        app.pool.rest(&upstream.start(), begun.sender, rest.stated);
-    }
-    Ok(taken.to_bytes())
 }
