Sight: the line of a request has a digest of what it asks for

Change: a digest of host, path, caller and body, worked out only for lines that are written. The tests of events pass; no decision uses it yet.

--- /dev/null
+++ b/crates/valehold-core/src/fleet/crashes/content.rs
@@ -0,0 +1,65 @@
+//! What a request asks for, as a digest.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::id::WorkspaceId;
+
+/// Tells the requests of a fleet apart by what they ask for: host, path,
+/// caller and body.
+///
+/// Two attempts at the same request have different identifiers and the same
+/// content. It is the beginning of a SHA-256 digest, so that no caller can
+/// make a request that passes for another's: 64 bits, of which two in a fleet
+/// with 10,000 contents under watch agree by chance once in 370 billion.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestContent(u64);
+
+impl RequestContent {
+    /// Makes the digest of a request.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use valehold_core::fleet::crashes::RequestContent;
+    ///
+    /// let of = |path| RequestContent::of("callers.example", path, None, b"");
+    /// assert_eq!(of("/a"), of("/a"));
+    /// assert_ne!(of("/a"), of("/b"));
+    /// ```
+    #[must_use]
+    pub fn of(
+        host: &str,
+        path: &str,
+        caller: Option<&WorkspaceId>,
+        body: &[u8],
+    ) -> Self {
+        let caller = caller.map_or("", WorkspaceId::as_str);
+        let mut hasher = Sha256::new();
+        for part in [host, path, caller] {
+            hasher.update(part.len().to_be_bytes());
+            hasher.update(part);
+        }
+        hasher.update(body);
+        let digest: [u8; 32] = hasher.finalize().into();
+        let [a, b, c, d, e, f, g, h, ..] = digest;
+        Self(u64::from_be_bytes([a, b, c, d, e, f, g, h]))
+    }
+}
+
+impl fmt::Display for RequestContent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for RequestContent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "RequestContent({self})")
+    }
+}
--- /dev/null
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that crash the upstreams that run them.
+
+mod content;
+
+pub use self::content::RequestContent;
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod choice;
 pub mod cold;
+pub mod crashes;
 pub mod evacuation;
 pub mod event;
 pub mod health;
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -106,6 +106,10 @@
     pub service: Option<ServiceName>,
     /// The model, and after a slash an adapter.
     pub variant: Option<String>,
+    /// The digest of what it asks for, the same for each of its attempts;
+    /// `None` if no route took it.
+    #[serde(default)]
+    pub content: Option<String>,
     /// The route's rank; 0 is the most urgent.
     pub rank: u8,
     /// How it ended.
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -1,6 +1,6 @@
 //! What the configuration says of a request.
 
-use std::{borrow::Cow, sync::Arc, time::Duration};
+use std::{borrow::Cow, cell::OnceCell, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Uri, header, request::Parts};
@@ -11,6 +11,7 @@
     fleet::{
         Asked, Catalog, RegionBound, Route,
         catalog::{ColdSpec, EngineSpec},
+        crashes::RequestContent,
         workspace::Workspace,
     },
     id::ServiceName,
@@ -61,6 +62,7 @@
     pub(super) catalog: Arc<Catalog>,
     /// By when it gets its final answer.
     pub(super) deadline: Instant,
+    content: OnceCell<RequestContent>,
 }
 
 impl Job {
@@ -70,6 +72,18 @@
         String::from_utf8_lossy(id.unwrap_or_default())
     }
 
+    /// Returns the digest of what it asks for. It is worked out when it is
+    /// first wanted, which is never for most requests.
+    pub(super) fn content(&self) -> RequestContent {
+        *self.content.get_or_init(|| {
+            let path = self.head.uri.path_and_query();
+            let path = path.map_or("", |path| path.as_str());
+            let host = host(&self.head).unwrap_or_default();
+            let caller = self.workspace.as_ref().map(|one| &one.name);
+            RequestContent::of(host, path, caller, &self.body)
+        })
+    }
+
     /// Returns which variant it asks for, inside its bound.
     pub(super) fn asked(&self) -> Option<Asked> {
         let variant = self.request.variant.clone()?;
@@ -145,6 +159,7 @@
         bound,
         catalog,
         deadline,
+        content: OnceCell::new(),
     })
 }
 
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -90,6 +90,7 @@
         workspace: Some(WorkspaceId::new("north")),
         service: Some(ServiceName::new("engines")),
         variant: Some("alpha/a1".to_owned()),
+        content: Some("0123456789abcdef".to_owned()),
         rank: 1,
         end: RequestEnd {
             outcome: RequestOutcome::Refused,
