A request that crashes the engines that run it is refused after the third

Cause: no gateway knew what a request had done elsewhere, or to itself a moment before; each attempt went to as many engines as its route allows. Change: requests that break off without any output at an upstream whose address then refuses connections are noted with that crash and told to all; what differs is told again with heartbeats, summaries and digests. Who was at three crashes that no other explains is refused (503, crashes_upstreams, when it may run again), and taken back where it still waits. Requests that were beside it are told apart by answers and by the crashes at which they were not.

--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -6,6 +6,7 @@
 mod catalog;
 mod choice;
 mod cold;
+mod crashes;
 mod evacuation;
 mod event;
 mod health;
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -68,6 +68,8 @@
         EmptyBound = "empty_bound",
         /// All upstreams that could answer are cold and get no more for now.
         UpstreamsCold = "upstreams_cold",
+        /// The upstreams that ran it crashed, one after the other.
+        CrashesUpstreams = "crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
         UpstreamFailed = "upstream_failed",
         /// The answer did not begin within its time.
@@ -105,6 +107,7 @@
             | Self::NoUpstreamInBound
             | Self::EmptyBound
             | Self::UpstreamsCold
+            | Self::CrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
         }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
+//! - `crashes` tells others of crashes and who was there.
 //! - `cold` says which upstreams are cold, and gives out rights to send to them.
 //! - `upstreams` puts together what is known of upstreams, and `publishing`
 //!   gives it to traffic.
@@ -20,6 +21,7 @@
 mod cold;
 mod configuring;
 mod counted_store;
+mod crashes;
 mod demand;
 mod entry;
 mod evacuating;
@@ -154,6 +156,8 @@
     told_sums: ToldSums,
     /// What it said last as a hub of the loads of its group.
     told_group_sums: ToldSums,
+    /// What it knew of crashes when others were told last.
+    told_crashes: crashes::ToldCrashes,
     /// What this gateway said last as a hub of who is there.
     told_members: telling::ToldMembers,
 }
@@ -250,6 +254,7 @@
             loads_due: Millis::default(),
             told_sums: ToldSums::default(),
             told_group_sums: ToldSums::default(),
+            told_crashes: crashes::ToldCrashes::default(),
             told_members: telling::ToldMembers::default(),
             shared: shared.clone(),
         };
@@ -301,6 +306,7 @@
         }
         self.upstreams.pass(now);
         self.tell_evacuations(now);
+        self.tell_crashes(now);
         self.contend(now);
         self.place(now);
         self.spread_news(now);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -85,6 +85,7 @@
             catalog: self.catalog.as_ref().map_or(0, |c| c.version),
             listing: self.upstreams.version(),
             evacuations: self.evacuation_word(now),
+            crashes: self.crash_digest(now),
             lease,
             store: self.store,
             known: self.roster.known(now),
@@ -278,6 +279,7 @@
                 self.take_delta(&delta, now);
             }
             Message::Summary(mut summary) => {
+                self.compare_crashes(from, summary.crashes, now);
                 let evacuations = summary.evacuations.take();
                 self.hear_evacuations(evacuations, CatalogSource::Peer, now);
                 self.keep_to(summary.rulings.as_ref(), now);
@@ -286,6 +288,7 @@
                 self.hear_rumours(now);
             }
             Message::Digest(mut digest) => {
+                self.compare_crashes(from, digest.crashes, now);
                 let evacuations = digest.evacuations.take();
                 self.hear_evacuations(evacuations, CatalogSource::Peer, now);
                 self.roster.digest_heard(from, *digest, now);
@@ -314,6 +317,7 @@
             Message::Evacuations(word) => {
                 self.hear_evacuations(Some(word), CatalogSource::Push, now);
             }
+            Message::Crashes(words) => self.hear_crashes(&words, now),
             Message::AskRight(ask) => self.answer_right(from, &ask, now),
             Message::Right { number, answer } => {
                 self.shared.cold().rights.answered(number, answer, now);
@@ -330,6 +334,7 @@
         now: Millis,
     ) {
         let holdings = std::mem::take(&mut heartbeat.holdings);
+        self.compare_crashes(from, heartbeat.crashes, now);
         let evacuations = heartbeat.evacuations.take();
         self.hear_evacuations(evacuations, CatalogSource::Peer, now);
         self.hear_usage_of(&heartbeat, now);
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -84,6 +84,8 @@
     OrderEnded = "order_ended",
     /// An upstream could not be connected to.
     UpstreamUnreachable = "upstream_unreachable",
+    /// An upstream crashed with requests of this gateway.
+    UpstreamCrashed = "upstream_crashed",
     /// A request ended.
     RequestEnded = "request_ended",
 }
@@ -243,6 +245,14 @@
         /// Why.
         error: String,
     },
+    /// An upstream crashed: it broke off requests of this gateway, and takes
+    /// no connections.
+    UpstreamCrashed {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The digests of what those asked for that had no output yet.
+        under_way: Vec<String>,
+    },
     /// A request ended.
     RequestEnded(Box<RequestEnded>),
 }
@@ -274,6 +284,7 @@
             Self::LeaseGivenUp { .. } => EventKind::LeaseGivenUp,
             Self::OrderEnded { .. } => EventKind::OrderEnded,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
+            Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::RequestEnded(_) => EventKind::RequestEnded,
         }
     }
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -229,6 +229,13 @@
             Self::UpstreamUnreachable { upstream, error } => {
                 format!("{upstream} cannot be reached: {error}\n")
             }
+            Self::UpstreamCrashed { upstream, under_way } => {
+                format!(
+                    "{upstream} crashed; requests here without any output: \
+                     {}\n",
+                    under_way.join(", "),
+                )
+            }
             Self::RequestEnded(ended) => ended.story(),
         }
     }
@@ -241,7 +248,8 @@
             Self::OrderEnded { variant, .. } => {
                 !model.is_empty() && variant.split('/').next() == Some(model)
             }
-            Self::UpstreamUnreachable { upstream, .. } => {
+            Self::UpstreamUnreachable { upstream, .. }
+            | Self::UpstreamCrashed { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
             Self::EvacuationOrdered { .. }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -14,6 +14,7 @@
         Asked, Catalog, EngineHolding, Evacuations, ListingDelta, RegionBound,
         Variant,
         cold::{RightAnswer, RightAsk},
+        crashes::CrashWords,
         paces::{PaceNews, PaceObservation},
         usage::{Rulings, UsageTotal},
     },
@@ -28,7 +29,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB6;
+pub const FORMAT: u8 = 0xB7;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -129,6 +130,8 @@
     pub listing: u64,
     /// What it knows of orders to empty data centres; `None` before it does.
     pub evacuations: Option<EvacuationWord>,
+    /// The digest of what it knows of crashes.
+    pub crashes: u64,
     /// What it says of the lease.
     pub lease: Option<LeaseWord>,
     /// Whether the platform's store answers it.
@@ -273,6 +276,8 @@
     pub listing: Newest,
     /// What it knows of orders to empty data centres.
     pub evacuations: Option<EvacuationWord>,
+    /// The digest of what it knows of crashes.
+    pub crashes: u64,
     /// What is ruled of workspaces' limits; `None` from a hub that has not
     /// heard for long enough to rule.
     pub rulings: Option<Rulings>,
@@ -296,6 +301,8 @@
     pub listing: Newest,
     /// What the hub knows of orders to empty data centres.
     pub evacuations: Option<EvacuationWord>,
+    /// The digest of what the hub knows of crashes.
+    pub crashes: u64,
     /// The demand that comes to the group; empty but for the holder.
     pub demand: Vec<BoundDemand>,
 }
@@ -375,6 +382,9 @@
     /// From who heard it from the store: orders to empty data centres that
     /// have just changed.
     Evacuations(EvacuationWord),
+    /// From who saw it: crashes, and requests that were there. To one that
+    /// knows something else: all that is known.
+    Crashes(CrashWords),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
     /// To the grantor of a cold upstream: a request is to be sent to it.
@@ -439,6 +449,7 @@
             Self::GroupLoads(_) => "group_loads",
             Self::Catalog(_) => "configuration",
             Self::Evacuations(_) => "evacuations",
+            Self::Crashes(_) => "crashes",
             Self::Relay(_) => "relay",
             Self::AskRight(_) => "ask_right",
             Self::Right { .. } => "right",
@@ -460,6 +471,7 @@
             | Self::Loads(_)
             | Self::Catalog(_)
             | Self::Evacuations(_)
+            | Self::Crashes(_)
             | Self::Relay(_)
             | Self::AskRight(_)
             | Self::Right { .. } => return None,
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -176,6 +176,7 @@
             catalog: newer(self.own_catalog(own, now), newest(catalogs)),
             listing: newer(self.own_listing(own, now), newest(listings)),
             evacuations: own.evacuations.clone(),
+            crashes: own.crashes,
             rulings,
         }
     }
@@ -196,6 +197,7 @@
             catalog: self.own_catalog(own, now),
             listing: self.own_listing(own, now),
             evacuations: own.evacuations.clone(),
+            crashes: own.crashes,
             demand,
         }
     }
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -45,6 +45,9 @@
     /// Requests to cold upstreams.
     #[serde(default)]
     pub cold: ColdSettings,
+    /// Requests that crash upstreams.
+    #[serde(default)]
+    pub crashes: CrashSettings,
     /// Emptying data centres.
     #[serde(default)]
     pub evacuation: EvacuationSettings,
@@ -187,6 +190,28 @@
     }
 }
 
+/// What becomes of requests that crash the upstreams that run them.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CrashSettings {
+    /// For how long such a request is refused, in seconds, and a crash is
+    /// remembered. Then it may run again, and crash three more.
+    pub keep_s: u64,
+}
+
+impl CrashSettings {
+    /// Returns for how long a crash is remembered, in ms.
+    pub const fn keep_ms(&self) -> u64 {
+        self.keep_s.saturating_mul(1_000)
+    }
+}
+
+impl Default for CrashSettings {
+    fn default() -> Self {
+        Self { keep_s: 600 }
+    }
+}
+
 /// How data centres are emptied.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -202,6 +227,10 @@
     }
 }
 
+/// The longest time for which a request may be refused, in seconds: a day,
+/// after which whoever operates the upstreams has seen why they crashed.
+const MOST_KEEP_S: u64 = 86_400;
+
 const fn one() -> f64 {
     1.0
 }
@@ -261,6 +290,9 @@
         if !self.distance.are_valid() {
             return Some("distance has no time below 0");
         }
+        if self.crashes.keep_s == 0 || self.crashes.keep_s > MOST_KEEP_S {
+            return Some("crashes.keep_s is from 1 to 86400");
+        }
         if self.cold.overshoot < 0.0 || self.cold.slack < 0.0 {
             return Some("cold.overshoot and cold.slack are 0 or above");
         }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use valehold_core::fleet::{
     Asked, UpstreamStart,
     cold::{ColdBook, RightAsk},
+    crashes::CrashBook,
     paces::{PaceObservation, Paces},
     topology::Topology,
     usage::UsageMeter,
@@ -77,6 +78,8 @@
     running: Mutex<BTreeMap<Asked, u32>>,
     usage: Mutex<UsageMeter>,
     cold: Mutex<ColdBook>,
+    crashes: Mutex<CrashBook>,
+    crash_changes: watch::Sender<u64>,
     wishes: mpsc::Sender<Asked>,
     right_asks: mpsc::Sender<RightAsk>,
     life: watch::Sender<Life>,
@@ -104,6 +107,8 @@
             running: Mutex::default(),
             usage: Mutex::new(UsageMeter::new(settings.limits)),
             cold: Mutex::new(ColdBook::new(rand::random())),
+            crashes: Mutex::new(CrashBook::new(settings.crashes.keep_ms())),
+            crash_changes: watch::Sender::new(0),
             wishes,
             right_asks,
             life: watch::Sender::new(Life::Starting),
@@ -132,6 +137,32 @@
         self.cold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What this gateway knows of crashes, and of requests that cause them.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashBook> {
+        // Each entry stands for itself: any that a panic left is valid.
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what this gateway knows of crashes, and tells requests that
+    /// are under way if others than before are refused.
+    pub fn change_crashes(&self, change: impl FnOnce(&mut CrashBook)) {
+        let changes = {
+            let mut book = self.crashes();
+            change(&mut book);
+            book.changes()
+        };
+        self.crash_changes.send_if_modified(|known| {
+            let is_new = *known != changes;
+            *known = changes;
+            is_new
+        });
+    }
+
+    /// Watches who is refused for crashes.
+    pub fn watch_crashes(&self) -> watch::Receiver<u64> {
+        self.crash_changes.subscribe()
+    }
+
     /// What this gateway has under way at each upstream.
     pub fn loads(&self) -> MutexGuard<'_, BTreeMap<UpstreamStart, Load>> {
         // Plain numbers: any value that a panic left is a valid one.
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -74,7 +74,7 @@
         order: &mut EventOrder,
     ) -> Result<Bytes, SendFailure> {
         let next = self.next(app, order).await;
-        let next = next.map_err(|BrokenOff| SendFailure::broken())?;
+        let next = next.map_err(|BrokenOff| SendFailure::cut_off())?;
         self.under_way.prompt_read();
         self.began = Instant::now();
         match next {
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -49,7 +49,7 @@
     begun: BegunAnswer,
 ) -> Result<Bytes, SendFailure> {
     let taking = Limited::new(begun.body, MOST_ANSWER_BYTES).collect();
-    let taken = taking.await.map_err(|_| SendFailure::broken())?;
+    let taken = taking.await.map_err(|_| SendFailure::cut_off())?;
     if let Some(rest) = begun.rest {
         app.pool.rest(&upstream.start(), begun.sender, rest.stated);
     }
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -3,7 +3,10 @@
 use tokio::time::Instant;
 use valehold_core::{Millis, Verdict, reason::RefusalReason};
 
-use super::{super::refusal::Refusal, Exchange, LEAST_LEFT};
+use super::{
+    super::{crashes, refusal::Refusal},
+    Exchange, LEAST_LEFT,
+};
 
 /// In how many ms to come back when no upstream takes a request.
 pub(super) const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
@@ -20,6 +23,19 @@
         Millis::from(most).get().max(1)
     }
 
+    /// Refuses a request that crashes the upstreams that run it, with when it
+    /// may run again: a caller that is told to come back sooner would be
+    /// refused again.
+    pub(super) fn refuse_if_it_crashes(&self) -> Result<(), Refusal> {
+        let left_ms = crashes::refused_ms(&self.app, &self.job);
+        let Some(left_ms) = left_ms else { return Ok(()) };
+        let reason = RefusalReason::CrashesUpstreams;
+        Err(match self.verdict {
+            Verdict::NotRun => Refusal::not_run(reason, left_ms),
+            _ => Refusal::may_have_run(reason),
+        })
+    }
+
     /// Returns the refusal that ends the request: whether it may have run,
     /// and if not, when to come back.
     pub(super) fn give_up(
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -30,6 +30,7 @@
     answer::{self, Relay},
     charge::{Charge, charge},
     choose::{Chosen, choose, choose_with_right},
+    crashes,
     record::Record,
     refusal::Refusal,
     route::Job,
@@ -98,6 +99,7 @@
 impl Exchange {
     /// Sends the request until there is an answer to pass on.
     async fn run(&mut self) -> Result<Passable, Refusal> {
+        self.refuse_if_it_crashes()?;
         self.refuse_if_unservable()?;
         self.charge = charge(&self.app, &self.job)?;
         note_work(&self.app, &self.job);
@@ -129,7 +131,10 @@
         let patience = self.patience();
         let sent = Instant::now();
         let beginning = begin(&app, &self.job, chosen, right, &mut order);
-        let begun = self.patiently(id, patience, beginning).await;
+        let begun = tokio::select! {
+            begun = self.patiently(id, patience, beginning) => begun,
+            () = crashes::is_refused(&app, &self.job) => None,
+        };
         let begun = begun.ok_or_else(SendFailure::broken)??;
         let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
         self.order = order;
@@ -140,10 +145,14 @@
                     false => SendEnd::Answered,
                 };
                 self.record.began(took_ms, end);
+                if head.status.is_success() {
+                    crashes::answered(&app, &self.job);
+                }
                 self.judge_whole(&chosen.upstream, head, body)
             }
             stream @ Passable::Stream { .. } => {
                 self.record.began(took_ms, SendEnd::Answered);
+                crashes::answered(&app, &self.job);
                 let start = &chosen.upstream.start();
                 app.judge(start, |health, now| health.succeeded(now));
                 if let Some(variant) = &self.job.request.variant {
@@ -240,13 +249,18 @@
     ) -> Result<(), Refusal> {
         let start = &chosen.upstream.start();
         self.record.failed(&failure);
-        if failure.verdict != Verdict::NotRun {
+        let is_given_up = crashes::refused_ms(&self.app, &self.job).is_some();
+        if failure.verdict != Verdict::NotRun && !is_given_up {
             self.app.judge(start, |health, now| health.failed(now));
         }
         self.note_turned_away(start, failure);
         self.leave(&start.id, failure.arrived);
         self.verdict = self.verdict.worst(failure.verdict);
         self.keep_charge(self.verdict != Verdict::NotRun);
+        if failure.cut_off {
+            crashes::broke_off(&self.app, &self.job, &chosen.upstream);
+        }
+        self.refuse_if_it_crashes()?;
         let free = !failure.arrived && self.sends == 0;
         if free || self.take_second_send(failure.verdict) {
             self.app.shared.metrics.retried(failure.reason);
@@ -301,7 +315,9 @@
         self.record.broke_off();
         self.leave(&broken.id, true);
         for _ in 0..MOST_TRIES {
-            if !self.take_second_send(Verdict::MayHaveRun) {
+            if crashes::refused_ms(&self.app, &self.job).is_some()
+                || !self.take_second_send(Verdict::MayHaveRun)
+            {
                 return None;
             }
             let choosing =
@@ -314,6 +330,10 @@
                 Err(failure) => {
                     self.record.failed(&failure);
                     let start = chosen.upstream.start();
+                    if failure.cut_off {
+                        let upstream = &chosen.upstream;
+                        crashes::broke_off(&self.app, &self.job, upstream);
+                    }
                     self.note_turned_away(&start, failure);
                     self.leave(&start.id, failure.arrived);
                 }
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod charge;
 mod choose;
 mod cold;
+mod crashes;
 mod exchange;
 mod face;
 mod pool;
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -51,6 +51,8 @@
     pub(super) come_back: Option<Duration>,
     /// Why the upstream says that it did not run the request.
     pub(super) turned_away: Option<TurnedAway>,
+    /// Whether the connection ended before there was any output.
+    pub(super) cut_off: bool,
 }
 
 impl SendFailure {
@@ -62,6 +64,7 @@
             reason: RetryReason::ConnectFailed,
             come_back: None,
             turned_away: None,
+            cut_off: false,
         }
     }
 
@@ -79,6 +82,7 @@
             reason: RetryReason::RefusedByUpstream,
             come_back,
             turned_away: Some(why),
+            cut_off: false,
         }
     }
 
@@ -90,8 +94,14 @@
             reason: RetryReason::FailedBeforeOutput,
             come_back: None,
             turned_away: None,
+            cut_off: false,
         }
     }
+
+    /// It was sent, and the connection ended before there was any output.
+    pub(super) fn cut_off() -> Self {
+        Self { cut_off: true, ..Self::broken() }
+    }
 }
 
 /// An answer that began.
@@ -159,7 +169,7 @@
                         error.error()
                     );
                     cold::may_have_restarted(app, job, upstream);
-                    return Err(SendFailure::broken());
+                    return Err(SendFailure::cut_off());
                 }
             },
         }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -24,7 +24,7 @@
 };
 use valehold_ports::port::fleet::Dialect;
 
-use super::{choose::Chosen, pool::Pool};
+use super::{choose::Chosen, crashes::BrokenOff, pool::Pool};
 use crate::{mechanisms::MechanismSettings, shared::Shared, view::Load};
 
 /// For how long a hint about an engine's cached prompts is kept, in ms.
@@ -44,6 +44,7 @@
     /// How requests and answers are written.
     pub dialect: Arc<dyn Dialect>,
     pub(super) pool: Pool,
+    pub(super) broken_off: BrokenOff,
     health: RefCell<BTreeMap<UpstreamStart, Health>>,
     paces: RefCell<BTreeMap<UpstreamStart, Pace>>,
     shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
@@ -60,6 +61,7 @@
             shared,
             dialect,
             pool: Pool::default(),
+            broken_off: BrokenOff::default(),
             health: RefCell::default(),
             paces: RefCell::default(),
             shares: RefCell::default(),
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -80,6 +80,10 @@
             upstream: UpstreamId::new("e1"),
             error: error(),
         },
+        Event::UpstreamCrashed {
+            upstream: UpstreamId::new("e1"),
+            under_way: vec!["0123456789abcdef".to_owned()],
+        },
         Event::RequestEnded(Box::new(refused())),
     ]
 }
--- a/crates/valehold-gateway/tests/peer_bytes.rs
+++ b/crates/valehold-gateway/tests/peer_bytes.rs
@@ -77,6 +77,7 @@
         seen: 3,
         holdings: Vec::new(),
         evacuations: None,
+        crashes: 0,
     }
 }
 
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -54,6 +54,7 @@
         catalog: 3,
         listing: 3,
         evacuations: None,
+        crashes: 0,
         lease: None,
         store: StoreSight::Answers,
         known: Vec::new(),
