The store keeps which requests are refused because upstreams crash under them

Cause: what gateways know of crashes is gone when all of them are killed, and the request would crash three more. Change: the holder of the lease, or who watches the store where there is none, writes a row for each such request once it has been refused for half a second; those who watch the store read the rows when they start. Rows whose time is over, or that an answer proved wrong, go with the next write.

--- a/crates/valehold-core/src/fleet/crashes/book.rs
+++ b/crates/valehold-core/src/fleet/crashes/book.rs
@@ -88,14 +88,24 @@
         Some(until.since(now)).filter(|left_ms| *left_ms > 0)
     }
 
-    /// Returns who is refused.
-    pub fn refused(&self) -> impl Iterator<Item = &RequestContent> {
-        self.refused.keys()
+    /// Returns who is refused and is not named by the store yet.
+    pub fn unrecorded(&self, now: Millis) -> Vec<RefusedWord> {
+        let refused = self.refused.iter().filter(|(content, until)| {
+            now < **until && !self.recorded.contains_key(content)
+        });
+        let words = refused.map(|(content, until)| RefusedWord {
+            content: *content,
+            left_ms: until.since(now),
+        });
+        words.collect()
     }
 
-    /// Tells whether the store names a request.
-    pub fn is_recorded(&self, content: &RequestContent) -> bool {
-        self.recorded.contains_key(content)
+    /// Returns whom the store names although an upstream answered it.
+    pub fn recorded_in_vain(&self) -> Vec<RequestContent> {
+        let recorded = self.recorded.keys().copied();
+        recorded
+            .filter(|content| self.answered.contains_key(content))
+            .collect()
     }
 
     /// Tells whether it is known that an upstream crashed.
@@ -128,12 +138,10 @@
         }
     }
 
-    /// Takes in a request that the store names.
-    pub fn recorded(&mut self, word: RefusedWord, now: Millis) {
-        self.hear(
-            &CrashWords { refused: vec![word], ..CrashWords::default() },
-            now,
-        );
+    /// Takes in which requests the store names.
+    pub fn recorded(&mut self, refused: Vec<RefusedWord>, now: Millis) {
+        let words = CrashWords { refused, ..CrashWords::default() };
+        self.hear(&words, now);
     }
 
     /// Takes in what another instance tells.
--- a/crates/valehold-core/src/fleet/crashes/content.rs
+++ b/crates/valehold-core/src/fleet/crashes/content.rs
@@ -1,9 +1,10 @@
 //! What a request asks for, as a digest.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use thiserror::Error;
 
 use crate::id::WorkspaceId;
 
@@ -52,6 +53,26 @@
     }
 }
 
+/// A text that is no request's digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("it is not 16 hexadecimal digits")]
+pub struct NoContent;
+
+impl FromStr for RequestContent {
+    type Err = NoContent;
+
+    /// Reads what its `Display` writes.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hexadecimal = text.bytes().all(|b| b.is_ascii_hexdigit());
+        match text.len() == 16 && is_hexadecimal {
+            true => {
+                u64::from_str_radix(text, 16).map(Self).map_err(|_| NoContent)
+            }
+            false => Err(NoContent),
+        }
+    }
+}
+
 impl fmt::Display for RequestContent {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/valehold-core/src/fleet/crashes/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -10,11 +10,13 @@
 mod book;
 mod content;
 mod judge;
+mod record;
 mod words;
 
 pub use self::{
     book::CrashBook,
-    content::RequestContent,
+    content::{NoContent, RequestContent},
     judge::{Crash, REFUSED_AFTER, judge},
+    record::{RecordChange, RecordSight, RecordedRefusal},
     words::{AnsweredWord, CrashWord, CrashWords, RefusedWord},
 };
--- a/crates/valehold-core/src/fleet/tests/crashes.rs
+++ b/crates/valehold-core/src/fleet/tests/crashes.rs
@@ -152,9 +152,15 @@
     expect_that!(left, some(eq(401_000)));
     let mut later = CrashBook::new(KEEP_MS);
     let word = RefusedWord { content: content("p"), left_ms: 100_000 };
-    later.recorded(word, at(7));
+    later.recorded(vec![word], at(7));
     expect_that!(later.refused_ms(&content("p"), at(7)), some(eq(100_000)));
-    expect_true!(later.is_recorded(&content("p")));
+    expect_that!(later.unrecorded(at(7)), is_empty());
+    expect_that!(other.unrecorded(at(7)).len(), eq(1));
+    // A part of the gateways hears in the end that it was answered.
+    later.crashed(tag(9), [content("p")], at(8));
+    later.answered(content("p"), at(9));
+    expect_that!(later.recorded_in_vain(), elements_are![eq(&content("p"))]);
+    expect_that!(later.refused_ms(&content("p"), at(9)), none());
 }
 
 #[gtest]
@@ -335,7 +341,7 @@
     ) {
         let mut book = CrashBook::new(KEEP_MS);
         let word = RefusedWord { content: content("p"), left_ms };
-        book.recorded(word, at(now));
+        book.recorded(vec![word], at(now));
         book.crashed(tag(number), [], at(now));
         let left = book.refused_ms(&content("p"), at(now));
         prop_assert!(left.unwrap_or(0) <= KEEP_MS);
--- a/crates/valehold-gateway/src/control/counted_store.rs
+++ b/crates/valehold-gateway/src/control/counted_store.rs
@@ -4,7 +4,13 @@
 use std::sync::Arc;
 
 use futures::FutureExt;
-use valehold_core::{fleet::Listing, lease::LeaseRow};
+use valehold_core::{
+    fleet::{
+        Listing,
+        crashes::{RecordChange, RecordSight},
+    },
+    lease::LeaseRow,
+};
 use valehold_ports::port::{
     Answer,
     fleet::{
@@ -96,4 +102,16 @@
         let answer = self.store.write_lease(version, row);
         self.count("write_lease", answer)
     }
+
+    fn read_refused(&self) -> Answer<'_, RecordSight> {
+        self.count("read_refused", self.store.read_refused())
+    }
+
+    fn write_refused<'a>(
+        &'a self,
+        change: &'a RecordChange,
+    ) -> Answer<'a, ()> {
+        let answer = self.store.write_refused(change);
+        self.count("write_refused", answer)
+    }
 }
--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -1,11 +1,23 @@
-//! Telling other gateways of crashes and who was there, and hearing of them.
+//! Telling other gateways of crashes and who was there, and hearing of them;
+//! and the store's record of who is refused.
 
 use std::net::SocketAddr;
 
-use valehold_core::{Millis, fleet::crashes::CrashWords};
+use valehold_core::{
+    Millis,
+    fleet::crashes::{CrashWords, RefusedWord, RequestContent},
+};
+use valehold_ports::{PortError, port::fleet::FleetStore};
 
-use super::Control;
-use crate::peers::message::Message;
+use super::{Control, input::Input};
+use crate::peers::{message::Message, roster::Observing};
+
+/// For how long the same requests must have been refused before the store
+/// names them, in ms: what is told by others may speak for one of them.
+const RECORD_AFTER_MS: u64 = 500;
+
+/// How long after a failed call the store's record is tried again, in ms.
+const RECORD_AGAIN_MS: u64 = 2_000;
 
 /// For how long what this gateway knows must have been the same before it is
 /// told to one that knows something else, in ms: what is new is told to all at
@@ -19,7 +31,94 @@
     since: Millis,
 }
 
+/// This gateway's part in the store's record of who is refused.
+#[derive(Debug, Default)]
+pub(super) struct RecordDuty {
+    /// Whether it read the record since it started.
+    has_read: bool,
+    /// Whether a call is under way.
+    is_calling: bool,
+    /// When the next call may be made.
+    due: Millis,
+    /// How often who is refused had changed, and since when it has not.
+    changes: u64,
+    since: Millis,
+    /// What it removed from the record because it was answered.
+    forgotten: Vec<RequestContent>,
+}
+
+/// How a call about the record ended.
+#[derive(Debug)]
+pub(super) struct RecordDone {
+    /// What the record names now.
+    named: Result<Vec<RefusedWord>, PortError>,
+    forgotten: Vec<RequestContent>,
+}
+
 impl Control {
+    /// Reads the store's record once, and brings it up to date, if that is
+    /// this gateway's turn: the holder of the lease writes, and where there is
+    /// none those that watch the store.
+    pub(super) fn keep_record(&mut self, now: Millis) {
+        if self.record.is_calling || now < self.record.due {
+            return;
+        }
+        let observes = !matches!(
+            self.watch_orders.observing(),
+            Observing::Nothing | Observing::Configuration
+        );
+        let has_to_read = !self.record.has_read && observes;
+        let (refused, in_vain) = self.unrecorded(now);
+        let is_behind = !(refused.is_empty() && in_vain.is_empty());
+        let holds = self.lease.borrow().held_epoch(now).is_some();
+        let writes = holds || (observes && self.roster.holder(now).is_none());
+        if has_to_read || (is_behind && writes) {
+            self.record.is_calling = true;
+            let (store, inputs) =
+                (self.store_calls.clone(), self.inputs.clone());
+            tokio::task::spawn_local(async move {
+                let named = record(&*store, &refused, &in_vain).await;
+                let done = RecordDone { named, forgotten: in_vain };
+                let _ = inputs.send(Input::Recorded(done));
+            });
+        }
+    }
+
+    /// Returns who is refused without the store's naming it, and whom the
+    /// store names in vain, if that has been so for a while.
+    fn unrecorded(
+        &mut self,
+        now: Millis,
+    ) -> (Vec<RefusedWord>, Vec<RequestContent>) {
+        let book = self.shared.crashes();
+        let duty = &mut self.record;
+        if duty.changes != book.changes() {
+            (duty.changes, duty.since) = (book.changes(), now);
+        }
+        if book.is_empty() || now.since(duty.since) < RECORD_AFTER_MS {
+            return (Vec::new(), Vec::new());
+        }
+        let mut in_vain = book.recorded_in_vain();
+        in_vain.retain(|content| !duty.forgotten.contains(content));
+        (book.unrecorded(now), in_vain)
+    }
+
+    /// Takes in how a call about the record ended.
+    pub(super) fn record_done(&mut self, done: RecordDone, now: Millis) {
+        self.record.is_calling = false;
+        match done.named {
+            Ok(named) => {
+                self.record.has_read = true;
+                self.record.forgotten.extend(done.forgotten);
+                self.shared.change_crashes(|book| book.recorded(named, now));
+            }
+            Err(error) => {
+                log::debug!("the record of refused requests: {error}");
+                self.record.due = now + RECORD_AGAIN_MS;
+            }
+        }
+    }
+
     /// Returns the digest of what this gateway knows of crashes.
     pub(super) fn crash_digest(&mut self, now: Millis) -> u64 {
         let digest = self.shared.crashes().digest(now);
@@ -64,3 +163,21 @@
         self.shared.change_crashes(|book| book.hear(words, now));
     }
 }
+
+/// Brings the record up to date, and returns whom it names then.
+async fn record(
+    store: &dyn FleetStore,
+    refused: &[RefusedWord],
+    in_vain: &[RequestContent],
+) -> Result<Vec<RefusedWord>, PortError> {
+    let sight = store.read_refused().await?;
+    let change = sight.change(refused, in_vain);
+    let is_to_change = !(refused.is_empty() && in_vain.is_empty());
+    if is_to_change && !change.is_empty() {
+        store.write_refused(&change).await?;
+    }
+    let mut named = sight.words();
+    named.retain(|word| !change.remove.contains(&word.content));
+    named.extend_from_slice(refused);
+    Ok(named)
+}
--- a/crates/valehold-gateway/src/control/feeds/orders.rs
+++ b/crates/valehold-gateway/src/control/feeds/orders.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns this gateway's part in watching.
+    pub(in crate::control) fn observing(&self) -> Observing {
+        self.observing.get()
+    }
+
     /// Waits while this gateway watches nothing, or a little.
     pub(super) async fn until_turned(&self) {
         let turned = self.turned.notified();
--- a/crates/valehold-gateway/src/control/feeds/tests.rs
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -9,7 +9,9 @@
 use tokio::{sync::mpsc, time::Instant};
 use valehold_core::{
     fleet::{
-        Catalog, EvacuationNews, Evacuations, Listing, catalog::CallerLimits,
+        Catalog, EvacuationNews, Evacuations, Listing,
+        catalog::CallerLimits,
+        crashes::{RecordChange, RecordSight},
     },
     lease::LeaseRow,
 };
@@ -181,6 +183,17 @@
     ) -> Answer<'a, LeaseWrite> {
         std::future::pending().boxed()
     }
+
+    fn read_refused(&self) -> Answer<'_, RecordSight> {
+        std::future::pending().boxed()
+    }
+
+    fn write_refused<'a>(
+        &'a self,
+        _change: &'a RecordChange,
+    ) -> Answer<'a, ()> {
+        std::future::pending().boxed()
+    }
 }
 
 /// Returns the newest version that an input tells of.
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -14,6 +14,7 @@
     },
 };
 
+use super::crashes::RecordDone;
 use crate::peers::state::PeerState;
 
 /// A write of the lease that was sent.
@@ -99,6 +100,8 @@
     Reported { start: UpstreamStart, report: Result<EngineReport, PortError> },
     /// An order ended.
     Ordered(GivenOrder, OrderEnd),
+    /// A call about the record of refused requests ended.
+    Recorded(RecordDone),
     /// A datagram came.
     Datagram(SocketAddr, Vec<u8>),
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -156,6 +156,8 @@
     told_sums: ToldSums,
     /// What it said last as a hub of the loads of its group.
     told_group_sums: ToldSums,
+    store_calls: Arc<dyn FleetStore>,
+    record: crashes::RecordDuty,
     /// What it knew of crashes when others were told last.
     told_crashes: crashes::ToldCrashes,
     /// What this gateway said last as a hub of who is there.
@@ -190,9 +192,10 @@
         let lease = Rc::new(RefCell::new(LeaseDuty::new(
             holder_name(settings),
             settings.lease.quiet_ms,
-            store,
+            store.clone(),
             inputs.clone(),
         )));
+        let store_calls = store;
         let authority = Authority {
             holder: holder_name(settings),
             epoch: {
@@ -254,6 +257,8 @@
             loads_due: Millis::default(),
             told_sums: ToldSums::default(),
             told_group_sums: ToldSums::default(),
+            store_calls,
+            record: crashes::RecordDuty::default(),
             told_crashes: crashes::ToldCrashes::default(),
             told_members: telling::ToldMembers::default(),
             shared: shared.clone(),
@@ -307,6 +312,7 @@
         self.upstreams.pass(now);
         self.tell_evacuations(now);
         self.tell_crashes(now);
+        self.keep_record(now);
         self.contend(now);
         self.place(now);
         self.spread_news(now);
@@ -433,6 +439,7 @@
                 self.spread_news_if_few(now);
                 self.place(now);
             }
+            Input::Recorded(done) => self.record_done(done, now),
             Input::Datagram(from, bytes) => self.datagram(from, &bytes, now),
         }
     }
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -9,6 +9,7 @@
 use valehold_core::{
     fleet::{
         Catalog, EvacuationNews, Holding, Listing, Upstream, Variant,
+        crashes::{RecordChange, RecordSight},
         workspace::KeyDigest,
     },
     id::{
@@ -152,6 +153,13 @@
         version: u64,
         row: &'a LeaseRow,
     ) -> Answer<'a, LeaseWrite>;
+
+    /// Reads which requests are refused since they crash upstreams.
+    fn read_refused(&self) -> Answer<'_, RecordSight>;
+
+    /// Changes which requests it names as refused.
+    fn write_refused<'a>(&'a self, change: &'a RecordChange)
+    -> Answer<'a, ()>;
 }
 
 /// What an engine says of itself, as of a moment ago.
