Upstreams that one gateway saw crash are avoided by all

Cause: an entry stands for seconds after a crash. Change: a start whose crash is known is taken only where no other is left.

--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -183,7 +183,13 @@
         self.pool.sweep(known);
     }
 
+    /// Tells whether an upstream failed lately, or crashed as some gateway
+    /// saw: its entry stands for seconds, in which requests would use their
+    /// tries up on it.
     pub(super) fn is_suspect(&self, upstream: &UpstreamStart) -> bool {
+        if self.shared.crashes().has_crashed(upstream.tag()) {
+            return true;
+        }
         let now = self.now();
         let health = self.health.borrow();
         health.get(upstream).is_some_and(|health| health.is_suspect(now))
