What rests on elapsed time counts suspensions of the machine

Cause: a machine may be suspended; its steady clock and timers stand still, the others, callers, engines and the store go on. A holder went on giving orders in a lease that had run out, a request was held and told to engines with time that its caller no longer had, a connection was used that its upstream had closed, and watches and heartbeats went on as if nothing had happened.

--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -55,6 +55,7 @@
                     news = within_patience(span, watch) => news,
                     // A long watch may hang: others rely on this one now.
                     () = orders.turned.notified() => continue,
+                    () = orders.resumed.notified() => continue,
                 }
             }
         };
@@ -117,7 +118,11 @@
         };
         let span = pauses.span(WatchSpan::Brief);
         let watch = store.await_listing(from, span);
-        match within_patience(span, watch).await {
+        let news = tokio::select! {
+            news = within_patience(span, watch) => news,
+            () = orders.resumed.notified() => continue,
+        };
+        match news {
             Ok(ListingNews::HistoryGone) => {
                 let read = read_all(&*store, &inputs, &mut pauses).await;
                 if read.is_some() {
--- a/crates/valehold-gateway/src/control/feeds/orders.rs
+++ b/crates/valehold-gateway/src/control/feeds/orders.rs
@@ -31,6 +31,9 @@
     pub(in crate::control) others_look: Cell<bool>,
     /// Tells that it has just become an observer.
     pub(super) turned: Notify,
+    /// Tells that the machine was suspended: what a watch waits for may have
+    /// been said, and its connection may be gone.
+    pub(super) resumed: Notify,
     /// Whether the store does not answer about the configuration.
     pub(super) catalog_fails: Cell<bool>,
     /// Tells that it answers about the configuration again.
@@ -45,6 +48,7 @@
             observing: Cell::new(Observing::Nothing),
             others_look: Cell::new(false),
             turned: Notify::new(),
+            resumed: Notify::new(),
             catalog_fails: Cell::new(false),
             catalog_answered: Notify::new(),
         }
@@ -67,6 +71,11 @@
         self.observing.get()
     }
 
+    /// Has watches begin anew after the machine was suspended.
+    pub(in crate::control) fn resume(&self) {
+        self.resumed.notify_waiters();
+    }
+
     /// Waits while this gateway watches nothing, or a little.
     pub(super) async fn until_turned(&self) {
         let turned = self.turned.notified();
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -46,7 +46,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::{mpsc, watch},
-    time::MissedTickBehavior,
+    time::{Instant, MissedTickBehavior},
 };
 use valehold_core::{
     Millis,
@@ -72,6 +72,7 @@
     publishing::Published,
 };
 use crate::{
+    events::Event,
     peers::{
         Roster,
         message::{Duty, MAX_DATAGRAM, Message, Rank, StoreSight},
@@ -93,6 +94,10 @@
 /// before it asks for the lease, in ms: two heartbeats there and back.
 const SETTLE_MS: u64 = 1_000;
 
+/// From how long a difference between clock and timers on the machine was
+/// suspended, in ms: a heartbeat, as less has no consequence.
+const SUSPENDED_MS: u64 = 250;
+
 /// The last place that a contender for the lease waits for.
 const LAST_PLACE: usize = 24;
 
@@ -146,6 +151,8 @@
     started: Millis,
     start: u64,
     sequence: u64,
+    /// When time passed last, by timers and by the clock.
+    ticked: (Instant, Millis),
     /// When heartbeats were sent last.
     beat: Option<Millis>,
     /// What this gateway said last that it has under way.
@@ -252,6 +259,7 @@
             started: now,
             start: rand::random(),
             sequence: 0,
+            ticked: (Instant::now(), now),
             beat: None,
             told_loads: Loads::new(),
             loads_due: Millis::default(),
@@ -305,6 +313,7 @@
 
     fn tick(&mut self) {
         let now = self.now();
+        self.resume_if_suspended(now);
         if self.roster.tick(self.own_word(), now) {
             self.members_changed();
             self.hear_members(now);
@@ -339,6 +348,20 @@
         self.publish_if_due();
     }
 
+    /// Catches up after the machine was suspended: the others hear of this
+    /// gateway, and watches begin anew, at once.
+    fn resume_if_suspended(&mut self, now: Millis) {
+        let (timers, clock) = self.ticked;
+        self.ticked = (Instant::now(), now);
+        let by_timers_ms = Millis::from(timers.elapsed()).get();
+        let for_ms = now.since(clock).saturating_sub(by_timers_ms);
+        if for_ms >= SUSPENDED_MS {
+            Event::Suspended { for_ms }.log();
+            self.watch_orders.resume();
+            self.beat = None;
+        }
+    }
+
     fn own_word(&self) -> OwnWord {
         OwnWord {
             requests: self.shared.settings.callers.requests,
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -48,6 +48,8 @@
 event_kinds! {
     /// A gateway started.
     Started = "started",
+    /// Its machine was suspended.
+    Suspended = "suspended",
     /// It was told to stop.
     Stopping = "stopping",
     /// It has stopped.
@@ -132,6 +134,11 @@
         /// Its software's version.
         version: String,
     },
+    /// Its machine was suspended, or timers stood still for another reason.
+    Suspended {
+        /// For how long, in ms.
+        for_ms: u64,
+    },
     /// It was told to stop.
     Stopping,
     /// It has stopped.
@@ -262,6 +269,7 @@
     pub const fn kind(&self) -> EventKind {
         match self {
             Self::Started { .. } => EventKind::Started,
+            Self::Suspended { .. } => EventKind::Suspended,
             Self::Stopping => EventKind::Stopping,
             Self::Stopped => EventKind::Stopped,
             Self::SettingsRead => EventKind::SettingsRead,
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -162,6 +162,9 @@
     pub fn story(&self) -> String {
         match self {
             Self::Started { instance, .. } => format!("{instance} started\n"),
+            Self::Suspended { for_ms } => {
+                format!("its machine was suspended for {for_ms} ms\n")
+            }
             Self::Stopping => "told to stop\n".to_owned(),
             Self::Stopped => "stopped\n".to_owned(),
             Self::SettingsRead => "settings read again\n".to_owned(),
@@ -252,7 +255,8 @@
             | Self::UpstreamCrashed { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
-            Self::EvacuationOrdered { .. }
+            Self::Suspended { .. }
+            | Self::EvacuationOrdered { .. }
             | Self::EvacuationInForce { .. }
             | Self::EvacuationLeavesNone { .. }
             | Self::EvacuationTakenBack { .. }
--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use valehold_ports::port::fleet::{Dialect, FleetEngines, FleetStore};
 
 use crate::{
+    clock::Clock,
     control::{Control, Parts},
     error::Error,
     metrics::Metrics,
@@ -49,9 +50,22 @@
     ///
     /// If a chart does not hold, or an address cannot be had.
     pub fn start(settings: Settings, ports: Ports) -> Result<Self, Error> {
+        Self::start_with(settings, ports, Clock::new())
+    }
+
+    /// Starts a gateway that decides by a clock of the caller's.
+    ///
+    /// # Errors
+    ///
+    /// As [`Gateway::start`].
+    pub fn start_with(
+        settings: Settings,
+        ports: Ports,
+        clock: Clock,
+    ) -> Result<Self, Error> {
         library::check_all().map_err(|e| Error::new("reading charts", e))?;
         let metrics = Metrics::try_new()?;
-        let (shared, wishes) = Shared::new(settings, metrics);
+        let (shared, wishes) = Shared::new(settings, metrics, clock);
         let (stop, stopping) = watch::channel(false);
         let (seeds, new_seeds) = watch::channel(Vec::new());
         let control = ControlStart {
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -87,7 +87,11 @@
 
 impl Shared {
     /// Makes the shared part, and the ends at which control takes wishes.
-    pub fn new(settings: Settings, metrics: Metrics) -> (Arc<Self>, Wishes) {
+    pub fn new(
+        settings: Settings,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> (Arc<Self>, Wishes) {
         let (wishes, variants) = mpsc::channel(WISHES);
         let (right_asks, rights) = mpsc::channel(RIGHT_ASKS);
         let topology = Topology::new(
@@ -96,7 +100,7 @@
         );
         let shared = Self {
             topology,
-            clock: Clock::new(),
+            clock,
             metrics,
             view: ArcSwap::default(),
             peer_loads: ArcSwap::default(),
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -1,6 +1,5 @@
 //! How a request ends that gets no answer from an upstream.
 
-use tokio::time::Instant;
 use valehold_core::{Millis, Verdict, reason::RefusalReason};
 
 use super::{
@@ -17,9 +16,7 @@
 impl Exchange {
     /// Returns how long the caller can be told to wait.
     fn most_wait_ms(&self) -> u64 {
-        let now = Instant::now();
-        let left = self.job.deadline.saturating_duration_since(now);
-        let most = left.mul_f64(MOST_COME_BACK);
+        let most = self.left().mul_f64(MOST_COME_BACK);
         Millis::from(most).get().max(1)
     }
 
@@ -43,7 +40,7 @@
         reason: RefusalReason,
         come_back_ms: Option<u64>,
     ) -> Refusal {
-        let is_late = Instant::now() + LEAST_LEFT >= self.job.deadline;
+        let is_late = self.left() <= LEAST_LEFT;
         let reason = match reason {
             RefusalReason::UpstreamFailed if is_late => {
                 RefusalReason::TimedOut
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -85,7 +85,7 @@
         sends: 0,
         verdict: Verdict::NotRun,
         charge: None,
-        record: Record::new(),
+        record: Record::new(app.shared.clock),
     };
     match exchange.run().await {
         Ok(passable) => answer::pass(passable, exchange),
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Returns how long the caller still waits.
+    fn left(&self) -> Duration {
+        self.app.shared.clock.until(self.job.deadline)
+    }
+
     /// Returns how long an answer may take to begin where another upstream
     /// could give it.
     fn patience(&self) -> Duration {
@@ -191,13 +196,15 @@
         let mut waiting = std::pin::pin!(waiting);
         let patience = patience.max(LEAST_LEFT);
         loop {
-            let by = self.job.deadline.min(Instant::now() + patience);
-            let came = tokio::time::timeout_at(by, waiting.as_mut()).await;
-            match came {
-                Ok(output) => return Some(output),
-                Err(_) if Instant::now() >= self.job.deadline => return None,
-                Err(_) if self.can_move_from(upstream) => return None,
-                Err(_) => {}
+            let by = self.app.now() + Millis::from(patience).get();
+            let by = by.min(self.job.deadline);
+            let clock = &self.app.shared.clock;
+            let came = clock.wait_until(by, waiting.as_mut()).await;
+            if came.is_some() {
+                return came;
+            }
+            if self.left().is_zero() || self.can_move_from(upstream) {
+                return None;
             }
         }
     }
@@ -205,12 +212,11 @@
     /// Tells whether another upstream could take the request over now.
     fn can_move_from(&self, upstream: &UpstreamId) -> bool {
         let job = &self.job;
-        let left = job.deadline.saturating_duration_since(Instant::now());
         let mut tried = self.tried.clone();
         tried.push(upstream.clone());
         job.route.repetition.is_allowed()
             && self.sends + 1 < job.route.attempts
-            && left > LEAST_LEFT
+            && self.left() > LEAST_LEFT
             && self.app.can_send_again(&job.service_name)
             && choose(&self.app, job, &tried).is_ok()
     }
@@ -296,8 +302,8 @@
         let job = &self.job;
         let allowed =
             verdict == Verdict::NotRun || job.route.repetition.is_allowed();
-        let left = job.deadline.saturating_duration_since(Instant::now());
-        allowed && self.sends < job.route.attempts && left > LEAST_LEFT
+        let has_time = self.left() > LEAST_LEFT;
+        allowed && self.sends < job.route.attempts && has_time
     }
 
     fn take_second_send(&self, verdict: Verdict) -> bool {
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
 use valehold_core::{
+    Millis,
     fleet::{Asked, Variant, cold::SendRight},
     reason::RefusalReason,
 };
@@ -71,8 +71,8 @@
         &mut self,
     ) -> Result<(Chosen, Option<SendRight>), Refusal> {
         let objective = Duration::from_millis(self.job.route.begin_within_ms);
-        let until = Instant::now() + objective.mul_f64(WAIT_PART);
-        let until = until.min(self.job.deadline);
+        let wait = Millis::from(objective.mul_f64(WAIT_PART)).get();
+        let until = (self.app.now() + wait).min(self.job.deadline);
         let mut looks: u32 = 0;
         loop {
             let choosing =
@@ -101,8 +101,7 @@
                     return Err(self.give_up(reason, come_back));
                 }
                 NoChoice::AllCold { next_ms }
-                    if Instant::now() + Duration::from_millis(next_ms)
-                        >= until =>
+                    if self.app.now() + next_ms >= until =>
                 {
                     let reason = RefusalReason::UpstreamsCold;
                     return Err(self.give_up(reason, Some(next_ms)));
@@ -117,7 +116,7 @@
                 }
                 NoChoice::NotHeld => self.wish(looks),
             }
-            if Instant::now() >= until {
+            if self.app.now() >= until {
                 let reason = self.lack();
                 let come_back = self.come_back_ms(no_choice);
                 return Err(self.give_up(reason, Some(come_back)));
--- a/crates/valehold-gateway/src/traffic/pool.rs
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -10,7 +10,9 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::Instant};
-use valehold_core::fleet::UpstreamStart;
+use valehold_core::{Millis, fleet::UpstreamStart};
+
+use crate::clock::Clock;
 
 /// How long a connection may take.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -39,16 +41,24 @@
 
 struct Resting {
     sender: SendRequest<Full<Bytes>>,
-    until: Instant,
+    until: Millis,
 }
 
 /// Connections that rest between requests.
-#[derive(Default)]
+///
+/// For how long is counted by a clock that counts suspensions: upstreams close
+/// what rested too long meanwhile, and what is sent on it then may be lost.
 pub(super) struct Pool {
+    clock: Clock,
     resting: RefCell<BTreeMap<UpstreamStart, Vec<Resting>>>,
 }
 
 impl Pool {
+    /// Makes a pool without connections.
+    pub(super) fn new(clock: Clock) -> Self {
+        Self { clock, resting: RefCell::default() }
+    }
+
     /// Takes a resting connection, or makes one.
     ///
     /// # Errors
@@ -70,7 +80,7 @@
         &self,
         upstream: &UpstreamStart,
     ) -> Option<SendRequest<Full<Bytes>>> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut resting = self.resting.borrow_mut();
         let connections = resting.get_mut(upstream)?;
         connections.retain(|one| now < one.until && !one.sender.is_closed());
@@ -80,7 +90,7 @@
 
     /// Tells whether a connection to an upstream rests.
     pub(super) fn has_resting(&self, upstream: &UpstreamStart) -> bool {
-        let now = Instant::now();
+        let now = self.clock.now();
         let resting = self.resting.borrow();
         let connections = resting.get(upstream).map_or(&[][..], Vec::as_slice);
         connections
@@ -100,7 +110,7 @@
         if rest.is_zero() {
             return;
         }
-        let until = Instant::now() + rest;
+        let until = self.clock.now() + Millis::from(rest).get();
         let mut resting = self.resting.borrow_mut();
         let connections = resting.entry(upstream.clone()).or_default();
         if connections.len() < MOST_RESTING {
@@ -111,7 +121,7 @@
     /// Closes what rested too long, and connections to starts of
     /// upstreams that are not `known`.
     pub(super) fn sweep(&self, known: impl Fn(&UpstreamStart) -> bool) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut resting = self.resting.borrow_mut();
         resting.retain(|id, connections| {
             connections
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -1,12 +1,9 @@
 //! What is kept of a request for the line that it leaves in the log.
 
-use std::time::Duration;
-
 use http::StatusCode;
 use log::log_enabled;
-use tokio::time::Instant;
 use valehold_core::{
-    Verdict,
+    Millis, Verdict,
     fleet::{RegionBound, turned_away::TurnedAway},
     reason::RefusalReason,
 };
@@ -23,14 +20,15 @@
     BoundRecord, EVENT_TARGET, Event, RequestCourse, RequestEnd, RequestEnded,
     RequestOutcome, SendEnd, SendRecord,
 };
-use crate::view::View;
+use crate::{clock::Clock, view::View};
 
 /// What happened to a request so far.
 pub(super) struct Record {
-    came: Instant,
-    first: Option<Instant>,
-    last_event: Option<Instant>,
-    longest_pause: Option<Duration>,
+    clock: Clock,
+    came: Millis,
+    first: Option<Millis>,
+    last_event: Option<Millis>,
+    longest_pause_ms: Option<u64>,
     predicted_ms: Option<f64>,
     sends: Vec<SendRecord>,
     is_logged: bool,
@@ -38,12 +36,13 @@
 
 impl Record {
     /// Begins the record of a request that came just now.
-    pub(super) fn new() -> Self {
+    pub(super) fn new(clock: Clock) -> Self {
         Self {
-            came: Instant::now(),
+            clock,
+            came: clock.now(),
             first: None,
             last_event: None,
-            longest_pause: None,
+            longest_pause_ms: None,
             predicted_ms: None,
             sends: Vec::new(),
             is_logged: false,
@@ -61,7 +60,7 @@
         self.predicted_ms = Some(chosen.predicted_ms);
         self.sends.push(SendRecord {
             upstream: chosen.upstream.id.clone(),
-            at_ms: millis(self.came.elapsed()),
+            at_ms: self.clock.now().since(self.came),
             predicted_ms: whole(chosen.predicted_ms),
             running: chosen.load.running,
             waiting_tokens: chosen.load.waiting_tokens,
@@ -100,11 +99,11 @@
 
     /// Notes that events, or a whole answer, are passed on.
     pub(super) fn passed_on(&mut self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         self.first.get_or_insert(now);
         if let Some(last) = self.last_event.replace(now) {
-            let pause = now - last;
-            self.longest_pause = self.longest_pause.max(Some(pause));
+            let pause_ms = now.since(last);
+            self.longest_pause_ms = self.longest_pause_ms.max(Some(pause_ms));
         }
     }
 }
@@ -125,8 +124,8 @@
         let record = &self.record;
         RequestCourse {
             end,
-            first_ms: record.first.map(|at| millis(at - record.came)),
-            longest_pause_ms: record.longest_pause.map(millis),
+            first_ms: record.first.map(|at| at.since(record.came)),
+            longest_pause_ms: record.longest_pause_ms,
             begin_within_ms: self.job.route.begin_within_ms,
             pause_within_ms: self.job.route.pause_within_ms,
             sends: record.sends.len(),
@@ -163,7 +162,7 @@
     fn ended(&mut self, end: RequestEnd) -> RequestEnded {
         let job = &self.job;
         let record = &mut self.record;
-        let since = |at: Instant| millis(at - record.came);
+        let since = |at: Millis| at.since(record.came);
         let view = self.app.shared.view.load();
         RequestEnded {
             request: job.id_text().into_owned(),
@@ -173,9 +172,9 @@
             content: Some(job.content().to_string()),
             rank: job.route.rank,
             end,
-            took_ms: millis(record.came.elapsed()),
+            took_ms: since(record.clock.now()),
             first_ms: record.first.map(since),
-            longest_pause_ms: record.longest_pause.map(millis),
+            longest_pause_ms: record.longest_pause_ms,
             begin_within_ms: job.route.begin_within_ms,
             pause_within_ms: job.route.pause_within_ms,
             deadline_ms: since(job.deadline),
@@ -246,10 +245,6 @@
     })
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn whole(millis: f64) -> u64 {
     millis.round() as u64
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -6,8 +6,8 @@
 use http::{Request, Uri, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::Instant;
 use valehold_core::{
+    Millis,
     fleet::{
         Asked, Catalog, RegionBound, Route,
         catalog::{ColdSpec, EngineSpec},
@@ -61,7 +61,7 @@
     /// The configuration that says so.
     pub(super) catalog: Arc<Catalog>,
     /// By when it gets its final answer.
-    pub(super) deadline: Instant,
+    pub(super) deadline: Millis,
     content: OnceCell<RequestContent>,
 }
 
@@ -115,7 +115,7 @@
     app: &App,
     request: Request<Incoming>,
 ) -> Result<Job, (Option<Bytes>, Refusal)> {
-    let began = Instant::now();
+    let began = app.now();
     let (mut head, body) = request.into_parts();
     let said = app.dialect.read_request(&head.headers);
     let id = said.id.clone();
@@ -140,9 +140,9 @@
         0 => deadline_ms,
         longest_ms => deadline_ms.min(longest_ms),
     };
-    let deadline = began + Duration::from_millis(held_ms);
+    let deadline = began + held_ms;
     let limit = catalog.limits.body_bytes;
-    let body = read_body(body, limit, deadline)
+    let body = read_body(app, body, limit, deadline)
         .await
         .map_err(|refusal| (id, refusal))?;
     let bound = match &workspace {
@@ -235,12 +235,14 @@
 }
 
 async fn read_body(
+    app: &App,
     body: Incoming,
     limit: usize,
-    deadline: Instant,
+    deadline: Millis,
 ) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, limit).collect();
-    let Ok(read) = tokio::time::timeout_at(deadline, reading).await else {
+    let read = app.shared.clock.wait_until(deadline, reading).await;
+    let Some(read) = read else {
         return Err(Refusal::not_run(RefusalReason::SlowCaller, 0));
     };
     match read {
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -9,7 +9,6 @@
 };
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
-use tokio::time::Instant;
 use valehold_core::{
     Verdict,
     fleet::{Upstream, cold::SendRight, turned_away::TurnedAway},
@@ -128,14 +127,15 @@
     right: Option<SendRight>,
     after_event: Option<u64>,
 ) -> Result<BegunAnswer, SendFailure> {
-    let sending = Sending {
+    let clock = &app.shared.clock;
+    let mut sending = Sending {
         upstream: upstream.id.clone(),
-        left: job.deadline.saturating_duration_since(Instant::now()),
+        left: clock.until(job.deadline),
         workspace: job.workspace.as_ref().map(|one| one.name.clone()),
         urgency: job.engine_spec().map(|_| job.urgency().min(LEAST_URGENT)),
         after_event,
     };
-    let mut request = write_request(app, job, &sending);
+    let mut request = write_request(job);
     for _ in 0..MOST_CLOSED {
         let taken = app.pool.take(&upstream.start(), upstream.address).await;
         let mut connection = taken.map_err(|error| {
@@ -150,6 +150,13 @@
         if let Some(made_in) = connection.made_in {
             app.note_connected(&upstream.data_centre, made_in);
         }
+        // A connection takes time to be made, and the machine may have been
+        // suspended meanwhile: what is left is said as of now.
+        sending.left = clock.until(job.deadline);
+        if sending.left.is_zero() {
+            return Err(SendFailure::not_sent());
+        }
+        app.dialect.write_request(request.headers_mut(), &sending);
         if !cold::may_send(app, job, upstream, right) {
             return Err(SendFailure::right_over());
         }
@@ -177,11 +184,7 @@
     Err(SendFailure::not_sent())
 }
 
-fn write_request(
-    app: &App,
-    job: &Job,
-    sending: &Sending,
-) -> Request<Full<Bytes>> {
+fn write_request(job: &Job) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = path_only(&job.head.uri);
@@ -195,7 +198,6 @@
     if had_body {
         headers.insert(header::CONTENT_LENGTH, job.body.len().into());
     }
-    app.dialect.write_request(headers, sending);
     request
 }
 
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -58,9 +58,9 @@
     /// Makes the state of a gateway that has served nothing.
     pub fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Self {
         Self {
+            pool: Pool::new(shared.clock),
             shared,
             dialect,
-            pool: Pool::default(),
             broken_off: BrokenOff::default(),
             health: RefCell::default(),
             paces: RefCell::default(),
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -25,6 +25,7 @@
             data_centre: DataCentreId::new("north"),
             version: "1".to_owned(),
         },
+        Event::Suspended { for_ms: 5_000 },
         Event::Stopping,
         Event::Stopped,
         Event::SettingsRead,
