Crashing requests: no proof without bytes, hubs, and a gateway cut off from the others

Cause: an answer without a length that ends with its engine's connection before any bytes would have cleared the request. A gateway that hears no others but reaches the store would have sent it to three engines more. Change: only output clears; who hears few of the others looks into the store's record after each crash that it saw, twice a second at the most.

--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -16,6 +16,10 @@
 /// names them, in ms: what is told by others may speak for one of them.
 const RECORD_AFTER_MS: u64 = 500;
 
+/// How often the record is looked at or changed at the most, in ms: less than
+/// it takes to be told to all, and no engine is back sooner.
+const RECORD_EVERY_MS: u64 = 500;
+
 /// How long after a failed call the store's record is tried again, in ms.
 const RECORD_AGAIN_MS: u64 = 2_000;
 
@@ -36,6 +40,8 @@
 pub(super) struct RecordDuty {
     /// Whether it read the record since it started.
     has_read: bool,
+    /// Whether it saw a crash since it read the record.
+    has_seen_crash: bool,
     /// Whether a call is under way.
     is_calling: bool,
     /// When the next call may be made.
@@ -59,6 +65,9 @@
     /// Reads the store's record once, and brings it up to date, if that is
     /// this gateway's turn: the holder of the lease writes, and where there is
     /// none those that watch the store.
+    ///
+    /// A gateway that hears few of the others may be cut off from them and not
+    /// from the store. It looks there after each crash that it saw.
     pub(super) fn keep_record(&mut self, now: Millis) {
         if self.record.is_calling || now < self.record.due {
             return;
@@ -67,13 +76,16 @@
             self.watch_orders.observing(),
             Observing::Nothing | Observing::Configuration
         );
-        let has_to_read = !self.record.has_read && observes;
+        let looks = self.record.has_seen_crash && !self.limits.hears_most();
+        let has_to_read = looks || (!self.record.has_read && observes);
         let (refused, in_vain) = self.unrecorded(now);
         let is_behind = !(refused.is_empty() && in_vain.is_empty());
         let holds = self.lease.borrow().held_epoch(now).is_some();
         let writes = holds || (observes && self.roster.holder(now).is_none());
         if has_to_read || (is_behind && writes) {
             self.record.is_calling = true;
+            self.record.has_seen_crash = false;
+            self.record.due = now + RECORD_EVERY_MS;
             let (store, inputs) =
                 (self.store_calls.clone(), self.inputs.clone());
             tokio::task::spawn_local(async move {
@@ -114,6 +126,7 @@
             }
             Err(error) => {
                 log::debug!("the record of refused requests: {error}");
+                self.record.has_seen_crash = true;
                 self.record.due = now + RECORD_AGAIN_MS;
             }
         }
@@ -136,6 +149,7 @@
             book.take_news(now)
         };
         if !news.is_empty() {
+            self.record.has_seen_crash = true;
             self.send_all(&Message::Crashes(news));
         }
     }
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -89,6 +89,11 @@
         self.held = Some(events);
     }
 
+    /// Tells whether events were taken that are to be passed on.
+    pub(super) fn has_output(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| !held.is_empty())
+    }
+
     async fn next(
         &mut self,
         app: &App,
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -145,14 +145,17 @@
                     false => SendEnd::Answered,
                 };
                 self.record.began(took_ms, end);
-                if head.status.is_success() {
+                // A crash may end an answer without a length and any bytes.
+                if head.status.is_success() && !body.is_empty() {
                     crashes::answered(&app, &self.job);
                 }
                 self.judge_whole(&chosen.upstream, head, body)
             }
-            stream @ Passable::Stream { .. } => {
+            Passable::Stream { head, relay } => {
                 self.record.began(took_ms, SendEnd::Answered);
-                crashes::answered(&app, &self.job);
+                if relay.has_output() {
+                    crashes::answered(&app, &self.job);
+                }
                 let start = &chosen.upstream.start();
                 app.judge(start, |health, now| health.succeeded(now));
                 if let Some(variant) = &self.job.request.variant {
@@ -163,7 +166,7 @@
                     pace.began(took_ms, chosen.usual_ms, now);
                 });
                 app.hints().note(start, &chosen.blocks, app.now());
-                Ok(stream)
+                Ok(Passable::Stream { head, relay })
             }
         }
     }
