The third crash is the last: who is close to it waits to know whether it was one

Cause: a second send went out 5 ms before the gateway knew that the first had ended its engine; attempts one after the other ended four. Change: a request that two crashes speak against waits for that. One gateway is told all at most once a second, as gateways with different settings never know the same. A negative routing.connection_ms is refused.

--- a/crates/valehold-core/src/fleet/crashes/book.rs
+++ b/crates/valehold-core/src/fleet/crashes/book.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
-    AnsweredWord, Crash, CrashWord, CrashWords, RefusedWord, RequestContent,
-    judge,
+    AnsweredWord, Crash, CrashWord, CrashWords, REFUSED_AFTER, RefusedWord,
+    RequestContent, judge,
 };
 use crate::{id::UpstreamTag, time::Millis};
 
@@ -88,6 +88,14 @@
         Some(until.since(now)).filter(|left_ms| *left_ms > 0)
     }
 
+    /// Tells whether a request would be refused if one more upstream crashed
+    /// under it.
+    pub fn is_close(&self, content: &RequestContent) -> bool {
+        let crashes = self.crashes.values();
+        let under_it = crashes.filter(|one| one.under_way.contains(content));
+        under_it.count() + 1 >= REFUSED_AFTER
+    }
+
     /// Returns who is refused and is not named by the store yet.
     pub fn unrecorded(&self, now: Millis) -> Vec<RefusedWord> {
         let refused = self.refused.iter().filter(|(content, until)| {
--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -1,7 +1,7 @@
 //! Telling other gateways of crashes and who was there, and hearing of them;
 //! and the store's record of who is refused.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use valehold_core::{
     Millis,
@@ -28,11 +28,17 @@
 /// once, and is mostly still on its way.
 const SETTLES_MS: u64 = 300;
 
+/// How often one gateway is told all of it at the most, in ms: it may be tens
+/// of KB, and gateways with different settings never know the same.
+const TELL_EVERY_MS: u64 = 1_000;
+
 /// What was known of crashes when others were told last.
 #[derive(Debug, Default)]
 pub(super) struct ToldCrashes {
     digest: u64,
     since: Millis,
+    /// Whom this gateway told all, and when.
+    told: BTreeMap<SocketAddr, Millis>,
 }
 
 /// This gateway's part in the store's record of who is refused.
@@ -136,7 +142,8 @@
     pub(super) fn crash_digest(&mut self, now: Millis) -> u64 {
         let digest = self.shared.crashes().digest(now);
         if digest != self.told_crashes.digest {
-            self.told_crashes = ToldCrashes { digest, since: now };
+            self.told_crashes.digest = digest;
+            self.told_crashes.since = now;
         }
         digest
     }
@@ -168,6 +175,12 @@
         if own == 0 || own == digest || !is_settled {
             return;
         }
+        let told = &mut self.told_crashes.told;
+        told.retain(|_, at| now.since(*at) < TELL_EVERY_MS);
+        if told.contains_key(&peer) {
+            return;
+        }
+        told.insert(peer, now);
         let words = self.shared.crashes().words(now);
         self.send([peer], &Message::Crashes(words));
     }
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -287,6 +287,9 @@
         {
             return Some("regions names data_centre");
         }
+        if self.routing.connection_ms < 0.0 {
+            return Some("routing.connection_ms is 0 or above");
+        }
         if !self.distance.are_valid() {
             return Some("distance has no time below 0");
         }
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -42,6 +42,11 @@
         at_upstream.len() == 1
     }
 
+    /// Tells whether it is not known yet what an upstream broke off for.
+    fn has(&self, upstream: &UpstreamStart) -> bool {
+        self.requests.borrow().contains_key(upstream)
+    }
+
     fn take(&self, upstream: &UpstreamStart) -> BTreeSet<RequestContent> {
         self.requests.borrow_mut().remove(upstream).unwrap_or_default()
     }
@@ -71,6 +76,16 @@
     }
 }
 
+/// Waits until it is known whether an upstream crashed, for a request that
+/// would then be refused: it is not to go to another one meanwhile.
+pub(super) async fn until_known(app: &App, job: &Job, upstream: &Upstream) {
+    let is_close = app.shared.crashes().is_close(&job.content());
+    let start = upstream.start();
+    while is_close && app.broken_off.has(&start) {
+        time::sleep(ASK_AFTER).await;
+    }
+}
+
 /// Tells whether nobody takes connections at an address.
 async fn refuses(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -109,6 +109,8 @@
                 Ok(passable) => return Ok(passable),
                 Err(failure) => self.failed(&chosen, failure)?,
             }
+            crashes::until_known(&self.app, &self.job, &chosen.upstream).await;
+            self.refuse_if_it_crashes()?;
         }
         Err(self.give_up(RefusalReason::UpstreamFailed, None))
     }
@@ -345,6 +347,8 @@
                     }
                     self.note_turned_away(&start, failure);
                     self.leave(&start.id, failure.arrived);
+                    let upstream = &chosen.upstream;
+                    crashes::until_known(&self.app, &self.job, upstream).await;
                 }
             }
         }
