A right that was over speaks against no upstream

A right to a cold upstream holds for 200 ms; where the machine is that busy it is over before the request is written, and the upstream counted as tried. With no other left the request was refused as failed. Only where services state that their upstreams are cold anything differs.

--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -103,16 +103,23 @@
         self.refuse_if_unservable()?;
         self.charge = charge(&self.app, &self.job)?;
         note_work(&self.app, &self.job);
+        let mut reason = RefusalReason::UpstreamFailed;
         for _ in 0..MOST_TRIES {
             let (chosen, right) = self.choose_or_wait().await?;
             match self.attempt(&chosen, right).await {
                 Ok(passable) => return Ok(passable),
-                Err(failure) => self.failed(&chosen, failure)?,
+                Err(failure) => {
+                    self.failed(&chosen, failure)?;
+                    reason = match failure.reason {
+                        RetryReason::RightOver => RefusalReason::UpstreamsCold,
+                        _ => RefusalReason::UpstreamFailed,
+                    };
+                }
             }
             crashes::until_known(&self.app, &self.job, &chosen.upstream).await;
             self.refuse_if_it_crashes()?;
         }
-        Err(self.give_up(RefusalReason::UpstreamFailed, None))
+        Err(self.give_up(reason, None))
     }
 
     /// Sends the request once, and takes as much of the answer as is needed
@@ -265,7 +272,11 @@
             self.app.judge(start, |health, now| health.failed(now));
         }
         self.note_turned_away(start, failure);
-        self.leave(&start.id, failure.arrived);
+        // A right that was over speaks against no upstream: another one may be
+        // had. Left, the only one that is there would count as failed.
+        if failure.reason != RetryReason::RightOver {
+            self.leave(&start.id, failure.arrived);
+        }
         self.verdict = self.verdict.worst(failure.verdict);
         self.keep_charge(self.verdict != Verdict::NotRun);
         if failure.cut_off {
