--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -1,7 +1,7 @@
 //! Telling other gateways of crashes and who was there, and hearing of them;
 //! and the store's record of who is refused.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use valehold_core::{
     Millis,
@@ -16,6 +16,10 @@
 /// names them, in ms: what is told by others may speak for one of them.
 const RECORD_AFTER_MS: u64 = 500;
 
+/// How often the record is looked at or changed at the most, in ms: less than
+/// it takes to be told to all, and no engine is back sooner.
+const RECORD_EVERY_MS: u64 = 500;
+
 /// How long after a failed call the store's record is tried again, in ms.
 const RECORD_AGAIN_MS: u64 = 2_000;
 
@@ -24,11 +28,17 @@
 /// once, and is mostly still on its way.
 const SETTLES_MS: u64 = 300;
 
+/// How often one gateway is told all of it at the most, in ms: it may be tens
+/// of KB, and gateways with different settings never know the same.
+const TELL_EVERY_MS: u64 = 1_000;
+
 /// What was known of crashes when others were told last.
 #[derive(Debug, Default)]
 pub(super) struct ToldCrashes {
     digest: u64,
     since: Millis,
+    /// Whom this gateway told all, and when.
+    told: BTreeMap<SocketAddr, Millis>,
 }
 
 /// This gateway's part in the store's record of who is refused.
@@ -36,6 +46,8 @@
 pub(super) struct RecordDuty {
     /// Whether it read the record since it started.
     has_read: bool,
+    /// Whether it saw a crash since it read the record.
+    has_seen_crash: bool,
     /// Whether a call is under way.
     is_calling: bool,
     /// When the next call may be made.
@@ -59,6 +71,9 @@
     /// Reads the store's record once, and brings it up to date, if that is
     /// this gateway's turn: the holder of the lease writes, and where there is
     /// none those that watch the store.
+    ///
+    /// A gateway that hears few of the others may be cut off from them and not
+    /// from the store. It looks there after each crash that it saw.
     pub(super) fn keep_record(&mut self, now: Millis) {
         if self.record.is_calling || now < self.record.due {
             return;
@@ -67,13 +82,16 @@
             self.watch_orders.observing(),
             Observing::Nothing | Observing::Configuration
         );
-        let has_to_read = !self.record.has_read && observes;
+        let looks = self.record.has_seen_crash && !self.limits.hears_most();
+        let has_to_read = looks || (!self.record.has_read && observes);
         let (refused, in_vain) = self.unrecorded(now);
         let is_behind = !(refused.is_empty() && in_vain.is_empty());
         let holds = self.lease.borrow().held_epoch(now).is_some();
         let writes = holds || (observes && self.roster.holder(now).is_none());
         if has_to_read || (is_behind && writes) {
             self.record.is_calling = true;
+            self.record.has_seen_crash = false;
+            self.record.due = now + RECORD_EVERY_MS;
             let (store, inputs) =
                 (self.store_calls.clone(), self.inputs.clone());
             tokio::task::spawn_local(async move {
@@ -114,6 +132,7 @@
             }
             Err(error) => {
                 log::debug!("the record of refused requests: {error}");
+                self.record.has_seen_crash = true;
                 self.record.due = now + RECORD_AGAIN_MS;
             }
         }
@@ -123,7 +142,8 @@
     pub(super) fn crash_digest(&mut self, now: Millis) -> u64 {
         let digest = self.shared.crashes().digest(now);
         if digest != self.told_crashes.digest {
-            self.told_crashes = ToldCrashes { digest, since: now };
+            self.told_crashes.digest = digest;
+            self.told_crashes.since = now;
         }
         digest
     }
@@ -136,6 +156,7 @@
             book.take_news(now)
         };
         if !news.is_empty() {
+            self.record.has_seen_crash = true;
             self.send_all(&Message::Crashes(news));
         }
     }
@@ -154,6 +175,12 @@
         if own == 0 || own == digest || !is_settled {
             return;
         }
+        let told = &mut self.told_crashes.told;
+        told.retain(|_, at| now.since(*at) < TELL_EVERY_MS);
+        if told.contains_key(&peer) {
+            return;
+        }
+        told.insert(peer, now);
         let words = self.shared.crashes().words(now);
         self.send([peer], &Message::Crashes(words));
     }
