--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -37,9 +37,9 @@
     /// Adds a request; tells whether it is the first at its upstream.
     fn add(&self, upstream: UpstreamStart, content: RequestContent) -> bool {
         let mut requests = self.requests.borrow_mut();
-        let at_upstream = requests.entry(upstream).or_default();
-        at_upstream.insert(content);
-        at_upstream.len() == 1
+        let is_first = !requests.contains_key(&upstream);
+        requests.entry(upstream).or_default().insert(content);
+        is_first
     }
 
     /// Tells whether it is not known yet what an upstream broke off for.
@@ -79,8 +79,12 @@
 /// Waits until it is known whether an upstream crashed, for a request that
 /// would then be refused: it is not to go to another one meanwhile.
 pub(super) async fn until_known(app: &App, job: &Job, upstream: &Upstream) {
-    let is_close = app.shared.crashes().is_close(&job.content());
     let start = upstream.start();
+    // Most failures are no break-offs, and need no digest of the request.
+    if !app.broken_off.has(&start) {
+        return;
+    }
+    let is_close = app.shared.crashes().is_close(&job.content());
     while is_close && app.broken_off.has(&start) {
         time::sleep(ASK_AFTER).await;
     }
