Sight: what upstreams say of themselves in answers is read and told

Both words are read now, where the answer is surely of the upstream that was meant, noted by the upstream's start, counted (valehold_upstreams_leaving_total, valehold_upstream_rests_total) and logged once for each change of belief (upstream_leaving, upstream_rests); lines of requests say for how long an upstream that turned them away asked for rest. Nothing obeys yet.

--- a/crates/valehold-core/src/fleet/identity.rs
+++ b/crates/valehold-core/src/fleet/identity.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -17,7 +18,9 @@
 };
 
 /// One start of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct UpstreamStart {
     /// The upstream.
     pub id: UpstreamId,
--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -16,8 +16,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    identity::Births,
+    identity::{Births, UpstreamStart},
     lapsed::LapsedUpstreams,
+    leaving::LeavingUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream},
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
@@ -54,6 +55,7 @@
     rows: Listing,
     lapsed: LapsedUpstreams,
     told: BTreeMap<UpstreamId, Told>,
+    leaving: LeavingUpstreams,
     births: Births,
     /// All three together.
     known: Arc<Listing>,
@@ -213,6 +215,12 @@
         told.is_some_and(|told| told.stamp >= stamp)
     }
 
+    /// Takes in that a start of an upstream said that it leaves; tells whether
+    /// that is new.
+    pub fn say_leaving(&mut self, start: &UpstreamStart, now: Millis) -> bool {
+        self.leaving.note(start, now)
+    }
+
     /// Lets time pass for those that fell off the list.
     pub fn pass(&mut self, now: Millis) {
         let over = self.lapsed.pass(&self.rows, now);
--- /dev/null
+++ b/crates/valehold-core/src/fleet/leaving.rs
@@ -0,0 +1,80 @@
+//! Upstreams that say in their answers that they leave.
+//!
+//! An upstream that is about to end says so itself, also while the platform's
+//! list cannot: its entry may say for as long as the store is away that it
+//! takes work. Its own word is of one start and for good, so that no entry,
+//! and no word of another instance, takes it back.
+
+use std::collections::BTreeMap;
+
+use super::identity::UpstreamStart;
+use crate::time::Millis;
+
+/// For how long a word is kept after it was last heard of an upstream that is
+/// not known any more, in ms: an entry that lapsed with the store, or comes
+/// late, must not bring the upstream back. No outage that users plan for
+/// lasts longer.
+const REMEMBER_MS: u64 = 600_000;
+
+/// How often words of upstreams that are gone are looked for, in ms.
+const SWEEP_EVERY_MS: u64 = 60_000;
+
+/// How many words are kept: more than twice the upstreams of the largest
+/// deployment, so that all of them may be replaced within [`REMEMBER_MS`].
+const MOST_WORDS: usize = 4_096;
+
+/// Which starts of upstreams said that they leave.
+#[derive(Debug, Clone, Default)]
+pub struct LeavingUpstreams {
+    /// When it was first heard of each.
+    said: BTreeMap<UpstreamStart, Millis>,
+    swept: Millis,
+}
+
+impl LeavingUpstreams {
+    /// Notes that a start of an upstream leaves; tells whether that is new.
+    pub fn note(&mut self, start: &UpstreamStart, now: Millis) -> bool {
+        if self.contains(start) {
+            return false;
+        }
+        if self.said.len() >= MOST_WORDS {
+            self.forget_oldest();
+        }
+        self.said.insert(start.clone(), now);
+        true
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.said.iter().min_by_key(|(_, heard)| **heard);
+        let oldest = oldest.map(|(start, _)| start.clone());
+        if let Some(oldest) = oldest {
+            self.said.remove(&oldest);
+        }
+    }
+
+    /// Tells whether a start of an upstream said that it leaves.
+    pub fn contains(&self, start: &UpstreamStart) -> bool {
+        self.said.contains_key(start)
+    }
+
+    /// Returns all of them.
+    pub fn starts(&self) -> impl Iterator<Item = &UpstreamStart> {
+        self.said.keys()
+    }
+
+    /// Forgets, now and then, what was heard long ago of upstreams that are
+    /// not `known`.
+    pub fn sweep(
+        &mut self,
+        known: impl Fn(&UpstreamStart) -> bool,
+        now: Millis,
+    ) {
+        if now.since(self.swept) < SWEEP_EVERY_MS {
+            return;
+        }
+        self.swept = now;
+        self.said.retain(|start, heard| {
+            now.since(*heard) < REMEMBER_MS || known(start)
+        });
+    }
+}
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -20,11 +20,13 @@
 pub mod identity;
 pub mod known;
 pub mod lapsed;
+pub mod leaving;
 pub mod listing;
 pub mod pace;
 pub mod paces;
 pub mod peaks;
 pub mod replicas;
+pub mod rest;
 pub mod share;
 pub mod slot_time;
 #[cfg(test)]
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod feeds;
 mod input;
 mod lease;
+mod leaving;
 mod limits;
 mod loads;
 mod needs;
@@ -72,7 +73,7 @@
     publishing::Published,
 };
 use crate::{
-    events::Event,
+    events::{Event, LeavingSource},
     peers::{
         Roster,
         message::{Duty, MAX_DATAGRAM, Message, Rank, StoreSight},
@@ -297,6 +298,9 @@
                 }
                 Some(wish) = wishes.variants.recv() => self.wish(wish),
                 Some(ask) = wishes.rights.recv() => self.ask_right(ask),
+                Some(start) = wishes.leaving.recv() => {
+                    self.hear_leaving(&[start], LeavingSource::Answer);
+                }
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
                     let own = self.shared.settings.peers.heartbeats;
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -88,6 +88,10 @@
     UpstreamUnreachable = "upstream_unreachable",
     /// An upstream crashed with requests of this gateway.
     UpstreamCrashed = "upstream_crashed",
+    /// An upstream said in an answer that it leaves.
+    UpstreamLeaving = "upstream_leaving",
+    /// An upstream asked this gateway for rest.
+    UpstreamRests = "upstream_rests",
     /// A request ended.
     RequestEnded = "request_ended",
 }
@@ -104,6 +108,26 @@
     Push,
 }
 
+/// Who told a gateway that an upstream leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeavingSource {
+    /// The upstream, in an answer to a request of this gateway.
+    Answer,
+    /// A peer that had such an answer.
+    Peer,
+}
+
+impl LeavingSource {
+    /// Returns the label under which it is counted.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// A route and a workspace without a region in common.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EmptyBoundPair {
@@ -260,6 +284,20 @@
         /// The digests of what those asked for that had no output yet.
         under_way: Vec<String>,
     },
+    /// An upstream said in an answer that it leaves.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Who told this gateway.
+        source: LeavingSource,
+    },
+    /// An upstream that this gateway sent to asked it for rest.
+    UpstreamRests {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// For how long, in ms.
+        for_ms: u64,
+    },
     /// A request ended.
     RequestEnded(Box<RequestEnded>),
 }
@@ -293,6 +331,8 @@
             Self::OrderEnded { .. } => EventKind::OrderEnded,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
+            Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
+            Self::UpstreamRests { .. } => EventKind::UpstreamRests,
             Self::RequestEnded(_) => EventKind::RequestEnded,
         }
     }
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -49,6 +49,9 @@
     pub first_ms: Option<u64>,
     /// How it ended.
     pub end: SendEnd,
+    /// For how long the upstream, which turned it away, asked for rest.
+    #[serde(default)]
+    pub rest_ms: Option<u64>,
 }
 
 /// How a request ended.
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -5,8 +5,8 @@
 use valehold_core::{Verdict, id::RegionId};
 
 use super::{
-    BoundRecord, CatalogSource, Event, RequestEnd, RequestEnded,
-    RequestOutcome, SendEnd, SendRecord,
+    BoundRecord, CatalogSource, Event, LeavingSource, RequestEnd,
+    RequestEnded, RequestOutcome, SendEnd, SendRecord,
 };
 
 impl RequestEnded {
@@ -132,10 +132,13 @@
             || "none came".to_owned(),
             |ms| format!("came after {ms} ms"),
         );
+        let rest = self.rest_ms.map_or_else(String::new, |ms| {
+            format!("; it asked for {ms} ms of rest")
+        });
         format!(
             "  send {number} to {} at {} ms: {} requests under way there, \
              {} tokens waiting, {} to read; first event predicted after {} \
-             ms, {first}; {end}\n",
+             ms, {first}; {end}{rest}\n",
             self.upstream,
             self.at_ms,
             self.running,
@@ -239,6 +242,16 @@
                     under_way.join(", "),
                 )
             }
+            Self::UpstreamLeaving { upstream, source } => {
+                let source = match source {
+                    LeavingSource::Answer => "its answer",
+                    LeavingSource::Peer => "a peer",
+                };
+                format!("{upstream} leaves, from {source}\n")
+            }
+            Self::UpstreamRests { upstream, for_ms } => {
+                format!("{upstream} asked for {for_ms} ms of rest\n")
+            }
             Self::RequestEnded(ended) => ended.story(),
         }
     }
@@ -252,7 +265,9 @@
                 !model.is_empty() && variant.split('/').next() == Some(model)
             }
             Self::UpstreamUnreachable { upstream, .. }
-            | Self::UpstreamCrashed { upstream, .. } => {
+            | Self::UpstreamCrashed { upstream, .. }
+            | Self::UpstreamLeaving { upstream, .. }
+            | Self::UpstreamRests { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
             Self::Suspended { .. }
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -16,7 +16,7 @@
     reason::{RefusalReason, RetryReason},
 };
 
-use crate::error::Error;
+use crate::{error::Error, events::LeavingSource};
 
 /// Where instruments are made, and read as text.
 #[derive(Debug, Clone)]
@@ -94,6 +94,8 @@
     limited_workspaces: Arc<Mutex<BTreeSet<WorkspaceId>>>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
+    leaving: Counter<u64>,
+    rests: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
@@ -133,6 +135,14 @@
                 "valehold_store_failures",
                 "Calls to the platform's store that failed.",
             ),
+            leaving: counter(
+                "valehold_upstreams_leaving",
+                "Upstreams that said in an answer that they leave.",
+            ),
+            rests: counter(
+                "valehold_upstream_rests",
+                "Rests that upstreams asked this gateway for.",
+            ),
             peer_bytes: counter(
                 "valehold_peer_bytes",
                 "Bytes of datagrams sent to other gateways.",
@@ -201,6 +211,16 @@
         self.store_failures.add(1, &[KeyValue::new("call", call)]);
     }
 
+    /// Counts an upstream that said in an answer that it leaves.
+    pub fn upstream_leaving(&self, source: LeavingSource) {
+        self.leaving.add(1, &[KeyValue::new("source", source.label())]);
+    }
+
+    /// Counts a rest that an upstream asked for.
+    pub fn upstream_rests(&self) {
+        self.rests.add(1, &[]);
+    }
+
     /// Counts the bytes of a message that was sent to other gateways.
     pub fn told_peers(&self, message: &'static str, bytes: u64) {
         let message = KeyValue::new("message", message);
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -12,6 +12,7 @@
     cold::{ColdBook, RightAsk},
     crashes::CrashBook,
     paces::{PaceObservation, Paces},
+    rest::Rests,
     topology::Topology,
     usage::UsageMeter,
 };
@@ -31,6 +32,10 @@
 /// a burst of requests, which give up on it within some ten milliseconds.
 const RIGHT_ASKS: usize = 256;
 
+/// How many words of upstreams that leave may wait for control. One that finds
+/// no room comes again with the upstream's next answer.
+const LEAVING_WORDS: usize = 256;
+
 /// How many first events are noted between two times that control takes them:
 /// some hundred milliseconds.
 const MOST_SEEN_PACES: usize = 128;
@@ -51,6 +56,8 @@
     pub variants: mpsc::Receiver<Asked>,
     /// Rights to send to cold upstreams.
     pub rights: mpsc::Receiver<RightAsk>,
+    /// Upstreams that said that they leave.
+    pub leaving: mpsc::Receiver<UpstreamStart>,
 }
 
 /// What control and traffic have in common.
@@ -78,10 +85,12 @@
     running: Mutex<BTreeMap<Asked, u32>>,
     usage: Mutex<UsageMeter>,
     cold: Mutex<ColdBook>,
+    rests: Mutex<Rests>,
     crashes: Mutex<CrashBook>,
     crash_changes: watch::Sender<u64>,
     wishes: mpsc::Sender<Asked>,
     right_asks: mpsc::Sender<RightAsk>,
+    leaving_words: mpsc::Sender<UpstreamStart>,
     life: watch::Sender<Life>,
 }
 
@@ -94,6 +103,7 @@
     ) -> (Arc<Self>, Wishes) {
         let (wishes, variants) = mpsc::channel(WISHES);
         let (right_asks, rights) = mpsc::channel(RIGHT_ASKS);
+        let (leaving_words, leaving) = mpsc::channel(LEAVING_WORDS);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -111,14 +121,16 @@
             running: Mutex::default(),
             usage: Mutex::new(UsageMeter::new(settings.limits)),
             cold: Mutex::new(ColdBook::new(rand::random())),
+            rests: Mutex::default(),
             crashes: Mutex::new(CrashBook::new(settings.crashes.keep_ms())),
             crash_changes: watch::Sender::new(0),
             wishes,
             right_asks,
+            leaving_words,
             life: watch::Sender::new(Life::Starting),
             settings,
         };
-        (Arc::new(shared), Wishes { variants, rights })
+        (Arc::new(shared), Wishes { variants, rights, leaving })
     }
 
     /// Asks control for a variant that no engine inside its bound holds.
@@ -135,6 +147,18 @@
         let _ = self.right_asks.try_send(ask);
     }
 
+    /// Tells control that a start of an upstream said that it leaves.
+    pub fn say_leaving(&self, start: UpstreamStart) {
+        // One that finds no room comes again with the next answer.
+        let _ = self.leaving_words.try_send(start);
+    }
+
+    /// Which upstreams asked this gateway for rest.
+    pub fn rests(&self) -> MutexGuard<'_, Rests> {
+        // Each entry stands for itself: any that a panic left is valid.
+        self.rests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this gateway believes of cold upstreams, and its rights.
     pub fn cold(&self) -> MutexGuard<'_, ColdBook> {
         // Each entry stands for itself: any that a panic left is valid.
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -288,8 +288,7 @@
             self.app.shared.metrics.retried(failure.reason);
             return Ok(());
         }
-        let come_back =
-            failure.come_back.map(|after| Millis::from(after).get());
+        let come_back = failure.rest.map(|rest| Millis::from(rest).get());
         Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
     }
 
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -18,10 +18,12 @@
 mod pool;
 mod record;
 mod refusal;
+mod retry_after;
 mod route;
 mod send;
 mod server;
 mod state;
+mod words;
 
 use std::{convert::Infallible, pin::Pin};
 
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -67,6 +67,7 @@
             read_tokens: chosen.read_tokens,
             first_ms: None,
             end: SendEnd::UnderWay,
+            rest_ms: None,
         });
     }
 
@@ -81,6 +82,7 @@
     /// Notes that the last send failed.
     pub(super) fn failed(&mut self, failure: &SendFailure) {
         if let Some(send) = self.sends.last_mut() {
+            send.rest_ms = failure.rest.map(|rest| Millis::from(rest).get());
             send.end = match failure.turned_away {
                 Some(TurnedAway::NotHeld) => SendEnd::NotHeld,
                 Some(TurnedAway::Busy) => SendEnd::Busy,
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -16,7 +16,12 @@
 };
 use valehold_ports::port::fleet::Sending;
 
-use super::{cold, route::Job, state::App};
+use super::{
+    cold, retry_after,
+    route::Job,
+    state::App,
+    words::{self, Words},
+};
 use crate::events::Event;
 
 /// How many connections in a row may turn out closed before the request was
@@ -46,8 +51,8 @@
     pub(super) arrived: bool,
     /// What is counted if another send follows.
     pub(super) reason: RetryReason,
-    /// When the upstream asks to come back.
-    pub(super) come_back: Option<Duration>,
+    /// For how long the upstream asks for rest.
+    pub(super) rest: Option<Duration>,
     /// Why the upstream says that it did not run the request.
     pub(super) turned_away: Option<TurnedAway>,
     /// Whether the connection ended before there was any output.
@@ -61,7 +66,7 @@
             verdict: Verdict::NotRun,
             arrived: false,
             reason: RetryReason::ConnectFailed,
-            come_back: None,
+            rest: None,
             turned_away: None,
             cut_off: false,
         }
@@ -74,12 +79,12 @@
     }
 
     /// The upstream says that it did not run the request.
-    fn refused(why: TurnedAway, come_back: Option<Duration>) -> Self {
+    fn refused(why: TurnedAway, rest: Option<Duration>) -> Self {
         Self {
             verdict: Verdict::NotRun,
             arrived: true,
             reason: RetryReason::RefusedByUpstream,
-            come_back,
+            rest,
             turned_away: Some(why),
             cut_off: false,
         }
@@ -91,7 +96,7 @@
             verdict: Verdict::MayHaveRun,
             arrived: true,
             reason: RetryReason::FailedBeforeOutput,
-            come_back: None,
+            rest: None,
             turned_away: None,
             cut_off: false,
         }
@@ -162,7 +167,9 @@
         }
         let answering = connection.sender.try_send_request(request);
         match answering.await {
-            Ok(answer) => return begun(app, job, answer, connection.sender),
+            Ok(answer) => {
+                return begun(app, job, upstream, answer, connection.sender);
+            }
             Err(mut error) => match error.take_message() {
                 // It was never written: the connection was closed already.
                 Some(unsent) if connection.made_in.is_none() => {
@@ -224,6 +231,7 @@
 fn begun(
     app: &App,
     job: &Job,
+    upstream: &Upstream,
     answer: Response<Incoming>,
     sender: SendRequest<Full<Bytes>>,
 ) -> Result<BegunAnswer, SendFailure> {
@@ -238,13 +246,22 @@
             StatusCode::MISDIRECTED_REQUEST => TurnedAway::NotHeld,
             _ => TurnedAway::Busy,
         };
-        return Err(SendFailure::refused(why, come_back(&head.headers)));
+        let rest = retry_after::read(&head.headers);
+        if why == TurnedAway::Busy {
+            words::note(app, upstream, Words { leaving: said.leaving, rest });
+        }
+        return Err(SendFailure::refused(why, rest));
     }
     let is_foreign = head.headers.contains_key(header::CONTENT_ENCODING)
         || (head.status.is_success() && !said.signed);
     if is_foreign {
         return Err(SendFailure::broken());
     }
+    let rest = match asks_for_rest(head.status) {
+        true => retry_after::read(&head.headers),
+        false => None,
+    };
+    words::note(app, upstream, Words { leaving: said.leaving, rest });
     let closes = head
         .headers
         .get_all(header::CONNECTION)
@@ -256,10 +273,12 @@
     Ok(BegunAnswer { head, body, sender, rest })
 }
 
-fn come_back(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    let seconds: f64 = text.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
+/// Tells whether an upstream that answers with a status may ask for rest.
+fn asks_for_rest(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 /// Tells whether a status promises that the request has not run.
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/words.rs
@@ -0,0 +1,34 @@
+//! What upstreams say of themselves in their answers, beside what they answer.
+
+use std::time::Duration;
+
+use valehold_core::{Millis, fleet::Upstream};
+
+use super::state::App;
+use crate::events::Event;
+
+/// What an answer says of the upstream that gave it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Words {
+    /// Whether it leaves.
+    pub(super) leaving: bool,
+    /// For how long it wants nothing from this gateway.
+    pub(super) rest: Option<Duration>,
+}
+
+/// Notes what an answer says of the upstream that it is surely of: it has the
+/// identifier of the request, and no other upstream refused it for not being
+/// the one that was meant.
+pub(super) fn note(app: &App, upstream: &Upstream, words: Words) {
+    let start = upstream.start();
+    if words.leaving {
+        app.shared.say_leaving(start.clone());
+    }
+    let Some(rest) = words.rest else { return };
+    let is_new = app.shared.rests().ask(&start, rest, app.now());
+    if is_new {
+        app.shared.metrics.upstream_rests();
+        let for_ms = Millis::from(rest).get();
+        Event::UpstreamRests { upstream: start.id, for_ms }.log();
+    }
+}
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -10,8 +10,9 @@
     reason::RefusalReason,
 };
 use valehold_gateway::events::{
-    BoundRecord, CatalogSource, EmptyBoundPair, Event, EventKind, RequestEnd,
-    RequestEnded, RequestOutcome, SendEnd, SendRecord,
+    BoundRecord, CatalogSource, EmptyBoundPair, Event, EventKind,
+    LeavingSource, RequestEnd, RequestEnded, RequestOutcome, SendEnd,
+    SendRecord,
 };
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -85,6 +86,14 @@
             upstream: UpstreamId::new("e1"),
             under_way: vec!["0123456789abcdef".to_owned()],
         },
+        Event::UpstreamLeaving {
+            upstream: UpstreamId::new("e1"),
+            source: LeavingSource::Answer,
+        },
+        Event::UpstreamRests {
+            upstream: UpstreamId::new("e1"),
+            for_ms: 3_000,
+        },
         Event::RequestEnded(Box::new(refused())),
     ]
 }
@@ -129,6 +138,7 @@
             read_tokens: 50,
             first_ms: None,
             end: SendEnd::Busy,
+            rest_ms: Some(3_000),
         }],
     }
 }
@@ -197,6 +207,7 @@
     expect_that!(story, contains_substring(bound));
     expect_that!(story, contains_substring("send 1 to e1 at 1 ms"));
     expect_that!(story, contains_substring("full or busy with an order"));
+    expect_that!(story, contains_substring("asked for 3000 ms of rest"));
     expect_that!(story, contains_substring("refused with 503"));
     expect_that!(story, contains_substring("it has not run"));
     expect_that!(story, contains_substring("come back in 400 ms"));
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -302,6 +302,8 @@
     pub signed: bool,
     /// Whether the upstream says that it did not run the request.
     pub not_run: bool,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
     /// For how long the connection may rest, as the upstream says.
     pub rest: Option<Duration>,
 }
