An upstream that says in its answers that it leaves gets nothing new, anywhere

Cause: that an upstream leaves was known from the platform's list alone; what its answers say of it was passed on to the caller and forgotten. While the store is away the list stands still for as long as that lasts. Change: the word, where it is surely of the upstream that was meant, is a fourth source of what is known of upstreams, by start and for good: no entry, peer or outage takes it back. So everything that goes by the list obeys: first and second sends, resumptions, requests that wait, prefix homes, placement, cold rights, both kinds of service. A send that was chosen before asks again when it is about to go. Who had the word from an answer tells the others twice; answers to orders tell it too. Answers with another identifier, without the signature that is due, or that say that another one was meant are not believed.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -1,8 +1,9 @@
 //! The upstreams as one instance knows them.
 //!
-//! Three sources speak of an upstream: the platform's list, the holder of the
+//! Four sources speak of an upstream: the platform's list, the holder of the
 //! lease, which knows earlier than the list what engines hold since its
-//! orders, and the memory of those that fell off the list with the store.
+//! orders, the memory of those that fell off the list with the store, and the
+//! upstream itself, which says in its answers that it leaves.
 //! What they say together is kept up to date one upstream at a time, so that
 //! a change costs what changed and not the whole list. An upstream may start
 //! again under its name: what any source says of an earlier start changes
@@ -57,7 +58,7 @@
     told: BTreeMap<UpstreamId, Told>,
     leaving: LeavingUpstreams,
     births: Births,
-    /// All three together.
+    /// All four together.
     known: Arc<Listing>,
     /// Those that changed since they were last taken.
     changed: BTreeSet<UpstreamId>,
@@ -218,7 +219,11 @@
     /// Takes in that a start of an upstream said that it leaves; tells whether
     /// that is new.
     pub fn say_leaving(&mut self, start: &UpstreamStart, now: Millis) -> bool {
-        self.leaving.note(start, now)
+        let is_new = self.leaving.note(start, now);
+        if is_new && self.known.upstreams.contains_key(&start.id) {
+            self.touch([start.id.clone()]);
+        }
+        is_new
     }
 
     /// Lets time pass for those that fell off the list.
@@ -227,6 +232,10 @@
         self.touch(over);
         let listed = &self.known.upstreams;
         self.births.sweep(|id| listed.contains_key(id), now);
+        let is_listed = |start: &UpstreamStart| {
+            listed.get(&start.id).is_some_and(|one| one.birth == start.birth)
+        };
+        self.leaving.sweep(is_listed, now);
     }
 
     /// Tells whether something changed since changes were last taken.
@@ -260,7 +269,10 @@
         let listed = listed.clone();
         let birth = self.births.of(id);
         let told = self.told.get(id).filter(|told| told.birth == birth);
-        let upstream = as_of(listed, birth, told);
+        let start = UpstreamStart { id: id.clone(), birth };
+        // Entries may lag behind it for as long as the store is away.
+        let leaves = listed.leaving || self.leaving.contains(&start);
+        let upstream = as_of(listed, birth, leaves, told);
         if told.is_none() {
             self.told.remove(id);
         }
@@ -274,6 +286,7 @@
 fn as_of(
     listed: Arc<Upstream>,
     birth: Option<u64>,
+    leaves: bool,
     told: Option<&Told>,
 ) -> Arc<Upstream> {
     let is_of_another = listed.birth.is_some() && listed.birth != birth;
@@ -283,12 +296,14 @@
         None => None,
     };
     let holding = holding.filter(|holding| *holding != listed.holding);
-    if holding.is_none() && listed.birth == birth {
+    let is_as_listed = listed.birth == birth && listed.leaving == leaves;
+    if holding.is_none() && is_as_listed {
         return listed;
     }
     let mut upstream = listed;
     let changed = Arc::make_mut(&mut upstream);
     changed.birth = birth;
+    changed.leaving = leaves;
     if let Some(holding) = holding {
         changed.holding = holding;
     }
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -12,6 +12,7 @@
 mod health;
 mod known;
 mod lapsed;
+mod leaving;
 mod pace;
 mod paces;
 mod peaks;
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -135,6 +135,8 @@
         FailedBeforeOutput = "failed_before_output",
         /// The upstream is cold, and the right to send to it was over.
         RightOver = "right_over",
+        /// The upstream leaves, as was heard since it was chosen.
+        UpstreamLeaving = "upstream_leaving",
         /// A broken stream was resumed at the same upstream.
         StreamResumed = "stream_resumed",
         /// A call that may be repeated had no whole answer.
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -9,8 +9,8 @@
 use valehold_ports::{
     PortError,
     port::fleet::{
-        EngineReport, LeaseSight, LeaseWrite, ListingNews, OrderOutcome,
-        OrderWish,
+        EngineReport, LeaseSight, LeaseWrite, ListingNews, OrderAnswer,
+        OrderOutcome, OrderWish,
     },
 };
 
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(super) enum OrderEnd {
     /// The engine answered.
-    Answered(OrderOutcome),
+    Answered(OrderAnswer),
     /// No answer: it may be carried out, also later.
     Unanswered(PortError),
     /// It was not sent: the engine is not as it was thought to be, or the
@@ -51,13 +51,28 @@
 }
 
 impl OrderEnd {
+    /// Tells whether the engine said that it leaves.
+    pub(super) fn says_leaving(&self) -> bool {
+        matches!(self, Self::Answered(answer) if answer.leaving)
+    }
+
+    /// Returns what the engine said to the order, if it answered.
+    pub(super) fn outcome(&self) -> Option<OrderOutcome> {
+        match self {
+            Self::Answered(answer) => Some(answer.outcome),
+            Self::Unanswered(_) | Self::NotSent => None,
+        }
+    }
+
     /// Returns the label under which it is counted.
     pub(super) fn label(&self) -> &'static str {
         match self {
-            Self::Answered(OrderOutcome::Accepted) => "accepted",
-            Self::Answered(OrderOutcome::Holds) => "holds",
-            Self::Answered(OrderOutcome::Conflict) => "conflict",
-            Self::Answered(OrderOutcome::Refused) => "refused",
+            Self::Answered(answer) => match answer.outcome {
+                OrderOutcome::Accepted => "accepted",
+                OrderOutcome::Holds => "holds",
+                OrderOutcome::Conflict => "conflict",
+                OrderOutcome::Refused => "refused",
+            },
             Self::Unanswered(_) => "unanswered",
             Self::NotSent => "not_sent",
         }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -11,7 +11,8 @@
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
-//! - `crashes` tells others of crashes and who was there.
+//! - `crashes` tells others of crashes and who was there, and `leaving` of
+//!   upstreams that say that they leave.
 //! - `cold` says which upstreams are cold, and gives out rights to send to them.
 //! - `upstreams` puts together what is known of upstreams, and `publishing`
 //!   gives it to traffic.
@@ -168,6 +169,8 @@
     record: crashes::RecordDuty,
     /// What it knew of crashes when others were told last.
     told_crashes: crashes::ToldCrashes,
+    /// Upstreams that leave, of which others are told once more.
+    told_leaving: leaving::ToldLeaving,
     /// What this gateway said last as a hub of who is there.
     told_members: telling::ToldMembers,
 }
@@ -269,6 +272,7 @@
             store_calls,
             record: crashes::RecordDuty::default(),
             told_crashes: crashes::ToldCrashes::default(),
+            told_leaving: leaving::ToldLeaving::default(),
             told_members: telling::ToldMembers::default(),
             shared: shared.clone(),
         };
@@ -299,7 +303,8 @@
                 Some(wish) = wishes.variants.recv() => self.wish(wish),
                 Some(ask) = wishes.rights.recv() => self.ask_right(ask),
                 Some(start) = wishes.leaving.recv() => {
-                    self.hear_leaving(&[start], LeavingSource::Answer);
+                    let now = self.now();
+                    self.hear_leaving(&[start], LeavingSource::Answer, now);
                 }
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
@@ -325,6 +330,7 @@
         self.upstreams.pass(now);
         self.tell_evacuations(now);
         self.tell_crashes(now);
+        self.tell_leaving_again(now);
         self.keep_record(now);
         self.contend(now);
         self.place(now);
@@ -462,6 +468,11 @@
             }
             Input::Ordered(order, end) => {
                 self.shared.metrics.ordered(end.label());
+                if end.says_leaving() {
+                    let start = order.engine.clone();
+                    let source = LeavingSource::Answer;
+                    self.hear_leaving(&[start], source, now);
+                }
                 self.placer.ordered(order, &end, now);
                 self.spread_news_if_few(now);
                 self.place(now);
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -8,7 +8,7 @@
     id::UpstreamId,
 };
 use valehold_ports::port::fleet::{
-    EngineOrder, FleetEngines, OrderOutcome, OrderWish,
+    EngineOrder, FleetEngines, OrderAnswer, OrderOutcome, OrderWish,
 };
 
 use super::{AFTER_FAILURE_MS, Authority, Placer};
@@ -125,9 +125,10 @@
         let Some(entry) = entry.filter(of_this_start) else { return };
         entry.under_way = false;
         match end {
-            OrderEnd::Answered(
-                OrderOutcome::Accepted | OrderOutcome::Holds,
-            ) => {
+            OrderEnd::Answered(OrderAnswer {
+                outcome: OrderOutcome::Accepted | OrderOutcome::Holds,
+                ..
+            }) => {
                 entry.failures = 0;
                 entry.conflicts = 0;
                 let void = std::mem::take(&mut entry.lost_loads);
@@ -137,10 +138,7 @@
                 // An unload that is not done at once waits for requests.
                 entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
                     && (is_model
-                        || matches!(
-                            end,
-                            OrderEnd::Answered(OrderOutcome::Accepted)
-                        ));
+                        || end.outcome() == Some(OrderOutcome::Accepted));
                 entry.holding.sequence = order.expected_sequence + 1;
                 entry.apply(&order.wish, now);
                 if let (true, OrderWish::Load(_)) = (is_model, &order.wish) {
@@ -150,9 +148,10 @@
                 }
                 entry.change(now, &mut self.stamp);
             }
-            OrderEnd::Answered(
-                OrderOutcome::Conflict | OrderOutcome::Refused,
-            )
+            OrderEnd::Answered(OrderAnswer {
+                outcome: OrderOutcome::Conflict | OrderOutcome::Refused,
+                ..
+            })
             | OrderEnd::NotSent => {
                 entry.uncertain = true;
                 let shift = entry.conflicts.min(MOST_DOUBLINGS);
@@ -207,7 +206,7 @@
         epoch,
     };
     match engines.order(&order).await {
-        Ok(outcome) => OrderEnd::Answered(outcome),
+        Ok(answer) => OrderEnd::Answered(answer),
         Err(error) => OrderEnd::Unanswered(error),
     }
 }
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -18,7 +18,8 @@
     port::{
         Answer,
         fleet::{
-            EngineOrder, EngineReport, FleetEngines, OrderOutcome, OrderWish,
+            EngineOrder, EngineReport, FleetEngines, OrderAnswer,
+            OrderOutcome, OrderWish,
         },
     },
 };
@@ -37,7 +38,7 @@
         async { Err(PortError::timed_out("silent")) }.boxed()
     }
 
-    fn order<'a>(&'a self, _: &'a EngineOrder) -> Answer<'a, OrderOutcome> {
+    fn order<'a>(&'a self, _: &'a EngineOrder) -> Answer<'a, OrderAnswer> {
         async { Err(PortError::timed_out("silent")) }.boxed()
     }
 }
@@ -154,7 +155,9 @@
         expected_sequence: 7,
         least_ms: 0,
     };
-    let taken = OrderEnd::Answered(OrderOutcome::Accepted);
+    let outcome = OrderOutcome::Accepted;
+    let answer = OrderAnswer { outcome, leaving: false };
+    let taken = OrderEnd::Answered(answer);
     placer.ordered(order, &taken, at(100));
     expect_that!(word(&placer), eq(&known));
 }
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -6,7 +6,7 @@
 
 use super::{Control, rank};
 use crate::{
-    events::{CatalogSource, Event},
+    events::{CatalogSource, Event, LeavingSource},
     peers::{
         Heartbeat, Message,
         message::{
@@ -318,6 +318,9 @@
                 self.hear_evacuations(Some(word), CatalogSource::Push, now);
             }
             Message::Crashes(words) => self.hear_crashes(&words, now),
+            Message::Leaving(starts) => {
+                self.hear_leaving(&starts, LeavingSource::Peer, now);
+            }
             Message::AskRight(ask) => self.answer_right(from, &ask, now),
             Message::Right { number, answer } => {
                 self.shared.cold().rights.answered(number, answer, now);
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -19,6 +19,9 @@
     Answered,
     /// Nothing left this gateway: no connection could be made.
     NotSent,
+    /// Nothing left this gateway: the upstream leaves, rests, or is cold
+    /// without a right to send to it, as it turned out after it was chosen.
+    Withheld,
     /// The upstream does not hold what was asked for, and did not run it.
     NotHeld,
     /// The upstream is full, and did not run it.
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -123,6 +123,7 @@
             SendEnd::UnderWay => "was under way at the end",
             SendEnd::Answered => "its answer was passed on",
             SendEnd::NotSent => "no connection could be made",
+            SendEnd::Withheld => "not sent: it may not be sent to any more",
             SendEnd::NotHeld => "it does not hold the model: not run",
             SendEnd::Busy => "it is full or busy with an order: not run",
             SendEnd::Broken => "the answer broke off or was none",
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -12,7 +12,7 @@
 use valehold_core::{
     fleet::{
         Asked, Catalog, EngineHolding, Evacuations, ListingDelta, RegionBound,
-        Variant,
+        UpstreamStart, Variant,
         cold::{RightAnswer, RightAsk},
         crashes::CrashWords,
         paces::{PaceNews, PaceObservation},
@@ -29,7 +29,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB7;
+pub const FORMAT: u8 = 0xB8;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -385,6 +385,8 @@
     /// From who saw it: crashes, and requests that were there. To one that
     /// knows something else: all that is known.
     Crashes(CrashWords),
+    /// From who had such an answer: upstreams that say that they leave.
+    Leaving(Vec<UpstreamStart>),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
     /// To the grantor of a cold upstream: a request is to be sent to it.
@@ -450,6 +452,7 @@
             Self::Catalog(_) => "configuration",
             Self::Evacuations(_) => "evacuations",
             Self::Crashes(_) => "crashes",
+            Self::Leaving(_) => "leaving",
             Self::Relay(_) => "relay",
             Self::AskRight(_) => "ask_right",
             Self::Right { .. } => "right",
@@ -472,6 +475,7 @@
             | Self::Catalog(_)
             | Self::Evacuations(_)
             | Self::Crashes(_)
+            | Self::Leaving(_)
             | Self::Relay(_)
             | Self::AskRight(_)
             | Self::Right { .. } => return None,
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -87,6 +87,7 @@
                 Some(TurnedAway::NotHeld) => SendEnd::NotHeld,
                 Some(TurnedAway::Busy) => SendEnd::Busy,
                 None if failure.arrived => SendEnd::Broken,
+                None if failure.is_withheld() => SendEnd::Withheld,
                 None => SendEnd::NotSent,
             };
         }
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -72,10 +72,17 @@
         }
     }
 
-    /// Nothing left this gateway: the upstream is cold, and there is no right
-    /// to send to it any more.
-    fn right_over() -> Self {
-        Self { reason: RetryReason::RightOver, ..Self::not_sent() }
+    /// Nothing left this gateway: the upstream is not to be sent to any more.
+    fn withheld(reason: RetryReason) -> Self {
+        Self { reason, ..Self::not_sent() }
+    }
+
+    /// Tells whether the upstream was not to be sent to any more.
+    pub(super) fn is_withheld(&self) -> bool {
+        matches!(
+            self.reason,
+            RetryReason::RightOver | RetryReason::UpstreamLeaving
+        )
     }
 
     /// The upstream says that it did not run the request.
@@ -163,7 +170,11 @@
         }
         app.dialect.write_request(request.headers_mut(), &sending);
         if !cold::may_send(app, job, upstream, right) {
-            return Err(SendFailure::right_over());
+            return Err(SendFailure::withheld(RetryReason::RightOver));
+        }
+        if words::has_left(app, upstream) {
+            let reason = RetryReason::UpstreamLeaving;
+            return Err(SendFailure::withheld(reason));
         }
         let answering = connection.sender.try_send_request(request);
         match answering.await {
--- a/crates/valehold-gateway/src/traffic/words.rs
+++ b/crates/valehold-gateway/src/traffic/words.rs
@@ -16,6 +16,14 @@
     pub(super) rest: Option<Duration>,
 }
 
+/// Tells whether an upstream that was chosen a moment ago leaves or has gone: a
+/// connection takes time to be made, and the machine may have been suspended.
+pub(super) fn has_left(app: &App, upstream: &Upstream) -> bool {
+    let view = app.shared.view.load();
+    let listed = view.listing.upstreams.get(&upstream.id);
+    listed.is_none_or(|listed| listed.leaving)
+}
+
 /// Notes what an answer says of the upstream that it is surely of: it has the
 /// identifier of the request, and no other upstream refused it for not being
 /// the one that was meant.
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -227,14 +227,22 @@
     Refused,
 }
 
+/// An engine's answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// What it said to the order.
+    pub outcome: OrderOutcome,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+}
+
 /// Engines that hold models.
 pub trait FleetEngines: Send + Sync {
     /// Asks an engine what it holds.
     fn report(&self, engine: SocketAddr) -> Answer<'_, EngineReport>;
 
     /// Gives an order. Without an answer it may be carried out, also later.
-    fn order<'a>(&'a self, order: &'a EngineOrder)
-    -> Answer<'a, OrderOutcome>;
+    fn order<'a>(&'a self, order: &'a EngineOrder) -> Answer<'a, OrderAnswer>;
 }
 
 /// What a caller's request says of itself.
