An upstream that asks for rest gets it from all that this gateway sends

Cause: what an upstream asks for in a refusal was kept as the time when the one caller may come back; the upstream was passed over for 400 ms and the same variant, plain services not at all. What came for another variant or later went there again. Change: rests are kept by upstream (start), for all requests of this gateway; of several the latest end counts. Upstreams that rest are left out before anything else is weighed, prefix homes among them, and a send that was chosen before asks again when it is about to go. Where all rest the request is refused at once (upstreams_resting) with when the first may be asked again, spread over 400 ms; one that two engines turned away hears to come back soon where another one is awake. After a rest one request goes first, for 200 ms at the most. It is no failure: health, pace and retries do not count it.

--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -18,6 +18,7 @@
 mod peaks;
 mod replicas;
 mod replicas_in_bounds;
+mod rest;
 mod share;
 mod slot_time;
 mod topology;
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -68,6 +68,8 @@
         EmptyBound = "empty_bound",
         /// All upstreams that could answer are cold and get no more for now.
         UpstreamsCold = "upstreams_cold",
+        /// All upstreams that could answer asked this instance for rest.
+        UpstreamsResting = "upstreams_resting",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
@@ -107,6 +109,7 @@
             | Self::NoUpstreamInBound
             | Self::EmptyBound
             | Self::UpstreamsCold
+            | Self::UpstreamsResting
             | Self::CrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
@@ -137,6 +140,8 @@
         RightOver = "right_over",
         /// The upstream leaves, as was heard since it was chosen.
         UpstreamLeaving = "upstream_leaving",
+        /// The upstream rests, as was heard since it was chosen.
+        UpstreamResting = "upstream_resting",
         /// A broken stream was resumed at the same upstream.
         StreamResumed = "stream_resumed",
         /// A call that may be repeated had no whole answer.
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -2,13 +2,16 @@
 //!
 //! Those outside the regions that bind it never do, and those in a data centre
 //! that is to be empty none from a moment after this gateway heard so. Until
-//! then they get what no other upstream can take. A cold one gets a request
-//! only with a right to send to it.
+//! then they get what no other upstream can take. One that asked this gateway
+//! for rest gets nothing until that is over, and a cold one a request only with
+//! a right to send to it.
 
 use std::{borrow::Cow, sync::Arc};
 
 use valehold_core::{
-    fleet::{RegionBound, Upstream, Variant, cold::ColdSight},
+    fleet::{
+        RegionBound, Upstream, Variant, cold::ColdSight, rest::RestSight,
+    },
     id::UpstreamId,
 };
 
@@ -131,6 +134,34 @@
     }
 }
 
+/// Leaves out upstreams that asked this gateway for rest.
+pub(super) fn awake<'a>(
+    app: &App,
+    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
+) -> Result<Vec<&'a Arc<Upstream>>, NoChoice> {
+    let (rests, now) = (app.shared.rests(), app.now());
+    if rests.is_empty() {
+        return Ok(upstreams.collect());
+    }
+    let mut awake = Vec::new();
+    let mut soonest_ms: Option<u64> = None;
+    for upstream in upstreams {
+        match rests.sight(&upstream.start(), now) {
+            RestSight::Awake => awake.push(upstream),
+            RestSight::Resting { left_ms } => {
+                let soonest = soonest_ms.map_or(left_ms, |s| s.min(left_ms));
+                soonest_ms = Some(soonest);
+            }
+        }
+    }
+    match soonest_ms {
+        Some(next_ms) if awake.is_empty() => {
+            Err(NoChoice::AllResting { next_ms })
+        }
+        _ => Ok(awake),
+    }
+}
+
 /// Returns the upstreams that were not tried and that are warm, or cold and a
 /// right to send to them may be had.
 pub(super) fn able<'a>(
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -13,7 +13,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{Able, able, holders, staying, unless_turned_away},
+    eligible::{Able, able, awake, holders, staying, unless_turned_away},
     load_of,
     prompt::Prompt,
 };
@@ -47,6 +47,7 @@
     if holders.is_empty() {
         return Err(NoChoice::NotHeld);
     }
+    let holders = awake(app, holders.into_iter())?;
     let prompt = Prompt::of(app, job, variant);
     let home = match app.mechanisms().prefix_affinity {
         true => prompt.home(&staying(view, holders.clone())),
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -1,8 +1,8 @@
 //! Which upstream a request goes to.
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
-//! that bind it, by data centres that are to be empty, by what was tried, and
-//! by which are cold. Of these, `process` chooses a process of a plain service,
+//! that bind it, by data centres that are to be empty, by which asked for rest,
+//! by what was tried, and by which are cold. Of these, `process` chooses a process of a plain service,
 //! and `engine` an engine that holds the model; `prompt` says what of a prompt
 //! an engine may have read already.
 
@@ -62,6 +62,11 @@
         /// In how many ms one may get a request.
         next_ms: u64,
     },
+    /// All that could take it asked this gateway for rest.
+    AllResting {
+        /// In how many ms one may get a request.
+        next_ms: u64,
+    },
     /// Its answer would begin too late.
     WouldBeLate {
         /// When its first event was predicted, in ms.
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -8,7 +8,7 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{able, staying, usable},
+    eligible::{able, awake, staying, usable},
     load_of,
 };
 use crate::view::View;
@@ -21,7 +21,8 @@
     job: &Job,
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
-    let all = able(app, job, usable(app, view, job), tried)?;
+    let awake = awake(app, usable(app, view, job))?;
+    let all = able(app, job, awake.into_iter(), tried)?;
     let all = staying(view, all);
     let mut able: Vec<(bool, PlainCandidate)> = all
         .iter()
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -3,13 +3,21 @@
 use valehold_core::{Millis, Verdict, reason::RefusalReason};
 
 use super::{
-    super::{crashes, refusal::Refusal},
+    super::{
+        choose::{NoChoice, choose},
+        crashes,
+        refusal::Refusal,
+    },
     Exchange, LEAST_LEFT,
 };
 
 /// In how many ms to come back when no upstream takes a request.
 pub(super) const NO_UPSTREAM_COME_BACK_MS: u64 = 400;
 
+/// Over how many ms callers that come back for the same upstream are spread:
+/// twice as long as the first request after its rest goes alone.
+const RETURN_SPREAD_MS: u64 = 400;
+
 /// The part of its time that a caller is told to wait at the most.
 const MOST_COME_BACK: f64 = 0.3;
 
@@ -33,6 +41,30 @@
         })
     }
 
+    /// Refuses a request that only upstreams which rest could take.
+    pub(super) fn refuse_for_rest(&self, next_ms: u64) -> Refusal {
+        let spread_ms = rand::random_range(0..=RETURN_SPREAD_MS);
+        let come_back = Some(next_ms + spread_ms);
+        self.give_up(RefusalReason::UpstreamsResting, come_back)
+    }
+
+    /// Refuses a request that all upstreams which it was sent to turned away
+    /// or failed: at once it could go to another one, or not before one that
+    /// rests may be asked again.
+    pub(super) fn refuse_as_failed(&self, asked_ms: Option<u64>) -> Refusal {
+        match choose(&self.app, &self.job, &[]) {
+            Err(NoChoice::AllResting { next_ms }) => {
+                self.refuse_for_rest(next_ms)
+            }
+            Ok(_) => self.give_up(RefusalReason::UpstreamFailed, None),
+            Err(NoChoice::WouldBeLate { come_back_ms, .. }) => {
+                let reason = RefusalReason::UpstreamFailed;
+                self.give_up(reason, Some(come_back_ms))
+            }
+            Err(_) => self.give_up(RefusalReason::UpstreamFailed, asked_ms),
+        }
+    }
+
     /// Returns the refusal that ends the request: whether it may have run,
     /// and if not, when to come back.
     pub(super) fn give_up(
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -112,6 +112,9 @@
                     self.failed(&chosen, failure)?;
                     reason = match failure.reason {
                         RetryReason::RightOver => RefusalReason::UpstreamsCold,
+                        RetryReason::UpstreamResting => {
+                            RefusalReason::UpstreamsResting
+                        }
                         _ => RefusalReason::UpstreamFailed,
                     };
                 }
@@ -272,9 +275,13 @@
             self.app.judge(start, |health, now| health.failed(now));
         }
         self.note_turned_away(start, failure);
-        // A right that was over speaks against no upstream: another one may be
-        // had. Left, the only one that is there would count as failed.
-        if failure.reason != RetryReason::RightOver {
+        // A right that was over, or a rest, speaks against no upstream: it may
+        // be had again. Left, the only one that is there would count as failed.
+        let may_be_had_again = matches!(
+            failure.reason,
+            RetryReason::RightOver | RetryReason::UpstreamResting
+        );
+        if !may_be_had_again {
             self.leave(&start.id, failure.arrived);
         }
         self.verdict = self.verdict.worst(failure.verdict);
@@ -288,8 +295,8 @@
             self.app.shared.metrics.retried(failure.reason);
             return Ok(());
         }
-        let come_back = failure.rest.map(|rest| Millis::from(rest).get());
-        Err(self.give_up(RefusalReason::UpstreamFailed, come_back))
+        let asked_ms = failure.rest.map(|rest| Millis::from(rest).get());
+        Err(self.refuse_as_failed(asked_ms))
     }
 
     /// Keeps what was charged for the request while it may have run.
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -106,13 +106,17 @@
                     let reason = RefusalReason::UpstreamsCold;
                     return Err(self.give_up(reason, Some(next_ms)));
                 }
-                NoChoice::AllCold { .. } => {}
+                NoChoice::AllResting { next_ms }
+                    if self.app.now() + next_ms >= until =>
+                {
+                    return Err(self.refuse_for_rest(next_ms));
+                }
+                NoChoice::AllCold { .. } | NoChoice::AllResting { .. } => {}
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
                     // The holder of the lease looks after those that failed.
                     self.wish(0);
-                    let reason = RefusalReason::UpstreamFailed;
-                    return Err(self.give_up(reason, None));
+                    return Err(self.refuse_as_failed(None));
                 }
                 NoChoice::NotHeld => self.wish(looks),
             }
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -81,7 +81,9 @@
     pub(super) fn is_withheld(&self) -> bool {
         matches!(
             self.reason,
-            RetryReason::RightOver | RetryReason::UpstreamLeaving
+            RetryReason::RightOver
+                | RetryReason::UpstreamLeaving
+                | RetryReason::UpstreamResting
         )
     }
 
@@ -148,6 +150,8 @@
         after_event,
     };
     let mut request = write_request(job);
+    // The first request after a rest is this one also on a second connection.
+    let mut is_cleared = false;
     for _ in 0..MOST_CLOSED {
         let taken = app.pool.take(&upstream.start(), upstream.address).await;
         let mut connection = taken.map_err(|error| {
@@ -176,6 +180,11 @@
             let reason = RetryReason::UpstreamLeaving;
             return Err(SendFailure::withheld(reason));
         }
+        if !is_cleared && !words::may_send(app, upstream) {
+            let reason = RetryReason::UpstreamResting;
+            return Err(SendFailure::withheld(reason));
+        }
+        is_cleared = true;
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => {
@@ -273,6 +282,9 @@
         false => None,
     };
     words::note(app, upstream, Words { leaving: said.leaving, rest });
+    if !asks_for_rest(head.status) {
+        app.shared.rests().took(&upstream.start(), app.now());
+    }
     let closes = head
         .headers
         .get_all(header::CONNECTION)
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -180,6 +180,7 @@
         let is_listed =
             |id: &UpstreamId| view.listing.upstreams.contains_key(id);
         self.shared.cold().sweep(is_listed, self.now());
+        self.shared.rests().sweep(&known, self.now());
         self.pool.sweep(known);
     }
 
--- a/crates/valehold-gateway/src/traffic/words.rs
+++ b/crates/valehold-gateway/src/traffic/words.rs
@@ -24,6 +24,14 @@
     listed.is_none_or(|listed| listed.leaving)
 }
 
+/// Tells whether an upstream may be sent to at this moment, as far as it asked
+/// this gateway for rest: others may have been turned away since it was
+/// chosen, and after its rest one request goes first.
+pub(super) fn may_send(app: &App, upstream: &Upstream) -> bool {
+    let mut rests = app.shared.rests();
+    rests.is_empty() || rests.may_send(&upstream.start(), app.now())
+}
+
 /// Notes what an answer says of the upstream that it is surely of: it has the
 /// identifier of the request, and no other upstream refused it for not being
 /// the one that was meant.
