An engine that asked for rest is asked and ordered nothing either

Cause: the holder's reports and orders went to an engine that wanted nothing from its gateway. Change: an entry that rests is left alone by placement as one that leaves is, and keeps what it holds; orders follow when the rest is over.

--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -34,6 +34,9 @@
     pub(super) leaving: bool,
     /// Whether its data centre is to be empty: it is told and asked nothing.
     pub(super) emptied: bool,
+    /// Whether it asked this gateway for rest: it is told and asked nothing,
+    /// and keeps what it holds.
+    pub(super) resting: bool,
     pub(super) holding: Holding,
     pub(super) loading: Option<ModelName>,
     /// A model that it was told to give up; it takes no new requests for it,
@@ -80,6 +83,7 @@
             data_centre: upstream.data_centre.clone(),
             leaving: upstream.leaving,
             emptied: false,
+            resting: false,
             holding: upstream.holding.clone(),
             loading: None,
             unloading: None,
@@ -150,6 +154,7 @@
 
     pub(super) fn may_order(&self, now: Millis) -> bool {
         self.is_sound()
+            && !self.resting
             && !self.under_way
             && !self.uncertain
             && now >= self.left_alone_until
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -403,6 +403,7 @@
         if self.sums.is_old(now) {
             self.sums = self.sum_up(now);
         }
+        self.placer.note_rests(&self.shared.rests(), now);
         let Sums { demand, loads, .. } = &self.sums;
         for (name, service) in &catalog.services {
             let Some(spec) = &service.engine else { continue };
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -26,8 +26,12 @@
     Millis,
     fleet::{
         Asked, EngineHolding, EvacuationView, KnownUpstreams, Listing,
-        RegionBound, Upstream, UpstreamStart, Variant, asked::BoundUse,
-        catalog::EngineSpec, peaks::Peaks, topology::Topology,
+        RegionBound, Upstream, UpstreamStart, Variant,
+        asked::BoundUse,
+        catalog::EngineSpec,
+        peaks::Peaks,
+        rest::{RestSight, Rests},
+        topology::Topology,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -229,6 +233,14 @@
         told.collect()
     }
 
+    /// Takes in which engines asked this gateway for rest.
+    pub(super) fn note_rests(&mut self, rests: &Rests, now: Millis) {
+        for entry in self.entries.values_mut() {
+            let sight = rests.sight(&entry.start, now);
+            entry.resting = sight != RestSight::Awake;
+        }
+    }
+
     /// Does what is due for one service while orders may be given.
     pub(super) fn tick(
         &mut self,
@@ -277,6 +289,7 @@
             .iter()
             .filter(|(_, entry)| entry.service == *service)
             .filter(|(_, entry)| !entry.leaving && !entry.emptied)
+            .filter(|(_, entry)| !entry.resting)
             .filter(|(_, e)| !e.under_way && now >= e.left_alone_until)
             .filter(|(_, entry)| {
                 entry.uncertain
