Plain services that turn a request away are passed over for a moment, too

The same cause elsewhere: what an upstream says of itself in a refusal was kept for engines alone; a process that was full, or whose address belongs to another by now (421), got the next request at once, and each took an attempt and a part of the retry budget. Kept by upstream now, 400 ms and 1.5 s, as at engines, and only where another one is left. A burst of words of leaving makes one view.

--- a/crates/valehold-core/src/fleet/turned_away.rs
+++ b/crates/valehold-core/src/fleet/turned_away.rs
@@ -1,19 +1,20 @@
-//! Which engines turned a variant away lately.
+//! Which upstreams turned requests away lately, engines by variant.
 //!
 //! What is known of engines lags behind what they hold: an order may be on
 //! its way, or this instance may be cut off from who tells it. An engine that
 //! says that it did not run a request is therefore passed over for the same
-//! variant for a while, as long as another one is left.
+//! variant for a while, and a process of a plain service for any request, as
+//! long as another one is left.
 
 use std::collections::BTreeMap;
 
 use super::{identity::UpstreamStart, listing::Variant};
 use crate::time::Millis;
 
-/// Why an engine did not run a request.
+/// Why an upstream did not run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TurnedAway {
-    /// It does not hold the variant.
+    /// It does not hold the variant, or is not the one that was meant.
     NotHeld,
     /// It is full, or busy with an order about the variant.
     Busy,
@@ -29,59 +30,73 @@
     }
 }
 
-/// Which engines turned a variant away lately.
+/// Which upstreams turned requests away lately.
 #[derive(Debug, Clone, Default)]
 pub struct TurnedAwayMemory {
-    until: BTreeMap<UpstreamStart, BTreeMap<Variant, Millis>>,
+    /// By variant at engines, and by none at plain services.
+    until: BTreeMap<UpstreamStart, BTreeMap<Option<Variant>, Millis>>,
 }
 
 impl TurnedAwayMemory {
-    /// Notes that an engine turned a variant away.
+    /// Notes that an upstream turned a request away.
     pub fn note(
         &mut self,
-        engine: &UpstreamStart,
-        variant: &Variant,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
         why: TurnedAway,
         now: Millis,
     ) {
         let until = now + why.keep_ms();
-        let of_engine = self.until.entry(engine.clone()).or_default();
-        of_engine.insert(variant.clone(), until);
+        let noted = self.until.entry(upstream.clone()).or_default();
+        noted.insert(variant.cloned(), until);
     }
 
-    /// Notes that an engine took a variant.
-    pub fn taken(&mut self, engine: &UpstreamStart, variant: &Variant) {
-        if let Some(of_engine) = self.until.get_mut(engine) {
-            of_engine.remove(variant);
-            of_engine.remove(&Variant::plain(variant.model.as_str()));
+    /// Notes that an upstream took a request.
+    pub fn taken(
+        &mut self,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
+    ) {
+        let Some(noted) = self.until.get_mut(upstream) else { return };
+        noted.remove(&variant.cloned());
+        if let Some(variant) = variant {
+            let plain = Variant::plain(variant.model.as_str());
+            noted.remove(&Some(plain));
         }
     }
 
-    /// Tells whether an engine turned a variant, or the model without any
-    /// adapter, away lately.
+    /// Tells whether an upstream turned such a request away lately, or an
+    /// engine the model without any adapter.
     pub fn is_noted(
         &self,
-        engine: &UpstreamStart,
-        variant: &Variant,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
         now: Millis,
     ) -> bool {
-        let Some(of_engine) = self.until.get(engine) else { return false };
-        of_engine.iter().any(|(noted, until)| {
-            let concerns = noted == variant
-                || (noted.adapter.is_none() && noted.model == variant.model);
-            concerns && now < *until
+        let Some(noted) = self.until.get(upstream) else { return false };
+        noted.iter().any(|(noted, until)| {
+            now < *until && concerns(noted.as_ref(), variant)
         })
     }
 
-    /// Forgets what is over, and engines that are not `known`.
+    /// Forgets what is over, and upstreams that are not `known`.
     pub fn sweep(
         &mut self,
         known: impl Fn(&UpstreamStart) -> bool,
         now: Millis,
     ) {
-        self.until.retain(|engine, of_engine| {
-            of_engine.retain(|_, until| now < *until);
-            known(engine) && !of_engine.is_empty()
+        self.until.retain(|upstream, noted| {
+            noted.retain(|_, until| now < *until);
+            known(upstream) && !noted.is_empty()
         });
     }
 }
+
+/// Tells whether what was noted of one variant concerns another: the model
+/// without any adapter concerns all of them.
+fn concerns(noted: Option<&Variant>, asked: Option<&Variant>) -> bool {
+    let (Some(noted), Some(asked)) = (noted, asked) else {
+        return noted == asked;
+    };
+    noted == asked || (noted.adapter.is_none() && noted.model == asked.model)
+}
--- a/crates/valehold-gateway/src/control/leaving.rs
+++ b/crates/valehold-gateway/src/control/leaving.rs
@@ -51,7 +51,9 @@
         if new.is_empty() {
             return;
         }
-        self.publish();
+        // Each view that changes upstreams is a copy of the list: where many
+        // leave together, one has all that came meanwhile.
+        self.publish_if_due();
         if source == LeavingSource::Answer {
             let at = now + TELL_AGAIN_AFTER_MS;
             let again = new.iter().map(|start| (at, start.clone()));
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -230,12 +230,12 @@
     }
 }
 
-/// Leaves those that turned a variant away lately only where no other one is
-/// left.
+/// Leaves those that turned such a request away lately only where no other
+/// one is left.
 pub(super) fn unless_turned_away<'a>(
     app: &App,
     able: Vec<Able<'a>>,
-    variant: &Variant,
+    variant: Option<&Variant>,
 ) -> Vec<Able<'a>> {
     let (noted, able): (Vec<_>, Vec<_>) = able
         .into_iter()
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -54,7 +54,7 @@
         false => None,
     };
     let able = able(app, job, holders.iter().copied(), tried)?;
-    let able = staying(view, unless_turned_away(app, able, variant));
+    let able = staying(view, unless_turned_away(app, able, Some(variant)));
     let candidates: Vec<Candidate> = able
         .iter()
         .map(|one| {
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -8,13 +8,13 @@
 use super::{
     super::{route::Job, state::App},
     Chosen, NoChoice,
-    eligible::{able, awake, staying, usable},
+    eligible::{able, awake, staying, unless_turned_away, usable},
     load_of,
 };
 use crate::view::View;
 
-/// Chooses a process that was not tried; one that failed lately only where
-/// there is no other.
+/// Chooses a process that was not tried; one that failed or turned a request
+/// away lately only where there is no other.
 pub(super) fn choose(
     app: &App,
     view: &View,
@@ -23,7 +23,7 @@
 ) -> Result<Chosen, NoChoice> {
     let awake = awake(app, usable(app, view, job))?;
     let all = able(app, job, awake.into_iter(), tried)?;
-    let all = staying(view, all);
+    let all = staying(view, unless_turned_away(app, all, None));
     let mut able: Vec<(bool, PlainCandidate)> = all
         .iter()
         .map(|one| {
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -161,6 +161,9 @@
                 if head.status.is_success() && !body.is_empty() {
                     crashes::answered(&app, &self.job);
                 }
+                if self.job.request.variant.is_none() {
+                    app.note_taken(&chosen.upstream.start(), None);
+                }
                 self.judge_whole(&chosen.upstream, head, body)
             }
             Passable::Stream { head, relay } => {
@@ -171,7 +174,7 @@
                 let start = &chosen.upstream.start();
                 app.judge(start, |health, now| health.succeeded(now));
                 if let Some(variant) = &self.job.request.variant {
-                    app.note_taken(start, variant);
+                    app.note_taken(start, Some(variant));
                     app.note_pace(chosen, &variant.model, took_ms);
                 }
                 app.observe(start, |pace, now| {
@@ -306,10 +309,14 @@
         }
     }
 
-    fn note_turned_away(&self, engine: &UpstreamStart, failure: SendFailure) {
-        let variant = self.job.request.variant.as_ref();
-        if let (Some(variant), Some(why)) = (variant, failure.turned_away) {
-            self.app.note_turned_away(engine, variant, why);
+    fn note_turned_away(
+        &self,
+        upstream: &UpstreamStart,
+        failure: SendFailure,
+    ) {
+        if let Some(why) = failure.turned_away {
+            let variant = self.job.request.variant.as_ref();
+            self.app.note_turned_away(upstream, variant, why);
         }
     }
 
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -201,33 +201,33 @@
         health.get(upstream).is_some_and(|health| health.is_suspect(now))
     }
 
-    /// Notes that an engine turned a variant away.
+    /// Notes that an upstream turned a request away.
     pub(super) fn note_turned_away(
         &self,
-        engine: &UpstreamStart,
-        variant: &Variant,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
         why: TurnedAway,
     ) {
         let now = self.now();
-        self.turned_away.borrow_mut().note(engine, variant, why, now);
+        self.turned_away.borrow_mut().note(upstream, variant, why, now);
     }
 
-    /// Notes that an engine took a variant.
+    /// Notes that an upstream took a request.
     pub(super) fn note_taken(
         &self,
-        engine: &UpstreamStart,
-        variant: &Variant,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
     ) {
-        self.turned_away.borrow_mut().taken(engine, variant);
+        self.turned_away.borrow_mut().taken(upstream, variant);
     }
 
-    /// Tells whether an engine turned a variant away lately.
+    /// Tells whether an upstream turned such a request away lately.
     pub(super) fn turned_away(
         &self,
-        engine: &UpstreamStart,
-        variant: &Variant,
+        upstream: &UpstreamStart,
+        variant: Option<&Variant>,
     ) -> bool {
-        self.turned_away.borrow().is_noted(engine, variant, self.now())
+        self.turned_away.borrow().is_noted(upstream, variant, self.now())
     }
 
     /// Notes a request's first send to a service.
