A stop ends in its time also over a suspension

Cause: the time of a stop was counted by a clock that stands still while the machine is suspended; the platform ends the process by its own, with whoever is served. Change: it is counted by the clock that counts suspensions.

--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -7,9 +7,10 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::Instant,
 };
 
+use valehold_core::Millis;
+
 use super::{App, face, face::Door};
 use crate::view::Life;
 
@@ -102,19 +103,23 @@
     async fn finish(mut self, requests: tokio::task::JoinHandle<()>) {
         // An error means that control has ended: a reason to stop as well.
         let _ = self.life.wait_for(|life| *life == Life::Leaving).await;
-        let began = Instant::now();
+        // The platform ends the process when the time for a stop is over, and
+        // counts the time for which the machine was suspended.
         let shared = &self.app.shared;
+        let (clock, began) = (shared.clock, shared.clock.now());
         let callers = &shared.settings.callers;
         let stop = Duration::from_secs_f64(callers.stop_s);
         let keep = Duration::from_secs(callers.address_keep_s);
         let linger = (keep * KEEPS)
             .saturating_sub(LINGER_LESS)
             .min(stop.mul_f64(MOST_LINGER_PART));
-        tokio::time::sleep_until(began + linger).await;
+        let lingers_until = began + Millis::from(linger).get();
+        let pending = std::future::pending::<()>();
+        clock.wait_until(lingers_until, pending).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
-        let end = began + stop.mul_f64(STOP_PART);
-        while self.open.0.get() > 0 && Instant::now() < end {
+        let end = began + Millis::from(stop.mul_f64(STOP_PART)).get();
+        while self.open.0.get() > 0 && clock.now() < end {
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
