--- a/crates/valehold-core/src/fleet/leaving.rs
+++ b/crates/valehold-core/src/fleet/leaving.rs
@@ -26,7 +26,7 @@
 /// Which starts of upstreams said that they leave.
 #[derive(Debug, Clone, Default)]
 pub struct LeavingUpstreams {
-    /// When it was first heard of each.
+    /// When it was heard of each, or that was last known to be there.
     said: BTreeMap<UpstreamStart, Millis>,
     swept: Millis,
 }
@@ -62,8 +62,7 @@
         self.said.keys()
     }
 
-    /// Forgets, now and then, what was heard long ago of upstreams that are
-    /// not `known`.
+    /// Forgets, now and then, upstreams that have not been `known` for long.
     pub fn sweep(
         &mut self,
         known: impl Fn(&UpstreamStart) -> bool,
@@ -74,7 +73,10 @@
         }
         self.swept = now;
         self.said.retain(|start, heard| {
-            now.since(*heard) < REMEMBER_MS || known(start)
+            if known(start) {
+                *heard = now;
+            }
+            now.since(*heard) < REMEMBER_MS
         });
     }
 }
--- a/crates/valehold-core/src/fleet/tests/leaving.rs
+++ b/crates/valehold-core/src/fleet/tests/leaving.rs
@@ -208,6 +208,10 @@
     leaving.sweep(known, at(660_000));
     expect_true!(leaving.contains(&kept));
     expect_false!(leaving.contains(&gone));
+    leaving.sweep(|_| false, at(1_259_000));
+    expect_true!(leaving.contains(&kept));
+    leaving.sweep(|_| false, at(1_320_000));
+    expect_false!(leaving.contains(&kept));
 }
 
 #[gtest]
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
 //! that bind it, by data centres that are to be empty, by which asked for rest,
-//! by what was tried, and by which are cold. Of these, `process` chooses a process of a plain service,
-//! and `engine` an engine that holds the model; `prompt` says what of a prompt
-//! an engine may have read already.
+//! by what was tried, and by which are cold. Of these, `process` chooses a
+//! process of a plain service, and `engine` an engine that holds the model;
+//! `prompt` says what of a prompt an engine may have read already.
 
 mod eligible;
 mod engine;
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -52,6 +52,9 @@
     /// or failed: at once it could go to another one, or not before one that
     /// rests may be asked again.
     pub(super) fn refuse_as_failed(&self, asked_ms: Option<u64>) -> Refusal {
+        if self.verdict != Verdict::NotRun {
+            return self.give_up(RefusalReason::UpstreamFailed, None);
+        }
         match choose(&self.app, &self.job, &[]) {
             Err(NoChoice::AllResting { next_ms }) => {
                 self.refuse_for_rest(next_ms)
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -3,9 +3,10 @@
 //! A request goes straight through these modules: `face` takes it from the
 //! connection and answers calls to the gateway itself, `route` finds what the
 //! configuration says of it, `charge` counts it to its workspace's limit,
-//! `choose` finds an upstream, `cold` the right to send to a cold one, `send` brings it there,
-//! and `answer` passes the whole answer back, event by event where it is a
-//! stream. `exchange` leads it from one to the next.
+//! `choose` finds an upstream, `cold` the right to send to a cold one, `send`
+//! brings it there, `words` notes what the answer says of the upstream, and
+//! `answer` passes the whole answer back, event by event where it is a stream.
+//! `exchange` leads it from one to the next.
 
 pub mod addresses;
 mod answer;
