One piece of code for what the change wrote twice; behaviour as it was

- Rests::is_awake in place of three comparisons; awake() takes the list that it returns, so that nothing is copied for a request while none rests.
- only_inside_bound serves the choice and the line that names who was passed over; refuse_as_failed gives up in one place.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -232,10 +232,8 @@
         self.touch(over);
         let listed = &self.known.upstreams;
         self.births.sweep(|id| listed.contains_key(id), now);
-        let is_listed = |start: &UpstreamStart| {
-            listed.get(&start.id).is_some_and(|one| one.birth == start.birth)
-        };
-        self.leaving.sweep(is_listed, now);
+        let known = &self.known;
+        self.leaving.sweep(|start| known.of_start(start).is_some(), now);
     }
 
     /// Tells whether something changed since changes were last taken.
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -149,6 +149,12 @@
             .filter(move |u| u.service == *service && !u.leaving)
     }
 
+    /// Returns the entry of one start of an upstream.
+    pub fn of_start(&self, start: &UpstreamStart) -> Option<&Arc<Upstream>> {
+        let listed = self.upstreams.get(&start.id);
+        listed.filter(|one| one.birth == start.birth)
+    }
+
     /// Takes changes in, if they are newer and none before them is missing.
     pub fn apply(&mut self, delta: &ListingDelta) -> bool {
         if delta.before > self.version || delta.version <= self.version {
--- a/crates/valehold-core/src/fleet/rest.rs
+++ b/crates/valehold-core/src/fleet/rest.rs
@@ -90,10 +90,15 @@
         rest.map_or(RestSight::Awake, |rest| rest.sight(now))
     }
 
+    /// Tells whether an upstream may be sent to.
+    pub fn is_awake(&self, upstream: &UpstreamStart, now: Millis) -> bool {
+        self.sight(upstream, now) == RestSight::Awake
+    }
+
     /// Tells whether a request may be sent to an upstream at this moment; the
     /// first one after a rest goes alone from now on.
     pub fn may_send(&mut self, upstream: &UpstreamStart, now: Millis) -> bool {
-        if self.sight(upstream, now) != RestSight::Awake {
+        if !self.is_awake(upstream, now) {
             return false;
         }
         if let Some(rest) = self.rests.get_mut(upstream) {
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -26,12 +26,8 @@
     Millis,
     fleet::{
         Asked, EngineHolding, EvacuationView, KnownUpstreams, Listing,
-        RegionBound, Upstream, UpstreamStart, Variant,
-        asked::BoundUse,
-        catalog::EngineSpec,
-        peaks::Peaks,
-        rest::{RestSight, Rests},
-        topology::Topology,
+        RegionBound, Upstream, UpstreamStart, Variant, asked::BoundUse,
+        catalog::EngineSpec, peaks::Peaks, rest::Rests, topology::Topology,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -236,8 +232,7 @@
     /// Takes in which engines asked this gateway for rest.
     pub(super) fn note_rests(&mut self, rests: &Rests, now: Millis) {
         for entry in self.entries.values_mut() {
-            let sight = rests.sight(&entry.start, now);
-            entry.resting = sight != RestSight::Awake;
+            entry.resting = !rests.is_awake(&entry.start, now);
         }
     }
 
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -72,10 +72,20 @@
     app: &'a App,
     view: &'a View,
     job: &'a Job,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    only_inside_bound(app, view, job, view.listing.of(&job.service_name))
+}
+
+/// Leaves out upstreams outside the regions that bind a request.
+fn only_inside_bound<'a>(
+    app: &'a App,
+    view: &'a View,
+    job: &'a Job,
+    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     let topology = &app.shared.topology;
     let bound = bound_now(view, job);
-    view.listing.of(&job.service_name).filter(move |upstream| {
+    upstreams.filter(move |upstream| {
         bound.allows(topology.region_of(&upstream.data_centre))
     })
 }
@@ -129,19 +139,18 @@
     job: &Job,
 ) -> Vec<PassedOver> {
     let (rests, now) = (app.shared.rests(), app.now());
-    let topology = &app.shared.topology;
-    let bound = bound_now(view, job);
-    let upstreams = view.listing.upstreams.values().filter(|one| {
-        one.service == job.service_name
-            && holds(job, one)
-            && bound.allows(topology.region_of(&one.data_centre))
-    });
-    let passed_over = upstreams.filter_map(|one| {
-        let rests = rests.sight(&one.start(), now) != RestSight::Awake;
-        let reason = match (one.leaving, rests) {
+    let able = view
+        .listing
+        .upstreams
+        .values()
+        .filter(|one| one.service == job.service_name && holds(job, one));
+    let able = only_inside_bound(app, view, job, able);
+    let passed_over = able.filter_map(|one| {
+        let is_awake = rests.is_awake(&one.start(), now);
+        let reason = match (one.leaving, is_awake) {
             (true, _) => PassedOverFor::Leaving,
-            (false, true) => PassedOverFor::Resting,
-            (false, false) => return None,
+            (false, false) => PassedOverFor::Resting,
+            (false, true) => return None,
         };
         Some(PassedOver { upstream: one.id.clone(), reason })
     });
@@ -171,11 +180,11 @@
 /// Leaves out upstreams that asked this gateway for rest.
 pub(super) fn awake<'a>(
     app: &App,
-    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
+    upstreams: Vec<&'a Arc<Upstream>>,
 ) -> Result<Vec<&'a Arc<Upstream>>, NoChoice> {
     let (rests, now) = (app.shared.rests(), app.now());
     if rests.is_empty() {
-        return Ok(upstreams.collect());
+        return Ok(upstreams);
     }
     let mut awake = Vec::new();
     let mut soonest_ms: Option<u64> = None;
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -47,7 +47,7 @@
     if holders.is_empty() {
         return Err(NoChoice::NotHeld);
     }
-    let holders = awake(app, holders.into_iter())?;
+    let holders = awake(app, holders)?;
     let prompt = Prompt::of(app, job, variant);
     let home = match app.mechanisms().prefix_affinity {
         true => prompt.home(&staying(view, holders.clone())),
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -21,7 +21,7 @@
     job: &Job,
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
-    let awake = awake(app, usable(app, view, job))?;
+    let awake = awake(app, usable(app, view, job).collect())?;
     let all = able(app, job, awake.into_iter(), tried)?;
     let all = staying(view, unless_turned_away(app, all, None));
     let mut able: Vec<(bool, PlainCandidate)> = all
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -55,17 +55,17 @@
         if self.verdict != Verdict::NotRun {
             return self.give_up(RefusalReason::UpstreamFailed, None);
         }
-        match choose(&self.app, &self.job, &[]) {
+        let come_back_ms = match choose(&self.app, &self.job, &[]) {
             Err(NoChoice::AllResting { next_ms }) => {
-                self.refuse_for_rest(next_ms)
+                return self.refuse_for_rest(next_ms);
             }
-            Ok(_) => self.give_up(RefusalReason::UpstreamFailed, None),
             Err(NoChoice::WouldBeLate { come_back_ms, .. }) => {
-                let reason = RefusalReason::UpstreamFailed;
-                self.give_up(reason, Some(come_back_ms))
+                Some(come_back_ms)
             }
-            Err(_) => self.give_up(RefusalReason::UpstreamFailed, asked_ms),
-        }
+            Err(_) => asked_ms,
+            Ok(_) => None,
+        };
+        self.give_up(RefusalReason::UpstreamFailed, come_back_ms)
     }
 
     /// Returns the refusal that ends the request: whether it may have run,
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -187,11 +187,6 @@
 async fn sweep(app: Rc<App>) {
     loop {
         tokio::time::sleep(SWEEP).await;
-        let view = app.shared.view.load_full();
-        let upstreams = &view.listing.upstreams;
-        app.sweep(|start| {
-            let upstream = upstreams.get(&start.id);
-            upstream.is_some_and(|one| one.birth == start.birth)
-        });
+        app.sweep();
     }
 }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -171,22 +171,22 @@
     }
 
     /// Forgets starts of upstreams that are over.
-    pub(super) fn sweep(&self, known: impl Fn(&UpstreamStart) -> bool) {
+    pub(super) fn sweep(&self) {
+        let now = self.now();
+        let view = self.shared.view.load();
+        let listing = &view.listing;
+        let known = |start: &UpstreamStart| listing.of_start(start).is_some();
         self.health.borrow_mut().retain(|id, _| known(id));
         self.paces.borrow_mut().retain(|id, _| known(id));
-        self.turned_away.borrow_mut().sweep(&known, self.now());
-        self.slot_times.borrow_mut().sweep(self.now());
-        let view = self.shared.view.load();
-        let is_listed =
-            |id: &UpstreamId| view.listing.upstreams.contains_key(id);
-        self.shared.cold().sweep(is_listed, self.now());
-        self.shared.rests().sweep(&known, self.now());
+        self.turned_away.borrow_mut().sweep(known, now);
+        self.slot_times.borrow_mut().sweep(now);
+        let is_listed = |id: &UpstreamId| listing.upstreams.contains_key(id);
+        self.shared.cold().sweep(is_listed, now);
+        self.shared.rests().sweep(known, now);
         // Who leaves can end sooner without connections that rest.
-        let leaves = |start: &UpstreamStart| {
-            let listed = view.listing.upstreams.get(&start.id);
-            listed.is_some_and(|one| one.leaving)
-        };
-        self.pool.sweep(|start| known(start) && !leaves(start));
+        self.pool.sweep(|start| {
+            listing.of_start(start).is_some_and(|one| !one.leaving)
+        });
     }
 
     /// Tells whether an upstream failed lately, or crashed as some gateway
