Sight: where a load is to come from, when it was planned, loads held back

Lines of ended orders say neither whether a load came from the weight store nor when it was counted, so that no hypothesis of the incident can be told from another by a log. They now carry the lease's epoch, the source and the time since the plan; loads_held_back (a warning) says when the weight store bears no more for now, with what is counted. Lines of earlier gateways are still read.

--- a/crates/valehold-core/src/fleet/replicas/mod.rs
+++ b/crates/valehold-core/src/fleet/replicas/mod.rs
@@ -32,6 +32,8 @@
 
 use std::collections::BTreeSet;
 
+use serde::{Deserialize, Serialize};
+
 pub use self::need::{ModelNeed, ModelNeeds, Needs};
 use self::planner::Planner;
 use super::{catalog::EngineSpec, listing::Holding, topology::Topology};
@@ -59,6 +61,16 @@
     pub load: f64,
 }
 
+/// Where a model comes from that an engine loads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadSource {
+    /// The engine's own copy.
+    Copy,
+    /// The weight store.
+    WeightStore,
+}
+
 /// A step of the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReplicaStep {
@@ -68,8 +80,8 @@
         engine: UpstreamId,
         /// The model.
         model: ModelName,
-        /// Whether it comes from the weight store.
-        from_store: bool,
+        /// Where the model comes from.
+        source: LoadSource,
     },
     /// The engine gives the model up.
     Unload {
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{
-    EngineState, ReplicaStep,
+    EngineState, LoadSource, ReplicaStep,
     claim::Claim,
     need::{ModelNeed, Needs},
 };
@@ -199,12 +199,13 @@
 
     pub(super) fn load(&mut self, index: usize, model: usize) {
         let engine = &mut self.engines[index];
-        let from_store = !engine.copies.contains(&model);
-        if from_store && self.loads == 0 {
-            return;
-        }
-        if from_store {
-            self.loads -= 1;
+        let source = match engine.copies.contains(&model) {
+            true => LoadSource::Copy,
+            false => LoadSource::WeightStore,
+        };
+        if source == LoadSource::WeightStore {
+            let Some(left) = self.loads.checked_sub(1) else { return };
+            self.loads = left;
         }
         engine.loading = Some(model);
         engine.busy = true;
@@ -214,7 +215,7 @@
         self.steps.push(ReplicaStep::Load {
             engine: id,
             model: self.spec.models[model].name.clone(),
-            from_store,
+            source,
         });
     }
 
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -10,7 +10,7 @@
         Holding, ModelSpec,
         adapters::taken_mb,
         catalog::EngineSpec,
-        replicas::{EngineState, ModelNeed, ReplicaStep, plan},
+        replicas::{EngineState, LoadSource, ModelNeed, ReplicaStep, plan},
     },
     id::{AdapterName, DataCentreId, ModelName, UpstreamId},
     testing::cases,
@@ -122,7 +122,12 @@
                 .collect();
             let steps = plan(&spec, &demand, &engines, loads);
             let from_store = |step: &&ReplicaStep| {
-                matches!(step, ReplicaStep::Load { from_store: true, .. })
+                matches!(
+                    step,
+                    ReplicaStep::Load {
+                        source: LoadSource::WeightStore, ..
+                    }
+                )
             };
             prop_assert!(steps.iter().filter(from_store).count() <= loads);
             for step in &steps {
@@ -167,7 +172,7 @@
     let expected = ReplicaStep::Load {
         engine: UpstreamId::new("e2"),
         model: ModelName::new("m1"),
-        from_store: false,
+        source: LoadSource::Copy,
     };
     expect_that!(steps, elements_are![eq(&expected)]);
 }
@@ -188,7 +193,7 @@
     let load = |engine: &str, model: &str| ReplicaStep::Load {
         engine: UpstreamId::new(engine),
         model: ModelName::new(model),
-        from_store: false,
+        source: LoadSource::Copy,
     };
     expect_that!(
         steps,
--- a/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
@@ -12,8 +12,8 @@
         adapters::taken_mb,
         catalog::EngineSpec,
         replicas::{
-            EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
-            plan_by_place,
+            EngineState, LoadSource, ModelNeed, ModelNeeds, Needs,
+            ReplicaStep, plan_by_place,
         },
         topology::Topology,
     },
@@ -272,7 +272,7 @@
     let expected = ReplicaStep::Load {
         engine: UpstreamId::new("e2"),
         model: name(1),
-        from_store: true,
+        source: LoadSource::WeightStore,
     };
     expect_that!(steps, elements_are![eq(&expected)]);
 }
@@ -287,7 +287,7 @@
     let expected = ReplicaStep::Load {
         engine: UpstreamId::new("e2"),
         model: name(1),
-        from_store: true,
+        source: LoadSource::WeightStore,
     };
     expect_that!(steps, elements_are![eq(&expected)]);
 }
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -4,7 +4,9 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Catalog, EvacuationNews, Listing, UpstreamStart},
+    fleet::{
+        Catalog, EvacuationNews, Listing, UpstreamStart, replicas::LoadSource,
+    },
 };
 use valehold_ports::{
     PortError,
@@ -33,6 +35,12 @@
     pub(super) address: SocketAddr,
     pub(super) wish: OrderWish,
     pub(super) expected_sequence: u64,
+    /// The epoch under which it was planned.
+    pub(super) epoch: u64,
+    /// When it was planned.
+    pub(super) planned: Millis,
+    /// For a load of a model, where the model is to come from.
+    pub(super) source: Option<LoadSource>,
     /// The least time that carrying it out takes, in ms, if the engine has
     /// no copy.
     pub(super) least_ms: u64,
--- a/crates/valehold-gateway/src/control/placer/adapters.rs
+++ b/crates/valehold-gateway/src/control/placer/adapters.rs
@@ -61,10 +61,11 @@
             match step {
                 Some(AdapterStep::Load(engine)) => {
                     self.ordered_now.insert(variant.clone());
-                    self.order(&engine, OrderWish::Load(variant.clone()));
+                    let wish = OrderWish::Load(variant.clone());
+                    self.order(&engine, wish, now);
                 }
                 Some(AdapterStep::MakeRoom { engine, victim }) => {
-                    self.order(&engine, OrderWish::Unload(victim));
+                    self.order(&engine, OrderWish::Unload(victim), now);
                 }
                 None => {}
             }
@@ -98,7 +99,7 @@
             let Some((engine, variant)) = found else { return };
             there.insert(variant.clone());
             self.ordered_now.insert(variant.clone());
-            self.order(&engine, OrderWish::Load(variant));
+            self.order(&engine, OrderWish::Load(variant), now);
         }
     }
 
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -8,7 +8,8 @@
         RegionBound, UpstreamStart, Variant,
         catalog::EngineSpec,
         replicas::{
-            self, EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
+            self, EngineState, LoadSource, ModelNeed, ModelNeeds, Needs,
+            ReplicaStep,
         },
         topology::Topology,
         window::Window,
@@ -23,6 +24,7 @@
         entry::Entry,
         needs::{needs, note_lost, note_peaks},
     },
+    events::Event,
     peers::roster::sums::{DemandSum, Loads},
 };
 
@@ -36,6 +38,8 @@
     pub(super) planned: Millis,
     long: Window,
     short: Window,
+    /// Whether no load was allowed when it was planned last.
+    held_back: bool,
 }
 
 impl Pacing {
@@ -128,23 +132,25 @@
             log_needs(&needs.everywhere, &states);
         }
         let allowed = self.loads_left(now, service, spec);
+        self.tell_held_back(now, service, spec, allowed);
         let topology = Some(&self.topology);
         let steps =
             replicas::plan_by_place(spec, &needs, &states, topology, allowed);
         for step in steps {
             match step {
-                ReplicaStep::Load { engine, model, from_store } => {
-                    if from_store {
+                ReplicaStep::Load { engine, model, source } => {
+                    if source == LoadSource::WeightStore {
                         self.pacing_of(service).note(now);
                     }
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Load(variant);
-                    self.order_checked(&engine, wish, spec, now);
+                    let source = Some(source);
+                    self.order_checked(&engine, wish, source, spec, now);
                 }
                 ReplicaStep::Unload { engine, model } => {
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Unload(variant);
-                    self.order_checked(&engine, wish, spec, now);
+                    self.order_checked(&engine, wish, None, spec, now);
                 }
             }
         }
@@ -201,6 +207,26 @@
         left.min(burst)
     }
 
+    /// Logs that no more loads may begin for now, once.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn tell_held_back(
+        &mut self,
+        now: Millis,
+        service: &ServiceName,
+        spec: &EngineSpec,
+        left: usize,
+    ) {
+        let epoch = self.stamp.epoch;
+        let allowed = (spec.loads_per_second * self.load_window_s) as usize;
+        let pacing = self.pacing_of(service);
+        let was_held_back =
+            std::mem::replace(&mut pacing.held_back, left == 0);
+        if left == 0 && !was_held_back {
+            let counted = pacing.long.count(now);
+            Event::LoadsHeldBack { epoch, counted, allowed }.log();
+        }
+    }
+
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(super) fn pacing_of(&mut self, service: &ServiceName) -> &mut Pacing {
         let span_ms = self.load_window_s * 1_000.0;
@@ -208,6 +234,7 @@
             planned: Millis::default(),
             long: Window::new(span_ms as u64),
             short: Window::new((span_ms * BURST_PART) as u64),
+            held_back: false,
         })
     }
 }
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -4,7 +4,9 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Holding, adapters::taken_mb, catalog::EngineSpec},
+    fleet::{
+        Holding, adapters::taken_mb, catalog::EngineSpec, replicas::LoadSource,
+    },
     id::UpstreamId,
 };
 use valehold_ports::port::fleet::{
@@ -35,8 +37,13 @@
 
 impl Placer {
     /// Gives an order on what is known.
-    pub(super) fn order(&mut self, engine: &UpstreamId, wish: OrderWish) {
-        let Some(order) = self.begin(engine, &wish) else { return };
+    pub(super) fn order(
+        &mut self,
+        engine: &UpstreamId,
+        wish: OrderWish,
+        now: Millis,
+    ) {
+        let Some(order) = self.begin(engine, &wish, now) else { return };
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
         let authority = self.authority.clone();
         tokio::task::spawn_local(async move {
@@ -50,10 +57,12 @@
         &mut self,
         engine: &UpstreamId,
         wish: OrderWish,
+        source: Option<LoadSource>,
         spec: &EngineSpec,
         now: Millis,
     ) {
-        let Some(mut order) = self.begin(engine, &wish) else { return };
+        let Some(mut order) = self.begin(engine, &wish, now) else { return };
+        order.source = source;
         order.least_ms = least_load_ms(spec, &wish);
         let Some(entry) = self.entries.get_mut(engine) else { return };
         let known = entry.holding.clone();
@@ -90,7 +99,9 @@
         &mut self,
         engine: &UpstreamId,
         wish: &OrderWish,
+        now: Millis,
     ) -> Option<GivenOrder> {
+        let epoch = self.stamp.epoch;
         let entry = self.entries.get_mut(engine)?;
         entry.under_way = true;
         Some(GivenOrder {
@@ -98,6 +109,9 @@
             address: entry.address,
             wish: wish.clone(),
             expected_sequence: entry.holding.sequence,
+            epoch,
+            planned: now,
+            source: None,
             least_ms: 0,
         })
     }
@@ -116,6 +130,9 @@
             wish: order.wish.verb().to_owned(),
             variant: variant.to_string(),
             outcome: end.label().to_owned(),
+            epoch: order.epoch,
+            source: order.source,
+            planned_ms: now.since(order.planned),
         }
         .log();
         self.ordered_now.remove(variant);
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -153,6 +153,9 @@
         address: ([127, 0, 0, 1], 1).into(),
         wish: OrderWish::Load(Variant::adapted("alpha", "a1")),
         expected_sequence: 7,
+        epoch: 1,
+        planned: at(0),
+        source: None,
         least_ms: 0,
     };
     let outcome = OrderOutcome::Accepted;
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -11,8 +11,12 @@
 use std::{fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
-use valehold_core::id::{
-    DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId, WorkspaceId,
+use valehold_core::{
+    fleet::replicas::LoadSource,
+    id::{
+        DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
+        WorkspaceId,
+    },
 };
 
 pub use self::request::{
@@ -84,6 +88,8 @@
     LeaseGivenUp = "lease_given_up",
     /// An order to an engine ended.
     OrderEnded = "order_ended",
+    /// Models wait since the weight store bears no more loads for now.
+    LoadsHeldBack = "loads_held_back",
     /// An upstream could not be connected to.
     UpstreamUnreachable = "upstream_unreachable",
     /// An upstream crashed with requests of this gateway.
@@ -268,6 +274,24 @@
         variant: String,
         /// How it ended: see `valehold_orders_total`.
         outcome: String,
+        /// The epoch of the lease under which it was planned.
+        #[serde(default)]
+        epoch: u64,
+        /// For a load of a model, where the model was to come from.
+        #[serde(default)]
+        source: Option<LoadSource>,
+        /// How long ago it was planned, in ms.
+        #[serde(default)]
+        planned_ms: u64,
+    },
+    /// Models wait since the weight store bears no more loads for now.
+    LoadsHeldBack {
+        /// The epoch of the lease.
+        epoch: u64,
+        /// Loads that are counted.
+        counted: usize,
+        /// Loads that may begin in a window.
+        allowed: usize,
     },
     /// An upstream could not be connected to.
     UpstreamUnreachable {
@@ -329,6 +353,7 @@
             Self::LeaseTaken { .. } => EventKind::LeaseTaken,
             Self::LeaseGivenUp { .. } => EventKind::LeaseGivenUp,
             Self::OrderEnded { .. } => EventKind::OrderEnded,
+            Self::LoadsHeldBack { .. } => EventKind::LoadsHeldBack,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
@@ -345,6 +370,7 @@
         match self {
             Self::RequestEnded(ended) => ended.level(),
             Self::SettingsKept { .. }
+            | Self::LoadsHeldBack { .. }
             | Self::EmptyBounds { .. }
             | Self::EvacuationLeavesNone { .. } => log::Level::Warn,
             Self::UpstreamUnreachable { .. } | Self::PeerFound { .. } => {
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, fmt::Write};
 
+use valehold_core::fleet::replicas::LoadSource;
 use valehold_core::{Verdict, id::RegionId};
 
 use super::{
@@ -244,8 +245,28 @@
             Self::LeaseGivenUp { epoch } => {
                 format!("gave the lease up in epoch {epoch}\n")
             }
-            Self::OrderEnded { engine, wish, variant, outcome } => {
-                format!("order to {engine}: {wish} {variant}: {outcome}\n")
+            Self::OrderEnded {
+                engine,
+                wish,
+                variant,
+                outcome,
+                source,
+                ..
+            } => {
+                let source = match source {
+                    Some(LoadSource::Copy) => " from its copy",
+                    Some(LoadSource::WeightStore) => " from the weight store",
+                    None => "",
+                };
+                format!(
+                    "order to {engine}: {wish} {variant}{source}: {outcome}\n"
+                )
+            }
+            Self::LoadsHeldBack { counted, allowed, .. } => {
+                format!(
+                    "the weight store bears no more loads for now: {counted} \
+                     of {allowed} in a window\n"
+                )
             }
             Self::UpstreamUnreachable { upstream, error } => {
                 format!("{upstream} cannot be reached: {error}\n")
@@ -292,6 +313,7 @@
             | Self::EvacuationTakenBack { .. }
             | Self::LeaseTaken { .. }
             | Self::LeaseGivenUp { .. }
+            | Self::LoadsHeldBack { .. }
             | Self::StoreLost { .. }
             | Self::StoreBack
             | Self::StoreCallFailed { .. } => true,
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use valehold_core::{
     Verdict,
+    fleet::replicas::LoadSource,
     id::{
         DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
         WorkspaceId,
@@ -77,7 +78,11 @@
             wish: "load".to_owned(),
             variant: "alpha".to_owned(),
             outcome: "accepted".to_owned(),
+            epoch: 3,
+            source: Some(LoadSource::WeightStore),
+            planned_ms: 40,
         },
+        Event::LoadsHeldBack { epoch: 3, counted: 170, allowed: 170 },
         Event::UpstreamUnreachable {
             upstream: UpstreamId::new("e1"),
             error: error(),
