Services share one count of loads from the weight store

Callers saw nothing; the weight store got as many times more as there are services with engines: 200 loads within 5 s where 113 may begin. Each service had a count of its own, while one weight store serves them all. Now there is one count, held against the least rate that any service states, and services take turns at the larger half of what is left, so that none waits until the other has all that it lacks.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -247,6 +247,21 @@
         })
     }
 
+    /// Returns the services whose upstreams run models.
+    pub fn engine_specs(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceName, &EngineSpec)> {
+        let services = self.services.iter();
+        services.filter_map(|(name, one)| Some((name, one.engine.as_ref()?)))
+    }
+
+    /// Returns how many loads a second the weight store allows: one serves
+    /// all services, and the least that any of them states holds.
+    pub fn loads_per_second(&self) -> Option<f64> {
+        let rates = self.engine_specs().map(|(_, spec)| spec.loads_per_second);
+        rates.min_by(f64::total_cmp)
+    }
+
     /// Returns a service whose upstreams run models, by name.
     pub fn engine_spec(&self, service: &ServiceName) -> Option<&EngineSpec> {
         self.services.get(service)?.engine.as_ref()
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -407,8 +407,9 @@
         let Sums { demand, loads, .. } = &self.sums;
         for (name, service) in &catalog.services {
             let Some(spec) = &service.engine else { continue };
-            self.placer.tick(now, name, spec, demand, loads);
+            self.placer.tick(now, name, spec, demand);
         }
+        self.placer.plan_if_due(now, &catalog, demand, loads);
     }
 
     /// Adds up what all gateways are asked for and have under way.
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -25,9 +25,10 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Asked, EngineHolding, EvacuationView, KnownUpstreams, Listing,
-        RegionBound, Upstream, UpstreamStart, Variant, asked::BoundUse,
-        catalog::EngineSpec, peaks::Peaks, rest::Rests, topology::Topology,
+        Asked, Catalog, EngineHolding, EvacuationView, KnownUpstreams,
+        Listing, RegionBound, Upstream, UpstreamStart, Variant,
+        asked::BoundUse, catalog::EngineSpec, peaks::Peaks, rest::Rests,
+        topology::Topology,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -86,7 +87,12 @@
     bound_use: BoundUse,
     /// Adapters about which orders are under way.
     ordered_now: BTreeSet<Variant>,
-    pacing: BTreeMap<ServiceName, Pacing>,
+    /// When models were planned last.
+    planned: Millis,
+    /// The loads that began lately.
+    pacing: Pacing,
+    /// Which service plans first the next time.
+    turn: usize,
     peaks: BTreeMap<ServiceName, BTreeMap<RegionBound, Peaks>>,
     topology: Topology,
     load_window_s: f64,
@@ -113,7 +119,9 @@
             wishes: BTreeMap::new(),
             lost: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
-            pacing: BTreeMap::new(),
+            planned: Millis::default(),
+            pacing: Pacing::new(load_window_s),
+            turn: 0,
             peaks: BTreeMap::new(),
             bound_use: BoundUse::default(),
             topology,
@@ -243,7 +251,6 @@
         service: &ServiceName,
         spec: &EngineSpec,
         demand: &DemandSum,
-        loads: &Loads,
     ) {
         for entry in self.entries.values_mut() {
             entry.forget_arrivals(now);
@@ -254,12 +261,21 @@
         if self.mechanisms.adapters_ahead {
             self.bring_adapters(now, service, spec, demand);
         }
-        let pacing = self.pacing_of(service);
-        if now.since(pacing.planned) >= PLAN_EVERY_MS {
-            pacing.planned = now;
-            self.note_lost(now, service, spec);
-            self.place_models(now, service, spec, demand, loads);
+    }
+
+    /// Plans the models of all services, if that is due.
+    pub(super) fn plan_if_due(
+        &mut self,
+        now: Millis,
+        catalog: &Catalog,
+        demand: &DemandSum,
+        loads: &Loads,
+    ) {
+        if now.since(self.planned) < PLAN_EVERY_MS {
+            return;
         }
+        self.planned = now;
+        self.plan_models(now, catalog, demand, loads);
     }
 
     /// Notes which models are used inside bounds.
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -5,7 +5,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        RegionBound, UpstreamStart, Variant,
+        Catalog, RegionBound, UpstreamStart, Variant,
         catalog::EngineSpec,
         replicas::{
             self, EngineState, LoadSource, ModelNeed, ModelNeeds, Needs,
@@ -32,10 +32,9 @@
 /// holder counts anew, and what the last one began still counts.
 const BURST_PART: f64 = 0.4;
 
-/// When one service was planned, and the loads that began lately.
+/// The loads that began lately.
 #[derive(Debug)]
 pub(super) struct Pacing {
-    pub(super) planned: Millis,
     long: Window,
     short: Window,
     /// Whether no load was allowed when it was planned last.
@@ -43,6 +42,16 @@
 }
 
 impl Pacing {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(super) fn new(window_s: f64) -> Self {
+        let span_ms = window_s * 1_000.0;
+        Self {
+            long: Window::new(span_ms as u64),
+            short: Window::new((span_ms * BURST_PART) as u64),
+            held_back: false,
+        }
+    }
+
     fn note(&mut self, now: Millis) {
         self.long.note(now);
         self.short.note(now);
@@ -57,7 +66,7 @@
 impl Placer {
     /// Notes which models of a service no sound engine holds, or none inside
     /// a bound in which they are used.
-    pub(super) fn note_lost(
+    fn note_lost(
         &mut self,
         now: Millis,
         service: &ServiceName,
@@ -101,13 +110,39 @@
         models.filter(|model| !held.contains(model)).collect()
     }
 
-    pub(super) fn place_models(
+    /// Plans the models of all services. They share what the weight store
+    /// bears, and take turns at the larger part of it.
+    pub(super) fn plan_models(
+        &mut self,
+        now: Millis,
+        catalog: &Catalog,
+        demand: &DemandSum,
+        loads: &Loads,
+    ) {
+        let Some(per_second) = catalog.loads_per_second() else { return };
+        self.tell_held_back(now, per_second);
+        let mut services: Vec<_> = catalog.engine_specs().collect();
+        let first = self.turn % services.len().max(1);
+        services.rotate_left(first);
+        self.turn = first + 1;
+        let mut waiting = services.len();
+        for (service, spec) in services {
+            let left = self.loads_left(now, per_second);
+            let allowed = left.div_ceil(waiting);
+            waiting -= 1;
+            self.note_lost(now, service, spec);
+            self.place_models(now, service, spec, demand, loads, allowed);
+        }
+    }
+
+    fn place_models(
         &mut self,
         now: Millis,
         service: &ServiceName,
         spec: &EngineSpec,
         demand: &DemandSum,
         loads: &Loads,
+        allowed: usize,
     ) {
         let states: Vec<EngineState> = self
             .entries
@@ -131,8 +166,6 @@
         if log::log_enabled!(log::Level::Debug) {
             log_needs(&needs.everywhere, &states);
         }
-        let allowed = self.loads_left(now, service, spec);
-        self.tell_held_back(now, service, spec, allowed);
         let topology = Some(&self.topology);
         let steps =
             replicas::plan_by_place(spec, &needs, &states, topology, allowed);
@@ -140,7 +173,7 @@
             match step {
                 ReplicaStep::Load { engine, model, source } => {
                     if source == LoadSource::WeightStore {
-                        self.pacing_of(service).note(now);
+                        self.pacing.note(now);
                     }
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Load(variant);
@@ -193,15 +226,10 @@
 
     /// Returns how many loads may begin now.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub(super) fn loads_left(
-        &mut self,
-        now: Millis,
-        service: &ServiceName,
-        spec: &EngineSpec,
-    ) -> usize {
-        let in_window = spec.loads_per_second * self.load_window_s;
+    fn loads_left(&mut self, now: Millis, per_second: f64) -> usize {
+        let in_window = per_second * self.load_window_s;
         let allowed = |part: f64| ((in_window * part) as usize).max(1);
-        let began = self.pacing_of(service);
+        let began = &mut self.pacing;
         let left = allowed(1.0).saturating_sub(began.long.count(now));
         let burst = allowed(BURST_PART).saturating_sub(began.short.count(now));
         left.min(burst)
@@ -209,34 +237,20 @@
 
     /// Logs that no more loads may begin for now, once.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn tell_held_back(
-        &mut self,
-        now: Millis,
-        service: &ServiceName,
-        spec: &EngineSpec,
-        left: usize,
-    ) {
-        let epoch = self.stamp.epoch;
-        let allowed = (spec.loads_per_second * self.load_window_s) as usize;
-        let pacing = self.pacing_of(service);
+    fn tell_held_back(&mut self, now: Millis, per_second: f64) {
+        let is_held_back = self.loads_left(now, per_second) == 0;
+        let pacing = &mut self.pacing;
         let was_held_back =
-            std::mem::replace(&mut pacing.held_back, left == 0);
-        if left == 0 && !was_held_back {
-            let counted = pacing.long.count(now);
-            Event::LoadsHeldBack { epoch, counted, allowed }.log();
+            std::mem::replace(&mut pacing.held_back, is_held_back);
+        if is_held_back && !was_held_back {
+            Event::LoadsHeldBack {
+                epoch: self.stamp.epoch,
+                counted: pacing.long.count(now),
+                allowed: (per_second * self.load_window_s) as usize,
+            }
+            .log();
         }
     }
-
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub(super) fn pacing_of(&mut self, service: &ServiceName) -> &mut Pacing {
-        let span_ms = self.load_window_s * 1_000.0;
-        self.pacing.entry(service.clone()).or_insert_with(|| Pacing {
-            planned: Millis::default(),
-            long: Window::new(span_ms as u64),
-            short: Window::new((span_ms * BURST_PART) as u64),
-            held_back: false,
-        })
-    }
 }
 
 /// Counts the engines inside a bound that hold each model.
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -149,9 +149,7 @@
                 entry.failures = 0;
                 entry.conflicts = 0;
                 let void = std::mem::take(&mut entry.lost_loads);
-                if let Some(began) = self.pacing.get_mut(&entry.service) {
-                    began.take_back(void);
-                }
+                self.pacing.take_back(void);
                 // An unload that is not done at once waits for requests.
                 entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
                     && (is_model
