A load from the weight store counts for as long as it may begin

The weight store got up to a fifth more loads than it bears (120 of 113 within 5 s), and two fifths more where orders drew no answer (140), so that loads of all callers' models took longer. Cause: a load was counted at the moment of its plan, for one window. It begins later: after a report, a connection, an order, a slow process, or seconds after its answer was given up; and where one was lost, the newest counts were taken back in its place.

Now each load is kept by the place in its engine's orders, of which the engine carries one out. It counts from its plan until the latest moment at which it can have begun, and for a window from then on; one without an answer until a report or another order at its place tells, or it cannot begin any more. It holds since of all that begin in a window, the one that was planned last saw all others counted. An order that is given again at its place counts once. While engines are silent, what was ordered there leaves the rest of the window to others.

--- a/crates/valehold-core/examples/plan_time.rs
+++ b/crates/valehold-core/examples/plan_time.rs
@@ -58,6 +58,7 @@
             busy: false,
             sound: true,
             copies: BTreeSet::new(),
+            is_counted: false,
             load: (engine % 40) as f64,
         }
     };
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -5,7 +5,8 @@
 //! say which models they hold. From both follow the choice of an upstream
 //! ([`choice`]), who may send to one that is cold ([`cold`]), how many second
 //! sends one instance may make ([`share`]),
-//! and which models are to be loaded where ([`replicas`], [`adapters`]).
+//! which models are to be loaded where ([`replicas`], [`adapters`]), and how
+//! many of them may come from the weight store ([`weight_loads`]).
 
 pub mod adapters;
 pub mod asked;
@@ -35,6 +36,7 @@
 pub mod turned_away;
 pub mod usage;
 pub mod ways;
+pub mod weight_loads;
 pub mod window;
 pub mod workspace;
 
--- a/crates/valehold-core/src/fleet/replicas/mod.rs
+++ b/crates/valehold-core/src/fleet/replicas/mod.rs
@@ -57,6 +57,9 @@
     /// Models of which it keeps copies: it loads them sooner, and without
     /// the weight store.
     pub copies: BTreeSet<ModelName>,
+    /// Whether a load from the weight store that it may yet begin is counted,
+    /// in the place of which another one may be ordered.
+    pub is_counted: bool,
     /// How busy it is, from 0.
     pub load: f64,
 }
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -203,7 +203,7 @@
             true => LoadSource::Copy,
             false => LoadSource::WeightStore,
         };
-        if source == LoadSource::WeightStore {
+        if source == LoadSource::WeightStore && !engine.state.is_counted {
             let Some(left) = self.loads.checked_sub(1) else { return };
             self.loads = left;
         }
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -25,4 +25,5 @@
 mod turned_away;
 mod usage;
 mod ways;
+mod weight_loads;
 mod workspace;
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -59,6 +59,7 @@
         busy: false,
         sound: true,
         copies: BTreeSet::new(),
+        is_counted: false,
         load: 0.0,
     }
 }
--- a/crates/valehold-core/src/fleet/window.rs
+++ b/crates/valehold-core/src/fleet/window.rs
@@ -22,12 +22,6 @@
         self.times.push_back(now);
     }
 
-    /// Takes back the last events that were noted: they did not happen.
-    pub fn take_back(&mut self, count: usize) {
-        let left = self.times.len().saturating_sub(count);
-        self.times.truncate(left);
-    }
-
     /// Returns when the oldest event happened that was counted last.
     pub fn oldest(&self) -> Option<Millis> {
         self.times.front().copied()
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -8,7 +8,9 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Holding, Upstream, UpstreamStart, Variant},
+    fleet::{
+        Holding, Upstream, UpstreamStart, Variant, weight_loads::OrderPlace,
+    },
     id::{DataCentreId, ModelName, ServiceName},
     order::Stamp,
 };
@@ -58,9 +60,6 @@
     pub(super) old_reports: u32,
     /// Orders in a row that met another one.
     pub(super) conflicts: u32,
-    /// Loads that were ordered after as many orders as now, without an
-    /// answer: the next order that is taken makes them void.
-    pub(super) lost_loads: usize,
     /// Models of which it keeps copies.
     pub(super) copies: BTreeSet<ModelName>,
     /// When peers were first told of what it holds now.
@@ -96,7 +95,6 @@
             failures: 0,
             old_reports: 0,
             conflicts: 0,
-            lost_loads: 0,
             copies: BTreeSet::new(),
             changed: None,
             stamp: Stamp::default(),
@@ -152,6 +150,12 @@
         !self.leaving && !self.emptied && self.failures < GONE_AFTER
     }
 
+    /// Returns which of the orders that it takes the next one is.
+    pub(super) fn next_place(&self) -> OrderPlace {
+        let start = self.start.clone();
+        OrderPlace { start, sequence: self.holding.sequence }
+    }
+
     pub(super) fn may_order(&self, now: Millis) -> bool {
         self.is_sound()
             && !self.resting
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -3,9 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use valehold_core::{
-    Millis,
+    Millis, Verdict,
     fleet::{
-        Catalog, EvacuationNews, Listing, UpstreamStart, replicas::LoadSource,
+        Catalog, EvacuationNews, Listing, UpstreamStart,
+        replicas::LoadSource,
+        weight_loads::{LoadEnd, OrderPlace},
     },
 };
 use valehold_ports::{
@@ -46,6 +48,14 @@
     pub(super) least_ms: u64,
 }
 
+impl GivenOrder {
+    /// Returns which of the orders that its engine takes it is.
+    pub(super) fn place(&self) -> OrderPlace {
+        let start = self.engine.clone();
+        OrderPlace { start, sequence: self.expected_sequence }
+    }
+}
+
 /// How an order ended.
 #[derive(Debug)]
 pub(super) enum OrderEnd {
@@ -72,6 +82,29 @@
         }
     }
 
+    /// Tells whether the engine took it, or holds what it is for.
+    pub(super) fn was_taken(&self) -> bool {
+        let taken = [OrderOutcome::Accepted, OrderOutcome::Holds];
+        self.outcome().is_some_and(|outcome| taken.contains(&outcome))
+    }
+
+    /// Returns what it says of the load that was ordered.
+    pub(super) fn of_load(&self) -> LoadEnd {
+        match self {
+            _ if self.was_taken() => LoadEnd::Began,
+            Self::NotSent => LoadEnd::NotBegun,
+            Self::Answered(answer) => match answer.outcome {
+                OrderOutcome::Conflict => LoadEnd::NotBegun,
+                // Whatever else it says, it may be about another order.
+                _ => LoadEnd::Unknown,
+            },
+            Self::Unanswered(error) => match error.verdict() {
+                Verdict::NotRun => LoadEnd::NotBegun,
+                _ => LoadEnd::Unknown,
+            },
+        }
+    }
+
     /// Returns the label under which it is counted.
     pub(super) fn label(&self) -> &'static str {
         match self {
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -28,7 +28,7 @@
         Asked, Catalog, EngineHolding, EvacuationView, KnownUpstreams,
         Listing, RegionBound, Upstream, UpstreamStart, Variant,
         asked::BoundUse, catalog::EngineSpec, peaks::Peaks, rest::Rests,
-        topology::Topology,
+        topology::Topology, weight_loads::WeightLoads,
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -38,7 +38,6 @@
     port::fleet::{EngineReport, FleetEngines},
 };
 
-use self::models::Pacing;
 use super::{entry::Entry, input::Input};
 use crate::{
     mechanisms::MechanismSettings,
@@ -89,8 +88,9 @@
     ordered_now: BTreeSet<Variant>,
     /// When models were planned last.
     planned: Millis,
-    /// The loads that began lately.
-    pacing: Pacing,
+    weight_loads: WeightLoads,
+    /// Whether the weight store bore no more loads when it was planned last.
+    held_back: bool,
     /// Which service plans first the next time.
     turn: usize,
     peaks: BTreeMap<ServiceName, BTreeMap<RegionBound, Peaks>>,
@@ -120,7 +120,8 @@
             lost: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
             planned: Millis::default(),
-            pacing: Pacing::new(load_window_s),
+            weight_loads: WeightLoads::default(),
+            held_back: false,
             turn: 0,
             peaks: BTreeMap::new(),
             bound_use: BoundUse::default(),
@@ -351,6 +352,10 @@
             }
         };
         entry.failures = 0;
+        if entry.is_of_this_start(report.birth) {
+            let orders = report.holding.sequence;
+            self.weight_loads.seen(start, orders, now);
+        }
         if entry.is_later(report.birth) {
             entry.begin_anew(report.birth);
             entry.change(now, &mut self.stamp);
@@ -376,10 +381,6 @@
             entry.loading = None;
             entry.unloading = None;
         }
-        if report.holding.sequence != entry.holding.sequence {
-            // One of the lost ones was taken, or another holder's.
-            entry.lost_loads = 0;
-        }
         entry.holding = report.holding;
         if entry.usable() != told {
             entry.change(now, &mut self.stamp);
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -8,11 +8,10 @@
         Catalog, RegionBound, UpstreamStart, Variant,
         catalog::EngineSpec,
         replicas::{
-            self, EngineState, LoadSource, ModelNeed, ModelNeeds, Needs,
-            ReplicaStep,
+            self, EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
         },
         topology::Topology,
-        window::Window,
+        weight_loads::LoadRate,
     },
     id::{ModelName, ServiceName},
 };
@@ -28,41 +27,6 @@
     peers::roster::sums::{DemandSum, Loads},
 };
 
-/// The part of a window in which only as much of its loads begins. The next
-/// holder counts anew, and what the last one began still counts.
-const BURST_PART: f64 = 0.4;
-
-/// The loads that began lately.
-#[derive(Debug)]
-pub(super) struct Pacing {
-    long: Window,
-    short: Window,
-    /// Whether no load was allowed when it was planned last.
-    held_back: bool,
-}
-
-impl Pacing {
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub(super) fn new(window_s: f64) -> Self {
-        let span_ms = window_s * 1_000.0;
-        Self {
-            long: Window::new(span_ms as u64),
-            short: Window::new((span_ms * BURST_PART) as u64),
-            held_back: false,
-        }
-    }
-
-    fn note(&mut self, now: Millis) {
-        self.long.note(now);
-        self.short.note(now);
-    }
-
-    pub(super) fn take_back(&mut self, count: usize) {
-        self.long.take_back(count);
-        self.short.take_back(count);
-    }
-}
-
 impl Placer {
     /// Notes which models of a service no sound engine holds, or none inside
     /// a bound in which they are used.
@@ -119,15 +83,15 @@
         demand: &DemandSum,
         loads: &Loads,
     ) {
-        let Some(per_second) = catalog.loads_per_second() else { return };
-        self.tell_held_back(now, per_second);
+        let Some(rate) = self.load_rate(catalog) else { return };
+        self.tell_held_back(now, rate);
         let mut services: Vec<_> = catalog.engine_specs().collect();
         let first = self.turn % services.len().max(1);
         services.rotate_left(first);
         self.turn = first + 1;
         let mut waiting = services.len();
         for (service, spec) in services {
-            let left = self.loads_left(now, per_second);
+            let left = self.weight_loads.left(rate, now);
             let allowed = left.div_ceil(waiting);
             waiting -= 1;
             self.note_lost(now, service, spec);
@@ -159,6 +123,7 @@
                     true => entry.copies.clone(),
                     false => BTreeSet::new(),
                 },
+                is_counted: self.weight_loads.is_counted(&entry.next_place()),
                 load: load_of(loads, &entry.start),
             })
             .collect();
@@ -172,9 +137,6 @@
         for step in steps {
             match step {
                 ReplicaStep::Load { engine, model, source } => {
-                    if source == LoadSource::WeightStore {
-                        self.pacing.note(now);
-                    }
                     let variant = Variant { model, adapter: None };
                     let wish = OrderWish::Load(variant);
                     let source = Some(source);
@@ -224,29 +186,24 @@
         needs
     }
 
-    /// Returns how many loads may begin now.
+    /// Returns what the weight store bears, if any service has engines.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn loads_left(&mut self, now: Millis, per_second: f64) -> usize {
-        let in_window = per_second * self.load_window_s;
-        let allowed = |part: f64| ((in_window * part) as usize).max(1);
-        let began = &mut self.pacing;
-        let left = allowed(1.0).saturating_sub(began.long.count(now));
-        let burst = allowed(BURST_PART).saturating_sub(began.short.count(now));
-        left.min(burst)
+    fn load_rate(&self, catalog: &Catalog) -> Option<LoadRate> {
+        let window_ms = (self.load_window_s * 1_000.0) as u64;
+        let per_second = catalog.loads_per_second()?;
+        Some(LoadRate { per_second, window_ms })
     }
 
     /// Logs that no more loads may begin for now, once.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn tell_held_back(&mut self, now: Millis, per_second: f64) {
-        let is_held_back = self.loads_left(now, per_second) == 0;
-        let pacing = &mut self.pacing;
+    fn tell_held_back(&mut self, now: Millis, rate: LoadRate) {
+        let is_held_back = self.weight_loads.left(rate, now) == 0;
         let was_held_back =
-            std::mem::replace(&mut pacing.held_back, is_held_back);
+            std::mem::replace(&mut self.held_back, is_held_back);
         if is_held_back && !was_held_back {
             Event::LoadsHeldBack {
                 epoch: self.stamp.epoch,
-                counted: pacing.long.count(now),
-                allowed: (per_second * self.load_window_s) as usize,
+                counted: self.weight_loads.count(rate, now),
+                allowed: rate.in_window(),
             }
             .log();
         }
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -63,6 +63,9 @@
     ) {
         let Some(mut order) = self.begin(engine, &wish, now) else { return };
         order.source = source;
+        if source == Some(LoadSource::WeightStore) {
+            self.weight_loads.plan(order.place());
+        }
         order.least_ms = least_load_ms(spec, &wish);
         let Some(entry) = self.entries.get_mut(engine) else { return };
         let known = entry.holding.clone();
@@ -136,6 +139,7 @@
         }
         .log();
         self.ordered_now.remove(variant);
+        self.count_load(&order, end, now);
         let is_model = variant.adapter.is_none();
         let entry = self.entries.get_mut(&order.engine.id);
         let of_this_start = |entry: &&mut Entry| entry.start == order.engine;
@@ -148,8 +152,6 @@
             }) => {
                 entry.failures = 0;
                 entry.conflicts = 0;
-                let void = std::mem::take(&mut entry.lost_loads);
-                self.pacing.take_back(void);
                 // An unload that is not done at once waits for requests.
                 entry.uncertain = matches!(order.wish, OrderWish::Unload(_))
                     && (is_model
@@ -179,15 +181,24 @@
                 log::debug!("an order to {id} was lost: {error}");
                 entry.uncertain = true;
                 entry.left_alone_until = now + AFTER_FAILURE_MS;
-                if is_model && matches!(order.wish, OrderWish::Load(_)) {
-                    entry.lost_loads += 1;
-                }
                 entry.forget_guess(order.expected_sequence);
             }
         }
     }
 }
 
+impl Placer {
+    /// Takes in what the end of an order says of loads from the weight store.
+    fn count_load(&mut self, order: &GivenOrder, end: &OrderEnd, now: Millis) {
+        let place = order.place();
+        if order.source == Some(LoadSource::WeightStore) {
+            self.weight_loads.end(&place, end.of_load(), now);
+        } else if end.was_taken() {
+            self.weight_loads.void(&place);
+        }
+    }
+}
+
 fn least_load_ms(spec: &EngineSpec, wish: &OrderWish) -> u64 {
     let OrderWish::Load(variant) = wish else { return 0 };
     let load_ms = spec.model(&variant.model).map_or(0, |model| model.load_ms);
