--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -8,6 +8,9 @@
 //! A holder that cannot reach the store while others can gives the lease up
 //! by its own word, and another need not wait for its term to end.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
--- /dev/null
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -0,0 +1,215 @@
+//! Who may give orders when, as gateways take the lease one after the other.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+use futures::FutureExt;
+use googletest::prelude::*;
+use tokio::{sync::mpsc, task::LocalSet};
+use valehold_core::{
+    Millis,
+    fleet::{
+        Listing,
+        crashes::{RecordChange, RecordSight},
+    },
+    id::InstanceId,
+    lease::{LeaseRow, VersionedLease},
+};
+use valehold_ports::{
+    PortError,
+    port::{
+        Answer,
+        fleet::{
+            CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews,
+            WatchSpan,
+        },
+    },
+};
+
+use super::{Around, LeaseDuty};
+use crate::control::input::Input;
+
+/// How long no one may give orders between two holders, in ms.
+const QUIET_MS: u64 = 3_000;
+
+/// How long after its start a gateway asks for the lease, in ms.
+const SETTLED_MS: u64 = 1_000;
+
+/// A store of one row.
+struct RowStore {
+    lease: Mutex<VersionedLease>,
+    now_ms: AtomicU64,
+}
+
+impl RowStore {
+    fn new() -> Arc<Self> {
+        let lease = VersionedLease { version: 0, row: None };
+        let lease = Mutex::new(lease);
+        Arc::new(Self { lease, now_ms: AtomicU64::new(0) })
+    }
+}
+
+impl FleetStore for RowStore {
+    fn read_catalog(&self) -> Answer<'_, CatalogNews> {
+        unasked()
+    }
+
+    fn await_catalog(&self, _: u64, _: WatchSpan) -> Answer<'_, CatalogNews> {
+        unasked()
+    }
+
+    fn read_listing(&self) -> Answer<'_, Listing> {
+        unasked()
+    }
+
+    fn await_listing(&self, _: u64, _: WatchSpan) -> Answer<'_, ListingNews> {
+        unasked()
+    }
+
+    fn read_lease(&self) -> Answer<'_, LeaseSight> {
+        let lease = self.lease.lock().unwrap().clone();
+        let store_ms = self.now_ms.load(Ordering::SeqCst);
+        async move { Ok(LeaseSight { lease, store_ms }) }.boxed()
+    }
+
+    fn write_lease<'a>(
+        &'a self,
+        version: u64,
+        row: &'a LeaseRow,
+    ) -> Answer<'a, LeaseWrite> {
+        let mut lease = self.lease.lock().unwrap();
+        if lease.version != version {
+            return async { Ok(LeaseWrite::Lost) }.boxed();
+        }
+        let version = version + 1;
+        *lease = VersionedLease { version, row: Some(row.clone()) };
+        let store_ms = self.now_ms.load(Ordering::SeqCst);
+        async move { Ok(LeaseWrite::Won { version, store_ms }) }.boxed()
+    }
+
+    fn read_refused(&self) -> Answer<'_, RecordSight> {
+        unasked()
+    }
+
+    fn write_refused<'a>(&'a self, _: &'a RecordChange) -> Answer<'a, ()> {
+        unasked()
+    }
+}
+
+fn unasked<'a, T: Send + 'a>() -> Answer<'a, T> {
+    async { Err(PortError::malformed("not asked for here")) }.boxed()
+}
+
+/// A gateway's part in the lease.
+struct Member {
+    duty: LeaseDuty,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    store: Arc<RowStore>,
+}
+
+impl Member {
+    /// Starts one, as a process of its own.
+    fn start(store: &Arc<RowStore>, name: &str) -> Self {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let me = InstanceId::new(name);
+        let duty = LeaseDuty::new(me, QUIET_MS, store.clone(), sender);
+        Self { duty, inputs, store: store.clone() }
+    }
+
+    /// Lets it act at a moment, until its calls are over.
+    async fn act(&mut self, now: u64) {
+        self.store.now_ms.store(now, Ordering::SeqCst);
+        let now = at(now);
+        let around =
+            Around { holder_heard: false, store_heard: true, place: 0 };
+        self.duty.tick(now, around);
+        self.hear(now).await;
+    }
+
+    async fn hear(&mut self, now: Millis) {
+        tokio::task::yield_now().await;
+        while let Ok(input) = self.inputs.try_recv() {
+            match input {
+                Input::LeaseRead(read) => self.duty.read_done(read, now),
+                Input::LeaseWritten(write, written) => {
+                    self.duty.write_done(write, written, now);
+                }
+                other => panic!("{other:?}"),
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Lets it act often until a moment.
+    async fn act_from(&mut self, from: u64, until: u64) {
+        for now in (from..until).step_by(50) {
+            self.act(now).await;
+        }
+    }
+
+    async fn step_down(&mut self, now: u64) {
+        self.store.now_ms.store(now, Ordering::SeqCst);
+        self.duty.step_down(at(now));
+        self.hear(at(now)).await;
+    }
+
+    /// Gives an order if it may.
+    fn order(&mut self, now: u64) -> bool {
+        self.duty.take_order_epoch(at(now)).is_some()
+    }
+}
+
+fn at(ms: u64) -> Millis {
+    Millis::new(ms)
+}
+
+/// A holder gave an order, was killed, took its own lease back and stopped at
+/// once. The next one was told that no orders had been given, and could give
+/// its own 2 s after the first, where 3 s have to pass: engines that do not
+/// check fences followed two holders at a time.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_holder_that_started_again_keeps_the_next_one_quiet() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut first = Member::start(&store, "g1");
+        first.act_from(SETTLED_MS, 5_000).await;
+        expect_true!(first.order(5_000));
+        drop(first);
+        let mut again = Member::start(&store, "g1");
+        again.act_from(5_100 + SETTLED_MS, 6_500).await;
+        expect_true!(again.duty.held_epoch(at(6_500)).is_some());
+        again.step_down(6_500).await;
+        let mut next = Member::start(&store, "g2");
+        next.act_from(6_550, 5_000 + QUIET_MS).await;
+        expect_true!(next.duty.held_epoch(at(8_000)).is_some());
+        expect_false!(next.order(5_000 + QUIET_MS));
+        next.act_from(5_000 + QUIET_MS, 12_000).await;
+        expect_true!(next.order(12_000));
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
+/// The same where the holder only lost its term for a moment, as on a machine
+/// that gets little of its processor.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_holder_that_lost_its_term_keeps_the_next_one_quiet() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut holder = Member::start(&store, "g1");
+        holder.act_from(SETTLED_MS, 5_000).await;
+        expect_true!(holder.order(7_500));
+        // No renewal for longer than the term.
+        holder.act_from(9_000, 9_600).await;
+        expect_true!(holder.duty.held_epoch(at(9_600)).is_some());
+        holder.step_down(9_600).await;
+        let mut next = Member::start(&store, "g2");
+        next.act_from(9_650, 7_500 + QUIET_MS).await;
+        expect_true!(next.duty.held_epoch(at(10_500)).is_some());
+        expect_false!(next.order(7_500 + QUIET_MS));
+    };
+    LocalSet::new().run_until(steps).await;
+}
