A lease that is taken back keeps the next holder quiet

Engines that do not check fences could get orders of two holders 2 s apart where 3 s have to pass. Cause: on taking its own lease back a gateway forgot when it had ordered last. Now it keeps that while no other held the lease; a process that finds its lease from before its start counts its start as the last order. It holds as the time that is told to the next holder is never before that of an order plus the quiet time. Two tests, red before.

--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -100,9 +100,25 @@
     }
 }
 
+/// Who held the lease before this gateway takes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Before {
+    /// Nobody.
+    Nobody,
+    /// This process: it knows what it ordered.
+    This,
+    /// This gateway, by a write of which it had no answer or before it was
+    /// started: what was ordered then is not known.
+    Own,
+    /// Another gateway.
+    Another,
+}
+
 /// This gateway's part in the lease.
 pub(super) struct LeaseDuty {
     me: InstanceId,
+    /// When this process started.
+    started: Millis,
     keeper: LeaseKeeper,
     store: Arc<dyn FleetStore>,
     inputs: mpsc::UnboundedSender<Input>,
@@ -114,8 +130,11 @@
     clock: Option<StoreClock>,
     /// From when on the epoch that is held, or is being taken, allows orders.
     orders_from: Millis,
-    /// When an order was sent last in the epoch that is held.
+    /// When an order was last sent, or may have been, since another gateway
+    /// held the lease.
     ordered: Option<Millis>,
+    /// The last epoch that this process held.
+    held: Option<u64>,
     /// The row's version when its holder was heard last.
     heard: Option<(u64, Millis)>,
     other_gave_up: Option<GivenUp>,
@@ -129,10 +148,12 @@
         quiet_ms: u64,
         store: Arc<dyn FleetStore>,
         inputs: mpsc::UnboundedSender<Input>,
+        started: Millis,
     ) -> Self {
         Self {
             keeper: LeaseKeeper::new(me.clone(), TERMS).retaking_own(),
             me,
+            started,
             store,
             inputs,
             quiet_ms,
@@ -143,6 +164,7 @@
             clock: None,
             orders_from: Millis::default(),
             ordered: None,
+            held: None,
             heard: None,
             other_gave_up: None,
             gave_up: None,
@@ -300,11 +322,27 @@
             self.keeper.step(now)
         {
             self.orders_from = self.first_order(row.as_ref(), now);
-            self.ordered = None;
+            self.ordered = match self.before(row.as_ref()) {
+                Before::This => self.ordered,
+                // Its last order may have been sent when it ended.
+                Before::Own => self.ordered.max(Some(self.started)),
+                Before::Nobody | Before::Another => None,
+            };
             self.write(SentLease { version, row: taken, takes, sent: now });
         }
     }
 
+    /// Returns who held the lease before, by its row.
+    fn before(&self, row: Option<&LeaseRow>) -> Before {
+        let Some(row) = row else { return Before::Nobody };
+        let is_own = row.holder.as_ref() == Some(&self.me);
+        match is_own {
+            true if self.held == Some(row.epoch) => Before::This,
+            true => Before::Own,
+            false => Before::Another,
+        }
+    }
+
     /// Returns from when on orders may be given, if the lease is taken over
     /// what the row says.
     fn first_order(&self, row: Option<&LeaseRow>, now: Millis) -> Millis {
@@ -352,6 +390,7 @@
         }
         if write.takes {
             Event::LeaseTaken { epoch: write.row.epoch }.log();
+            self.held = Some(write.row.epoch);
             self.gave_up = None;
         } else if self.held_epoch(now).is_none() {
             // Given up in the meantime.
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -111,10 +111,11 @@
 
 impl Member {
     /// Starts one, as a process of its own.
-    fn start(store: &Arc<RowStore>, name: &str) -> Self {
+    fn start(store: &Arc<RowStore>, name: &str, now: u64) -> Self {
         let (sender, inputs) = mpsc::unbounded_channel();
         let me = InstanceId::new(name);
-        let duty = LeaseDuty::new(me, QUIET_MS, store.clone(), sender);
+        let duty =
+            LeaseDuty::new(me, QUIET_MS, store.clone(), sender, at(now));
         Self { duty, inputs, store: store.clone() }
     }
 
@@ -174,15 +175,15 @@
 async fn a_holder_that_started_again_keeps_the_next_one_quiet() {
     let steps = async {
         let store = RowStore::new();
-        let mut first = Member::start(&store, "g1");
+        let mut first = Member::start(&store, "g1", 0);
         first.act_from(SETTLED_MS, 5_000).await;
         expect_true!(first.order(5_000));
         drop(first);
-        let mut again = Member::start(&store, "g1");
+        let mut again = Member::start(&store, "g1", 5_100);
         again.act_from(5_100 + SETTLED_MS, 6_500).await;
         expect_true!(again.duty.held_epoch(at(6_500)).is_some());
         again.step_down(6_500).await;
-        let mut next = Member::start(&store, "g2");
+        let mut next = Member::start(&store, "g2", 0);
         next.act_from(6_550, 5_000 + QUIET_MS).await;
         expect_true!(next.duty.held_epoch(at(8_000)).is_some());
         expect_false!(next.order(5_000 + QUIET_MS));
@@ -199,14 +200,14 @@
 async fn a_holder_that_lost_its_term_keeps_the_next_one_quiet() {
     let steps = async {
         let store = RowStore::new();
-        let mut holder = Member::start(&store, "g1");
+        let mut holder = Member::start(&store, "g1", 0);
         holder.act_from(SETTLED_MS, 5_000).await;
         expect_true!(holder.order(7_500));
         // No renewal for longer than the term.
         holder.act_from(9_000, 9_600).await;
         expect_true!(holder.duty.held_epoch(at(9_600)).is_some());
         holder.step_down(9_600).await;
-        let mut next = Member::start(&store, "g2");
+        let mut next = Member::start(&store, "g2", 0);
         next.act_from(9_650, 7_500 + QUIET_MS).await;
         expect_true!(next.duty.held_epoch(at(10_500)).is_some());
         expect_false!(next.order(7_500 + QUIET_MS));
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -205,6 +205,7 @@
             settings.lease.quiet_ms,
             store.clone(),
             inputs.clone(),
+            shared.clock.now(),
         )));
         let store_calls = store;
         let authority = Authority {
