A holder allows for the loads that others began

The weight store got 120 loads within 5 s where 113 may begin: after a holder was killed and started again, and after a planned stop where less than 3 s lie between the orders of two holders. Cause: each holder counted from nothing. A smaller burst was to cover that, which holds only for one quiet time and not for a holder that takes its own lease back and orders at once.

Now a holder that was not the last one itself counts the most that the last one may have begun: a burst when its orders had arrived at the latest, one before it, and so on, up to a window's. That is known from when it may order, or from its own start. It holds since the last one kept to the same bounds, with what it inherited. Loads without an answer may begin later: their number is in the row of the lease, which is written anyway.

--- a/crates/valehold-core/src/fleet/tests/weight_loads.rs
+++ b/crates/valehold-core/src/fleet/tests/weight_loads.rs
@@ -7,7 +7,9 @@
 use crate::{
     fleet::{
         UpstreamStart,
-        weight_loads::{LoadEnd, LoadRate, OrderPlace, WeightLoads},
+        weight_loads::{
+            Inheritance, LoadEnd, LoadRate, OrderPlace, WeightLoads,
+        },
     },
     id::UpstreamId,
     time::Millis,
@@ -128,7 +130,7 @@
 #[gtest]
 fn who_takes_over_counts_the_most_that_may_have_begun() {
     let mut loads = WeightLoads::default();
-    loads.inherit(at(10_000));
+    loads.inherit(Inheritance { until: at(10_000), lost: 0 });
     expect_that!(loads.left(RATE, at(9_000)), eq(0));
     expect_that!(loads.left(RATE, at(12_000)), eq(0));
     // A burst, and one before it, are still in the window.
@@ -138,6 +140,22 @@
     expect_that!(loads.count(RATE, at(15_001)), eq(0));
 }
 
+#[gtest]
+fn who_takes_over_counts_what_may_begin_late() {
+    let mut loads = planning(3);
+    loads.end(&place(0, 0), LoadEnd::Unknown, at(0));
+    loads.end(&place(1, 0), LoadEnd::Began, at(0));
+    let lost = loads.lost(at(100));
+    expect_that!(lost, eq(1));
+    let mut next = WeightLoads::default();
+    next.inherit(Inheritance { until: at(1_000), lost });
+    expect_that!(next.count(RATE, at(1_000 + MOST_LATE_MS + 5_000)), eq(1));
+    expect_that!(next.count(RATE, at(1_001 + MOST_LATE_MS + 5_000)), eq(0));
+    // It tells the one after it.
+    expect_that!(next.lost(at(1_000 + MOST_LATE_MS)), eq(1));
+    expect_that!(next.lost(at(1_001 + MOST_LATE_MS)), eq(0));
+}
+
 #[gtest]
 fn a_slow_store_bears_one_load_in_a_window() {
     let rate = LoadRate { per_second: 0.01, window_ms: 5_000 };
@@ -248,15 +266,16 @@
         }
     }
 
-    /// The next holder takes over when nothing of the last one's is on its
-    /// way any more, and knows until when it was.
+    /// The next holder takes over when the ends of all orders of the last one
+    /// are known, and is told how many of them drew no answer.
     fn take_over(&mut self, now: u64) -> u64 {
         let ends = self.given.iter().map(|given| given.ends);
-        let begun = self.begun.iter().copied();
-        let until = ends.chain(begun).max().unwrap_or(0).max(now);
+        let until = ends.max().unwrap_or(0).max(now);
+        self.hear_ends(until);
+        let lost = self.loads.lost(at(until));
         self.given.clear();
         self.loads = WeightLoads::default();
-        self.loads.inherit(at(until));
+        self.loads.inherit(Inheritance { until: at(until), lost });
         until
     }
 }
--- a/crates/valehold-core/src/fleet/weight_loads.rs
+++ b/crates/valehold-core/src/fleet/weight_loads.rs
@@ -8,9 +8,10 @@
 //! However late each of them is, no window holds more than are allowed: when
 //! the last of those that began in it was planned, all others were counted.
 //!
-//! A holder of the lease that takes over knows nothing of what the last one
-//! began. It counts the most that the last one may have begun, which kept to
-//! the same bounds: see [`WeightLoads::inherit`].
+//! A holder of the lease that takes over does not know what the last one began.
+//! It counts the most that one may have begun, which kept to the same bounds,
+//! and of its orders without an answer as many as it was told: see
+//! [`Inheritance`].
 
 use std::collections::BTreeMap;
 
@@ -77,6 +78,15 @@
     Unknown,
 }
 
+/// What a holder of the lease knows of loads that others ordered before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Inheritance {
+    /// Until when orders of theirs that were not held up have arrived.
+    pub until: Millis,
+    /// How many drew no answer and may begin later.
+    pub lost: usize,
+}
+
 /// A load that may yet begin.
 #[derive(Debug, Clone, Copy, Default)]
 struct OpenLoad {
@@ -116,8 +126,7 @@
     open: BTreeMap<OrderPlace, OpenLoad>,
     /// The latest moments at which loads can have begun that are open no more.
     begun: Vec<Millis>,
-    /// Until when loads of other holders began at the latest.
-    inherited: Option<Millis>,
+    inherited: Option<Inheritance>,
 }
 
 impl WeightLoads {
@@ -166,12 +175,28 @@
         });
     }
 
-    /// Notes that other holders gave orders that can have arrived until a
-    /// moment. What began before it is counted among the most that they may
-    /// have begun.
-    pub fn inherit(&mut self, until: Millis) {
-        self.begun.retain(|begun| *begun > until);
-        self.inherited = self.inherited.max(Some(until));
+    /// Notes that other holders gave orders before. What this one knows of
+    /// loads until then is counted among the most that they may have begun.
+    pub fn inherit(&mut self, others: Inheritance) {
+        self.begun.retain(|begun| *begun > others.until);
+        self.inherited = Some(others);
+    }
+
+    /// Returns how many orders drew no answer and may be carried out yet: the
+    /// next holder is told.
+    pub fn lost(&mut self, now: Millis) -> usize {
+        self.expire(now);
+        let own = self.open.values().filter(|open| open.lost.is_some());
+        own.count() + self.inherited_lost(MOST_LATE_MS, now)
+    }
+
+    /// Returns how many of others' orders drew no answer, if that was so long
+    /// ago at the most.
+    fn inherited_lost(&self, span_ms: u64, now: Millis) -> usize {
+        let is_within =
+            |others: &Inheritance| now.since(others.until) <= span_ms;
+        let others = self.inherited.filter(is_within);
+        others.map_or(0, |others| others.lost)
     }
 
     /// Counts the loads that can have begun within the last window, or may
@@ -179,7 +204,10 @@
     pub fn count(&mut self, rate: LoadRate, now: Millis) -> usize {
         self.expire(now);
         self.begun.retain(|begun| now.since(*begun) <= rate.window_ms);
-        self.open.len() + self.begun_within(rate.window_ms, rate, now)
+        let late_ms = MOST_LATE_MS + rate.window_ms;
+        self.open.len()
+            + self.inherited_lost(late_ms, now)
+            + self.begun_within(rate.window_ms, rate, now)
     }
 
     /// Tells whether a load at a place is counted already: an order that drew
@@ -206,9 +234,9 @@
     ) -> usize {
         let begun = self.begun.iter();
         let begun = begun.filter(|begun| now.since(**begun) <= span_ms);
-        let inherited = self
-            .inherited
-            .map_or(0, |until| inherited_within(span_ms, until, rate, now));
+        let inherited = self.inherited.map_or(0, |others| {
+            inherited_within(span_ms, others.until, rate, now)
+        });
         begun.count() + inherited
     }
 
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -36,6 +36,10 @@
     /// holds, may give orders: in ms on the store's clock.
     #[serde(default)]
     pub orders_from: u64,
+    /// Orders of its holder and those before to load models from the weight
+    /// store that drew no answer, and may be carried out yet.
+    #[serde(default)]
+    pub lost_loads: usize,
 }
 
 /// A row with the version that the platform gives it; 0 stands for no row.
@@ -232,11 +236,13 @@
         };
         let renewals = lease.row.as_ref().map_or(0, |row| row.renewals) + 1;
         let orders_from = lease.row.as_ref().map_or(0, |r| r.orders_from);
+        let lost_loads = lease.row.as_ref().map_or(0, |r| r.lost_loads);
         let row = LeaseRow {
             holder: Some(self.me.clone()),
             epoch: self.epoch,
             renewals,
             orders_from,
+            lost_loads,
         };
         LeaseStep::Write { version: lease.version, row, takes: false }
     }
@@ -255,15 +261,13 @@
             return LeaseStep::Read;
         }
         let version = lease.version;
-        let (epoch, renewals, orders_from) = lease
-            .row
-            .as_ref()
-            .map_or((0, 0, 0), |r| (r.epoch, r.renewals, r.orders_from));
+        let row = lease.row.as_ref();
         let row = LeaseRow {
             holder: Some(self.me.clone()),
-            epoch: epoch + 1,
-            renewals: renewals + 1,
-            orders_from,
+            epoch: row.map_or(0, |row| row.epoch) + 1,
+            renewals: row.map_or(0, |row| row.renewals) + 1,
+            orders_from: row.map_or(0, |row| row.orders_from),
+            lost_loads: row.map_or(0, |row| row.lost_loads),
         };
         self.follow(LeaseEvent::RowUnchangedForTerm);
         LeaseStep::Write { version, row, takes: true }
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use valehold_core::{
     Millis,
+    fleet::weight_loads::Inheritance,
     id::InstanceId,
     lease::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease},
 };
@@ -135,6 +136,10 @@
     ordered: Option<Millis>,
     /// The last epoch that this process held.
     held: Option<u64>,
+    /// What is to be counted of loads that others ordered, once it is taken.
+    inheritance: Option<Inheritance>,
+    /// Loads that were ordered without an answer, which the row tells.
+    lost_loads: usize,
     /// The row's version when its holder was heard last.
     heard: Option<(u64, Millis)>,
     other_gave_up: Option<GivenUp>,
@@ -165,6 +170,8 @@
             orders_from: Millis::default(),
             ordered: None,
             held: None,
+            inheritance: None,
+            lost_loads: 0,
             heard: None,
             other_gave_up: None,
             gave_up: None,
@@ -285,6 +292,10 @@
     fn write(&mut self, mut write: SentLease) {
         self.under_way = true;
         self.called = write.sent;
+        // Until it is won, a lease that is taken tells what it told before.
+        if !write.takes {
+            write.row.lost_loads = self.lost_loads;
+        }
         if let Some(clock) = self.clock {
             let from = clock.store_time(self.orders_from);
             write.row.orders_from = from + CLOCK_SLACK_MS;
@@ -322,7 +333,9 @@
             self.keeper.step(now)
         {
             self.orders_from = self.first_order(row.as_ref(), now);
-            self.ordered = match self.before(row.as_ref()) {
+            let before = self.before(row.as_ref());
+            self.inheritance = self.inherited(before, row.as_ref());
+            self.ordered = match before {
                 Before::This => self.ordered,
                 // Its last order may have been sent when it ended.
                 Before::Own => self.ordered.max(Some(self.started)),
@@ -343,6 +356,34 @@
         }
     }
 
+    /// Returns what loads were ordered by others, if the lease is taken over
+    /// what the row says: their last orders arrive the quiet time before the
+    /// first ones of this holder.
+    fn inherited(
+        &self,
+        before: Before,
+        row: Option<&LeaseRow>,
+    ) -> Option<Inheritance> {
+        let quiet_from = self.orders_from - self.quiet_ms;
+        let until = match before {
+            Before::Nobody | Before::This => return None,
+            Before::Own => quiet_from.max(self.started + ORDER_FLIGHT_MS),
+            Before::Another => quiet_from,
+        };
+        let lost = row.map_or(0, |row| row.lost_loads);
+        Some(Inheritance { until, lost })
+    }
+
+    /// Returns what is to be counted of loads that others ordered, once.
+    pub(super) fn take_inheritance(&mut self) -> Option<Inheritance> {
+        self.inheritance.take()
+    }
+
+    /// Takes in how many loads were ordered without an answer.
+    pub(super) fn note_lost_loads(&mut self, count: usize) {
+        self.lost_loads = count;
+    }
+
     /// Returns from when on orders may be given, if the lease is taken over
     /// what the row says.
     fn first_order(&self, row: Option<&LeaseRow>, now: Millis) -> Millis {
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -13,6 +13,7 @@
     fleet::{
         Listing,
         crashes::{RecordChange, RecordSight},
+        weight_loads::Inheritance,
     },
     id::InstanceId,
     lease::{LeaseRow, VersionedLease},
@@ -214,3 +215,73 @@
     };
     LocalSet::new().run_until(steps).await;
 }
+
+/// Lets a gateway take the lease, and returns what it counts of others' loads.
+async fn inherited(member: &mut Member, from: u64) -> Option<Inheritance> {
+    member.act_from(from, from + 5_000).await;
+    expect_true!(member.duty.held_epoch(at(from + 5_000)).is_some());
+    member.duty.take_inheritance()
+}
+
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn nothing_is_inherited_of_nobody() {
+    let steps = async {
+        let mut first = Member::start(&RowStore::new(), "g1", 0);
+        expect_that!(inherited(&mut first, SETTLED_MS).await, none());
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_process_that_lost_its_term_knows_what_it_ordered() {
+    let steps = async {
+        let mut holder = Member::start(&RowStore::new(), "g1", 0);
+        inherited(&mut holder, SETTLED_MS).await;
+        let again = inherited(&mut holder, 20_000).await;
+        expect_that!(holder.duty.held_epoch(at(25_000)), some(eq(2)));
+        expect_that!(again, none());
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_process_that_started_again_inherits_until_its_start() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut first = Member::start(&store, "g1", 0);
+        inherited(&mut first, SETTLED_MS).await;
+        first.duty.note_lost_loads(7);
+        first.act_from(6_000, 8_000).await;
+        drop(first);
+        let mut again = Member::start(&store, "g1", 8_100);
+        let others = inherited(&mut again, 8_100 + SETTLED_MS).await;
+        let others = others.expect("what the last process ordered");
+        expect_that!(others.until, ge(at(8_100)));
+        expect_that!(others.until, le(at(9_100)));
+        expect_that!(others.lost, eq(7));
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn the_next_holder_inherits_until_the_last_ones_orders_arrived() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut first = Member::start(&store, "g1", 0);
+        inherited(&mut first, SETTLED_MS).await;
+        first.duty.note_lost_loads(7);
+        expect_true!(first.order(6_000));
+        first.step_down(6_050).await;
+        let mut next = Member::start(&store, "g2", 0);
+        let others = inherited(&mut next, 6_100).await;
+        let others = others.expect("what the last holder ordered");
+        expect_that!(others.until, ge(at(6_000)));
+        expect_that!(others.until, le(at(8_000)));
+        expect_that!(others.lost, eq(7));
+    };
+    LocalSet::new().run_until(steps).await;
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -392,7 +392,10 @@
             store_heard: self.roster.hears_store(),
             place: self.roster.place(Duty::Place).min(LAST_PLACE),
         };
-        self.lease.borrow_mut().tick(now, around);
+        let lost_loads = self.placer.lost_loads(now);
+        let mut lease = self.lease.borrow_mut();
+        lease.note_lost_loads(lost_loads);
+        lease.tick(now, around);
     }
 
     /// Places models and adapters, if this gateway may give orders.
@@ -459,7 +462,8 @@
                 let epoch = self.lease.borrow().held_epoch(now);
                 if let (true, Some(epoch)) = (took, epoch) {
                     self.placer.listed(self.upstreams.listing());
-                    self.placer.begin_epoch(epoch);
+                    let others = self.lease.borrow_mut().take_inheritance();
+                    self.placer.begin_epoch(epoch, others);
                     // Peers need not contend any more.
                     self.send_heartbeats(now);
                 }
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -27,8 +27,12 @@
     fleet::{
         Asked, Catalog, EngineHolding, EvacuationView, KnownUpstreams,
         Listing, RegionBound, Upstream, UpstreamStart, Variant,
-        asked::BoundUse, catalog::EngineSpec, peaks::Peaks, rest::Rests,
-        topology::Topology, weight_loads::WeightLoads,
+        asked::BoundUse,
+        catalog::EngineSpec,
+        peaks::Peaks,
+        rest::Rests,
+        topology::Topology,
+        weight_loads::{Inheritance, WeightLoads},
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -190,9 +194,16 @@
         self.wishes.insert(asked, now);
     }
 
-    /// Begins an epoch: another one may have given orders before.
-    pub(super) fn begin_epoch(&mut self, epoch: u64) {
+    /// Begins an epoch, with what others ordered before.
+    pub(super) fn begin_epoch(
+        &mut self,
+        epoch: u64,
+        others: Option<Inheritance>,
+    ) {
         self.stamp = Stamp { epoch, sequence: 0 };
+        if let Some(others) = others {
+            self.weight_loads.inherit(others);
+        }
         self.lost.clear();
         self.peaks.clear();
         for entry in self.entries.values_mut() {
@@ -201,6 +212,12 @@
         }
     }
 
+    /// Returns how many loads were ordered without an answer and may begin
+    /// yet.
+    pub(super) fn lost_loads(&mut self, now: Millis) -> usize {
+        self.weight_loads.lost(now)
+    }
+
     /// Returns what engines hold since the last orders.
     pub(super) fn news(&self, now: Millis) -> Vec<EngineHolding> {
         self.told(|_, entry| entry.is_news(now))
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -100,7 +100,7 @@
 fn knowing() -> Placer {
     let mut placer = placer();
     placer.listed(&list(1, &["alpha"]));
-    placer.begin_epoch(1);
+    placer.begin_epoch(1, None);
     placer.reported(&start(1), report(1, 7, &["alpha", "beta"]), at(0));
     placer
 }
