A load of a copy is ordered only if the engine still has it

Loads from engines' copies are not counted, as the weight store bears any number of them. What copies an engine keeps was known from an earlier report than the one that confirms the order; where they had gone with its disk, all loads came from the weight store, uncounted: 180 within 5 s where 113 may begin. The report that confirms what the engine holds now also confirms the copy; without it the order is not sent, and the next plan knows.

--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -10,7 +10,8 @@
     id::UpstreamId,
 };
 use valehold_ports::port::fleet::{
-    EngineOrder, FleetEngines, OrderAnswer, OrderOutcome, OrderWish,
+    EngineOrder, EngineReport, FleetEngines, OrderAnswer, OrderOutcome,
+    OrderWish,
 };
 
 use super::{AFTER_FAILURE_MS, Authority, Placer};
@@ -88,6 +89,7 @@
                     && (report.birth.is_none()
                         || report.birth == order.engine.birth)
                     && report.holding == known
+                    && has_source(&report, &order)
                     && fits(&report.holding, &order.wish, &spec)
             });
             let end = match as_known {
@@ -126,8 +128,7 @@
         end: &OrderEnd,
         now: Millis,
     ) {
-        let (OrderWish::Load(variant) | OrderWish::Unload(variant)) =
-            &order.wish;
+        let variant = order.wish.variant();
         Event::OrderEnded {
             engine: order.engine.id.clone(),
             wish: order.wish.verb().to_owned(),
@@ -205,6 +206,14 @@
     (load_ms as f64 * LEAST_LOAD_PART) as u64
 }
 
+/// Tells whether the engine has the copy that it is to load. Without it the
+/// model would come from the weight store, and not be counted.
+fn has_source(report: &EngineReport, order: &GivenOrder) -> bool {
+    let variant = order.wish.variant();
+    order.source != Some(LoadSource::Copy)
+        || report.copies.contains(&variant.model)
+}
+
 fn fits(holding: &Holding, wish: &OrderWish, spec: &EngineSpec) -> bool {
     match wish {
         OrderWish::Unload(_) => true,
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -193,6 +193,13 @@
             Self::Unload(_) => "unload",
         }
     }
+
+    /// Returns what is to be loaded or given up.
+    pub const fn variant(&self) -> &Variant {
+        match self {
+            Self::Load(variant) | Self::Unload(variant) => variant,
+        }
+    }
 }
 
 /// An order to one engine.
