--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -70,7 +70,7 @@
     lease::{Around, LeaseDuty},
     limits::LimitDuty,
     paces::PaceDuty,
-    placer::{Authority, Placer},
+    placer::{Authority, LoadCount, Placer},
     publishing::Published,
 };
 use crate::{
@@ -413,7 +413,11 @@
             let Some(spec) = &service.engine else { continue };
             self.placer.tick(now, name, spec, demand);
         }
-        self.placer.plan_if_due(now, &catalog, demand, loads);
+        let count = self.placer.plan_if_due(now, &catalog, demand, loads);
+        if let Some(count) = count {
+            let LoadCount { counted, allowed } = count;
+            self.shared.metrics.weight_loads(counted, allowed);
+        }
     }
 
     /// Adds up what all gateways are asked for and have under way.
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -61,6 +61,15 @@
 /// for what they say. Reports lag by less than so many questions take.
 const MOST_OLD_REPORTS: u32 = 6;
 
+/// Loads from the weight store, for metrics.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LoadCount {
+    /// Those that began in the last window, or may begin.
+    pub(super) counted: usize,
+    /// How many may begin in a window.
+    pub(super) allowed: usize,
+}
+
 /// What the lease allows an order to carry.
 #[derive(Clone)]
 pub(super) struct Authority {
@@ -281,19 +290,24 @@
         }
     }
 
-    /// Plans the models of all services, if that is due.
+    /// Plans the models of all services, if that is due, and returns how many
+    /// loads from the weight store count.
     pub(super) fn plan_if_due(
         &mut self,
         now: Millis,
         catalog: &Catalog,
         demand: &DemandSum,
         loads: &Loads,
-    ) {
+    ) -> Option<LoadCount> {
         if now.since(self.planned) < PLAN_EVERY_MS {
-            return;
+            return None;
         }
         self.planned = now;
-        self.plan_models(now, catalog, demand, loads);
+        let rate = self.load_rate(catalog)?;
+        self.tell_held_back(now, rate);
+        self.plan_models(now, catalog, rate, demand, loads);
+        let counted = self.weight_loads.count(rate, now);
+        Some(LoadCount { counted, allowed: rate.in_window() })
     }
 
     /// Notes which models are used inside bounds.
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -80,11 +80,10 @@
         &mut self,
         now: Millis,
         catalog: &Catalog,
+        rate: LoadRate,
         demand: &DemandSum,
         loads: &Loads,
     ) {
-        let Some(rate) = self.load_rate(catalog) else { return };
-        self.tell_held_back(now, rate);
         let mut services: Vec<_> = catalog.engine_specs().collect();
         let first = self.turn % services.len().max(1);
         services.rotate_left(first);
@@ -188,14 +187,14 @@
 
     /// Returns what the weight store bears, if any service has engines.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn load_rate(&self, catalog: &Catalog) -> Option<LoadRate> {
+    pub(super) fn load_rate(&self, catalog: &Catalog) -> Option<LoadRate> {
         let window_ms = (self.load_window_s * 1_000.0) as u64;
         let per_second = catalog.loads_per_second()?;
         Some(LoadRate { per_second, window_ms })
     }
 
     /// Logs that no more loads may begin for now, once.
-    fn tell_held_back(&mut self, now: Millis, rate: LoadRate) {
+    pub(super) fn tell_held_back(&mut self, now: Millis, rate: LoadRate) {
         let is_held_back = self.weight_loads.left(rate, now) == 0;
         let was_held_back =
             std::mem::replace(&mut self.held_back, is_held_back);
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -101,6 +101,8 @@
     catalog: Gauge<u64>,
     evacuated: Gauge<u64>,
     holds_lease: Gauge<u64>,
+    weight_loads: Gauge<u64>,
+    weight_loads_allowed: Gauge<u64>,
 }
 
 impl Metrics {
@@ -157,6 +159,14 @@
                 "Data centres whose upstreams get nothing.",
             ),
             holds_lease: gauge("valehold_holds_lease", "1 at the holder."),
+            weight_loads: gauge(
+                "valehold_weight_loads",
+                "Loads from the weight store that count, at the holder.",
+            ),
+            weight_loads_allowed: gauge(
+                "valehold_weight_loads_allowed",
+                "Loads from the weight store that may count, at the holder.",
+            ),
             instruments,
         })
     }
@@ -254,6 +264,13 @@
         self.holds_lease.record(u64::from(holds), &[]);
     }
 
+    /// Notes how many loads from the weight store count, and how many may.
+    pub fn weight_loads(&self, counted: usize, allowed: usize) {
+        let number = |count| u64::try_from(count).unwrap_or(u64::MAX);
+        self.weight_loads.record(number(counted), &[]);
+        self.weight_loads_allowed.record(number(allowed), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.instruments.render()
