Lost loads are told with until when they may begin

Their number alone would have counted anew for 15 s with each holder, so that losses and changes of the holder, again and again, could have used up the window without one load that may still begin. Found on reading the change.

--- a/crates/valehold-core/src/fleet/weight_loads.rs
+++ b/crates/valehold-core/src/fleet/weight_loads.rs
@@ -78,13 +78,22 @@
     Unknown,
 }
 
+/// Loads whose orders drew no answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LostLoads {
+    /// How many.
+    pub count: usize,
+    /// Until when any of them may begin.
+    pub until: Millis,
+}
+
 /// What a holder of the lease knows of loads that others ordered before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Inheritance {
     /// Until when orders of theirs that were not held up have arrived.
     pub until: Millis,
-    /// How many drew no answer and may begin later.
-    pub lost: usize,
+    /// Those that may begin later.
+    pub lost: LostLoads,
 }
 
 /// A load that may yet begin.
@@ -182,21 +191,25 @@
         self.inherited = Some(others);
     }
 
-    /// Returns how many orders drew no answer and may be carried out yet: the
-    /// next holder is told.
-    pub fn lost(&mut self, now: Millis) -> usize {
+    /// Returns the loads whose orders drew no answer and that may begin yet:
+    /// the next holder is told.
+    pub fn lost(&mut self, now: Millis) -> LostLoads {
         self.expire(now);
-        let own = self.open.values().filter(|open| open.lost.is_some());
-        own.count() + self.inherited_lost(MOST_LATE_MS, now)
+        let own = self.open.values().filter_map(|open| open.lost);
+        let own = own.map(|lost| lost + MOST_LATE_MS);
+        let others = self.inherited_lost(0, now);
+        own.fold(others, |all, until| LostLoads {
+            count: all.count + 1,
+            until: all.until.max(until),
+        })
     }
 
-    /// Returns how many of others' orders drew no answer, if that was so long
-    /// ago at the most.
-    fn inherited_lost(&self, span_ms: u64, now: Millis) -> usize {
-        let is_within =
-            |others: &Inheritance| now.since(others.until) <= span_ms;
-        let others = self.inherited.filter(is_within);
-        others.map_or(0, |others| others.lost)
+    /// Returns others' loads whose orders drew no answer, if they may have
+    /// begun so long ago at the most.
+    fn inherited_lost(&self, span_ms: u64, now: Millis) -> LostLoads {
+        let lost = self.inherited.map(|others| others.lost);
+        let lost = lost.filter(|lost| now.since(lost.until) <= span_ms);
+        lost.unwrap_or_default()
     }
 
     /// Counts the loads that can have begun within the last window, or may
@@ -204,9 +217,8 @@
     pub fn count(&mut self, rate: LoadRate, now: Millis) -> usize {
         self.expire(now);
         self.begun.retain(|begun| now.since(*begun) <= rate.window_ms);
-        let late_ms = MOST_LATE_MS + rate.window_ms;
         self.open.len()
-            + self.inherited_lost(late_ms, now)
+            + self.inherited_lost(rate.window_ms, now).count
             + self.begun_within(rate.window_ms, rate, now)
     }
 
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -39,7 +39,10 @@
     /// Orders of its holder and those before to load models from the weight
     /// store that drew no answer, and may be carried out yet.
     #[serde(default)]
-    pub lost_loads: usize,
+    pub lost_loads: u32,
+    /// Until when, in ms on the store's clock.
+    #[serde(default)]
+    pub lost_until: u64,
 }
 
 /// A row with the version that the platform gives it; 0 stands for no row.
@@ -236,13 +239,14 @@
         };
         let renewals = lease.row.as_ref().map_or(0, |row| row.renewals) + 1;
         let orders_from = lease.row.as_ref().map_or(0, |r| r.orders_from);
-        let lost_loads = lease.row.as_ref().map_or(0, |r| r.lost_loads);
+        let row = lease.row.as_ref();
         let row = LeaseRow {
             holder: Some(self.me.clone()),
             epoch: self.epoch,
             renewals,
             orders_from,
-            lost_loads,
+            lost_loads: row.map_or(0, |row| row.lost_loads),
+            lost_until: row.map_or(0, |row| row.lost_until),
         };
         LeaseStep::Write { version: lease.version, row, takes: false }
     }
@@ -268,6 +272,7 @@
             renewals: row.map_or(0, |row| row.renewals) + 1,
             orders_from: row.map_or(0, |row| row.orders_from),
             lost_loads: row.map_or(0, |row| row.lost_loads),
+            lost_until: row.map_or(0, |row| row.lost_until),
         };
         self.follow(LeaseEvent::RowUnchangedForTerm);
         LeaseStep::Write { version, row, takes: true }
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use valehold_core::{
     Millis,
-    fleet::weight_loads::Inheritance,
+    fleet::weight_loads::{Inheritance, LostLoads},
     id::InstanceId,
     lease::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease},
 };
@@ -139,7 +139,7 @@
     /// What is to be counted of loads that others ordered, once it is taken.
     inheritance: Option<Inheritance>,
     /// Loads that were ordered without an answer, which the row tells.
-    lost_loads: usize,
+    lost_loads: LostLoads,
     /// The row's version when its holder was heard last.
     heard: Option<(u64, Millis)>,
     other_gave_up: Option<GivenUp>,
@@ -171,7 +171,7 @@
             ordered: None,
             held: None,
             inheritance: None,
-            lost_loads: 0,
+            lost_loads: LostLoads::default(),
             heard: None,
             other_gave_up: None,
             gave_up: None,
@@ -292,11 +292,14 @@
     fn write(&mut self, mut write: SentLease) {
         self.under_way = true;
         self.called = write.sent;
-        // Until it is won, a lease that is taken tells what it told before.
-        if !write.takes {
-            write.row.lost_loads = self.lost_loads;
-        }
         if let Some(clock) = self.clock {
+            // Until it is won, a lease that is taken tells what it told before.
+            if !write.takes {
+                let LostLoads { count, until } = self.lost_loads;
+                write.row.lost_loads =
+                    u32::try_from(count).unwrap_or(u32::MAX);
+                write.row.lost_until = clock.store_time(until);
+            }
             let from = clock.store_time(self.orders_from);
             write.row.orders_from = from + CLOCK_SLACK_MS;
         }
@@ -373,7 +376,11 @@
             Before::Own => quiet_from.max(self.started + ORDER_FLIGHT_MS),
             Before::Another => quiet_from,
         };
-        let lost = row.map_or(0, |row| row.lost_loads);
+        let (row, clock) = (row?, self.clock?);
+        let lost = LostLoads {
+            count: row.lost_loads as usize,
+            until: clock.local_time(row.lost_until),
+        };
         Some(Inheritance { until, lost })
     }
 
@@ -382,9 +389,9 @@
         self.inheritance.take()
     }
 
-    /// Takes in how many loads were ordered without an answer.
-    pub(super) fn note_lost_loads(&mut self, count: usize) {
-        self.lost_loads = count;
+    /// Takes in which loads were ordered without an answer.
+    pub(super) fn note_lost_loads(&mut self, lost: LostLoads) {
+        self.lost_loads = lost;
     }
 
     /// Returns from when on orders may be given, if the lease is taken over
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -13,7 +13,7 @@
     fleet::{
         Listing,
         crashes::{RecordChange, RecordSight},
-        weight_loads::Inheritance,
+        weight_loads::{Inheritance, LostLoads},
     },
     id::InstanceId,
     lease::{LeaseRow, VersionedLease},
@@ -42,6 +42,9 @@
 const ALONE: Around =
     Around { holder_heard: false, store_heard: true, place: 0 };
 
+/// Loads without an answer.
+const SEVEN: LostLoads = LostLoads { count: 7, until: Millis::new(19_000) };
+
 /// A store of one row.
 struct RowStore {
     lease: Mutex<VersionedLease>,
@@ -255,7 +258,7 @@
         let store = RowStore::new();
         let mut first = Member::start(&store, "g1", 0);
         inherited(&mut first, SETTLED_MS).await;
-        first.duty.note_lost_loads(7);
+        first.duty.note_lost_loads(SEVEN);
         first.act_from(6_000, 8_000).await;
         drop(first);
         let mut again = Member::start(&store, "g1", 8_100);
@@ -263,7 +266,10 @@
         let others = others.expect("what the last process ordered");
         expect_that!(others.until, ge(at(8_100)));
         expect_that!(others.until, le(at(9_100)));
-        expect_that!(others.lost, eq(7));
+        expect_that!(others.lost.count, eq(7));
+        // Told on the store's clock, which is read a little late at the most.
+        expect_that!(others.lost.until, ge(SEVEN.until));
+        expect_that!(others.lost.until, le(SEVEN.until + 500));
     };
     LocalSet::new().run_until(steps).await;
 }
@@ -275,7 +281,7 @@
         let store = RowStore::new();
         let mut first = Member::start(&store, "g1", 0);
         inherited(&mut first, SETTLED_MS).await;
-        first.duty.note_lost_loads(7);
+        first.duty.note_lost_loads(SEVEN);
         expect_true!(first.order(6_000));
         first.step_down(6_050).await;
         let mut next = Member::start(&store, "g2", 0);
@@ -283,7 +289,10 @@
         let others = others.expect("what the last holder ordered");
         expect_that!(others.until, ge(at(6_000)));
         expect_that!(others.until, le(at(8_000)));
-        expect_that!(others.lost, eq(7));
+        expect_that!(others.lost.count, eq(7));
+        // Told on the store's clock, which is read a little late at the most.
+        expect_that!(others.lost.until, ge(SEVEN.until));
+        expect_that!(others.lost.until, le(SEVEN.until + 500));
     };
     LocalSet::new().run_until(steps).await;
 }
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -32,7 +32,7 @@
         peaks::Peaks,
         rest::Rests,
         topology::Topology,
-        weight_loads::{Inheritance, WeightLoads},
+        weight_loads::{Inheritance, LostLoads, WeightLoads},
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -222,9 +222,9 @@
         }
     }
 
-    /// Returns how many loads were ordered without an answer and may begin
+    /// Returns the loads that were ordered without an answer and may begin
     /// yet.
-    pub(super) fn lost_loads(&mut self, now: Millis) -> usize {
+    pub(super) fn lost_loads(&mut self, now: Millis) -> LostLoads {
         self.weight_loads.lost(now)
     }
 
