--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -48,14 +48,14 @@
 /// A store of one row.
 struct RowStore {
     lease: Mutex<VersionedLease>,
-    now_ms: AtomicU64,
+    clock_ms: AtomicU64,
 }
 
 impl RowStore {
     fn new() -> Arc<Self> {
         let lease = VersionedLease { version: 0, row: None };
         let lease = Mutex::new(lease);
-        Arc::new(Self { lease, now_ms: AtomicU64::new(0) })
+        Arc::new(Self { lease, clock_ms: AtomicU64::new(0) })
     }
 }
 
@@ -78,7 +78,7 @@
 
     fn read_lease(&self) -> Answer<'_, LeaseSight> {
         let lease = self.lease.lock().unwrap().clone();
-        let store_ms = self.now_ms.load(Ordering::SeqCst);
+        let store_ms = self.clock_ms.load(Ordering::SeqCst);
         async move { Ok(LeaseSight { lease, store_ms }) }.boxed()
     }
 
@@ -93,7 +93,7 @@
         }
         let version = version + 1;
         *lease = VersionedLease { version, row: Some(row.clone()) };
-        let store_ms = self.now_ms.load(Ordering::SeqCst);
+        let store_ms = self.clock_ms.load(Ordering::SeqCst);
         async move { Ok(LeaseWrite::Won { version, store_ms }) }.boxed()
     }
 
@@ -129,7 +129,7 @@
 
     /// Lets it act at a moment, until its calls are over.
     async fn act(&mut self, now: u64) {
-        self.store.now_ms.store(now, Ordering::SeqCst);
+        self.store.clock_ms.store(now, Ordering::SeqCst);
         let now = at(now);
         self.duty.tick(now, ALONE);
         self.hear(now).await;
@@ -157,7 +157,7 @@
     }
 
     async fn step_down(&mut self, now: u64) {
-        self.store.now_ms.store(now, Ordering::SeqCst);
+        self.store.clock_ms.store(now, Ordering::SeqCst);
         self.duty.step_down(at(now));
         self.hear(at(now)).await;
     }
@@ -311,7 +311,7 @@
         first.step_down(6_050).await;
         let mut next = Member::start(&store, "g2", 0);
         next.act(6_100).await;
-        next.store.now_ms.store(6_300, Ordering::SeqCst);
+        next.store.clock_ms.store(6_300, Ordering::SeqCst);
         next.duty.tick(at(6_300), ALONE);
         tokio::task::yield_now().await;
         let Ok(Input::LeaseRead(read)) = next.inputs.try_recv() else {
