--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -228,6 +228,14 @@
     member.duty.take_inheritance()
 }
 
+/// Checks that the row told of [`SEVEN`].
+fn expect_seven(lost: LostLoads) {
+    expect_that!(lost.count, eq(7));
+    // Told on the store's clock, which is read a little late at the most.
+    expect_that!(lost.until, ge(SEVEN.until));
+    expect_that!(lost.until, le(SEVEN.until + 500));
+}
+
 #[gtest]
 #[tokio::test(flavor = "current_thread")]
 async fn nothing_is_inherited_of_nobody() {
@@ -266,10 +274,7 @@
         let others = others.expect("what the last process ordered");
         expect_that!(others.until, ge(at(8_100)));
         expect_that!(others.until, le(at(9_100)));
-        expect_that!(others.lost.count, eq(7));
-        // Told on the store's clock, which is read a little late at the most.
-        expect_that!(others.lost.until, ge(SEVEN.until));
-        expect_that!(others.lost.until, le(SEVEN.until + 500));
+        expect_seven(others.lost);
     };
     LocalSet::new().run_until(steps).await;
 }
@@ -289,10 +294,7 @@
         let others = others.expect("what the last holder ordered");
         expect_that!(others.until, ge(at(6_000)));
         expect_that!(others.until, le(at(8_000)));
-        expect_that!(others.lost.count, eq(7));
-        // Told on the store's clock, which is read a little late at the most.
-        expect_that!(others.lost.until, ge(SEVEN.until));
-        expect_that!(others.lost.until, le(SEVEN.until + 500));
+        expect_seven(others.lost);
     };
     LocalSet::new().run_until(steps).await;
 }
