The holder asks a bounded number of engines at once

Cause: at the beginning of an epoch the holder asked every engine at once, and its client kept each connection for as long as the engine did. That grows with the engines: 3,912 descriptors at 3,996 engines, of 3,900 that a machine of the smallest kind has for sockets, and 109 to 140 MB of its 160. Above some 4,100 engines no such machine could hold the lease, and models would be placed by nobody.

Shown by: a_holder_asks_no_more_engines_at_once_where_there_are_more (1,000 and 2,000 engines: the same 256, each asked once) and silent_engines_are_asked_after_those_that_answer.

--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -19,6 +19,9 @@
 /// After how many failures in a row an engine is taken for gone.
 const GONE_AFTER: u32 = 2;
 
+/// How often an engine that is busy is asked, in ms.
+pub(super) const ASK_EVERY_MS: u64 = 300;
+
 /// How long what an engine holds is told to peers after a change, in ms.
 const TELL_MS: u64 = 3_000;
 
@@ -164,6 +167,17 @@
             && now >= self.left_alone_until
     }
 
+    /// Tells whether its report is needed, and may be asked for now.
+    pub(super) fn is_question_due(&self, now: Millis) -> bool {
+        if self.leaving || self.emptied || self.resting || self.under_way {
+            return false;
+        }
+        let may_be_done = self.busy
+            && now >= self.busy_until
+            && now.since(self.asked) >= ASK_EVERY_MS;
+        now >= self.left_alone_until && (self.uncertain || may_be_done)
+    }
+
     /// Tells whether it takes requests for a variant.
     pub(super) fn serves(&self, variant: &Variant) -> bool {
         self.holding.has(variant)
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -42,7 +42,10 @@
     port::fleet::{EngineReport, FleetEngines},
 };
 
-use super::{entry::Entry, input::Input};
+use super::{
+    entry::{ASK_EVERY_MS, Entry},
+    input::Input,
+};
 use crate::{
     mechanisms::MechanismSettings,
     peers::roster::sums::{DemandSum, Loads},
@@ -51,8 +54,10 @@
 /// How often the plan is made, in ms.
 const PLAN_EVERY_MS: u64 = 250;
 
-/// How often an engine that is busy is asked, in ms.
-const ASK_EVERY_MS: u64 = 300;
+/// How many engines are asked at once at the most. Each question holds a
+/// connection, and a machine has a bounded number of those, however many
+/// engines there are.
+const MOST_QUESTIONS: usize = 256;
 
 /// How long an engine is left alone after an order failed, in ms.
 const AFTER_FAILURE_MS: u64 = 200;
@@ -89,6 +94,8 @@
     inputs: mpsc::UnboundedSender<Input>,
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
+    /// How many engines are being asked.
+    questions: usize,
     /// Data centres that are to be empty.
     emptied: BTreeSet<DataCentreId>,
     wishes: BTreeMap<Asked, Millis>,
@@ -128,6 +135,7 @@
             inputs,
             authority,
             entries: BTreeMap::new(),
+            questions: 0,
             emptied: BTreeSet::new(),
             wishes: BTreeMap::new(),
             lost: BTreeMap::new(),
@@ -326,23 +334,23 @@
         bound.allows(self.topology.region_of(&entry.data_centre))
     }
 
-    /// Asks engines of which a report is needed.
+    /// Asks engines of which a report is needed, those first that answered
+    /// lately and were left alone the longest.
     fn ask_where_due(&mut self, service: &ServiceName, now: Millis) {
-        let due: Vec<UpstreamId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.service == *service)
-            .filter(|(_, entry)| !entry.leaving && !entry.emptied)
-            .filter(|(_, entry)| !entry.resting)
-            .filter(|(_, e)| !e.under_way && now >= e.left_alone_until)
-            .filter(|(_, entry)| {
-                entry.uncertain
-                    || (entry.busy
-                        && now >= entry.busy_until
-                        && now.since(entry.asked) >= ASK_EVERY_MS)
-            })
-            .map(|(id, _)| id.clone())
+        let free = MOST_QUESTIONS.saturating_sub(self.questions);
+        if free == 0 {
+            return;
+        }
+        let of_service =
+            self.entries.iter().filter(|(_, entry)| entry.service == *service);
+        let mut due: Vec<(bool, Millis, &UpstreamId)> = of_service
+            .filter(|(_, entry)| entry.is_question_due(now))
+            .map(|(id, entry)| (entry.failures > 0, entry.asked, id))
             .collect();
+        due.sort_unstable();
+        due.truncate(free);
+        let due: Vec<UpstreamId> =
+            due.into_iter().map(|(_, _, id)| id.clone()).collect();
         for id in due {
             self.ask(&id, now);
         }
@@ -352,6 +360,7 @@
         let Some(entry) = self.entries.get_mut(id) else { return };
         entry.under_way = true;
         entry.asked = now;
+        self.questions += 1;
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
         let (start, address) = (entry.start.clone(), entry.address);
         tokio::task::spawn_local(async move {
@@ -368,6 +377,7 @@
         report: Result<EngineReport, PortError>,
         now: Millis,
     ) {
+        self.questions = self.questions.saturating_sub(1);
         let Some(entry) = self.entries.get_mut(&start.id) else { return };
         if entry.start != *start {
             // An earlier start was asked.
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -1,6 +1,15 @@
 //! What the holder keeps of engines that start again under their name.
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::FutureExt;
 use googletest::prelude::*;
@@ -24,9 +33,9 @@
     },
 };
 
-use super::{Authority, Placer};
+use super::{Authority, MOST_QUESTIONS, Placer};
 use crate::{
-    control::input::{GivenOrder, OrderEnd},
+    control::input::{GivenOrder, Input, OrderEnd},
     mechanisms::MechanismSettings,
 };
 
@@ -79,8 +88,8 @@
         birth: Some(birth),
         holding: holding(0, models),
     };
-    let upstreams = [(upstream.id.clone(), Arc::new(upstream))].into();
-    Listing { version: 1, upstreams }
+    let upstreams = [(upstream.id.clone(), Arc::new(upstream))];
+    Listing { version: 1, upstreams: upstreams.into_iter().collect() }
 }
 
 fn report(
@@ -164,3 +173,113 @@
     placer.ordered(order, &taken, at(100));
     expect_that!(word(&placer), eq(&known));
 }
+
+/// Engines that count how many are asked at once, and answer after a while.
+#[derive(Default)]
+struct Counting {
+    asked_now: Arc<AtomicUsize>,
+    most: Arc<AtomicUsize>,
+    asked: AtomicUsize,
+}
+
+impl FleetEngines for Counting {
+    fn report(&self, _: SocketAddr) -> Answer<'_, EngineReport> {
+        let now = self.asked_now.fetch_add(1, Ordering::Relaxed) + 1;
+        self.most.fetch_max(now, Ordering::Relaxed);
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        async {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            self.asked_now.fetch_sub(1, Ordering::Relaxed);
+            report(1, 0, &["alpha"])
+        }
+        .boxed()
+    }
+
+    fn order<'a>(&'a self, _: &'a EngineOrder) -> Answer<'a, OrderAnswer> {
+        async { Err(PortError::timed_out("silent")) }.boxed()
+    }
+}
+
+fn many(count: usize) -> Listing {
+    let one = Upstream::clone(&list(1, &["alpha"]).upstreams[&start(1).id]);
+    let upstreams = (0..count).map(|number| {
+        let id = UpstreamId::new(format!("e{number}"));
+        let upstream = Upstream { id: id.clone(), ..one.clone() };
+        (id, Arc::new(upstream))
+    });
+    Listing { version: 1, upstreams: upstreams.collect() }
+}
+
+/// Returns how many of so many engines were asked at once at the most while a
+/// holder began its epoch, and how many were asked in all.
+async fn questions_of(count: usize) -> (usize, usize) {
+    let engines = Arc::new(Counting::default());
+    let (inputs, mut reports) = mpsc::unbounded_channel();
+    let mut placer = Placer { inputs, ..placer() };
+    placer.engines = engines.clone();
+    placer.listed(&many(count));
+    placer.begin_epoch(1, None);
+    let service = ServiceName::new("engines");
+    let mut now = 1_000;
+    placer.ask_where_due(&service, at(now));
+    while placer.questions > 0 {
+        let Some(Input::Reported { start, report }) = reports.recv().await
+        else {
+            break;
+        };
+        now += 1;
+        placer.reported(&start, report, at(now));
+        placer.ask_where_due(&service, at(now));
+    }
+    let most = engines.most.load(Ordering::Relaxed);
+    (most, engines.asked.load(Ordering::Relaxed))
+}
+
+// A holder asked every engine at once when its epoch began, and kept each
+// connection: 3,912 descriptors at 3,996 engines, where a machine of the
+// smallest kind has 3,900 for its sockets. At more engines no such machine
+// could have held the lease, and models would have been placed by nobody.
+#[gtest]
+#[tokio::test]
+async fn a_holder_asks_no_more_engines_at_once_where_there_are_more() {
+    let local = tokio::task::LocalSet::new();
+    let (most, asked) = local.run_until(questions_of(1_000)).await;
+    let (most_of_twice, asked_of_twice) =
+        local.run_until(questions_of(2_000)).await;
+    expect_that!(most, le(256));
+    expect_that!(most_of_twice, eq(most));
+    expect_that!((asked, asked_of_twice), eq((1_000, 2_000)));
+}
+
+// Engines that do not answer hold their questions for as long as a question
+// may take. Those that answer are not to wait for them again and again.
+#[gtest]
+#[tokio::test]
+async fn silent_engines_are_asked_after_those_that_answer() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let (inputs, _reports) = mpsc::unbounded_channel();
+            let mut placer = Placer { inputs, ..placer() };
+            placer.listed(&many(MOST_QUESTIONS + 1));
+            placer.begin_epoch(1, None);
+            let service = ServiceName::new("engines");
+            placer.ask_where_due(&service, at(1_000));
+            let unasked = |placer: &Placer| {
+                let entries = placer.entries.values();
+                entries.filter(|entry| !entry.under_way).count()
+            };
+            expect_that!(unasked(&placer), eq(1));
+            let asked = placer.entries.values().filter(|one| one.under_way);
+            let asked: Vec<_> = asked.map(|one| one.start.clone()).collect();
+            for start in asked {
+                let error = Err(PortError::timed_out("silent"));
+                placer.reported(&start, error, at(1_300));
+            }
+            // All are due again; the one that was never asked comes first.
+            placer.ask_where_due(&service, at(2_000));
+            let late = placer.entries.values().find(|entry| !entry.under_way);
+            expect_that!(late.map(|entry| entry.failures), some(eq(1)));
+        })
+        .await;
+}
--- a/crates/valehold-ports/src/http/client.rs
+++ b/crates/valehold-ports/src/http/client.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
+    rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use valehold_core::Verdict;
@@ -41,6 +41,9 @@
     pub part_timeout: Duration,
     /// The largest whole answer, in bytes.
     pub max_body: usize,
+    /// For how long a kept connection may rest before it is closed; `None`
+    /// leaves that to the other side.
+    pub rest: Option<Duration>,
 }
 
 impl Default for ClientSettings {
@@ -51,6 +54,7 @@
             body_timeout: Duration::from_secs(5),
             part_timeout: Duration::from_secs(5),
             max_body: 16 * 1024 * 1024,
+            rest: None,
         }
     }
 }
@@ -87,6 +91,11 @@
         // The library would send a request again on its own when a kept
         // connection turns out closed. Whether to is decided elsewhere.
         builder.retry_canceled_requests(false);
+        if let Some(rest) = settings.rest {
+            builder.pool_idle_timeout(rest);
+            // Without a timer it would be closed with the next request only.
+            builder.pool_timer(TokioTimer::new());
+        }
         if connections == Connections::OneEach {
             builder.pool_max_idle_per_host(0);
         }
