Words of leaving upstreams are bounded by how many there are

What callers would see: of more than 4,096 upstreams that are replaced within ten minutes, the word of one that still leaves is forgotten, and it is given requests again. Cause: the bound was twice the upstreams of the fleets of its time; the whole fleet has 3,996.

Change: twice the upstreams that are known, and 4,096 at the least.

Shown by: every_upstream_of_a_large_fleet_may_leave_and_its_successor_too (8,000 upstreams, 16,000 words; 4,096 of them were kept before).

--- a/crates/valehold-core/examples/upstream_words.rs
+++ b/crates/valehold-core/examples/upstream_words.rs
@@ -20,6 +20,9 @@
 /// that is asked for much.
 const HOLDERS: u32 = 40;
 
+/// How many upstreams there are.
+const UPSTREAMS: usize = 1_500;
+
 fn main() {
     let now = Millis::new(1_000);
     let holders: Vec<UpstreamStart> = (0..HOLDERS).map(start).collect();
@@ -38,7 +41,7 @@
     }
     let mut leaving = LeavingUpstreams::default();
     for number in 0..4_096 {
-        leaving.note(&start(number), now);
+        leaving.note(&start(number), UPSTREAMS, now);
     }
     let took_ns = mean_ns(|| {
         black_box(leaving.contains(&start(7)));
@@ -46,7 +49,7 @@
     println!("4096 leave: {took_ns:.0} ns to look one up");
     let took_ns = mean_ns(|| {
         let mut leaving = leaving.clone();
-        black_box(leaving.note(&start(5_000), now));
+        black_box(leaving.note(&start(5_000), UPSTREAMS, now));
     });
     println!("4096 leave: {took_ns:.0} ns to copy them and add another");
 }
--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -219,7 +219,8 @@
     /// Takes in that a start of an upstream said that it leaves; tells whether
     /// that is new.
     pub fn say_leaving(&mut self, start: &UpstreamStart, now: Millis) -> bool {
-        let is_new = self.leaving.note(start, now);
+        let upstreams = self.known.upstreams.len();
+        let is_new = self.leaving.note(start, upstreams, now);
         if is_new && self.known.upstreams.contains_key(&start.id) {
             self.touch([start.id.clone()]);
         }
--- a/crates/valehold-core/src/fleet/leaving.rs
+++ b/crates/valehold-core/src/fleet/leaving.rs
@@ -19,9 +19,11 @@
 /// How often words of upstreams that are gone are looked for, in ms.
 const SWEEP_EVERY_MS: u64 = 60_000;
 
-/// How many words are kept: more than twice the upstreams of the largest
-/// deployment, so that all of them may be replaced within [`REMEMBER_MS`].
-const MOST_WORDS: usize = 4_096;
+/// How many words are kept at the least, and for how many times the upstreams
+/// that are known: all of them may be replaced within [`REMEMBER_MS`], and a
+/// word that is forgotten while its upstream leaves has it used again.
+const LEAST_WORDS: usize = 4_096;
+const WORDS_FOR_EACH: usize = 2;
 
 /// Which starts of upstreams said that they leave.
 #[derive(Debug, Clone, Default)]
@@ -33,11 +35,18 @@
 
 impl LeavingUpstreams {
     /// Notes that a start of an upstream leaves; tells whether that is new.
-    pub fn note(&mut self, start: &UpstreamStart, now: Millis) -> bool {
+    /// `upstreams` is how many are known.
+    pub fn note(
+        &mut self,
+        start: &UpstreamStart,
+        upstreams: usize,
+        now: Millis,
+    ) -> bool {
         if self.contains(start) {
             return false;
         }
-        if self.said.len() >= MOST_WORDS {
+        let most = LEAST_WORDS.max(upstreams * WORDS_FOR_EACH);
+        if self.said.len() >= most {
             self.forget_oldest();
         }
         self.said.insert(start.clone(), now);
--- a/crates/valehold-core/src/fleet/tests/leaving.rs
+++ b/crates/valehold-core/src/fleet/tests/leaving.rs
@@ -199,9 +199,9 @@
 fn a_word_lasts_as_long_as_its_upstream_and_ten_minutes() {
     let (kept, gone) = (start(1, None), start(2, None));
     let mut leaving = LeavingUpstreams::default();
-    expect_true!(leaving.note(&kept, at(0)));
-    expect_true!(leaving.note(&gone, at(0)));
-    expect_false!(leaving.note(&gone, at(10)));
+    expect_true!(leaving.note(&kept, 2, at(0)));
+    expect_true!(leaving.note(&gone, 2, at(0)));
+    expect_false!(leaving.note(&gone, 2, at(10)));
     let known = |one: &UpstreamStart| *one == kept;
     leaving.sweep(known, at(599_000));
     expect_true!(leaving.contains(&gone));
@@ -218,9 +218,23 @@
 fn words_are_bounded_and_the_oldest_goes_first() {
     let mut leaving = LeavingUpstreams::default();
     for number in 0..5_000_u64 {
-        leaving.note(&start(1, Some(number)), at(number));
+        leaving.note(&start(1, Some(number)), 1, at(number));
     }
     expect_that!(leaving.starts().count(), eq(4_096));
     expect_false!(leaving.contains(&start(1, Some(903))));
     expect_true!(leaving.contains(&start(1, Some(904))));
 }
+
+// Words were bounded by a number that was twice the upstreams of the fleets of
+// its time. With 3,996 upstreams, the word of one that leaves was forgotten
+// while it left, and it was given requests again.
+#[gtest]
+fn every_upstream_of_a_large_fleet_may_leave_and_its_successor_too() {
+    let upstreams = 8_000;
+    let mut leaving = LeavingUpstreams::default();
+    for number in 0..2 * upstreams as u64 {
+        leaving.note(&start(1, Some(number)), upstreams, at(number));
+    }
+    expect_that!(leaving.starts().count(), eq(2 * upstreams));
+    expect_true!(leaving.contains(&start(1, Some(0))));
+}
