The list of upstreams shares its structure with the views of it

Cause: the first change after each view copied the map of all upstreams, and a view goes out each 20 ms while models load: changes times engines, at every gateway.

Change: imbl's ordered map in place of the standard one; the bytes that gateways write are the same.

It no longer grows with the engines.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -20,7 +20,7 @@
     identity::{Births, UpstreamStart},
     lapsed::LapsedUpstreams,
     leaving::LeavingUpstreams,
-    listing::{Holding, Listing, ListingDelta, Upstream},
+    listing::{Holding, Listing, ListingDelta, Upstream, Upstreams},
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
 
@@ -115,9 +115,9 @@
         });
         let mut touched: BTreeSet<UpstreamId> =
             differ.map(|(id, _)| id.clone()).collect();
-        let gone = before.upstreams.into_keys();
-        touched
-            .extend(gone.filter(|id| !self.rows.upstreams.contains_key(id)));
+        let rows = &self.rows.upstreams;
+        let gone = before.upstreams.keys();
+        touched.extend(gone.filter(|id| !rows.contains_key(*id)).cloned());
         self.touch(touched);
         self.pass(now);
         true
@@ -125,14 +125,16 @@
 
     /// Puts what was listed before in the place of entries of earlier starts.
     fn void_earlier_starts(&mut self, listing: &mut Listing, now: Millis) {
-        let (births, rows) = (&mut self.births, &self.rows);
-        listing.upstreams.retain(|id, upstream| {
-            if births.note(id, upstream.birth, now) {
-                return true;
+        let mut latest = Upstreams::new();
+        for (id, upstream) in std::mem::take(&mut listing.upstreams) {
+            let is_latest = self.births.note(&id, upstream.birth, now);
+            let before = self.rows.upstreams.get(&id).cloned();
+            if let Some(one) = if is_latest { Some(upstream) } else { before }
+            {
+                latest.insert(id, one);
             }
-            let before = rows.upstreams.get(id);
-            before.inspect(|b| *upstream = Arc::clone(b)).is_some()
-        });
+        }
+        listing.upstreams = latest;
     }
 
     fn keep_missing(&mut self, before: &Listing, now: Millis) {
--- a/crates/valehold-core/src/fleet/lapsed.rs
+++ b/crates/valehold-core/src/fleet/lapsed.rs
@@ -104,6 +104,11 @@
         self.lapsed.get(id).map(|one| &one.upstream)
     }
 
+    /// Returns those that are kept.
+    pub fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.lapsed.keys()
+    }
+
     /// Tells whether an upstream is kept.
     pub fn contains(&self, id: &UpstreamId) -> bool {
         self.lapsed.contains_key(id)
--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -7,6 +7,7 @@
     sync::Arc,
 };
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use super::identity::UpstreamStart;
@@ -129,13 +130,17 @@
     pub after_outage: bool,
 }
 
+/// Upstreams by their names. A copy shares what it does not change with its
+/// original, so that a view costs what changed since the one before.
+pub type Upstreams = OrdMap<UpstreamId, Arc<Upstream>>;
+
 /// All upstreams as of one version of the platform's list.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The version; a greater one is newer.
     pub version: u64,
     /// The upstreams.
-    pub upstreams: BTreeMap<UpstreamId, Arc<Upstream>>,
+    pub upstreams: Upstreams,
 }
 
 impl Listing {
--- a/crates/valehold-core/src/fleet/tests/lapsed.rs
+++ b/crates/valehold-core/src/fleet/tests/lapsed.rs
@@ -42,7 +42,7 @@
     // One is back.
     let back = Listing {
         version: 2,
-        upstreams: [(first.id.clone(), first.clone())].into(),
+        upstreams: [(first.id.clone(), first.clone())].into_iter().collect(),
     };
     let over = lapsed.pass(&back, at(1_200));
     expect_that!(over, elements_are![eq(&first.id)]);
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -273,7 +273,9 @@
     fn listing(&self) -> Listing {
         let view = self.shared.view.load();
         let mut listing = (*view.listing).clone();
-        listing.upstreams.retain(|id, _| !view.lapsed.contains(id));
+        for id in view.lapsed.ids() {
+            listing.upstreams.remove(id);
+        }
         listing
     }
 }
