Datagrams wait for room, and messages may be larger than one

Causes, both of them bounds that hold only while a fleet is small:

- A hub tells its whole group in one go, and what found no room in the socket, some 200 KB, was dropped.
Each time the group is walked in the same order, so that beyond that size the same gateways heard nothing again and again: 143 KB of loads at a group of 164, 286 KB at twice the size; a configuration of 20 KB reached ten gateways of a group.
- A message larger than a datagram was logged and dropped: what engines hold from some thousand of them on, changes of the list from some 300.

Change: what finds no room waits, up to what the link carries in a second, and goes out as room comes; what is told once goes before what is told again and again, and sums of loads are told as often as the link bears. A message larger than a datagram goes in fragments. One that is larger than 64 of those is an error with a counter.

The format's number changes.

--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -40,7 +40,10 @@
             return;
         }
         if self.roster.is_foremost_hub() {
-            self.tell_sums(now);
+            // Where the link is full, sums are told as often as it bears.
+            if self.outbox.borrow().is_empty() {
+                self.tell_sums(now);
+            }
         } else {
             self.report(now);
         }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -77,7 +77,9 @@
     events::{Event, LeavingSource},
     peers::{
         Roster,
+        fragments::Fragments,
         message::{Duty, MAX_DATAGRAM, Message, Rank, StoreSight},
+        outbox::Outbox,
         roster::{
             Own, OwnWord,
             sums::{Loads, ToldSums},
@@ -130,6 +132,10 @@
 pub struct Control {
     shared: Arc<Shared>,
     socket: Rc<UdpSocket>,
+    /// Datagrams that wait for room in the socket.
+    outbox: RefCell<Outbox>,
+    /// Messages of which fragments have not arrived.
+    fragments: Fragments,
     inputs: mpsc::UnboundedSender<Input>,
     roster: Roster,
     lease: Rc<RefCell<LeaseDuty>>,
@@ -243,6 +249,8 @@
                 seeds(settings.peers.heartbeats, &settings.peers.seeds),
             ),
             socket,
+            outbox: RefCell::new(Outbox::new(settings.peers.link_mbps)),
+            fragments: Fragments::default(),
             inputs,
             lease,
             limits: LimitDuty::new(settings.limits, is_alone, now),
@@ -290,8 +298,11 @@
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let socket = self.socket.clone();
         loop {
+            let waits = !self.outbox.borrow().is_empty();
             tokio::select! {
+                Ok(()) = socket.writable(), if waits => self.flush_outbox(),
                 _ = ticks.tick() => self.tick(),
                 Some(input) = taken.recv() => {
                     self.take(input);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -1,7 +1,8 @@
 //! Telling other gateways what this one does and knows, and hearing them.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, io::ErrorKind, net::SocketAddr};
 
+use bytes::Bytes;
 use valehold_core::Millis;
 
 use super::{Control, rank};
@@ -9,10 +10,12 @@
     events::{CatalogSource, Event, LeavingSource},
     peers::{
         Heartbeat, Message,
+        fragments::Fragment,
         message::{
             BoundDemand, GroupLoads, LeaseRumour, LeaseWord, LoadReport,
             MemberList, Summary,
         },
+        outbox::{Datagram, Sent, Urgency},
         roster::sums::as_loads,
     },
     view::Life,
@@ -173,17 +176,18 @@
         }
     }
 
-    /// Sends a message to every gateway that is there.
-    ///
-    /// Those that pass it on come first: the socket has room for some 200 KB,
-    /// and who finds none reads the state of a peer instead.
+    /// Sends a message to every gateway that is there; those that pass it on
+    /// come first.
     pub(super) fn send_all(&self, message: &Message) {
         let spread = self.roster.spread();
-        let Some(bytes) = self.encode(message) else { return };
-        if !spread.hubs.is_empty() {
-            self.send(spread.hubs, &Message::Relay(bytes.clone()));
+        for bytes in self.encode(message) {
+            if !spread.hubs.is_empty() {
+                let relay = Message::Relay(bytes.to_vec());
+                self.send(spread.hubs.iter().copied(), &relay);
+            }
+            let direct = spread.direct.iter().copied();
+            self.send_bytes(direct, &bytes, message.label(), Urgency::Once);
         }
-        self.send_bytes(spread.direct, &bytes, message.label());
     }
 
     /// Sends a message; returns how many bytes it has.
@@ -192,18 +196,25 @@
         targets: impl IntoIterator<Item = SocketAddr>,
         message: &Message,
     ) -> u64 {
-        let Some(bytes) = self.encode(message) else { return 0 };
-        self.send_bytes(targets, &bytes, message.label());
-        bytes.len() as u64
+        let targets: Vec<SocketAddr> = targets.into_iter().collect();
+        let mut length = 0;
+        for bytes in self.encode(message) {
+            length += bytes.len() as u64;
+            let (label, urgency) = (message.label(), message.urgency());
+            self.send_bytes(targets.iter().copied(), &bytes, label, urgency);
+        }
+        length
     }
 
-    fn encode(&self, message: &Message) -> Option<Vec<u8>> {
-        match message.encode() {
-            Ok(bytes) => Some(bytes),
+    /// Writes the datagrams of a message.
+    fn encode(&self, message: &Message) -> Vec<Bytes> {
+        match message.encode_in_fragments(rand::random()) {
+            Ok(written) => written.into_iter().map(Bytes::from).collect(),
             Err(error) => {
                 let label = message.label();
-                log::warn!("a datagram ({label}) was not sent: {error}");
-                None
+                self.shared.metrics.dropped_datagrams(label, 1);
+                log::error!("a message ({label}) was not sent: {error}");
+                Vec::new()
             }
         }
     }
@@ -211,24 +222,50 @@
     fn send_bytes(
         &self,
         targets: impl IntoIterator<Item = SocketAddr>,
-        bytes: &[u8],
+        bytes: &Bytes,
         label: &'static str,
+        urgency: Urgency,
     ) {
-        let (mut sent, mut dropped) = (0, 0);
-        for target in targets {
-            // Datagrams may be lost, so one that finds no room may be too.
-            match self.socket.try_send_to(bytes, target) {
-                Ok(_) => sent += bytes.len() as u64,
-                Err(_) => dropped += 1,
+        let mut outbox = self.outbox.borrow_mut();
+        let mut dropped = 0;
+        for to in targets {
+            let datagram = Datagram { to, bytes: bytes.clone(), label };
+            let sent = |one: &Datagram| self.send_datagram(one);
+            if !outbox.send(datagram, urgency, sent) {
+                dropped += 1;
             }
         }
-        self.shared.metrics.told_peers(label, sent);
         if dropped > 0 {
             self.shared.metrics.dropped_datagrams(label, dropped);
             log::debug!("{dropped} datagrams ({label}) found no room");
         }
     }
 
+    /// Sends what waits for room in the socket.
+    pub(super) fn flush_outbox(&self) {
+        let mut outbox = self.outbox.borrow_mut();
+        outbox.flush(|datagram| self.send_datagram(datagram));
+    }
+
+    /// Gives the socket a datagram. Those may be lost, so one that the socket
+    /// refuses may be too.
+    fn send_datagram(&self, datagram: &Datagram) -> Sent {
+        let Datagram { to, bytes, label } = datagram;
+        match self.socket.try_send_to(bytes, *to) {
+            Ok(_) => {
+                self.shared.metrics.told_peers(label, bytes.len() as u64);
+                Sent::Taken
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                Sent::NoRoom
+            }
+            Err(error) => {
+                log::debug!("a datagram ({label}) to {to}: {error}");
+                Sent::Failed
+            }
+        }
+    }
+
     /// Takes in a datagram.
     pub(super) fn datagram(
         &mut self,
@@ -247,7 +284,8 @@
     fn pass_on(&mut self, from: SocketAddr, bytes: &[u8], now: Millis) {
         let mut targets: BTreeSet<SocketAddr> = self.roster.group_targets();
         targets.remove(&from);
-        self.send_bytes(targets, bytes, "relay");
+        let passed_on = Bytes::copy_from_slice(bytes);
+        self.send_bytes(targets, &passed_on, "relay", Urgency::Once);
         match Message::decode(bytes) {
             Ok(Message::Relay(_)) => {
                 log::debug!("a datagram of {from} is to be passed on twice");
@@ -325,11 +363,31 @@
             Message::Right { number, answer } => {
                 self.shared.cold().rights.answered(number, answer, now);
             }
+            Message::Fragment(fragment) => {
+                self.hear_fragment(from, fragment, now);
+            }
             // Only its first receiver passes a message on.
             Message::Relay(_) => {}
         }
     }
 
+    /// Takes in a fragment of a message, and the message with its last one.
+    fn hear_fragment(
+        &mut self,
+        from: SocketAddr,
+        fragment: Fragment,
+        now: Millis,
+    ) {
+        let Some(bytes) = self.fragments.take(fragment) else { return };
+        match Message::decode(&bytes) {
+            Ok(Message::Fragment(_) | Message::Relay(_)) => {
+                log::debug!("a message of {from} is in fragments twice");
+            }
+            Ok(message) => self.hear(from, message, now),
+            Err(error) => log::debug!("a message of {from}: {error}"),
+        }
+    }
+
     fn hear_heartbeat(
         &mut self,
         from: SocketAddr,
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -21,7 +21,11 @@
     id::{DataCentreId, InstanceId, UpstreamTag},
 };
 
-use super::number::{Audience, WordNumber};
+use super::{
+    fragments::{self, Fragment},
+    number::{Audience, WordNumber},
+    outbox::Urgency,
+};
 use crate::view::{Life, Load};
 
 /// The largest datagram that is sent, in bytes.
@@ -29,7 +33,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB8;
+pub const FORMAT: u8 = 0xB9;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -387,6 +391,8 @@
     Crashes(CrashWords),
     /// From who had such an answer: upstreams that say that they leave.
     Leaving(Vec<UpstreamStart>),
+    /// A fragment of a message that is larger than a datagram.
+    Fragment(Fragment),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
     /// To the grantor of a cold upstream: a request is to be sent to it.
@@ -453,6 +459,7 @@
             Self::Evacuations(_) => "evacuations",
             Self::Crashes(_) => "crashes",
             Self::Leaving(_) => "leaving",
+            Self::Fragment(_) => "fragment",
             Self::Relay(_) => "relay",
             Self::AskRight(_) => "ask_right",
             Self::Right { .. } => "right",
@@ -476,6 +483,7 @@
             | Self::Evacuations(_)
             | Self::Crashes(_)
             | Self::Leaving(_)
+            | Self::Fragment(_)
             | Self::Relay(_)
             | Self::AskRight(_)
             | Self::Right { .. } => return None,
@@ -483,19 +491,54 @@
         Some((to, number))
     }
 
+    /// Returns how urgent it is.
+    pub const fn urgency(&self) -> Urgency {
+        match self {
+            Self::Summary(_)
+            | Self::HubNews(_)
+            | Self::Digest(_)
+            | Self::GroupLoads(_) => Urgency::Regular,
+            _ => Urgency::Once,
+        }
+    }
+
     /// Writes a datagram.
     ///
     /// # Errors
     ///
     /// If it is too large, or cannot be written.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        let bytes = postcard::to_extend(self, vec![FORMAT])?;
+        let bytes = self.write()?;
         match bytes.len() <= MAX_DATAGRAM {
             true => Ok(bytes),
             false => Err(MessageError::TooLarge { bytes: bytes.len() }),
         }
     }
 
+    /// Writes one datagram, or as many as it needs; `number` tells it from all
+    /// other messages.
+    ///
+    /// # Errors
+    ///
+    /// If it is too large for these too, or cannot be written.
+    pub fn encode_in_fragments(
+        &self,
+        number: u64,
+    ) -> Result<Vec<Vec<u8>>, MessageError> {
+        let bytes = self.write()?;
+        if bytes.len() <= fragments::FRAGMENT_BYTES {
+            return Ok(vec![bytes]);
+        }
+        let too_large = MessageError::TooLarge { bytes: bytes.len() };
+        let fragments = fragments::cut(&bytes, number).ok_or(too_large)?;
+        let written = fragments.into_iter().map(Self::Fragment);
+        written.map(|one| one.encode()).collect()
+    }
+
+    fn write(&self) -> Result<Vec<u8>, MessageError> {
+        Ok(postcard::to_extend(self, vec![FORMAT])?)
+    }
+
     /// Reads a datagram.
     ///
     /// # Errors
