Loads are told as changes, and some in turn instead of all each 2 s

Cause: each 2 s a hub told each gateway of its group the loads of all engines, 9 bytes for each that was busy: 35 KB at 3,900, 17 KB/s of the 8 that a node has, 2.9 MB/s out of a hub of 165; from 6,700 busy engines on the datagram was too large to be sent at all.

Change: with each news some 32 upstreams in a row, by their tags, are told whether they changed or not, and those of that range that are not among them have nothing. Who lost a datagram is right again when all had their turn: where more are busy that takes longer, and costs no more.

Shown by news_of_loads_cost_no_more_where_more_engines_are_busy and who_lost_news_of_loads_is_right_again_when_all_had_their_turn; sums_tell_what_changed_the_most holds what it held: the greatest changes first, what is done among them, nothing of it twice.

--- a/crates/valehold-gateway/src/control/loads.rs
+++ b/crates/valehold-gateway/src/control/loads.rs
@@ -68,14 +68,14 @@
                 number,
                 usage,
                 data_centre: self.shared.settings.data_centre.clone(),
-                news: told.news(&sums, MOST_SUMS_AT_ONCE, now),
+                news: told.news(&sums, MOST_SUMS_AT_ONCE),
             });
             let elsewhere = self.roster.hubs_elsewhere().iter().copied();
             self.send(elsewhere, &message);
         }
         let sums = self.roster.sum_loads(&own, now);
         let loads = match self.tells_loads() {
-            true => self.told_sums.news(&sums, MOST_SUMS_AT_ONCE, now),
+            true => self.told_sums.news(&sums, MOST_SUMS_AT_ONCE),
             false => LoadNews::default(),
         };
         let group = self.roster.summary_targets();
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -314,12 +314,39 @@
 /// What several gateways have under way, told again and again.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadNews {
-    /// Whether upstreams that are not among them have nothing under way.
-    pub is_whole: bool,
+    /// Upstreams of which all is told that is under way: those that are not
+    /// among the loads have nothing.
+    pub whole: Option<TagRange>,
     /// What is under way; nothing, for those that are done since last told.
     pub loads: Vec<UpstreamLoad>,
 }
 
+impl LoadNews {
+    /// Makes the news of everything that is under way.
+    pub fn of_all(loads: Vec<UpstreamLoad>) -> Self {
+        Self { whole: Some(TagRange::default()), loads }
+    }
+}
+
+/// A range of upstreams, by their tags; by itself all of them.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+pub struct TagRange {
+    /// Where it begins, this one not in it; `None` if with the first.
+    pub after: Option<UpstreamTag>,
+    /// Where it ends, this one in it; `None` if with the last.
+    pub until: Option<UpstreamTag>,
+}
+
+impl TagRange {
+    /// Tells whether an upstream is in it.
+    pub fn has(&self, tag: UpstreamTag) -> bool {
+        self.after.is_none_or(|after| tag > after)
+            && self.until.is_none_or(|until| tag <= until)
+    }
+}
+
 /// What the gateways of one group have under way and let through.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupLoads {
--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -197,7 +197,7 @@
         }
         if !summary.loads.is_empty() {
             let loads = std::mem::take(&mut summary.loads);
-            self.load_sums_heard(LoadNews { is_whole: true, loads }, now);
+            self.load_sums_heard(LoadNews::of_all(loads), now);
         }
         if summary.members.is_none() {
             // They are as that hub said before.
--- a/crates/valehold-gateway/src/peers/roster/sums.rs
+++ b/crates/valehold-gateway/src/peers/roster/sums.rs
@@ -1,6 +1,6 @@
 //! What all gateways have under way and are asked for.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::BTreeMap, ops::Bound};
 
 use valehold_core::{
     Millis,
@@ -10,7 +10,9 @@
 
 use super::{HUBS_KEEP, Roster};
 use crate::{
-    peers::message::{BoundDemand, LoadNews, UpstreamLoad, VariantDemand},
+    peers::message::{
+        BoundDemand, LoadNews, TagRange, UpstreamLoad, VariantDemand,
+    },
     view::Load,
 };
 
@@ -29,8 +31,8 @@
 
 impl HeardLoads {
     pub(super) fn hear(&mut self, news: LoadNews, now: Millis) {
-        if news.is_whole {
-            self.loads.clear();
+        if let Some(whole) = news.whole {
+            self.loads.retain(|tag, _| !whole.has(*tag));
         }
         for one in news.loads {
             self.loads.insert(one.upstream, one.load);
@@ -43,38 +45,48 @@
     }
 }
 
-/// How often all loads are told although not all changed, in ms: who lost a
-/// datagram is wrong for so long at the most.
-const WHOLE_EVERY_MS: u64 = 2_000;
+/// How many upstreams in a row are told with each news although they did not
+/// change. Who lost a datagram is right again when all had their turn: where
+/// more are busy that takes longer, and costs no more.
+const REPEATED_AT_ONCE: usize = 32;
 
 /// What a hub said last, so that it says next what has changed the most.
 #[derive(Debug, Clone, Default)]
 pub struct ToldSums {
     told: Loads,
-    whole: Option<Millis>,
+    /// The last upstream that was repeated; `None` to begin with the first.
+    repeated: Option<UpstreamTag>,
 }
 
 impl ToldSums {
-    /// Returns what to tell of the sums: all of them now and then, otherwise
-    /// up to `most` that differ the most from what was told.
-    pub fn news(
-        &mut self,
-        sums: &[UpstreamLoad],
-        most: usize,
-        now: Millis,
-    ) -> LoadNews {
-        let is_due = |at: Millis| now.since(at) >= WHOLE_EVERY_MS;
-        if self.whole.is_none_or(is_due) {
-            self.whole = Some(now);
-            self.told = as_loads(sums);
-            return LoadNews { is_whole: true, loads: sums.to_vec() };
-        }
-        let mut loads = self.changed(&as_loads(sums));
-        loads.truncate(most);
-        for one in &loads {
+    /// Returns what to tell of the sums: up to `most` that differ the most
+    /// from what was told, and some in turn whether they changed or not.
+    pub fn news(&mut self, sums: &[UpstreamLoad], most: usize) -> LoadNews {
+        let sums = as_loads(sums);
+        let (whole, mut loads) = self.repeat(&sums);
+        let mut changed = self.changed(&sums);
+        changed.truncate(most);
+        for one in &changed {
             self.told.insert(one.upstream, one.load);
         }
-        LoadNews { is_whole: false, loads }
+        loads.extend(changed);
+        LoadNews { whole: Some(whole), loads }
+    }
+
+    /// Takes the upstreams whose turn it is to be told again.
+    fn repeat(&mut self, sums: &Loads) -> (TagRange, Vec<UpstreamLoad>) {
+        let after = self.repeated;
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut next = sums.range((from, Bound::Unbounded));
+        let some = next.by_ref().take(REPEATED_AT_ONCE);
+        let some: Vec<UpstreamLoad> = some.map(as_upstream_load).collect();
+        let last = some.last().map(|one| one.upstream);
+        let until = last.filter(|_| next.next().is_some());
+        self.repeated = until;
+        let range = TagRange { after, until };
+        self.told.retain(|tag, _| !range.has(*tag));
+        self.told.extend(some.iter().map(|one| (one.upstream, one.load)));
+        (range, some)
     }
 
     /// Returns the loads that are not as told, the greatest changes first.
@@ -217,11 +229,11 @@
 
 /// Returns loads as a list.
 pub fn as_list(loads: &Loads) -> Vec<UpstreamLoad> {
-    let as_load = |(upstream, load): (&UpstreamTag, &Load)| UpstreamLoad {
-        upstream: *upstream,
-        load: *load,
-    };
-    loads.iter().map(as_load).collect()
+    loads.iter().map(as_upstream_load).collect()
+}
+
+fn as_upstream_load((upstream, load): (&UpstreamTag, &Load)) -> UpstreamLoad {
+    UpstreamLoad { upstream: *upstream, load: *load }
 }
 
 fn add_demand(sum: &mut DemandSum, demand: &[BoundDemand]) {
