Readers of a state are reckoned of its size

Cause: how many peers may read a whole state at once was reckoned of 64 KB, the state of 240 engines. At 3,996 it is 400 KB: seven readers at once on 20 Mbit/s take 1.1 s, and nobody else can read meanwhile; on 1 Gbit/s 390 of them take the link for 1.2 s.

Change: the size of the state that was written last is reckoned with.

Shown by readers_of_a_large_state_are_fewer and a_fast_link_is_not_held_for_longer_by_a_larger_state.

--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -57,9 +57,9 @@
 /// readers: a reader waits for 800 ms, and shares the link with callers.
 const ALL_READ_WITHIN_MS: f64 = 200.0;
 
-/// The size of a whole state, in KB, of which readers are reckoned: some 60
-/// for 240 engines and 400 models.
-const STATE_KB: f64 = 64.0;
+/// The size of a whole state, in bytes, of which readers are reckoned until one
+/// was written.
+const FIRST_STATE_BYTES: usize = 64_000;
 
 /// The versions of a configuration and a list of upstreams.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -208,20 +208,20 @@
 struct StateServer {
     shared: Arc<Shared>,
     readers: Cell<usize>,
-    most_readers: usize,
     /// The last whole state: after a start, many read the same one.
     whole: RefCell<Option<Written>>,
 }
 
 impl StateServer {
     fn new(shared: Arc<Shared>) -> Self {
-        let link_mbps = shared.settings.peers.link_mbps;
-        Self {
-            shared,
-            readers: Cell::new(0),
-            most_readers: most_readers(link_mbps),
-            whole: RefCell::new(None),
-        }
+        Self { shared, readers: Cell::new(0), whole: RefCell::new(None) }
+    }
+
+    fn most_readers(&self) -> usize {
+        let whole = self.whole.borrow();
+        let bytes = whole.as_ref().map(|written| written.bytes.len());
+        let link_mbps = self.shared.settings.peers.link_mbps;
+        most_readers(link_mbps, bytes.unwrap_or(FIRST_STATE_BYTES))
     }
 
     /// Writes what is newer than what a reader has.
@@ -280,11 +280,16 @@
     }
 }
 
-/// Returns how many readers a gateway with such a link may have at once.
+/// Returns how many readers a gateway with such a link may have at once of a
+/// whole state with so many bytes.
+///
+/// Who has read it gives it to others. Where the state is large, fewer at once
+/// have it sooner, and all of them together, too.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn most_readers(link_mbps: f64) -> usize {
-    let kb_each_ms = link_mbps / 8.0;
-    let readers = kb_each_ms * ALL_READ_WITHIN_MS / STATE_KB;
+pub fn most_readers(link_mbps: f64, state_bytes: usize) -> usize {
+    let bytes_each_ms = link_mbps * 1_000.0 / 8.0;
+    let bytes = bytes_each_ms * ALL_READ_WITHIN_MS;
+    let readers = bytes / state_bytes.max(1) as f64;
     (readers as usize).max(LEAST_READERS)
 }
 
@@ -300,7 +305,7 @@
     fn new(server: Rc<StateServer>) -> Self {
         let readers = server.readers.get();
         server.readers.set(readers + 1);
-        let is_beyond = readers >= server.most_readers;
+        let is_beyond = readers >= server.most_readers();
         Self { server, is_beyond }
     }
 
