Hubs tell changes of gateways, and all only to who asks

Cause: as soon as one gateway changed, two hubs sent each gateway of their group the list of all, up to twice a second: gateways times changes, squared. From some 2,600 gateways on the list did not fit into a datagram.

Change: a hub tells what changed since it told last, with a digest of all that it told, joined so that one change costs one hash. Who finds another digest has lost something or has just come, and asks; it is told all, in parts, to as many at once as the hub's link bears.

Shown by a_change_of_one_gateway_costs_as_much_among_many_as_among_few, who_missed_a_change_asks_and_is_told_all_in_parts and four more in tests/roster.rs. a_summary_without_gateways_leaves_them_as_they_were became a_summary_without_changes_leaves_gateways_as_they_were, with the same bounds and besides that who misses something knows it.

--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -82,6 +82,7 @@
         outbox::Outbox,
         roster::{
             Own, OwnWord,
+            members::ToldMembers,
             sums::{Loads, ToldSums},
         },
         state,
@@ -178,7 +179,7 @@
     /// Upstreams that leave, of which others are told once more.
     told_leaving: leaving::ToldLeaving,
     /// What this gateway said last as a hub of who is there.
-    told_members: telling::ToldMembers,
+    told_members: ToldMembers,
 }
 
 impl Control {
@@ -282,7 +283,7 @@
             record: crashes::RecordDuty::default(),
             told_crashes: crashes::ToldCrashes::default(),
             told_leaving: leaving::ToldLeaving::default(),
-            told_members: telling::ToldMembers::default(),
+            told_members: ToldMembers::default(),
             shared: shared.clone(),
         };
         control.presence_changed(now);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -13,10 +13,9 @@
         fragments::Fragment,
         message::{
             BoundDemand, GroupLoads, LeaseRumour, LeaseWord, LoadReport,
-            MemberList, Summary,
         },
         outbox::{Datagram, Sent, Urgency},
-        roster::sums::as_loads,
+        roster::{members::most_changes, sums::as_loads},
     },
     view::Life,
 };
@@ -30,31 +29,6 @@
 /// How many times rarer heartbeats are where hubs sum them up.
 const BEATS_WITH_HUBS: u64 = 2;
 
-/// How often a hub tells its group of every gateway although none changed, in
-/// ms: who lost the last list, or has none, waits no longer.
-const LIST_EVERY_MS: u64 = 4_000;
-
-/// What this gateway said last as a hub of who is there.
-#[derive(Debug, Default)]
-pub(super) struct ToldMembers {
-    list: MemberList,
-    at: Millis,
-}
-
-impl ToldMembers {
-    /// Leaves the gateways out of a summary if they are as told lately.
-    fn leave_out_if_told(&mut self, summary: &mut Summary, now: Millis) {
-        let Some(list) = &summary.members else { return };
-        let is_old = now.since(self.at) >= LIST_EVERY_MS;
-        if is_old || *list != self.list {
-            self.list = list.clone();
-            self.at = now;
-        } else {
-            summary.members = None;
-        }
-    }
-}
-
 impl Control {
     /// Returns how often heartbeats are sent, in ms.
     pub(super) fn beat_ms(&self, now: Millis) -> u64 {
@@ -122,16 +96,38 @@
     /// As a hub, tells its group of all gateways.
     fn send_summary(&mut self, own: &Heartbeat, now: Millis) {
         let rulings = self.rule_limits(now);
-        let mut summary = self.roster.sum_up(own, rulings, now);
-        self.told_members.leave_out_if_told(&mut summary, now);
+        let targets = self.roster.summary_targets();
+        let heard = self.roster.hub_members(own, now);
+        let most = self.most_changes(targets.len(), now);
+        let members = self.told_members.news(&heard, most);
+        let mut summary = self.roster.sum_up(own, members, rulings, now);
         let mechanisms = self.shared.settings.mechanisms;
         let tells_loads = mechanisms.loads_between_heartbeats;
         if tells_loads {
             // The foremost tells them by themselves, and more often.
             summary.loads.clear();
         }
-        let targets = self.roster.summary_targets();
         self.send(targets, &Message::Summary(Box::new(summary)));
+        let all = self.told_members.len();
+        self.told_members.allow(self.most_changes(all, now));
+        self.answer_asked();
+    }
+
+    fn most_changes(&self, group: usize, now: Millis) -> usize {
+        let link_mbps = self.shared.settings.peers.link_mbps;
+        most_changes(link_mbps, self.beat_ms(now), group)
+    }
+
+    /// As a hub, tells all gateways to those that missed something: to as many
+    /// as its link bears, the others after the next beat.
+    fn answer_asked(&mut self) {
+        let asked = self.told_members.take_asked();
+        if asked.is_empty() {
+            return;
+        }
+        for part in self.told_members.parts(self.start) {
+            self.send(asked.iter().copied(), &Message::Members(part));
+        }
     }
 
     /// As the foremost hub of a group, tells the hubs of the others of its
@@ -321,10 +317,20 @@
                 let evacuations = summary.evacuations.take();
                 self.hear_evacuations(evacuations, CatalogSource::Peer, now);
                 self.keep_to(summary.rulings.as_ref(), now);
-                self.roster.summed_up(from, *summary, now);
+                let is_missing = self.roster.summed_up(from, *summary, now);
+                if is_missing {
+                    self.send([from], &Message::AskMembers);
+                }
                 self.publish_loads(now);
                 self.hear_rumours(now);
             }
+            Message::AskMembers => {
+                self.told_members.ask(from);
+                self.answer_asked();
+            }
+            Message::Members(part) => {
+                self.roster.members_heard(from, &part, now);
+            }
             Message::Digest(mut digest) => {
                 self.compare_crashes(from, digest.crashes, now);
                 let evacuations = digest.evacuations.take();
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -251,6 +251,41 @@
     pub members: Vec<MemberWord>,
 }
 
+/// What changed of the gateways that a hub hears of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberNews {
+    /// Those that came or changed since it told last.
+    pub changed: MemberList,
+    /// Where those took heartbeats that it does not hear of any more.
+    pub gone: Vec<SocketAddr>,
+    /// The digest of all that it told, these among them.
+    pub digest: u64,
+    /// Whether it has told of so many that who stands for what can be told
+    /// from them.
+    pub is_enough: bool,
+}
+
+/// A part of all gateways that a hub told of: those in a range of addresses at
+/// which they take heartbeats.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPart {
+    /// The start of the hub.
+    pub start: u64,
+    /// Where the range begins, this address not in it; `None` if it begins
+    /// with the first.
+    pub after: Option<SocketAddr>,
+    /// Where the range ends, this address in it; `None` if it ends with the
+    /// last.
+    pub until: Option<SocketAddr>,
+    /// The gateways.
+    pub members: MemberList,
+    /// The digest of all that the hub told, in this part and others.
+    pub digest: u64,
+    /// Whether it has told of so many that who stands for what can be told
+    /// from them.
+    pub is_enough: bool,
+}
+
 /// What a hub hears of the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRumour {
@@ -267,9 +302,8 @@
 pub struct Summary {
     /// Its place among what the hub says.
     pub number: WordNumber,
-    /// Every gateway that it hears of, itself among them; `None` if they are
-    /// as when it told of them last.
-    pub members: Option<MemberList>,
+    /// What changed of the gateways that it hears of, itself among them.
+    pub members: MemberNews,
     /// What all of them have under way; empty if another hub tells that.
     pub loads: Vec<UpstreamLoad>,
     /// What is said of the lease.
@@ -397,6 +431,10 @@
     Listed(ListingDelta),
     /// From a hub: what it hears from all.
     Summary(Box<Summary>),
+    /// To a hub: something of what it told of gateways was missed.
+    AskMembers,
+    /// From a hub, to one that asked: a part of what it told of gateways.
+    Members(MemberPart),
     /// To hubs: what a gateway has under way and let through, between its
     /// heartbeats.
     Loads(LoadReport),
@@ -478,6 +516,8 @@
             Self::Holdings(_) => "holdings",
             Self::Listed(_) => "listed",
             Self::Summary(_) => "summary",
+            Self::AskMembers => "ask_members",
+            Self::Members(_) => "members",
             Self::Loads(_) => "loads",
             Self::HubNews(_) => "hub_news",
             Self::Digest(_) => "digest",
@@ -505,6 +545,8 @@
             | Self::Wish(_)
             | Self::Holdings(_)
             | Self::Listed(_)
+            | Self::AskMembers
+            | Self::Members(_)
             | Self::Loads(_)
             | Self::Catalog(_)
             | Self::Evacuations(_)
@@ -522,6 +564,7 @@
     pub const fn urgency(&self) -> Urgency {
         match self {
             Self::Summary(_)
+            | Self::Members(_)
             | Self::HubNews(_)
             | Self::Digest(_)
             | Self::GroupLoads(_) => Urgency::Regular,
--- a/crates/valehold-gateway/src/peers/roster/mod.rs
+++ b/crates/valehold-gateway/src/peers/roster/mod.rs
@@ -7,12 +7,14 @@
 //! one gateway sends and takes does not grow with the fleet.
 //!
 //! - [`standing`]: who does what, worked out anew as time passes.
+//! - [`members`]: what a hub tells of who is there.
 //! - [`duties`]: this gateway's own part in it.
 //! - [`targets`]: whom it sends what.
 //! - [`sums`]: what all gateways have under way and are asked for.
 //! - `words`: what hubs say, and what is said of the lease.
 
 pub mod duties;
+pub mod members;
 pub mod standing;
 pub mod sums;
 pub mod targets;
@@ -32,12 +34,13 @@
 
 pub use self::{duties::Observing, targets::Spread};
 use self::{
+    members::HeardMembers,
     standing::{Member, Standing, StandingInputs},
     sums::HeardLoads,
 };
 use super::message::{
-    Digest, GroupLoads, Heartbeat, LoadNews, LoadReport, Newest, Rank,
-    StoreSight, Summary,
+    Digest, GroupLoads, Heartbeat, LoadNews, LoadReport, MemberList,
+    MemberPart, Newest, Rank, StoreSight, Summary,
 };
 use super::number::{Audience, WordNumber, WordOrder};
 use crate::view::{Life, ReadyMember};
@@ -85,6 +88,8 @@
     peers: BTreeMap<InstanceId, Peer>,
     /// Summaries, by their hubs' addresses.
     summaries: BTreeMap<SocketAddr, Heard<Summary>>,
+    /// The gateways that hubs told of, by the hubs' addresses.
+    told_by: BTreeMap<SocketAddr, HeardMembers>,
     /// What hubs of other data centres say, by their addresses.
     digests: BTreeMap<SocketAddr, Heard<Digest>>,
     /// The newest word of all loads, from a summary or between summaries.
@@ -115,6 +120,7 @@
             silent_ms,
             peers: BTreeMap::new(),
             summaries: BTreeMap::new(),
+            told_by: BTreeMap::new(),
             digests: BTreeMap::new(),
             load_sums: HeardLoads::default(),
             group_loads: BTreeMap::new(),
@@ -181,45 +187,58 @@
         self.words.take(from, number, now)
     }
 
-    /// Takes in what a hub says to its group.
+    /// Takes in what a hub says to its group; tells whether something of what
+    /// the hub told of gateways was missed.
     pub fn summed_up(
         &mut self,
         from: SocketAddr,
         mut summary: Summary,
         now: Millis,
-    ) {
+    ) -> bool {
         self.standing.heard(from, now);
-        let told = summary.members.iter().flat_map(|list| &list.members);
-        for member in told {
-            if member.heartbeats != self.own.heartbeats {
-                self.named.insert(member.heartbeats, now);
-            }
-        }
         if !summary.loads.is_empty() {
             let loads = std::mem::take(&mut summary.loads);
             self.load_sums_heard(LoadNews::of_all(loads), now);
         }
-        if summary.members.is_none() {
-            // They are as that hub said before.
-            let before = self.summaries.remove(&from);
-            summary.members = before.and_then(|one| one.word.members);
-        }
+        let members = std::mem::take(&mut summary.members);
+        let told = self.told_by.entry(from).or_default();
+        let is_missing = told.hear(summary.number.start, &members);
+        self.named_by(&members.changed, now);
         self.summaries.insert(from, Heard { word: summary, at: now });
+        is_missing
     }
 
-    /// Takes in what a hub of another data centre says.
-    pub fn digest_heard(
+    /// Takes in a part of the gateways that a hub told of.
+    pub fn members_heard(
         &mut self,
         from: SocketAddr,
-        digest: Digest,
+        part: &MemberPart,
         now: Millis,
     ) {
-        self.standing.heard(from, now);
-        for member in &digest.members.members {
+        if let Some(told) = self.told_by.get_mut(&from) {
+            told.hear_part(part);
+            self.named_by(&part.members, now);
+        }
+    }
+
+    /// Notes the addresses of gateways that a hub names.
+    fn named_by(&mut self, list: &MemberList, now: Millis) {
+        for member in &list.members {
             if member.heartbeats != self.own.heartbeats {
                 self.named.insert(member.heartbeats, now);
             }
         }
+    }
+
+    /// Takes in what a hub of another data centre says.
+    pub fn digest_heard(
+        &mut self,
+        from: SocketAddr,
+        digest: Digest,
+        now: Millis,
+    ) {
+        self.standing.heard(from, now);
+        self.named_by(&digest.members, now);
         self.digests.insert(from, Heard { word: digest, at: now });
     }
 
@@ -262,8 +281,16 @@
     fn forget_silent(&mut self, now: Millis) {
         let young = |heard: Millis| now.since(heard) < FORGET_AFTER_MS;
         self.peers.retain(|_, peer| young(peer.heard));
-        self.named.retain(|_, heard| young(*heard));
+        let standing = &self.standing;
+        self.named.retain(|address, heard| {
+            if standing.has(address) {
+                *heard = now;
+            }
+            young(*heard)
+        });
         self.summaries.retain(|_, one| young(one.at));
+        let summaries = &self.summaries;
+        self.told_by.retain(|hub, _| summaries.contains_key(hub));
         self.digests.retain(|_, one| young(one.at));
         self.words.forget_silent(FORGET_AFTER_MS, now);
     }
@@ -293,8 +320,12 @@
     /// Returns the others that are heard of: directly, or from hubs.
     fn heard_members(&self, now: Millis) -> BTreeMap<SocketAddr, Member> {
         let mut members = BTreeMap::new();
-        for list in self.member_lists(now) {
-            members.extend(standing::members_of(list));
+        if let Some(told) = self.told_members(now) {
+            let told = told.iter();
+            members.extend(told.map(|(address, one)| (address, one.clone())));
+        }
+        for digest in self.live_digests(now) {
+            members.extend(standing::members_of(&digest.members));
         }
         for peer in self.live(now) {
             members.insert(peer.address, Member::of(&peer.heartbeat));
--- a/crates/valehold-gateway/src/peers/roster/standing.rs
+++ b/crates/valehold-gateway/src/peers/roster/standing.rs
@@ -6,6 +6,7 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
+use serde::Serialize;
 use valehold_core::{Millis, id::DataCentreId};
 
 use super::Own;
@@ -42,7 +43,7 @@
 const PASS_OVER_MS: u64 = 5_000;
 
 /// What is known of one gateway.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Member {
     /// How suited it is to work for the others.
     pub rank: Rank,
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -1,32 +1,36 @@
 //! What hubs say, and what is said of the lease.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use valehold_core::{Millis, fleet::usage::Rulings};
 
-use super::{HUBS_KEEP, Heard, Roster, standing::Member};
+use super::{
+    HUBS_KEEP, Heard, Roster,
+    members::MemberTable,
+    standing::{Member, members_of},
+};
 use crate::peers::message::{
     BoundDemand, Digest, Heartbeat, LeaseRumour, LeaseWord, MemberList,
-    Newest, Summary,
+    MemberNews, Newest, Summary,
 };
 
 impl Roster {
-    /// Returns the lists of gateways that hubs told: that of the summary that
-    /// lists the most, and those of other data centres.
+    /// Returns the gateways that a hub of this one's group told of: the hub
+    /// that tells of the most.
     ///
     /// A hub that has just become one has not heard all yet, and a hub drops
     /// whoever it does not hear any more: so the longest list is the best.
-    pub(super) fn member_lists(
-        &self,
-        now: Millis,
-    ) -> impl Iterator<Item = &MemberList> {
-        let lists = self.live_summaries(now).filter_map(|one| {
-            let list = one.word.members.as_ref()?;
-            Some((list.members.len(), one.at, list))
+    pub(super) fn told_members(&self, now: Millis) -> Option<&MemberTable> {
+        let keep_ms = self.silent_ms * HUBS_KEEP;
+        let live = self
+            .summaries
+            .iter()
+            .filter(|(_, one)| now.since(one.at) < keep_ms);
+        let tables = live.filter_map(|(hub, one)| {
+            Some((self.told_by.get(hub)?.enough()?, one.at))
         });
-        let longest = lists.max_by_key(|(length, at, _)| (*length, *at));
-        let digests = self.live_digests(now).map(|digest| &digest.members);
-        longest.map(|(_, _, list)| list).into_iter().chain(digests)
+        let longest = tables.max_by_key(|(table, at)| (table.len(), *at));
+        longest.map(|(table, _)| table)
     }
 
     fn live_summaries(
@@ -145,24 +149,33 @@
         all
     }
 
+    /// Returns every gateway that a hub tells its group of; `own` is this
+    /// gateway's own heartbeat.
+    pub fn hub_members(
+        &self,
+        own: &Heartbeat,
+        now: Millis,
+    ) -> BTreeMap<SocketAddr, Member> {
+        let elsewhere = self
+            .live_digests(now)
+            .filter(|digest| digest.data_centre != self.own.data_centre);
+        let mut members: BTreeMap<SocketAddr, Member> =
+            elsewhere.flat_map(|digest| members_of(&digest.members)).collect();
+        for peer in self.live_in_group(now) {
+            members.insert(peer.address, Member::of(&peer.heartbeat));
+        }
+        members.insert(self.own.heartbeats, Member::of(own));
+        members
+    }
+
     /// Makes a hub's summary; `own` is this gateway's own heartbeat.
     pub fn sum_up(
         &self,
         own: &Heartbeat,
+        members: MemberNews,
         rulings: Option<Rulings>,
         now: Millis,
     ) -> Summary {
-        let mut members = self.group_members(own, now);
-        for digest in self.live_digests(now) {
-            if digest.data_centre == self.own.data_centre {
-                continue;
-            }
-            for (address, member) in
-                super::standing::members_of(&digest.members)
-            {
-                members.push(address, &member);
-            }
-        }
         // Not of what other hubs of the group say: two hubs would tell each
         // other for ever of a version whose only holder is gone.
         let digests = || self.live_digests(now);
@@ -170,7 +183,7 @@
         let listings = digests().map(|digest| digest.listing);
         Summary {
             number: own.number(),
-            members: Some(members),
+            members,
             loads: self.sum_loads(&own.loads, now),
             lease: self.rumours_to_tell(own, now),
             catalog: newer(self.own_catalog(own, now), newest(catalogs)),
--- a/crates/valehold-gateway/tests/peer_bytes.rs
+++ b/crates/valehold-gateway/tests/peer_bytes.rs
@@ -16,10 +16,10 @@
     peers::{
         Heartbeat, Message, Roster, WordNumber,
         message::{
-            GroupLoads, HubNews, LeaseWord, LoadNews, LoadReport, Rank,
-            StoreSight, UpstreamLoad,
+            GroupLoads, HubNews, LeaseWord, LoadNews, LoadReport, MemberPart,
+            Rank, StoreSight, Summary, UpstreamLoad,
         },
-        roster::{Own, OwnWord, sums::Loads},
+        roster::{Own, OwnWord, members::ToldMembers, sums::Loads},
         state::PeerState,
     },
     view::{Life, Load},
@@ -104,6 +104,22 @@
     }
 }
 
+fn told(roster: &Roster, own: &Heartbeat, now: Millis) -> ToldMembers {
+    let mut told = ToldMembers::default();
+    told.news(&roster.hub_members(own, now), usize::MAX);
+    told
+}
+
+fn summary(roster: &Roster, own: &Heartbeat, now: Millis) -> Summary {
+    let members = roster.hub_members(own, now);
+    let members = ToldMembers::default().news(&members, usize::MAX);
+    roster.sum_up(own, members, None, now)
+}
+
+fn part(roster: &Roster, own: &Heartbeat, now: Millis) -> MemberPart {
+    told(roster, own, now).parts(own.start).remove(0)
+}
+
 /// One datagram of each kind that the roster hears.
 fn datagrams() -> Vec<Vec<u8>> {
     let (roster, now) = (roster(), Millis::new(500));
@@ -112,7 +128,8 @@
     let own = heartbeat(1);
     let messages = [
         Message::Heartbeat(Box::new(own.clone())),
-        Message::Summary(Box::new(roster.sum_up(&own, None, now))),
+        Message::Summary(Box::new(summary(&roster, &own, now))),
+        Message::Members(part(&roster, &own, now)),
         Message::Digest(Box::new(roster.digest(&own, Vec::new(), now))),
         Message::Loads(LoadReport {
             instance: InstanceId::new("g2"),
@@ -168,7 +185,10 @@
         Message::Heartbeat(heartbeat) => {
             roster.heard(from, *heartbeat, now);
         }
-        Message::Summary(summary) => roster.summed_up(from, *summary, now),
+        Message::Summary(summary) => {
+            roster.summed_up(from, *summary, now);
+        }
+        Message::Members(part) => roster.members_heard(from, &part, now),
         Message::Digest(digest) => roster.digest_heard(from, *digest, now),
         Message::Loads(report) => roster.load_heard(report, now),
         Message::HubNews(news) => roster.load_sums_heard(news.loads, now),
@@ -187,7 +207,7 @@
     roster.sum_demand(&own.demand, now);
     roster.rumours(now);
     roster.holder(now);
-    roster.sum_up(&own, None, now);
+    summary(roster, &own, now);
     roster.digest(&own, Vec::new(), now);
     roster.heartbeat_targets(now);
 }
@@ -224,7 +244,7 @@
         }
         roster.heard(address(number), heartbeat, now);
     }
-    let mut summary = roster.sum_up(&heartbeat(40), None, now);
+    let mut summary = summary(&roster, &heartbeat(40), now);
     for rumour in &mut summary.lease {
         rumour.age_ms = u64::MAX;
     }
--- a/crates/valehold-gateway/tests/roster.rs
+++ b/crates/valehold-gateway/tests/roster.rs
@@ -16,11 +16,12 @@
         Heartbeat, Message, Roster, WordNumber,
         message::{
             BoundDemand, Digest, Duty, GroupLoads, HubNews, LeaseWord,
-            LoadNews, LoadReport, Rank, StoreSight, UpstreamLoad,
+            LoadNews, LoadReport, Rank, StoreSight, Summary, UpstreamLoad,
             VariantDemand,
         },
         roster::{
             Observing, Own, OwnWord,
+            members::{ToldMembers, most_changes},
             sums::{Loads, ToldSums},
         },
     },
@@ -99,6 +100,22 @@
     roster
 }
 
+/// Makes the first summary of a hub.
+fn summary_of(hub: &Roster, own: &Heartbeat, now: Millis) -> Summary {
+    summary_after(&mut ToldMembers::default(), hub, own, now)
+}
+
+/// Makes a hub's summary after what it told before.
+fn summary_after(
+    told: &mut ToldMembers,
+    hub: &Roster,
+    own: &Heartbeat,
+    now: Millis,
+) -> Summary {
+    let members = told.news(&hub.hub_members(own, now), usize::MAX);
+    hub.sum_up(own, members, None, now)
+}
+
 fn tag(upstream: &str) -> UpstreamTag {
     let id = UpstreamId::new(upstream);
     UpstreamStart { id, birth: None }.tag()
@@ -189,8 +206,8 @@
     own.loads.push(UpstreamLoad { upstream: tag("u1"), load });
     own.lease = Some(LeaseWord::Holds { epoch: 7, version: 90 });
     own.catalog = 9;
-    let summary = hub.sum_up(&own, None, now);
-    let listed = summary.members.as_ref().unwrap().members.len();
+    let summary = summary_of(&hub, &own, now);
+    let listed = summary.members.changed.members.len();
     expect_that!(listed, eq(usize::from(count)));
     let mut other = roster(5);
     other.summed_up(address(40), summary, now);
@@ -228,19 +245,22 @@
 }
 
 #[gtest]
-fn a_summary_without_gateways_leaves_them_as_they_were() {
+fn a_summary_without_changes_leaves_gateways_as_they_were() {
     let now = Millis::new(500);
     let hub = hearing_all(40, 40, now);
-    let summary = hub.sum_up(&heartbeat(40, 1), None, now);
-    let mut short = summary.clone();
-    short.members = None;
+    let own = heartbeat(40, 1);
+    let mut told = ToldMembers::default();
+    let first = summary_after(&mut told, &hub, &own, now);
+    let second = summary_after(&mut told, &hub, &own, now);
+    expect_that!(second.members.changed.members, is_empty());
     let mut other = roster(5);
-    // Whoever has no list yet waits for one.
-    other.summed_up(address(40), short.clone(), now);
+    // Whoever knows none of them yet misses them.
+    expect_true!(other.summed_up(address(40), second.clone(), now));
     other.work_out(own_word(5), now);
     expect_that!(other.ready(), is_empty());
-    other.summed_up(address(40), summary, now);
-    other.summed_up(address(40), short, now + 2 * SILENT_MS - 1);
+    expect_false!(other.summed_up(address(40), first, now));
+    let later = now + 2 * SILENT_MS - 1;
+    expect_false!(other.summed_up(address(40), second, later));
     other.work_out(own_word(5), now + 3 * SILENT_MS);
     expect_that!(other.ready().len(), eq(39));
 }
@@ -250,7 +270,7 @@
     let start = Millis::new(500);
     let mut other = hearing_all(5, 40, start);
     let hub = hearing_all(38, 40, start);
-    let summary = hub.sum_up(&heartbeat(38, 1), None, start);
+    let summary = summary_of(&hub, &heartbeat(38, 1), start);
     // Hub 40 never says anything, the other two do.
     for step in 0..=8 {
         let now = start + step * 200;
@@ -272,7 +292,7 @@
     let mut own = heartbeat(40, 1);
     own.loads.push(UpstreamLoad { upstream: tag("u1"), load: load(5) });
     let mut other = roster(5);
-    other.summed_up(address(40), hub.sum_up(&own, None, now), now);
+    other.summed_up(address(40), summary_of(&hub, &own, now), now);
     let mine = Loads::from([(tag("u1"), load(2))]);
     let others = other.loads(&mine, now);
     expect_that!(others.get(&tag("u1")), some(eq(&load(3))));
@@ -319,7 +339,7 @@
     let mut own = heartbeat(40, 1);
     own.loads.push(load_of("u1", 5));
     let mut other = roster(5);
-    other.summed_up(address(40), hub.sum_up(&own, None, now), now);
+    other.summed_up(address(40), summary_of(&hub, &own, now), now);
     let running = |roster: &Roster, now| {
         let loads = roster.loads(&Loads::new(), now);
         loads.get(&tag("u1")).map(|load| load.running)
@@ -328,7 +348,7 @@
     let loads = vec![load_of("u1", 8)];
     other.load_sums_heard(LoadNews::of_all(loads), now + 100);
     expect_that!(running(&other, now + 100), some(eq(8)));
-    other.summed_up(address(40), hub.sum_up(&own, None, now), now + 200);
+    other.summed_up(address(40), summary_of(&hub, &own, now), now + 200);
     expect_that!(running(&other, now + 200), some(eq(5)));
     // Without a word of hubs, only what is heard directly counts.
     expect_that!(running(&other, now + 200 + SILENT_MS), none());
@@ -456,8 +476,8 @@
     hub.digest_heard(address(148), digest, now);
     hub.work_out(own_word(150), now);
     expect_that!(hub.ready().len(), eq(99));
-    let summary = hub.sum_up(&spread_heartbeat(150), None, now);
-    let listed = summary.members.as_ref().unwrap().members.len();
+    let summary = summary_of(&hub, &spread_heartbeat(150), now);
+    let listed = summary.members.changed.members.len();
     expect_that!(listed, eq(100));
     expect_that!(summary.catalog.version, eq(9));
     expect_that!(hub.holder(now), some(eq(address(148))));
@@ -695,7 +715,9 @@
     }
     match message {
         Message::HubNews(news) => roster.load_sums_heard(news.loads, now),
-        Message::Summary(summary) => roster.summed_up(from, *summary, now),
+        Message::Summary(summary) => {
+            roster.summed_up(from, *summary, now);
+        }
         other => panic!("{}", other.label()),
     }
 }
@@ -743,7 +765,7 @@
     let sender = hearing_all(40, 40, now);
     let mut own = heartbeat(40, 8);
     own.loads = vec![load_of("u1", 9)];
-    let summary = sender.sum_up(&own, None, now);
+    let summary = summary_of(&sender, &own, now);
     hear(&mut roster, address(40), hub_news(1, 9, 3), now);
     let message = Message::Summary(Box::new(summary));
     hear(&mut roster, address(40), message, now);
@@ -755,3 +777,150 @@
     expect_true!(roster.takes(address(40), number, now));
     expect_false!(roster.takes(address(40), number, now));
 }
+
+/// Makes the heartbeats of a hub's whole group, each gateway's sight of the
+/// store as given.
+fn heard_by_hub(count: u16, failing: u16, now: Millis) -> Roster {
+    let mut hub = roster(count);
+    for number in 1..count {
+        let mut heartbeat = heartbeat(number, 1);
+        if number <= failing {
+            heartbeat.store = StoreSight::Fails;
+        }
+        hub.heard(address(number), heartbeat, now);
+    }
+    hub.work_out(own_word(count), now);
+    hub
+}
+
+fn bytes_of(summary: Summary) -> usize {
+    Message::Summary(Box::new(summary)).encode().unwrap().len()
+}
+
+// As soon as one gateway changed, a hub told each of its group of every
+// gateway, twice a second: 22 KB at 986 gateways, 8 MB a second out of one hub
+// while the store answered some of them and not others.
+#[gtest]
+fn a_change_of_one_gateway_costs_as_much_among_many_as_among_few() {
+    let now = Millis::new(500);
+    let bytes_of_change = |count: u16| {
+        let own = heartbeat(count, 1);
+        let mut told = ToldMembers::default();
+        summary_after(&mut told, &heard_by_hub(count, 0, now), &own, now);
+        let hub = heard_by_hub(count, 1, now);
+        let change = summary_after(&mut told, &hub, &own, now);
+        expect_that!(change.members.changed.members.len(), eq(1));
+        bytes_of(change)
+    };
+    let (few, many) = (bytes_of_change(100), bytes_of_change(1_000));
+    // The digest and numbers are written with as many bytes as they need.
+    expect_that!(many, le(few + 16));
+}
+
+#[gtest]
+fn who_missed_a_change_asks_and_is_told_all_in_parts() {
+    let now = Millis::new(500);
+    let count = 2_500;
+    let (before, after) =
+        (heard_by_hub(count, 0, now), heard_by_hub(count, 3, now));
+    let own = heartbeat(count, 1);
+    let mut told = ToldMembers::default();
+    let hub = address(count);
+    let mut other = roster(5);
+    let first = summary_after(&mut told, &before, &own, now);
+    expect_false!(other.summed_up(hub, first, now));
+    // The summary with the change is lost, the next one tells of it.
+    summary_after(&mut told, &after, &own, now);
+    let next = summary_after(&mut told, &after, &own, now);
+    expect_true!(other.summed_up(hub, next.clone(), now));
+    told.ask(address(5));
+    told.allow(1);
+    expect_that!(told.take_asked(), eq(&vec![address(5)]));
+    expect_that!(told.take_asked(), is_empty());
+    let parts = told.parts(own.start);
+    expect_that!(parts.len(), ge(2));
+    for part in parts {
+        let message = Message::Members(part);
+        expect_that!(message.encode(), ok(anything()));
+        let Message::Members(part) = message else { unreachable!() };
+        other.members_heard(hub, &part, now);
+    }
+    expect_false!(other.summed_up(hub, next, now));
+    other.work_out(own_word(5), now);
+    expect_that!(other.ready().len(), eq(usize::from(count) - 1));
+}
+
+#[gtest]
+fn of_few_gateways_one_that_just_came_knows_all_or_none() {
+    let now = Millis::new(500);
+    let (count, most) = (200, 64);
+    let hub = heard_by_hub(count, 0, now);
+    let own = heartbeat(count, 1);
+    let all = hub.hub_members(&own, now);
+    let mut told = ToldMembers::default();
+    let mut other = roster(5);
+    let mut ready = Vec::new();
+    for _ in 0..4 {
+        let news = told.news(&all, most);
+        expect_that!(news.changed.members.len(), le(most));
+        let summary = hub.sum_up(&own, news, None, now);
+        expect_false!(other.summed_up(address(count), summary, now));
+        other.work_out(own_word(5), now);
+        ready.push(other.ready().len());
+    }
+    // The greatest by rank cannot be told from a part of them.
+    expect_that!(ready, eq(&vec![0, 0, 0, 199]));
+}
+
+// After all gateways were killed, a hub on a slow link takes seconds to tell its
+// group of a thousand others.
+#[gtest]
+fn of_many_gateways_the_greatest_tell_who_stands_for_what() {
+    let now = Millis::new(500);
+    let (count, most) = (1_000, 90);
+    let hub = heard_by_hub(count, 0, now);
+    let own = heartbeat(count, 1);
+    let all = hub.hub_members(&own, now);
+    let mut told = ToldMembers::default();
+    let mut other = roster(5);
+    for _ in 0..3 {
+        let news = told.news(&all, most);
+        let summary = hub.sum_up(&own, news, None, now);
+        expect_false!(other.summed_up(address(count), summary, now));
+        other.work_out(own_word(5), now);
+    }
+    let targets = other.heartbeat_targets(now);
+    let hubs = [address(count - 1), address(count)];
+    expect_true!(hubs.iter().all(|one| targets.contains(one)));
+    expect_that!(targets.len(), le(3));
+}
+
+#[gtest]
+fn a_hub_that_starts_again_is_believed_from_its_start() {
+    let now = Millis::new(500);
+    let count = 60;
+    let mut other = roster(5);
+    let own = heartbeat(count, 1);
+    let hub = heard_by_hub(count, 0, now);
+    other.summed_up(address(count), summary_of(&hub, &own, now), now);
+    let started = Heartbeat { start: 2, ..own };
+    let few = hearing_all(count, 3, now);
+    let summary = summary_of(&few, &started, now);
+    expect_false!(other.summed_up(address(count), summary, now));
+    other.work_out(own_word(5), now);
+    expect_that!(other.ready().len(), eq(4));
+}
+
+#[gtest]
+fn changes_take_a_part_of_the_link_however_large_the_group() {
+    let bytes_per_second = |group: usize| {
+        let most = most_changes(20.0, 500, group);
+        (most * 25 * group * 2) as f64
+    };
+    // A quarter of 20 Mbit/s.
+    for group in [30, 165, 330, 1_000] {
+        expect_that!(bytes_per_second(group), le(625_000.0));
+    }
+    expect_that!(most_changes(1_000.0, 500, 10), eq(1_024));
+    expect_that!(most_changes(0.1, 500, 1_000), eq(1));
+}
