Where models are more than places, idle ones make way for those asked for

Cause: the plan gave each declared model a place whether anybody asked for it or not, so that nothing was left for the busy ones, and a last replica never made way, however idle.

Change: whether all models fit is decided first. Where they do, nothing is different. Where they do not, a model that no request asks for has no place of its own: its last replica may make way, it takes room that is free after all others had theirs, copies first, and has none made for it.

Shown by an_idle_model_makes_way_for_one_that_is_asked_for, busy_models_keep_their_engines_where_idle_ones_have_none, free_places_are_taken_by_those_that_are_asked_for_first, and a property: whoever is asked for comes up where models are more than places, memory never over. Without the change the first has no step at all. Where those that are asked for at the same time are more than places, nobody takes turns yet.

--- a/crates/valehold-core/src/fleet/replicas/claim.rs
+++ b/crates/valehold-core/src/fleet/replicas/claim.rs
@@ -24,6 +24,8 @@
     pub(super) bound: usize,
     /// What its requests need there.
     pub(super) need: ModelNeed,
+    /// On how many engines it stays whatever presses.
+    pub(super) least: usize,
     /// How many engines it is to have.
     pub(super) wanted: usize,
     /// Sound engines that hold it now.
@@ -34,7 +36,19 @@
 
 impl Claim {
     pub(super) fn new(model: usize, bound: usize, need: ModelNeed) -> Self {
-        Self { model, bound, need, wanted: 1, resident: 0, holders: 0 }
+        let (least, wanted) = (1, 1);
+        Self { model, bound, need, least, wanted, resident: 0, holders: 0 }
+    }
+
+    /// Tells whether requests ask for it.
+    pub(super) fn is_asked(&self) -> bool {
+        self.need.busy > 0.0 || self.need.adapters > 0.0
+    }
+
+    /// Gives up the place that it has whether requests ask for it or not.
+    pub(super) fn give_up_place(&mut self) {
+        self.least = 0;
+        self.wanted = 0;
     }
 
     /// Returns how hard it presses on each of so many engines, which have so
--- a/crates/valehold-core/src/fleet/replicas/lacking.rs
+++ b/crates/valehold-core/src/fleet/replicas/lacking.rs
@@ -51,7 +51,8 @@
             let pressure = pressures.entry(claim.model).or_default();
             *pressure = pressure.max(claim.lost_pressure());
         }
-        let lacking = self.claims_below(|_| 1).map(|claim| Lacking {
+        let lacking = self.claims_below(|claim| claim.least);
+        let lacking = lacking.map(|claim| Lacking {
             claim,
             pressure: pressures[&self.claims[claim].model],
             least: 1,
@@ -65,6 +66,16 @@
         lacking
     }
 
+    /// Returns the claims of idle models that no sound engine meets and that
+    /// have no place of their own.
+    pub(super) fn idle(&self) -> Vec<Lacking> {
+        let lost = self.claims_below(|_| 1);
+        let idle = lost.filter(|claim| self.claims[*claim].least == 0);
+        let idle =
+            idle.map(|claim| Lacking { claim, pressure: 0.0, least: 1 });
+        idle.collect()
+    }
+
     /// Returns the claims with fewer engines than they are to have, those
     /// first that press hardest.
     pub(super) fn short(&self) -> Vec<Lacking> {
@@ -132,6 +143,15 @@
     }
 
     /// Tells whether a claim has as many engines as it is to have, by now.
+    /// Loads models into room that is free.
+    pub(super) fn fill_room(&mut self, lacking: &[Lacking]) {
+        for one in lacking {
+            if let Some(engine) = self.roomy_engine(one.claim) {
+                self.load(engine, self.claims[one.claim].model);
+            }
+        }
+    }
+
     fn is_met(&self, lacking: &Lacking) -> bool {
         self.claims[lacking.claim].holders >= lacking.least
     }
--- a/crates/valehold-core/src/fleet/replicas/mod.rs
+++ b/crates/valehold-core/src/fleet/replicas/mod.rs
@@ -13,6 +13,11 @@
 //! gone: engines that crash are often back with their copies before another
 //! one has loaded it, and a busy model's engine is not worth that at once.
 //!
+//! Where more models are declared than engines have places for, those that no
+//! request asks for give up theirs: an idle model's last engine may make way
+//! for one that is asked for, and an idle one that no engine holds takes room
+//! that is free, and has none made for it.
+//!
 //! - `need` says what models need, everywhere and inside bounds.
 //! - `claim` counts who holds a model inside a bound, and how hard it presses.
 //! - `planner` keeps the counts of engines, models and bounds.
@@ -133,5 +138,8 @@
     planner.load_copies(&short);
     planner.add_replicas(&lost);
     planner.add_replicas(&short);
+    let idle = planner.idle();
+    planner.load_copies(&idle);
+    planner.fill_room(&idle);
     planner.into_steps()
 }
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -90,6 +90,7 @@
             loads,
         };
         planner.claim(needs, &numbers, topology);
+        planner.share_out_scarce_places();
         planner.count();
         planner
     }
@@ -125,6 +126,28 @@
         }
     }
 
+    /// Where models are more than places, keeps places for those that requests
+    /// ask for.
+    fn share_out_scarce_places(&mut self) {
+        let sound = self.engines.iter().filter(|one| one.state.sound).count();
+        if self.spec.models.len() <= sound * self.places() {
+            return;
+        }
+        let claims = self.claims.iter_mut();
+        let everywhere = claims.filter(|claim| claim.bound == EVERYWHERE);
+        for claim in everywhere.filter(|claim| !claim.is_asked()) {
+            claim.give_up_place();
+        }
+    }
+
+    /// Returns on how many places an engine has room for models, whichever
+    /// they are.
+    pub(super) fn places(&self) -> usize {
+        let largest = self.spec.models.iter().map(|m| m.size_mb).max();
+        let places = self.spec.memory_mb / largest.unwrap_or(1).max(1);
+        usize::try_from(places).unwrap_or(usize::MAX).max(1)
+    }
+
     /// Counts what engines hold.
     fn count(&mut self) {
         for index in 0..self.engines.len() {
--- a/crates/valehold-core/src/fleet/replicas/room.rs
+++ b/crates/valehold-core/src/fleet/replicas/room.rs
@@ -158,11 +158,11 @@
             let claim = &self.claims[claim];
             let keeps = match taker {
                 Taker::Anywhere => claim.wanted,
-                Taker::Inside if claim.bound == EVERYWHERE => 1,
+                Taker::Inside if claim.bound == EVERYWHERE => 0,
                 Taker::Inside => claim.wanted,
-                Taker::Missed => 1,
+                Taker::Missed => 0,
             };
-            claim.resident > keeps.max(1)
+            claim.resident > keeps.max(claim.least)
         })
     }
 
--- a/crates/valehold-core/src/fleet/replicas/wanted.rs
+++ b/crates/valehold-core/src/fleet/replicas/wanted.rs
@@ -102,8 +102,12 @@
         let slots = self.spec.adapter_places.max(1);
         let without = |planner: &Self, model: usize| {
             let adapters = planner.spec.models[model].adapters.len();
-            let without =
-                adapters.saturating_sub(slots * planner.claims[model].wanted);
+            let claim = &planner.claims[model];
+            let without = match claim.wanted {
+                // It has no place itself.
+                0 => 0,
+                wanted => adapters.saturating_sub(slots * wanted),
+            };
             (without > 0).then_some((without, model))
         };
         let models = 0..self.spec.models.len();
@@ -118,11 +122,4 @@
             homeless.extend(without(self, model));
         }
     }
-
-    /// Returns how many models an engine holds at the least.
-    fn places(&self) -> usize {
-        let largest = self.spec.models.iter().map(|m| m.size_mb).max();
-        let places = self.spec.memory_mb / largest.unwrap_or(1).max(1);
-        usize::try_from(places).unwrap_or(usize::MAX).max(1)
-    }
 }
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -289,3 +289,130 @@
     };
     expect_that!(steps, elements_are![eq(&expected)]);
 }
+
+fn name(model: usize) -> ModelName {
+    ModelName::new(format!("m{model}"))
+}
+
+/// Carries plans out until there is none any more, or for so many rounds.
+fn settle(
+    spec: &EngineSpec,
+    demand: &BTreeMap<ModelName, ModelNeed>,
+    engines: &mut [EngineState],
+    rounds: usize,
+) {
+    for _ in 0..rounds {
+        let steps = plan(spec, demand, engines, 3);
+        for step in &steps {
+            carry_out(engines, step);
+        }
+        if steps.is_empty() {
+            return;
+        }
+    }
+}
+
+// Where more models were declared than engines had places for, each idle one
+// kept its only engine: 345 of 399 models were lost, the plan had no step for
+// the rest of the day, and whoever asked for one of those was refused.
+#[gtest]
+fn an_idle_model_makes_way_for_one_that_is_asked_for() {
+    let spec = spec(8);
+    let mut engines =
+        vec![engine(0, &[0, 1, 2].into()), engine(1, &[3, 4, 5].into())];
+    let demand = needs(&[0.5, 0.5, 0.0, 0.5, 0.5, 0.5, 0.0, 0.1]);
+    let steps = plan(&spec, &demand, &engines, 3);
+    let expected =
+        ReplicaStep::Unload { engine: UpstreamId::new("e0"), model: name(2) };
+    expect_that!(steps, elements_are![eq(&expected)]);
+    settle(&spec, &demand, &mut engines, 10);
+    expect_that!(holders(&engines, &name(7)), eq(1));
+    // The other one that is idle has no room made for it.
+    expect_that!(holders(&engines, &name(6)), eq(0));
+}
+
+#[gtest]
+fn busy_models_keep_their_engines_where_idle_ones_have_none() {
+    let spec = spec(40);
+    let busy = BTreeSet::from([0, 1, 2]);
+    let mut engines: Vec<EngineState> =
+        (0..4).map(|number| engine(number, &busy)).collect();
+    let mut demand = needs(&[3.0, 3.0, 3.0]);
+    for model in 3..40 {
+        let lost = ModelNeed { lost_ms: 60_000, ..ModelNeed::default() };
+        demand.insert(name(model), lost);
+    }
+    expect_that!(plan(&spec, &demand, &engines, 3), elements_are![]);
+    // One that is asked for gets one of their places, and no more.
+    demand.get_mut(&name(20)).unwrap().busy = 0.01;
+    settle(&spec, &demand, &mut engines, 10);
+    expect_that!(holders(&engines, &name(20)), eq(1));
+    let kept: usize =
+        (0..3).map(|model| holders(&engines, &name(model))).sum();
+    expect_that!(kept, eq(11));
+}
+
+#[gtest]
+fn free_places_are_taken_by_those_that_are_asked_for_first() {
+    let spec = spec(8);
+    let mut engines = vec![engine(0, &[0].into()), engine(1, &[].into())];
+    let mut demand = needs(&[0.1]);
+    for model in 1..8 {
+        let lost_ms = 60_000 - 1_000 * model as u64;
+        demand.insert(
+            name(model),
+            ModelNeed { lost_ms, ..ModelNeed::default() },
+        );
+    }
+    demand.get_mut(&name(7)).unwrap().busy = 0.01;
+    let steps = plan(&spec, &demand, &engines, 1);
+    let loads_it = matches!(
+        &steps[..],
+        [ReplicaStep::Load { model, .. }] if *model == name(7)
+    );
+    expect_true!(loads_it);
+    // What is left free is filled with idle ones, which may be asked for next.
+    settle(&spec, &demand, &mut engines, 10);
+    let held: usize =
+        (0..8).map(|model| holders(&engines, &name(model))).sum();
+    expect_that!(held, eq(6));
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn whoever_is_asked_for_comes_up_where_models_are_more_than_places(
+        held in prop::collection::vec(
+            prop::collection::btree_set(0_usize..40, 0..=3), 3..8,
+        ),
+        asked in prop::collection::btree_map(0_usize..40, 0.001_f64..3.0, 1..9),
+    ) {
+        let spec = spec(40);
+        let mut engines: Vec<EngineState> = held
+            .iter()
+            .enumerate()
+            .map(|(number, models)| engine(number, models))
+            .collect();
+        let demand: BTreeMap<ModelName, ModelNeed> = asked
+            .iter()
+            .map(|(model, busy)| {
+                let need = ModelNeed { busy: *busy, ..ModelNeed::default() };
+                (name(*model), need)
+            })
+            .collect();
+        for _ in 0..80 {
+            let steps = plan(&spec, &demand, &engines, 3);
+            for step in &steps {
+                carry_out(&mut engines, step);
+            }
+            for engine in &engines {
+                prop_assert!(taken_mb(&engine.holding, &spec) <= 220);
+            }
+        }
+        for model in asked.keys() {
+            let there = holders(&engines, &name(*model));
+            prop_assert!(there >= 1, "m{model} is not there");
+        }
+    }
+}
