The holder finds engines by model, and leaves time to other work

What callers saw: on the fleet without its strong machines a tenth of the requests refused also in calm seconds, and 126 of 269 models and adapters that were asked for never served.

Cause: for each wish the holder walked all engines twice, and with each input it made a list of all adapters on all of them.

Change: which engines hold a model is kept; free places are filled model by model, those asked for the most first, a look at all of them once a second; a wish is tried again after 50 ms; and between two rounds of placing that are not due by the clock four times as long goes to other work. Placing has a file of its own.

Shown by engines_that_hold_a_model_are_found_without_the_others and three more. The test free_places_are_filled_for_the_models_most_asked_for moved to where the decision is now, and asks for the same: what is there is not brought, the model most asked for first, three at once.

--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    catalog::{EngineSpec, ModelSpec},
+    catalog::EngineSpec,
     listing::{Holding, Variant},
 };
 use crate::{
@@ -82,72 +82,26 @@
     Some(AdapterStep::MakeRoom { engine: host.engine.clone(), victim })
 }
 
-/// Finds an adapter that no engine holds, and an engine with a free place
-/// for it.
-///
-/// Models that are asked for more go first, `use_of` being their demand.
-pub fn next_to_bring(
-    hosts: &[AdapterHost<'_>],
+/// Finds the engine with the fewest adapters that holds a model and has room
+/// for another of its adapters.
+pub fn roomiest_host<'a>(
+    hosts: &[AdapterHost<'a>],
+    model: &ModelName,
     spec: &EngineSpec,
-    is_held: impl Fn(&Variant) -> bool,
-    use_of: impl Fn(&ModelName) -> f64,
-) -> Option<(UpstreamId, Variant)> {
-    let mut models: Vec<_> =
-        spec.models.iter().filter(|m| !m.adapters.is_empty()).collect();
-    models.sort_by(|a, b| use_of(&b.name).total_cmp(&use_of(&a.name)));
-    let roomy = roomiest_hosts(hosts, spec);
-    models.into_iter().find_map(|model| {
-        let host = roomy.get(&model.name)?;
-        let mut variants = model.adapters.iter().map(|adapter| Variant {
-            model: model.name.clone(),
-            adapter: Some(adapter.clone()),
-        });
-        let missing = variants.find(|variant| !is_held(variant))?;
-        Some((host.engine.clone(), missing))
-    })
-}
-
-/// Returns, for each model that engines with room for one of its adapters
-/// hold, the one of these with the fewest adapters.
-fn roomiest_hosts<'a>(
-    hosts: &'a [AdapterHost<'a>],
-    spec: &EngineSpec,
-) -> BTreeMap<&'a ModelName, &'a AdapterHost<'a>> {
-    let models = spec.models.iter().map(|model| (&model.name, model));
-    let models: BTreeMap<&ModelName, &ModelSpec> = models.collect();
-    let size = |name: &ModelName, adapters: usize| {
-        models.get(name).map_or(0, |model| {
-            model.size_mb + model.adapter_size_mb * adapters as u64
-        })
-    };
-    let mut roomiest: BTreeMap<&ModelName, &AdapterHost<'_>> = BTreeMap::new();
-    for host in hosts {
-        let held = &host.holding.models;
-        let adapters = host.holding.adapters();
-        if adapters >= spec.adapter_places {
-            continue;
-        }
-        let taken: u64 =
-            held.iter().map(|(name, some)| size(name, some.len())).sum();
-        for name in held.keys() {
-            let adapter_size_mb =
-                models.get(name).map_or(0, |model| model.adapter_size_mb);
-            if taken + adapter_size_mb > spec.memory_mb {
-                continue;
-            }
-            let best = roomiest.entry(name).or_insert(host);
-            if adapters < best.holding.adapters() {
-                *best = host;
-            }
-        }
-    }
-    roomiest
+) -> Option<&'a UpstreamId> {
+    let holding =
+        hosts.iter().filter(|host| host.holding.models.contains_key(model));
+    let roomy = holding.filter(|host| has_room(host.holding, model, spec));
+    let best = roomy.min_by_key(|host| host.holding.adapters());
+    best.map(|host| host.engine)
 }
 
 fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
+    if holding.adapters() >= spec.adapter_places {
+        return false;
+    }
     let size = spec.model(model).map_or(0, |model| model.adapter_size_mb);
-    let taken = taken_mb(holding, spec);
-    holding.adapters() < spec.adapter_places && taken + size <= spec.memory_mb
+    taken_mb(holding, spec) + size <= spec.memory_mb
 }
 
 /// Returns the memory that an engine's models and adapters take, in MB.
--- a/crates/valehold-core/src/fleet/tests/adapters.rs
+++ b/crates/valehold-core/src/fleet/tests/adapters.rs
@@ -10,10 +10,10 @@
     fleet::{
         Variant,
         adapters::{
-            AdapterHost, AdapterStep, AdapterUse, next_to_bring, place_adapter,
+            AdapterHost, AdapterStep, AdapterUse, place_adapter, roomiest_host,
         },
     },
-    id::UpstreamId,
+    id::{ModelName, UpstreamId},
 };
 
 fn adapted(adapter: &str) -> Variant {
@@ -78,17 +78,24 @@
 }
 
 #[gtest]
-fn free_places_are_filled_for_the_models_most_asked_for() {
-    let both = holding(&[("m0", &[]), ("m1", &[])]);
-    let one = UpstreamId::new("e1");
+fn the_engine_with_the_fewest_adapters_takes_another() {
+    let model = ModelName::new("m1");
+    let (one, two) = (UpstreamId::new("e1"), UpstreamId::new("e2"));
+    let three = UpstreamId::new("e3");
+    let one_adapter = holding(&[("m0", &["a1"]), ("m1", &[])]);
+    let fewer = holding(&[("m1", &[])]);
+    let full = holding(&[("m1", &["a1", "a2"])]);
+    let other = holding(&[("m0", &[])]);
     let young = BTreeMap::new();
-    let hosts = [AdapterHost { engine: &one, holding: &both, young: &young }];
-    let found = next_to_bring(
-        &hosts,
-        &spec(3),
-        |variant| *variant == Variant::adapted("m1", "a1"),
-        |model| f64::from(u8::from(model.as_str() == "m1")),
-    );
-    let expected = (one.clone(), Variant::adapted("m1", "a2"));
-    expect_that!(found, some(eq(&expected)));
+    let host =
+        |engine, holding| AdapterHost { engine, holding, young: &young };
+    let hosts =
+        [host(&one, &one_adapter), host(&two, &fewer), host(&three, &full)];
+    let spec = spec(3);
+    expect_that!(roomiest_host(&hosts, &model, &spec), some(eq(&two)));
+    expect_that!(roomiest_host(&hosts[..1], &model, &spec), some(eq(&one)));
+    // Neither one whose places are taken, nor one without the model.
+    expect_that!(roomiest_host(&hosts[2..], &model, &spec), none());
+    let hosts = [host(&one, &other)];
+    expect_that!(roomiest_host(&hosts, &model, &spec), none());
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -35,6 +35,7 @@
 mod needs;
 mod paces;
 mod placer;
+mod placing;
 mod publishing;
 mod store_sight;
 mod telling;
@@ -70,7 +71,8 @@
     lease::{Around, LeaseDuty},
     limits::LimitDuty,
     paces::PaceDuty,
-    placer::{Authority, LoadCount, Placer},
+    placer::{Authority, Placer},
+    placing::Placing,
     publishing::Published,
 };
 use crate::{
@@ -89,7 +91,7 @@
     },
     settings::Settings,
     shared::{Shared, Wishes},
-    view::{Life, Load},
+    view::Life,
 };
 
 /// How often time passes for control.
@@ -137,6 +139,7 @@
     outbox: RefCell<Outbox>,
     /// Messages of which fragments have not arrived.
     fragments: Fragments,
+    placing: Placing,
     inputs: mpsc::UnboundedSender<Input>,
     roster: Roster,
     lease: Rc<RefCell<LeaseDuty>>,
@@ -252,6 +255,7 @@
             socket,
             outbox: RefCell::new(Outbox::new(settings.peers.link_mbps)),
             fragments: Fragments::default(),
+            placing: Placing::default(),
             inputs,
             lease,
             limits: LimitDuty::new(settings.limits, is_alone, now),
@@ -311,6 +315,7 @@
                         let Ok(input) = taken.try_recv() else { break };
                         self.take(input);
                     }
+                    self.place_if_wanted();
                     self.publish_if_due();
                 }
                 Some(wish) = wishes.variants.recv() => self.wish(wish),
@@ -410,40 +415,6 @@
         lease.tick(now, around);
     }
 
-    /// Places models and adapters, if this gateway may give orders.
-    fn place(&mut self, now: Millis) {
-        let may_order = self.lease.borrow().order_epoch(now).is_some();
-        let Some(catalog) = self.catalog.clone().filter(|_| may_order) else {
-            return;
-        };
-        if self.sums.is_old(now) {
-            self.sums = self.sum_up(now);
-        }
-        self.placer.note_rests(&self.shared.rests(), now);
-        let Sums { demand, loads, .. } = &self.sums;
-        for (name, service) in &catalog.services {
-            let Some(spec) = &service.engine else { continue };
-            self.placer.tick(now, name, spec, demand);
-        }
-        let count = self.placer.plan_if_due(now, &catalog, demand, loads);
-        if let Some(count) = count {
-            let LoadCount { counted, allowed } = count;
-            self.shared.metrics.weight_loads(counted, allowed);
-        }
-    }
-
-    /// Adds up what all gateways are asked for and have under way.
-    fn sum_up(&self, now: Millis) -> Sums {
-        let own = self.demand.list(&self.shared.running());
-        let demand = self.roster.sum_demand(&own, now);
-        let mut loads = self.roster.loads(&self.told_loads, now);
-        for (start, load) in self.shared.loads().iter() {
-            let sum: &mut Load = loads.entry(start.tag()).or_default();
-            *sum = sum.plus(*load);
-        }
-        Sums::new(demand, loads, now)
-    }
-
     fn take(&mut self, input: Input) {
         let now = self.now();
         match input {
@@ -498,7 +469,7 @@
                 }
                 self.placer.ordered(order, &end, now);
                 self.spread_news_if_few(now);
-                self.place(now);
+                self.place_soon();
             }
             Input::Recorded(done) => self.record_done(done, now),
             Input::Datagram(from, bytes) => self.datagram(from, &bytes, now),
@@ -509,7 +480,8 @@
         let now = self.now();
         if self.lease.borrow().held_epoch(now).is_some() {
             self.placer.wished(asked, now);
-            self.place(now);
+            self.place_soon();
+            self.place_if_wanted();
         } else if let Some(holder) = self.roster.holder(now) {
             self.send([holder], &Message::Wish(asked));
         }
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -7,9 +7,11 @@
 //!
 //! - `models` plans which engine loads and unloads which model.
 //! - `adapters` brings adapters.
+//! - `holders` finds the engines that hold a model.
 //! - `orders` gives the orders, and takes in how they ended.
 
 mod adapters;
+mod holders;
 mod models;
 mod orders;
 #[cfg(test)]
@@ -42,6 +44,10 @@
     port::fleet::{EngineReport, FleetEngines},
 };
 
+use self::{
+    adapters::{Bringing, Wish},
+    holders::Holders,
+};
 use super::{
     entry::{ASK_EVERY_MS, Entry},
     input::Input,
@@ -94,11 +100,13 @@
     inputs: mpsc::UnboundedSender<Input>,
     authority: Authority,
     entries: BTreeMap<UpstreamId, Entry>,
+    holders: Holders,
     /// How many engines are being asked.
     questions: usize,
     /// Data centres that are to be empty.
     emptied: BTreeSet<DataCentreId>,
-    wishes: BTreeMap<Asked, Millis>,
+    wishes: BTreeMap<Asked, Wish>,
+    bringing: BTreeMap<ServiceName, Bringing>,
     /// Models of each service that no sound engine holds, or none inside a
     /// bound in which they are used, and since when.
     lost: BTreeMap<ServiceName, LostModels>,
@@ -135,9 +143,11 @@
             inputs,
             authority,
             entries: BTreeMap::new(),
+            holders: Holders::default(),
             questions: 0,
             emptied: BTreeSet::new(),
             wishes: BTreeMap::new(),
+            bringing: BTreeMap::new(),
             lost: BTreeMap::new(),
             ordered_now: BTreeSet::new(),
             planned: Millis::default(),
@@ -176,6 +186,7 @@
         let entry = entry.or_insert_with(|| Entry::new(upstream));
         entry.list(upstream);
         entry.empty(self.emptied.contains(&upstream.data_centre));
+        self.holders.note(&upstream.id, entry);
     }
 
     /// Takes in what changed of some upstreams.
@@ -199,7 +210,8 @@
         self.bound_use.note(bound, &variant.model, now);
         let topology = &self.topology;
         // Who wishes for what is there has not been told.
-        for entry in self.entries.values_mut() {
+        for id in self.holders.of(&variant.model) {
+            let Some(entry) = self.entries.get_mut(id) else { continue };
             let is_inside =
                 bound.allows(topology.region_of(&entry.data_centre));
             if is_inside && entry.serves(variant) && !entry.uncertain {
@@ -208,7 +220,8 @@
                 entry.uncertain = now.since(entry.asked) >= ASK_EVERY_MS;
             }
         }
-        self.wishes.insert(asked, now);
+        let wish = self.wishes.entry(asked).or_default();
+        wish.repeated = now;
     }
 
     /// Begins an epoch, with what others ordered before.
@@ -291,6 +304,7 @@
         for entry in self.entries.values_mut() {
             entry.forget_arrivals(now);
         }
+        self.holders.rebuild_if_due(&self.entries, now);
         self.note_bound_use(demand, now);
         self.ask_where_due(service, now);
         self.place_adapters(now, service, spec, demand);
@@ -424,6 +438,7 @@
             entry.unloading = None;
         }
         entry.holding = report.holding;
+        self.holders.note(&start.id, entry);
         if entry.usable() != told {
             entry.change(now, &mut self.stamp);
         }
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -159,6 +159,7 @@
                         || end.outcome() == Some(OrderOutcome::Accepted));
                 entry.holding.sequence = order.expected_sequence + 1;
                 entry.apply(&order.wish, now);
+                self.holders.note(&order.engine.id, entry);
                 if let (true, OrderWish::Load(_)) = (is_model, &order.wish) {
                     let copied = entry.copies.contains(&variant.model);
                     let least_ms = if copied { 0 } else { order.least_ms };
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -17,10 +17,14 @@
 use valehold_core::{
     Millis,
     fleet::{
-        EngineHolding, Holding, Listing, Upstream, UpstreamStart, Variant,
+        Asked, EngineHolding, Holding, Listing, ModelSpec, RegionBound,
+        Upstream, UpstreamStart, Variant, catalog::EngineSpec,
         topology::Topology,
     },
-    id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
+    id::{
+        AdapterName, DataCentreId, InstanceId, ModelName, ServiceName,
+        UpstreamId,
+    },
 };
 use valehold_ports::{
     PortError,
@@ -37,6 +41,7 @@
 use crate::{
     control::input::{GivenOrder, Input, OrderEnd},
     mechanisms::MechanismSettings,
+    peers::{message::VariantDemand, roster::sums::DemandSum},
 };
 
 /// Engines that answer nothing.
@@ -283,3 +288,146 @@
         })
         .await;
 }
+
+/// Makes a declaration of some models with three adapters each.
+fn spec_of(models: &[&str]) -> EngineSpec {
+    let adapters = ["a1", "a2", "a3"].map(AdapterName::new);
+    let model = |name: &&str| ModelSpec {
+        name: ModelName::new(*name),
+        size_mb: 70,
+        load_ms: 5_000,
+        adapters: adapters.to_vec(),
+        adapter_size_mb: 1,
+    };
+    EngineSpec {
+        slots: 64,
+        memory_mb: 220,
+        adapter_places: 8,
+        loads_per_second: 2.0,
+        models: models.iter().map(model).collect(),
+    }
+}
+
+/// Makes demand for some models, so many requests a second each.
+fn demand_for(models: &[(&str, f32)]) -> DemandSum {
+    let one = |(model, requests): &(&str, f32)| {
+        let variant = Variant::adapted(*model, "a1");
+        let demand = VariantDemand {
+            variant: variant.clone(),
+            requests: *requests,
+            busy: 0.1,
+            running: 0,
+        };
+        (variant, demand)
+    };
+    let variants = models.iter().map(one).collect();
+    DemandSum::from([(RegionBound::Anywhere, variants)])
+}
+
+/// Makes a placer that knows what each of some engines holds.
+fn knowing_many(held: &[&[(&str, &[&str])]]) -> Placer {
+    let mut placer = placer();
+    placer.listed(&many(held.len()));
+    for (number, models) in held.iter().enumerate() {
+        let id = UpstreamId::new(format!("e{number}"));
+        let one = |(model, adapters): &(&str, &[&str])| {
+            let adapters = adapters.iter().map(AdapterName::new).collect();
+            (ModelName::new(*model), adapters)
+        };
+        let models = models.iter().map(one).collect();
+        let holding = Holding { sequence: 0, models };
+        let copies = BTreeSet::new();
+        let birth = Some(1);
+        let report = EngineReport { birth, holding, copies, busy: false };
+        let start = UpstreamStart { id, birth };
+        placer.reported(&start, Ok(report), at(0));
+    }
+    placer
+}
+
+/// Returns the adapters about which orders are under way.
+fn ordered(placer: &Placer) -> Vec<String> {
+    placer.ordered_now.iter().map(ToString::to_string).collect()
+}
+
+#[gtest]
+#[tokio::test]
+async fn free_places_are_filled_for_the_models_most_asked_for() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let held: &[&[(&str, &[&str])]] = &[
+                &[("alpha", &[]), ("beta", &["a1"])],
+                &[("alpha", &[])],
+                &[("beta", &[])],
+            ];
+            let mut placer = knowing_many(held);
+            let spec = spec_of(&["alpha", "beta"]);
+            let service = ServiceName::new("engines");
+            let demand = demand_for(&[("alpha", 0.5), ("beta", 3.0)]);
+            placer.bring_adapters(at(1_000), &service, &spec, &demand);
+            // What is there already is not brought, and no more than three at once.
+            let expected = ["alpha/a1", "beta/a2", "beta/a3"];
+            expect_that!(ordered(&placer), eq(&expected));
+        })
+        .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_wish_is_granted_by_an_engine_that_holds_the_model() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let held: &[&[(&str, &[&str])]] =
+                &[&[("alpha", &["a1"])], &[("beta", &[])], &[("alpha", &[])]];
+            let mut placer = knowing_many(held);
+            let spec = spec_of(&["alpha", "beta"]);
+            let service = ServiceName::new("engines");
+            let demand = DemandSum::new();
+            let bound = RegionBound::Anywhere;
+            let variant = |model| Variant::adapted(model, "a1");
+            for model in ["alpha", "beta", "gamma"] {
+                let (bound, variant) = (bound.clone(), variant(model));
+                placer.wished(Asked { bound, variant }, at(1_000));
+            }
+            placer.place_adapters(at(1_000), &service, &spec, &demand);
+            // One engine has the first already, and none is declared the last.
+            expect_that!(ordered(&placer), elements_are![eq("beta/a1")]);
+            expect_true!(placer.entries[&UpstreamId::new("e1")].under_way);
+            let wishes = placer.wishes.keys().map(|one| &one.variant.model);
+            let wishes: Vec<&str> = wishes.map(ModelName::as_str).collect();
+            expect_that!(wishes, elements_are![eq(&"beta"), eq(&"gamma")]);
+        })
+        .await;
+}
+
+// A holder walked all engines for each wish, and made a list of all adapters on
+// all of them each time: 28 ms for 30 wishes and 36 ms for the list at 4,000
+// engines on a whole core, eight times that on the smallest machines. There,
+// 126 of 269 models and adapters that were asked for were never served.
+#[gtest]
+fn engines_that_hold_a_model_are_found_without_the_others() {
+    let looked_at = |count: usize| {
+        let mut placer = placer();
+        placer.listed(&many(count));
+        let id = UpstreamId::new("e1");
+        let held = Holding { sequence: 1, ..holding(1, &["beta"]) };
+        let entry = placer.entries.get_mut(&id).unwrap();
+        entry.holding = held;
+        placer.holders.note(&id, entry);
+        placer.holders.of(&ModelName::new("beta")).count()
+    };
+    expect_that!((looked_at(100), looked_at(4_000)), eq((1, 1)));
+}
+
+#[gtest]
+fn engines_that_gave_a_model_up_are_forgotten() {
+    let mut placer = knowing();
+    let beta = ModelName::new("beta");
+    expect_that!(placer.holders.of(&beta).count(), eq(1));
+    placer.reported(&start(1), report(1, 8, &["alpha"]), at(100));
+    placer.holders.rebuild_if_due(&placer.entries, at(10_000));
+    expect_that!(placer.holders.of(&beta).count(), eq(0));
+    expect_that!(placer.holders.of(&ModelName::new("alpha")).count(), eq(1));
+}
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -304,7 +304,7 @@
             }
             Message::Wish(asked) => {
                 self.placer.wished(asked, now);
-                self.place(now);
+                self.place_soon();
             }
             Message::Holdings(holdings) => {
                 self.upstreams.tell(holdings, now);
