A choice looks at the engines that hold the model, and no others

Change: what is known of upstreams keeps an index by model and by service, up to date one upstream at a time, which goes out with each view and shares its structure. The order of candidates stays as it was.

Shown by what_changes_is_all_that_changes, which holds the index against a walk after any lists, changes and words of the holder.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -18,6 +18,7 @@
 
 use super::{
     identity::{Births, UpstreamStart},
+    index::UpstreamIndex,
     lapsed::LapsedUpstreams,
     leaving::LeavingUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream, Upstreams},
@@ -60,6 +61,8 @@
     births: Births,
     /// All four together.
     known: Arc<Listing>,
+    /// The same by what they serve.
+    index: UpstreamIndex,
     /// Those that changed since they were last taken.
     changed: BTreeSet<UpstreamId>,
 }
@@ -80,6 +83,11 @@
         &self.known
     }
 
+    /// Returns which of them serve what.
+    pub fn index(&self) -> &UpstreamIndex {
+        &self.index
+    }
+
     /// Returns an upstream's entry, as the platform's list has it.
     pub fn listed(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
         self.rows.upstreams.get(id)
@@ -264,7 +272,9 @@
         let listed = self.rows.upstreams.get(id).or(self.lapsed.get(id));
         let Some(listed) = listed else {
             self.told.remove(id);
-            Arc::make_mut(&mut self.known).upstreams.remove(id);
+            let known = Arc::make_mut(&mut self.known);
+            let before = known.upstreams.remove(id);
+            self.index.change(before.as_deref(), None);
             return;
         };
         let listed = listed.clone();
@@ -278,7 +288,8 @@
             self.told.remove(id);
         }
         let known = Arc::make_mut(&mut self.known);
-        known.upstreams.insert(id.clone(), upstream);
+        let before = known.upstreams.insert(id.clone(), upstream.clone());
+        self.index.change(before.as_deref(), Some(&upstream));
     }
 }
 
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod event;
 pub mod health;
 pub mod identity;
+pub mod index;
 pub mod known;
 pub mod lapsed;
 pub mod leaving;
@@ -48,6 +49,7 @@
         EvacuationChange, EvacuationNews, EvacuationView, Evacuations,
     },
     identity::UpstreamStart,
+    index::UpstreamIndex,
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
 };
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -258,6 +258,20 @@
     some.iter().map(one).collect()
 }
 
+/// Tells whether the index finds what a walk over all upstreams finds.
+fn finds_all(known: &KnownUpstreams) -> bool {
+    let (index, listing) = (known.index(), known.listing());
+    let by_model = MODELS.map(ModelName::new).iter().all(|model| {
+        let all = listing.upstreams.values();
+        let holding = all.filter(|u| u.holding.models.contains_key(model));
+        index.holding(model, listing).eq(holding)
+    });
+    let service = ServiceName::new("engines");
+    let all = listing.upstreams.values();
+    let of_service = all.filter(|upstream| upstream.service == service);
+    by_model && index.of(&service, listing).eq(of_service)
+}
+
 /// What is kept up to date one upstream at a time is what putting all of it
 /// together anew gives.
 #[gtest]
@@ -308,6 +322,7 @@
                     &followed.upstreams,
                     &known.listing().upstreams
                 );
+                prop_assert!(finds_all(&known));
             }
             Ok(())
         })
--- a/crates/valehold-gateway/src/control/publishing.rs
+++ b/crates/valehold-gateway/src/control/publishing.rs
@@ -71,6 +71,7 @@
             has_holder,
             catalog: self.catalog.clone(),
             listing: self.upstreams.listing().clone(),
+            index: self.upstreams.index().clone(),
             lapsed: self.upstreams.lapsed().clone(),
             evacuations: self.evacuations.clone(),
             ready: self.published.ready.clone(),
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -52,28 +52,48 @@
     view: &View,
     job: &Job,
 ) -> usize {
-    let everywhere = view.listing.of(&job.service_name);
-    let holding = everywhere.filter(|upstream| holds(job, upstream)).count();
-    let inside = inside_bound(app, view, job);
-    let allowed = inside.filter(|upstream| holds(job, upstream)).count();
-    holding.saturating_sub(allowed)
+    let staying = |one: &&Arc<Upstream>| !one.leaving;
+    let holding = all_holders(view, job).filter(staying).count();
+    let inside = only_inside_bound(app, view, job, all_holders(view, job));
+    holding.saturating_sub(inside.filter(staying).count())
 }
 
 /// Tells whether all upstreams of a request's service are outside the regions
 /// that bind it.
 pub(super) fn all_are_elsewhere(app: &App, view: &View, job: &Job) -> bool {
-    view.listing.of(&job.service_name).next().is_some()
-        && inside_bound(app, view, job).next().is_none()
+    of_service(view, job).next().is_some()
+        && only_inside_bound(app, view, job, of_service(view, job))
+            .next()
+            .is_none()
 }
 
-/// Returns the upstreams of a request's service inside the regions that bind
-/// it.
-fn inside_bound<'a>(
-    app: &'a App,
+/// Returns the upstreams of a request's service that take new work.
+fn of_service<'a>(
+    view: &'a View,
+    job: &'a Job,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    let all = view.index.of(&job.service_name, &view.listing);
+    all.filter(|upstream| !upstream.leaving)
+}
+
+/// Returns the upstreams of a request's service that hold what it asks for,
+/// those that leave among them.
+fn all_holders<'a>(
     view: &'a View,
     job: &'a Job,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
-    only_inside_bound(app, view, job, view.listing.of(&job.service_name))
+    let variant = job.request.variant.as_ref();
+    let of_model = variant.into_iter().flat_map(|variant| {
+        let all = view.index.holding(&variant.model, &view.listing);
+        all.filter(|one| {
+            one.service == job.service_name && one.holding.has(variant)
+        })
+    });
+    let of_service = match variant {
+        Some(_) => None,
+        None => Some(view.index.of(&job.service_name, &view.listing)),
+    };
+    of_model.chain(of_service.into_iter().flatten())
 }
 
 /// Leaves out upstreams outside the regions that bind a request.
@@ -90,14 +110,27 @@
     })
 }
 
-/// Returns those of them that stand outside data centres that are empty.
+/// Returns the upstreams of a request's service that may get it, whatever they
+/// hold: inside the regions that bind it, and not in data centres that are
+/// empty.
 pub(in super::super) fn usable<'a>(
     app: &'a App,
     view: &'a View,
     job: &'a Job,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    only_usable(app, view, job, of_service(view, job))
+}
+
+/// Leaves out upstreams outside the regions that bind a request, and those in
+/// data centres that are empty.
+fn only_usable<'a>(
+    app: &'a App,
+    view: &'a View,
+    job: &'a Job,
+    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     let now = app.now();
-    inside_bound(app, view, job).filter(move |upstream| {
+    only_inside_bound(app, view, job, upstreams).filter(move |upstream| {
         !view.evacuations.is_empty(&upstream.data_centre, now)
     })
 }
@@ -124,7 +157,8 @@
     view: &'a View,
     job: &'a Job,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
-    usable(app, view, job).filter(move |upstream| holds(job, upstream))
+    let staying = all_holders(view, job).filter(|one| !one.leaving);
+    only_usable(app, view, job, staying)
 }
 
 /// How many upstreams that were passed over a request's line names: a line has
@@ -139,12 +173,7 @@
     job: &Job,
 ) -> Vec<PassedOver> {
     let (rests, now) = (app.shared.rests(), app.now());
-    let able = view
-        .listing
-        .upstreams
-        .values()
-        .filter(|one| one.service == job.service_name && holds(job, one));
-    let able = only_inside_bound(app, view, job, able);
+    let able = only_inside_bound(app, view, job, all_holders(view, job));
     let passed_over = able.filter_map(|one| {
         let is_awake = rests.is_awake(&one.start(), now);
         let reason = match (one.leaving, is_awake) {
@@ -157,12 +186,6 @@
     passed_over.take(MOST_PASSED_OVER).collect()
 }
 
-/// Tells whether an upstream holds what a request asks for.
-fn holds(job: &Job, upstream: &Upstream) -> bool {
-    let variant = job.request.variant.as_ref();
-    variant.is_none_or(|variant| upstream.holding.has(variant))
-}
-
 /// An upstream that may get a request.
 #[derive(Clone, Copy)]
 pub(super) struct Able<'a> {
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{Catalog, EvacuationView, Listing, lapsed::LapsedUpstreams},
+    fleet::{
+        Catalog, EvacuationView, Listing, UpstreamIndex,
+        lapsed::LapsedUpstreams,
+    },
     id::DataCentreId,
 };
 
@@ -86,6 +89,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// The upstreams.
     pub listing: Arc<Listing>,
+    /// Which of them serve what.
+    pub index: UpstreamIndex,
     /// Those of them that fell off the list with the store.
     pub lapsed: LapsedUpstreams,
     /// The data centres that are to be empty, and those that were lately.
@@ -102,6 +107,7 @@
             life: Life::Starting,
             catalog: None,
             listing: Arc::default(),
+            index: UpstreamIndex::default(),
             lapsed: LapsedUpstreams::default(),
             evacuations: EvacuationView::default(),
             has_holder: false,
