Who is a little behind reads what changed of the list, not the whole

Cause: a gateway that had missed one change of the list of upstreams read all of it from a peer, 400 KB at 3,996 upstreams: changes times engines times gateways.

Change: the latest changes are kept, as many as name half of the upstreams, and a peer answers with those since the version that the reader has; a reader that is farther behind, or has none, gets the whole list as before.

Shown by who_is_a_little_behind_is_told_what_changed, and by what_changes_is_all_that_changes: whoever was left behind at any earlier moment has the newest list after the changes since then, or is told that they are not known.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -22,6 +22,7 @@
     lapsed::LapsedUpstreams,
     leaving::LeavingUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream, Upstreams},
+    recent::RecentChanges,
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
 
@@ -63,6 +64,8 @@
     known: Arc<Listing>,
     /// The same by what they serve.
     index: UpstreamIndex,
+    /// The latest changes of the list.
+    recent: Arc<RecentChanges>,
     /// Those that changed since they were last taken.
     changed: BTreeSet<UpstreamId>,
 }
@@ -88,6 +91,11 @@
         &self.index
     }
 
+    /// Returns the latest changes of the platform's list.
+    pub fn recent(&self) -> &Arc<RecentChanges> {
+        &self.recent
+    }
+
     /// Returns an upstream's entry, as the platform's list has it.
     pub fn listed(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
         self.rows.upstreams.get(id)
@@ -114,6 +122,7 @@
         }
         self.void_earlier_starts(&mut listing, now);
         let before = std::mem::replace(&mut self.rows, listing);
+        Arc::make_mut(&mut self.recent).clear();
         if after_outage {
             self.keep_missing(&before, now);
         }
@@ -163,6 +172,8 @@
         if !self.has_list() || !self.rows.apply(delta) {
             return false;
         }
+        let upstreams = self.rows.upstreams.len();
+        Arc::make_mut(&mut self.recent).note(delta, upstreams);
         for one in &lapsed {
             self.lapsed.keep(one, now);
         }
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod pace;
 pub mod paces;
 pub mod peaks;
+pub mod recent;
 pub mod replicas;
 pub mod rest;
 pub mod share;
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -272,6 +272,25 @@
     by_model && index.of(&service, listing).eq(of_service)
 }
 
+/// Tells whether whoever was left behind has the newest list after the changes
+/// since then, where all of these are still known.
+fn may_catch_up(
+    behind: &[KnownUpstreams],
+    known: &KnownUpstreams,
+    now: Millis,
+) -> bool {
+    behind.iter().all(|one| {
+        let Some(delta) = known.recent().since(one.version()) else {
+            return true;
+        };
+        let mut one = one.clone();
+        one.apply(&delta, now);
+        let mut ids = ENGINES.iter().map(UpstreamId::new);
+        one.version() == known.version()
+            && ids.all(|id| one.listed(&id) == known.listed(&id))
+    })
+}
+
 /// What is kept up to date one upstream at a time is what putting all of it
 /// together anew gives.
 #[gtest]
@@ -282,6 +301,7 @@
         .run(&steps, |steps| {
             let mut known = KnownUpstreams::default();
             let mut followed = Listing::default();
+            let mut behind: Vec<KnownUpstreams> = Vec::new();
             let mut version = 1;
             for (number, step) in steps.iter().enumerate() {
                 let now = at(number as u64 * 300);
@@ -323,8 +343,41 @@
                     &known.listing().upstreams
                 );
                 prop_assert!(finds_all(&known));
+                prop_assert!(may_catch_up(&behind, &known, now));
+                behind.push(known.clone());
             }
             Ok(())
         })
         .unwrap();
 }
+
+/// Makes a list of so many engines, and changes of one of them, one by one.
+fn changed_often(engines: usize, changes: u64) -> KnownUpstreams {
+    let mut known = KnownUpstreams::default();
+    let all: Vec<Arc<Upstream>> =
+        (0..engines).map(|n| engine(&format!("e{n}"), &["alpha"])).collect();
+    known.replace(list(1, &all), false, at(0));
+    for version in 1..=changes {
+        let mut change = delta(version, version + 1);
+        let models = if version % 2 == 0 { ["alpha"] } else { ["beta"] };
+        change.changed = vec![engine(&format!("e{version}"), &models)];
+        known.apply(&change, at(version));
+    }
+    known
+}
+
+// Whoever had missed one change of the list read the whole of it from a peer:
+// 400 KB at 3,996 upstreams, several times while engines start or crash.
+#[gtest]
+fn who_is_a_little_behind_is_told_what_changed() {
+    let known = changed_often(4_000, 100);
+    let missed = known.recent().since(98).unwrap();
+    expect_that!(missed.changed.len(), eq(3));
+    expect_that!((missed.before, missed.version), eq((98, 101)));
+    // Nothing is new, or more than is kept.
+    expect_that!(known.recent().since(101), none());
+    expect_that!(known.recent().since(0), none());
+    let known = changed_often(100, 99);
+    expect_that!(known.recent().since(1), none());
+    expect_that!(known.recent().since(60), some(anything()));
+}
--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use valehold_core::Millis;
+use valehold_core::{Millis, fleet::ListingDelta};
 use valehold_ports::{PortError, PortErrorKind};
 
 use super::{Control, input::Input};
@@ -204,6 +204,12 @@
                 if let Some(listing) = state.listing {
                     self.list(listing, now);
                 }
+                if let Some(changes) = state.changes {
+                    let after_outage =
+                        self.store_presence.has_just_returned(now);
+                    let delta = ListingDelta { after_outage, ..changes };
+                    self.take_delta(&delta, now);
+                }
             }
             Err(error) => {
                 let level = match error.kind() {
--- a/crates/valehold-gateway/src/control/publishing.rs
+++ b/crates/valehold-gateway/src/control/publishing.rs
@@ -72,6 +72,7 @@
             catalog: self.catalog.clone(),
             listing: self.upstreams.listing().clone(),
             index: self.upstreams.index().clone(),
+            recent: self.upstreams.recent().clone(),
             lapsed: self.upstreams.lapsed().clone(),
             evacuations: self.evacuations.clone(),
             ready: self.published.ready.clone(),
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -21,7 +21,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use valehold_core::fleet::{Catalog, Evacuations, Listing};
+use valehold_core::fleet::{Catalog, Evacuations, Listing, ListingDelta};
 use valehold_ports::{
     PortError,
     http::client::{
@@ -100,8 +100,10 @@
 pub struct PeerState {
     /// The configuration.
     pub catalog: Option<Catalog>,
-    /// The upstreams.
+    /// The upstreams, if the reader has none or is far behind.
     pub listing: Option<Listing>,
+    /// Otherwise what changed of them.
+    pub changes: Option<ListingDelta>,
     /// The orders to empty data centres, whatever the reader has: they are
     /// few.
     pub evacuations: Option<Evacuations>,
@@ -231,10 +233,13 @@
         }
         let view = self.shared.view.load();
         let catalog = view.catalog.as_deref();
+        let changes = view.recent.since(known.listing);
+        let is_behind = view.listing.version > known.listing;
+        let listing = (is_behind && changes.is_none()).then(|| self.listing());
         let state = PeerState {
             catalog: catalog.filter(|c| c.version > known.catalog).cloned(),
-            listing: (view.listing.version > known.listing)
-                .then(|| self.listing()),
+            listing,
+            changes,
             evacuations: view.evacuations.orders().cloned(),
         };
         state.encode().map(Bytes::from)
@@ -256,6 +261,7 @@
         let state = PeerState {
             catalog: catalog.as_deref().cloned(),
             listing: (listing.version > 0).then(|| self.listing()),
+            changes: None,
             evacuations: evacuations.cloned(),
         };
         let bytes = Bytes::from(state.encode()?);
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -6,7 +6,7 @@
 use valehold_core::{
     fleet::{
         Catalog, EvacuationView, Listing, UpstreamIndex,
-        lapsed::LapsedUpstreams,
+        lapsed::LapsedUpstreams, recent::RecentChanges,
     },
     id::DataCentreId,
 };
@@ -91,6 +91,8 @@
     pub listing: Arc<Listing>,
     /// Which of them serve what.
     pub index: UpstreamIndex,
+    /// What changed of the list lately, for peers that are behind.
+    pub recent: Arc<RecentChanges>,
     /// Those of them that fell off the list with the store.
     pub lapsed: LapsedUpstreams,
     /// The data centres that are to be empty, and those that were lately.
@@ -108,6 +110,7 @@
             catalog: None,
             listing: Arc::default(),
             index: UpstreamIndex::default(),
+            recent: Arc::default(),
             lapsed: LapsedUpstreams::default(),
             evacuations: EvacuationView::default(),
             has_holder: false,
