--- a/crates/valehold-ports/src/http/client.rs
+++ b/crates/valehold-ports/src/http/client.rs
@@ -24,6 +24,10 @@
 /// How many probes in a row may get no answer.
 const SILENCE_PROBES: u32 = 2;
 
+/// For how long a connection to one of many hosts may rest: an order follows
+/// the report that it waits for within that.
+const SHORT_REST: Duration = Duration::from_millis(500);
+
 /// How long sent bytes may stay unconfirmed.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -59,6 +63,14 @@
     }
 }
 
+impl ClientSettings {
+    /// Returns the settings of a client of many hosts. A process has a bounded
+    /// number of descriptors, so connections rest only briefly.
+    pub fn of_many_hosts() -> Self {
+        Self { rest: Some(SHORT_REST), ..Self::default() }
+    }
+}
+
 /// Whether a connection may serve several requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Connections {
