Who read a whole list tells what that changed

Cause: a list that was read whole made a gateway forget the changes before it, so that it could give nobody less than a whole list either.

Change: what a whole list changed is kept as one change.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -122,7 +122,6 @@
         }
         self.void_earlier_starts(&mut listing, now);
         let before = std::mem::replace(&mut self.rows, listing);
-        Arc::make_mut(&mut self.recent).clear();
         if after_outage {
             self.keep_missing(&before, now);
         }
@@ -135,11 +134,38 @@
         let rows = &self.rows.upstreams;
         let gone = before.upstreams.keys();
         touched.extend(gone.filter(|id| !rows.contains_key(*id)).cloned());
+        self.note_replaced(before.version, &touched, after_outage);
         self.touch(touched);
         self.pass(now);
         true
     }
 
+    /// Notes what a whole list changed, for peers that are as far behind as
+    /// this one was.
+    fn note_replaced(
+        &mut self,
+        before: u64,
+        touched: &BTreeSet<UpstreamId>,
+        after_outage: bool,
+    ) {
+        if before == 0 {
+            // Who has no list yet needs all of it.
+            return;
+        }
+        let rows = &self.rows.upstreams;
+        let changed = touched.iter().filter_map(|id| rows.get(id).cloned());
+        let gone = touched.iter().filter(|id| !rows.contains_key(*id));
+        let delta = ListingDelta {
+            before,
+            version: self.rows.version,
+            changed: changed.collect(),
+            gone: gone.cloned().collect(),
+            after_outage,
+        };
+        let upstreams = rows.len();
+        Arc::make_mut(&mut self.recent).note(&delta, upstreams);
+    }
+
     /// Puts what was listed before in the place of entries of earlier starts.
     fn void_earlier_starts(&mut self, listing: &mut Listing, now: Millis) {
         let mut latest = Upstreams::new();
--- a/crates/valehold-core/src/fleet/recent.rs
+++ b/crates/valehold-core/src/fleet/recent.rs
@@ -25,7 +25,7 @@
     pub fn note(&mut self, delta: &ListingDelta, upstreams: usize) {
         let last = self.deltas.back().map(|last| last.version);
         if last.is_some_and(|last| delta.before > last) {
-            self.clear();
+            *self = Self::default();
         }
         self.named += named(delta);
         self.deltas.push_back(Arc::new(delta.clone()));
@@ -36,12 +36,6 @@
         }
     }
 
-    /// Forgets all: the list was replaced by another one.
-    pub fn clear(&mut self) {
-        self.deltas.clear();
-        self.named = 0;
-    }
-
     /// Returns all changes since a version as one; `None` if some of them are
     /// not known any more, or there are none.
     pub fn since(&self, version: u64) -> Option<ListingDelta> {
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -351,6 +351,21 @@
         .unwrap();
 }
 
+// Where many start at once, nearly all had read a whole list lately, and could
+// tell nobody what was changed by it.
+#[gtest]
+fn who_read_a_whole_list_tells_what_that_changed() {
+    let mut known = changed_often(100, 3);
+    let mut later: Vec<Arc<Upstream>> =
+        known.listing().upstreams.values().cloned().collect();
+    later.push(engine("new", &["alpha"]));
+    known.replace(list(9, &later), false, at(100));
+    let missed = known.recent().since(3).unwrap();
+    expect_that!((missed.before, missed.version), eq((3, 9)));
+    let names = missed.changed.iter().map(|one| one.id.as_str());
+    expect_that!(names.collect::<Vec<_>>(), eq(&vec!["e3", "new"]));
+}
+
 /// Makes a list of so many engines, and changes of one of them, one by one.
 fn changed_often(engines: usize, changes: u64) -> KnownUpstreams {
     let mut known = KnownUpstreams::default();
