An idle model is loaded once, though an engine has a copy of it

What was seen: where models are more than places, an idle model of which an engine has a copy was loaded from that copy and, in the same plan, on another engine from the weight store. Cause: filling free room did not look whether the model had an engine by now, as the other loads do; the words of that check had also slipped over another function. Shown by an_idle_model_is_loaded_once_although_an_engine_has_a_copy (2 loads before).

--- a/crates/valehold-core/src/fleet/replicas/lacking.rs
+++ b/crates/valehold-core/src/fleet/replicas/lacking.rs
@@ -142,16 +142,19 @@
         }
     }
 
-    /// Tells whether a claim has as many engines as it is to have, by now.
-    /// Loads models into room that is free.
+    /// Loads models that still lack an engine into room that is free.
     pub(super) fn fill_room(&mut self, lacking: &[Lacking]) {
         for one in lacking {
+            if self.is_met(one) {
+                continue;
+            }
             if let Some(engine) = self.roomy_engine(one.claim) {
                 self.load(engine, self.claims[one.claim].model);
             }
         }
     }
 
+    /// Tells whether a claim has as many engines as it is to have, by now.
     fn is_met(&self, lacking: &Lacking) -> bool {
         self.claims[lacking.claim].holders >= lacking.least
     }
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -378,6 +378,22 @@
     expect_that!(held, eq(6));
 }
 
+#[gtest]
+fn an_idle_model_is_loaded_once_although_an_engine_has_a_copy() {
+    let mut spec = spec(8);
+    // No adapters ask for further engines.
+    spec.models.iter_mut().for_each(|model| model.adapters.clear());
+    let mut engines =
+        vec![engine(0, &[0, 1].into()), engine(1, &[2, 3].into())];
+    engines[0].copies.insert(name(4));
+    let demand = needs(&[0.01, 0.01, 0.01, 0.01]);
+    let steps = plan(&spec, &demand, &engines, 3);
+    let loads = steps.iter().filter(|step| {
+        matches!(step, ReplicaStep::Load { model, .. } if *model == name(4))
+    });
+    expect_that!(loads.count(), eq(1));
+}
+
 proptest! {
     #![proptest_config(cases())]
 
