Who knows all does not look for peers that do, twenty times a second

A walk over all peers that are heard, with a number drawn for each, was made with every tick, and its outcome used only by a gateway that has just started. What is decided is the same.

--- a/crates/valehold-gateway/src/control/store_sight.rs
+++ b/crates/valehold-gateway/src/control/store_sight.rs
@@ -20,9 +20,9 @@
 impl Control {
     /// Sets this gateway's part in watching the store.
     pub(super) fn watch_store(&mut self, now: Millis) {
-        let peers_know =
-            self.roster.with_newer_listing(0, None, now).is_some();
         let knows_all = self.knows_all();
+        let peers_know = !knows_all
+            && self.roster.with_newer_listing(0, None, now).is_some();
         let looks = self.behind.looks_itself(knows_all, peers_know, now);
         let observing = match looks {
             Some(true) => Observing::Foremost,
