Lists of gateways and changes of the list made in one way each

MemberList::of in place of three loops, one walk over a hub's group for its list and its digest, and the changes that are kept no longer carry whether the store was away, which who reads them says itself, nor are they copied twice. Behaviour as it was.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -134,7 +134,7 @@
         let rows = &self.rows.upstreams;
         let gone = before.upstreams.keys();
         touched.extend(gone.filter(|id| !rows.contains_key(*id)).cloned());
-        self.note_replaced(before.version, &touched, after_outage);
+        self.note_replaced(before.version, &touched);
         self.touch(touched);
         self.pass(now);
         true
@@ -142,12 +142,7 @@
 
     /// Notes what a whole list changed, for peers that are as far behind as
     /// this one was.
-    fn note_replaced(
-        &mut self,
-        before: u64,
-        touched: &BTreeSet<UpstreamId>,
-        after_outage: bool,
-    ) {
+    fn note_replaced(&mut self, before: u64, touched: &BTreeSet<UpstreamId>) {
         if before == 0 {
             // Who has no list yet needs all of it.
             return;
@@ -160,10 +155,10 @@
             version: self.rows.version,
             changed: changed.collect(),
             gone: gone.cloned().collect(),
-            after_outage,
+            after_outage: false,
         };
         let upstreams = rows.len();
-        Arc::make_mut(&mut self.recent).note(&delta, upstreams);
+        Arc::make_mut(&mut self.recent).note(delta, upstreams);
     }
 
     /// Puts what was listed before in the place of entries of earlier starts.
@@ -199,7 +194,7 @@
             return false;
         }
         let upstreams = self.rows.upstreams.len();
-        Arc::make_mut(&mut self.recent).note(delta, upstreams);
+        Arc::make_mut(&mut self.recent).note(delta.clone(), upstreams);
         for one in &lapsed {
             self.lapsed.keep(one, now);
         }
--- a/crates/valehold-core/src/fleet/recent.rs
+++ b/crates/valehold-core/src/fleet/recent.rs
@@ -22,13 +22,13 @@
 
 impl RecentChanges {
     /// Takes in the next changes of a list with so many upstreams.
-    pub fn note(&mut self, delta: &ListingDelta, upstreams: usize) {
+    pub fn note(&mut self, delta: ListingDelta, upstreams: usize) {
         let last = self.deltas.back().map(|last| last.version);
         if last.is_some_and(|last| delta.before > last) {
             *self = Self::default();
         }
-        self.named += named(delta);
-        self.deltas.push_back(Arc::new(delta.clone()));
+        self.named += named(&delta);
+        self.deltas.push_back(Arc::new(delta));
         while self.named > upstreams / WORTH_PART
             && let Some(oldest) = self.deltas.pop_front()
         {
@@ -37,7 +37,8 @@
     }
 
     /// Returns all changes since a version as one; `None` if some of them are
-    /// not known any more, or there are none.
+    /// not known any more, or there are none. Whether the store was away is
+    /// for who takes them in to say.
     pub fn since(&self, version: u64) -> Option<ListingDelta> {
         let newer: Vec<&Arc<ListingDelta>> = self
             .deltas
@@ -66,7 +67,7 @@
             version: last.version,
             changed: changed.into_values().cloned().collect(),
             gone: gone.into_iter().cloned().collect(),
-            after_outage: newer.iter().any(|delta| delta.after_outage),
+            after_outage: false,
         })
     }
 }
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -108,6 +108,7 @@
             summary.loads.clear();
         }
         self.send(targets, &Message::Summary(Box::new(summary)));
+        // What bears so many changes for a group bears all for so many.
         let all = self.told_members.len();
         self.told_members.allow(self.most_changes(all, now));
         self.answer_asked();
--- a/crates/valehold-gateway/src/peers/roster/members.rs
+++ b/crates/valehold-gateway/src/peers/roster/members.rs
@@ -197,12 +197,9 @@
             changed.sort_by_key(|(_, member)| Reverse(member.rank));
             changed.truncate(left);
         }
-        let mut list = MemberList::default();
-        for (address, member) in changed {
-            list.push(*address, member);
-        }
+        let changed = MemberList::of(changed);
         let mut news =
-            MemberNews { changed: list, gone, digest: 0, is_enough: false };
+            MemberNews { changed, gone, digest: 0, is_enough: false };
         self.told.apply(&news);
         self.is_enough =
             self.told.len() >= ENOUGH || self.told.members == *heard;
@@ -251,10 +248,7 @@
             self.told.members.iter().collect();
         let mut parts: Vec<MemberPart> = Vec::new();
         for some in all.chunks(MOST_IN_DATAGRAM) {
-            let mut members = MemberList::default();
-            for (address, member) in some {
-                members.push(**address, member);
-            }
+            let members = MemberList::of(some.iter().copied());
             let after = parts.last().and_then(|part| part.until);
             let until = some.last().map(|(address, _)| **address);
             parts.push(MemberPart {
--- a/crates/valehold-gateway/src/peers/roster/standing.rs
+++ b/crates/valehold-gateway/src/peers/roster/standing.rs
@@ -93,8 +93,19 @@
 }
 
 impl MemberList {
+    /// Lists gateways.
+    pub fn of<'a>(
+        members: impl IntoIterator<Item = (&'a SocketAddr, &'a Member)>,
+    ) -> Self {
+        let mut list = Self::default();
+        for (heartbeats, member) in members {
+            list.push(*heartbeats, member);
+        }
+        list
+    }
+
     /// Adds a gateway.
-    pub fn push(&mut self, heartbeats: SocketAddr, member: &Member) {
+    fn push(&mut self, heartbeats: SocketAddr, member: &Member) {
         let known = self.data_centres.iter();
         let place = known.clone().position(|one| *one == member.data_centre);
         let place = place.unwrap_or_else(|| {
--- a/crates/valehold-gateway/src/peers/roster/words.rs
+++ b/crates/valehold-gateway/src/peers/roster/words.rs
@@ -205,7 +205,7 @@
         Digest {
             number: own.number(),
             data_centre: self.own.data_centre.clone(),
-            members: self.group_members(own, now),
+            members: MemberList::of(&self.group_members(own, now)),
             lease: self.rumours_to_tell(own, now),
             catalog: self.own_catalog(own, now),
             listing: self.own_listing(own, now),
@@ -226,14 +226,18 @@
         usize::try_from(most).unwrap_or(usize::MAX)
     }
 
-    /// Lists this gateway and those of its group that it hears itself.
-    fn group_members(&self, own: &Heartbeat, now: Millis) -> MemberList {
-        let mut list = MemberList::default();
-        for peer in self.live_in_group(now) {
-            list.push(peer.address, &Member::of(&peer.heartbeat));
-        }
-        list.push(self.own.heartbeats, &Member::of(own));
-        list
+    /// Returns this gateway and those of its group that it hears itself.
+    fn group_members(
+        &self,
+        own: &Heartbeat,
+        now: Millis,
+    ) -> BTreeMap<SocketAddr, Member> {
+        let peers = self.live_in_group(now);
+        let mut members: BTreeMap<SocketAddr, Member> = peers
+            .map(|peer| (peer.address, Member::of(&peer.heartbeat)))
+            .collect();
+        members.insert(self.own.heartbeats, Member::of(own));
+        members
     }
 
     /// Returns the newest configuration here and at those heard directly.
