Gateways log and count that an upstream names a limit of requests

Nothing told which answers named a limit and to which gateway, so that 'nobody reads it', 'each keeps to it alone' and 'it is lost on the way' looked the same. Answers that are surely of the upstream that was meant are read; one line and one count for each change of belief. That a limit is over is believed only of an answer to a request that was sent after the limit was last confirmed.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -36,6 +36,7 @@
 mod tests;
 pub mod topology;
 pub mod turned_away;
+pub mod upstream_limit;
 pub mod usage;
 pub mod ways;
 pub mod weight_loads;
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -76,7 +76,7 @@
     publishing::Published,
 };
 use crate::{
-    events::{Event, LeavingSource},
+    events::{Event, WordSource},
     peers::{
         Roster,
         fragments::Fragments,
@@ -322,7 +322,7 @@
                 Some(ask) = wishes.rights.recv() => self.ask_right(ask),
                 Some(start) = wishes.leaving.recv() => {
                     let now = self.now();
-                    self.hear_leaving(&[start], LeavingSource::Answer, now);
+                    self.hear_leaving(&[start], WordSource::Answer, now);
                 }
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
@@ -464,7 +464,7 @@
                 self.shared.metrics.ordered(end.label());
                 if end.says_leaving() {
                     let start = order.engine.clone();
-                    let source = LeavingSource::Answer;
+                    let source = WordSource::Answer;
                     self.hear_leaving(&[start], source, now);
                 }
                 self.placer.ordered(order, &end, now);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -7,7 +7,7 @@
 
 use super::{Control, rank};
 use crate::{
-    events::{CatalogSource, Event, LeavingSource},
+    events::{CatalogSource, Event, WordSource},
     peers::{
         Heartbeat, Message,
         fragments::Fragment,
@@ -364,7 +364,7 @@
             }
             Message::Crashes(words) => self.hear_crashes(&words, now),
             Message::Leaving(starts) => {
-                self.hear_leaving(&starts, LeavingSource::Peer, now);
+                self.hear_leaving(&starts, WordSource::Peer, now);
             }
             Message::AskRight(ask) => self.answer_right(from, &ask, now),
             Message::Right { number, answer } => {
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::replicas::LoadSource,
+    fleet::{replicas::LoadSource, upstream_limit::LimitWord},
     id::{
         DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
         WorkspaceId,
@@ -98,6 +98,10 @@
     UpstreamLeaving = "upstream_leaving",
     /// An upstream asked this gateway for rest.
     UpstreamRests = "upstream_rests",
+    /// An upstream named how many requests a second it takes.
+    UpstreamLimited = "upstream_limited",
+    /// An upstream takes what comes again.
+    UpstreamUnlimited = "upstream_unlimited",
     /// A request ended.
     RequestEnded = "request_ended",
 }
@@ -114,17 +118,17 @@
     Push,
 }
 
-/// Who told a gateway that an upstream leaves.
+/// Who told a gateway what an upstream says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum LeavingSource {
+pub enum WordSource {
     /// The upstream, in an answer to a request of this gateway.
     Answer,
     /// A peer that had such an answer.
     Peer,
 }
 
-impl LeavingSource {
+impl WordSource {
     /// Returns the label under which it is counted.
     pub const fn label(self) -> &'static str {
         match self {
@@ -313,7 +317,7 @@
         /// The upstream.
         upstream: UpstreamId,
         /// Who told this gateway.
-        source: LeavingSource,
+        source: WordSource,
     },
     /// An upstream that this gateway sent to asked it for rest.
     UpstreamRests {
@@ -322,11 +326,40 @@
         /// For how long, in ms.
         for_ms: u64,
     },
+    /// An upstream in need named how many requests it takes, or another
+    /// number than before.
+    UpstreamLimited {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The requests a second, from all gateways together.
+        per_second: f64,
+        /// Who told this gateway.
+        source: WordSource,
+    },
+    /// An upstream that had named a limit takes what comes again.
+    UpstreamUnlimited {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Who told this gateway.
+        source: WordSource,
+    },
     /// A request ended.
     RequestEnded(Box<RequestEnded>),
 }
 
 impl Event {
+    /// Returns the event that an upstream's limit changed.
+    pub fn of_limit(word: &LimitWord, source: WordSource) -> Self {
+        let upstream = word.start.id.clone();
+        match word.limit {
+            Some(rate) => {
+                let per_second = rate.per_second();
+                Self::UpstreamLimited { upstream, per_second, source }
+            }
+            None => Self::UpstreamUnlimited { upstream, source },
+        }
+    }
+
     /// Returns its kind.
     pub const fn kind(&self) -> EventKind {
         match self {
@@ -358,6 +391,8 @@
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
+            Self::UpstreamLimited { .. } => EventKind::UpstreamLimited,
+            Self::UpstreamUnlimited { .. } => EventKind::UpstreamUnlimited,
             Self::RequestEnded(_) => EventKind::RequestEnded,
         }
     }
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -6,9 +6,8 @@
 use valehold_core::{Verdict, id::RegionId};
 
 use super::{
-    BoundRecord, CatalogSource, Event, LeavingSource, PassedOver,
-    PassedOverFor, RequestEnd, RequestEnded, RequestOutcome, SendEnd,
-    SendRecord,
+    BoundRecord, CatalogSource, Event, PassedOver, PassedOverFor, RequestEnd,
+    RequestEnded, RequestOutcome, SendEnd, SendRecord, WordSource,
 };
 
 impl RequestEnded {
@@ -279,15 +278,24 @@
                 )
             }
             Self::UpstreamLeaving { upstream, source } => {
-                let source = match source {
-                    LeavingSource::Answer => "its answer",
-                    LeavingSource::Peer => "a peer",
-                };
-                format!("{upstream} leaves, from {source}\n")
+                format!("{upstream} leaves, from {}\n", told_by(*source))
             }
             Self::UpstreamRests { upstream, for_ms } => {
                 format!("{upstream} asked for {for_ms} ms of rest\n")
             }
+            Self::UpstreamLimited { upstream, per_second, source } => {
+                format!(
+                    "{upstream} takes {per_second} requests a second, from \
+                     {}\n",
+                    told_by(*source),
+                )
+            }
+            Self::UpstreamUnlimited { upstream, source } => {
+                format!(
+                    "{upstream} takes what comes again, from {}\n",
+                    told_by(*source),
+                )
+            }
             Self::RequestEnded(ended) => ended.story(),
         }
     }
@@ -303,7 +311,9 @@
             Self::UpstreamUnreachable { upstream, .. }
             | Self::UpstreamCrashed { upstream, .. }
             | Self::UpstreamLeaving { upstream, .. }
-            | Self::UpstreamRests { upstream, .. } => {
+            | Self::UpstreamRests { upstream, .. }
+            | Self::UpstreamLimited { upstream, .. }
+            | Self::UpstreamUnlimited { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
             Self::Suspended { .. }
@@ -321,3 +331,11 @@
         }
     }
 }
+
+/// Names who told a gateway what an upstream says of itself.
+fn told_by(source: WordSource) -> &'static str {
+    match source {
+        WordSource::Answer => "its answer",
+        WordSource::Peer => "a peer",
+    }
+}
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -16,7 +16,7 @@
     reason::{RefusalReason, RetryReason},
 };
 
-use crate::{error::Error, events::LeavingSource};
+use crate::{error::Error, events::WordSource};
 
 /// Where instruments are made, and read as text.
 #[derive(Debug, Clone)]
@@ -96,6 +96,7 @@
     store_failures: Counter<u64>,
     leaving: Counter<u64>,
     rests: Counter<u64>,
+    upstream_limits: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
@@ -145,6 +146,10 @@
                 "valehold_upstream_rests",
                 "Rests that upstreams asked this gateway for.",
             ),
+            upstream_limits: counter(
+                "valehold_upstream_limits",
+                "Limits of requests that upstreams named, and their ends.",
+            ),
             peer_bytes: counter(
                 "valehold_peer_bytes",
                 "Bytes of datagrams sent to other gateways.",
@@ -222,7 +227,7 @@
     }
 
     /// Counts an upstream that said in an answer that it leaves.
-    pub fn upstream_leaving(&self, source: LeavingSource) {
+    pub fn upstream_leaving(&self, source: WordSource) {
         self.leaving.add(1, &[KeyValue::new("source", source.label())]);
     }
 
@@ -231,6 +236,14 @@
         self.rests.add(1, &[]);
     }
 
+    /// Counts a limit that an upstream named, or that was over.
+    pub fn upstream_limit(&self, is_over: bool, source: WordSource) {
+        let change = if is_over { "over" } else { "named" };
+        let change = KeyValue::new("change", change);
+        self.upstream_limits
+            .add(1, &[change, KeyValue::new("source", source.label())]);
+    }
+
     /// Counts the bytes of a message that was sent to other gateways.
     pub fn told_peers(&self, message: &'static str, bytes: u64) {
         let message = KeyValue::new("message", message);
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -14,6 +14,7 @@
     paces::{PaceObservation, Paces},
     rest::Rests,
     topology::Topology,
+    upstream_limit::UpstreamLimits,
     usage::UsageMeter,
 };
 
@@ -86,6 +87,7 @@
     usage: Mutex<UsageMeter>,
     cold: Mutex<ColdBook>,
     rests: Mutex<Rests>,
+    upstream_limits: Mutex<UpstreamLimits>,
     crashes: Mutex<CrashBook>,
     crash_changes: watch::Sender<u64>,
     wishes: mpsc::Sender<Asked>,
@@ -122,6 +124,7 @@
             usage: Mutex::new(UsageMeter::new(settings.limits)),
             cold: Mutex::new(ColdBook::new(rand::random())),
             rests: Mutex::default(),
+            upstream_limits: Mutex::default(),
             crashes: Mutex::new(CrashBook::new(settings.crashes.keep_ms())),
             crash_changes: watch::Sender::new(0),
             wishes,
@@ -159,6 +162,12 @@
         self.rests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How many requests a second upstreams in need take.
+    pub fn upstream_limits(&self) -> MutexGuard<'_, UpstreamLimits> {
+        // Each entry stands for itself: any that a panic left is valid.
+        self.upstream_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this gateway believes of cold upstreams, and its rights.
     pub fn cold(&self) -> MutexGuard<'_, ColdBook> {
         // Each entry stands for itself: any that a panic left is valid.
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use valehold_core::{
-    Verdict,
+    Millis, Verdict,
     fleet::{Upstream, cold::SendRight, turned_away::TurnedAway},
     reason::RetryReason,
 };
@@ -185,9 +185,11 @@
             return Err(SendFailure::withheld(reason));
         }
         is_cleared = true;
+        let sent = app.now();
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => {
+                let answer = Answered { answer, sent };
                 return begun(app, job, upstream, answer, connection.sender);
             }
             Err(mut error) => match error.take_message() {
@@ -247,16 +249,29 @@
     }
 }
 
+/// An answer of which the head arrived.
+struct Answered {
+    answer: Response<Incoming>,
+    /// When its request was sent.
+    sent: Millis,
+}
+
 /// Judges the head of an answer.
 fn begun(
     app: &App,
     job: &Job,
     upstream: &Upstream,
-    answer: Response<Incoming>,
+    answered: Answered,
     sender: SendRequest<Full<Bytes>>,
 ) -> Result<BegunAnswer, SendFailure> {
-    let (mut head, body) = answer.into_parts();
+    let (mut head, body) = answered.answer.into_parts();
     let said = app.dialect.read_answer(head.status, &head.headers);
+    let words = |rest| Words {
+        leaving: said.leaving,
+        rest,
+        limit: said.limit,
+        sent: answered.sent,
+    };
     if said.id != job.request.id {
         // Another request's answer: the connection goes with it.
         return Err(SendFailure::broken());
@@ -268,7 +283,7 @@
         };
         let rest = retry_after::read(&head.headers);
         if why == TurnedAway::Busy {
-            words::note(app, upstream, Words { leaving: said.leaving, rest });
+            words::note(app, upstream, words(rest));
         }
         return Err(SendFailure::refused(why, rest));
     }
@@ -281,7 +296,7 @@
         true => retry_after::read(&head.headers),
         false => None,
     };
-    words::note(app, upstream, Words { leaving: said.leaving, rest });
+    words::note(app, upstream, words(rest));
     if !asks_for_rest(head.status) {
         app.shared.rests().took(&upstream.start(), app.now());
     }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -183,6 +183,7 @@
         let is_listed = |id: &UpstreamId| listing.upstreams.contains_key(id);
         self.shared.cold().sweep(is_listed, now);
         self.shared.rests().sweep(known, now);
+        self.shared.upstream_limits().sweep(known);
         // Who leaves can end sooner without connections that rest.
         self.pool.sweep(|start| {
             listing.of_start(start).is_some_and(|one| !one.leaving)
--- a/crates/valehold-gateway/src/traffic/words.rs
+++ b/crates/valehold-gateway/src/traffic/words.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use valehold_core::{Millis, fleet::Upstream};
+use valehold_core::{
+    Millis,
+    fleet::{Upstream, UpstreamStart, upstream_limit::StatedLimit},
+};
 
 use super::state::App;
-use crate::events::Event;
+use crate::events::{Event, WordSource};
 
 /// What an answer says of the upstream that gave it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +17,10 @@
     pub(super) leaving: bool,
     /// For how long it wants nothing from this gateway.
     pub(super) rest: Option<Duration>,
+    /// How many requests a second it takes.
+    pub(super) limit: StatedLimit,
+    /// When the request that it answers was sent.
+    pub(super) sent: Millis,
 }
 
 /// Tells whether an upstream that was chosen a moment ago leaves or has gone: a
@@ -40,6 +47,7 @@
     if words.leaving {
         app.shared.say_leaving(start.clone());
     }
+    note_limit(app, &start, words);
     let Some(rest) = words.rest else { return };
     let is_new = app.shared.rests().ask(&start, rest, app.now());
     if is_new {
@@ -48,3 +56,13 @@
         Event::UpstreamRests { upstream: start.id, for_ms }.log();
     }
 }
+
+fn note_limit(app: &App, start: &UpstreamStart, words: Words) {
+    let now = app.now();
+    let mut limits = app.shared.upstream_limits();
+    let word = limits.answered(start, words.sent, words.limit, now);
+    let Some(word) = word else { return };
+    let source = WordSource::Answer;
+    app.shared.metrics.upstream_limit(word.limit.is_none(), source);
+    Event::of_limit(&word, source).log();
+}
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -11,9 +11,9 @@
     reason::RefusalReason,
 };
 use valehold_gateway::events::{
-    BoundRecord, CatalogSource, EmptyBoundPair, Event, EventKind,
-    LeavingSource, PassedOver, PassedOverFor, RequestEnd, RequestEnded,
-    RequestOutcome, SendEnd, SendRecord,
+    BoundRecord, CatalogSource, EmptyBoundPair, Event, EventKind, PassedOver,
+    PassedOverFor, RequestEnd, RequestEnded, RequestOutcome, SendEnd,
+    SendRecord, WordSource,
 };
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -93,12 +93,21 @@
         },
         Event::UpstreamLeaving {
             upstream: UpstreamId::new("e1"),
-            source: LeavingSource::Answer,
+            source: WordSource::Answer,
         },
         Event::UpstreamRests {
             upstream: UpstreamId::new("e1"),
             for_ms: 3_000,
         },
+        Event::UpstreamLimited {
+            upstream: UpstreamId::new("e1"),
+            per_second: 2.5,
+            source: WordSource::Peer,
+        },
+        Event::UpstreamUnlimited {
+            upstream: UpstreamId::new("e1"),
+            source: WordSource::Answer,
+        },
         Event::RequestEnded(Box::new(refused())),
     ]
 }
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -10,6 +10,7 @@
     fleet::{
         Catalog, EvacuationNews, Holding, Listing, Upstream, Variant,
         crashes::{RecordChange, RecordSight},
+        upstream_limit::StatedLimit,
         workspace::KeyDigest,
     },
     id::{
@@ -319,6 +320,8 @@
     pub not_run: bool,
     /// Whether the upstream says that it leaves.
     pub leaving: bool,
+    /// How many requests a second it says that the upstream takes.
+    pub limit: StatedLimit,
     /// For how long the connection may rest, as the upstream says.
     pub rest: Option<Duration>,
 }
