An upstream in need gets no more than it names, from all gateways together

Callers saw nothing but answers of engines that were short of something: two engines of 18 named one request a second, and got 13 and 14 in 4 s from eight gateways that had passed such answers on.

Change: the word is kept by start at each gateway, numbered so that all come to believe the same, told to all and read by who starts. Requests to an upstream in need go with a right of the grantor that cold upstreams have, which gives them out evenly at the rate named. Questions and orders wait.

Why it holds: one gateway decides, nobody sends without its word, rights end 0.2 s after they were asked for, and a grantor begins from nothing.

--- a/crates/valehold-core/src/fleet/cold/book.rs
+++ b/crates/valehold-core/src/fleet/cold/book.rs
@@ -1,18 +1,18 @@
-//! What one gateway believes of cold upstreams, with its rights.
+//! What one gateway believes of cold upstreams, with its rights to send.
 
 use super::{ColdBelief, SendRights};
 use crate::{id::UpstreamId, time::Millis};
 
 /// Whether an upstream may get a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ColdSight {
-    /// It is warm: it may.
-    Warm,
-    /// It is cold: it may, with a right, which may be asked for.
-    NeedsRight,
-    /// It is cold, and no right is to be had now.
-    NoRight {
-        /// In how many ms it is warm, or a right may be asked for.
+pub enum RightSight {
+    /// It is neither cold nor in need: it may.
+    Free,
+    /// It may with a right, which may be asked for.
+    Needed,
+    /// A right is needed, and none is to be had now.
+    None {
+        /// In how many ms none is needed, or one may be asked for.
         next_ms: u64,
     },
 }
@@ -36,16 +36,25 @@
     }
 
     /// Tells whether an upstream may get a request now.
-    pub fn sight(&self, upstream: &UpstreamId, now: Millis) -> ColdSight {
-        let left_ms = self.belief.left_ms(upstream, now);
-        if left_ms == 0 {
-            return ColdSight::Warm;
+    pub fn sight(
+        &self,
+        upstream: &UpstreamId,
+        is_limited: bool,
+        now: Millis,
+    ) -> RightSight {
+        let cold_ms = self.belief.left_ms(upstream, now);
+        if cold_ms == 0 && !is_limited {
+            return RightSight::Free;
         }
         let denied_ms = self.rights.denied_ms(upstream, now);
         if denied_ms == 0 || self.rights.has(upstream, now) {
-            return ColdSight::NeedsRight;
+            return RightSight::Needed;
         }
-        ColdSight::NoRight { next_ms: denied_ms.min(left_ms) }
+        let next_ms = match is_limited {
+            true => denied_ms,
+            false => denied_ms.min(cold_ms),
+        };
+        RightSight::None { next_ms }
     }
 
     /// Forgets what is over, and upstreams that are not `known`.
--- a/crates/valehold-core/src/fleet/cold/grantor.rs
+++ b/crates/valehold-core/src/fleet/cold/grantor.rs
@@ -1,4 +1,4 @@
-//! Giving out rights to send to cold upstreams.
+//! Giving out rights to send to cold upstreams and to those in need.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -6,7 +6,13 @@
 };
 
 use super::{RIGHT_HOLDS_MS, RightAnswer};
-use crate::{fleet::window::Window, id::UpstreamId, rendezvous, time::Millis};
+use crate::{
+    fleet::{upstream_limit::RequestRate, window::Window},
+    id::UpstreamId,
+    limit::TokenBucket,
+    rendezvous,
+    time::Millis,
+};
 
 /// How long a gateway takes itself for the grantor before it gives out
 /// rights, in ms: all hear of a gateway that came or went within so long, and
@@ -21,6 +27,13 @@
 /// time that its right holds, and a busy machine may write it a little later.
 const WINDOW_MS: u64 = 1_000 + RIGHT_HOLDS_MS + 50;
 
+/// For how many seconds of its rate an upstream in need may get rights at once,
+/// if it got none before.
+const LIMITED_BURST_S: f64 = 0.5;
+
+/// For how long it is kept what an upstream in need got, in ms, if nobody asks.
+const KEEP_LIMITED_MS: u64 = 60_000;
+
 /// In how many ms to ask again who is not the grantor, or not yet.
 const NOT_GRANTOR_MS: u32 = 250;
 
@@ -41,7 +54,15 @@
     }
 }
 
-/// One gateway's part in giving out rights to send to cold upstreams.
+/// What an upstream in need may get.
+#[derive(Debug, Clone)]
+struct Limited {
+    rights: TokenBucket,
+    asked: Millis,
+}
+
+/// One gateway's part in giving out rights to send to cold upstreams and to
+/// those in need.
 #[derive(Debug, Clone)]
 pub struct Grantor {
     own: SocketAddr,
@@ -49,13 +70,15 @@
     members: VecDeque<Members>,
     heard: Millis,
     given: BTreeMap<UpstreamId, Window>,
+    limited: BTreeMap<UpstreamId, Limited>,
 }
 
 impl Grantor {
     /// Makes the part of a gateway that has heard of nobody.
     pub fn new(own: SocketAddr, now: Millis) -> Self {
         let (members, given) = (VecDeque::new(), BTreeMap::new());
-        Self { own, members, heard: now, given }
+        let limited = BTreeMap::new();
+        Self { own, members, heard: now, given, limited }
     }
 
     /// Takes in who is there, this gateway among them, and whether they are
@@ -112,8 +135,7 @@
         most: usize,
         now: Millis,
     ) -> RightAnswer {
-        let has_stood_still = now.since(self.heard) >= STOOD_STILL_MS;
-        if has_stood_still || !self.is_grantor(upstream, now) {
+        if !self.may_grant(upstream, now) {
             return RightAnswer::Denied { next_ms: NOT_GRANTOR_MS };
         }
         let given = self
@@ -130,8 +152,45 @@
         RightAnswer::Denied { next_ms }
     }
 
+    /// Answers who asks for a right to send to an upstream in need.
+    ///
+    /// Rights come evenly at the rate, from none at the beginning: the grantor
+    /// before this one may just have given out what there was.
+    pub fn answer_limited(
+        &mut self,
+        upstream: &UpstreamId,
+        rate: RequestRate,
+        now: Millis,
+    ) -> RightAnswer {
+        if !self.may_grant(upstream, now) {
+            return RightAnswer::Denied { next_ms: NOT_GRANTOR_MS };
+        }
+        let rate = rate.per_second();
+        let limited =
+            self.limited.entry(upstream.clone()).or_insert_with(|| Limited {
+                rights: TokenBucket::new_empty(rate, LIMITED_BURST_S, now),
+                asked: now,
+            });
+        limited.asked = now;
+        limited.rights.set_rate(rate, LIMITED_BURST_S, now);
+        match limited.rights.try_take(1.0, now) {
+            Ok(()) => RightAnswer::Granted,
+            Err(left_ms) => {
+                let next_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+                RightAnswer::Denied { next_ms }
+            }
+        }
+    }
+
+    /// Tells whether this gateway may give out rights now.
+    fn may_grant(&self, upstream: &UpstreamId, now: Millis) -> bool {
+        let has_stood_still = now.since(self.heard) >= STOOD_STILL_MS;
+        !has_stood_still && self.is_grantor(upstream, now)
+    }
+
     /// Forgets upstreams to which no right was given out lately.
     pub fn sweep(&mut self, now: Millis) {
+        self.limited.retain(|_, one| now.since(one.asked) < KEEP_LIMITED_MS);
         self.given.retain(|_, given| given.count(now) > 0);
     }
 }
--- a/crates/valehold-core/src/fleet/cold/mod.rs
+++ b/crates/valehold-core/src/fleet/cold/mod.rs
@@ -10,6 +10,10 @@
 //!
 //! What a grantor gives out in any window leaves room for a second one beside
 //! it: gateways come and go, and for a moment two may take themselves for it.
+//!
+//! Upstreams in need, which name how many requests a second they take from all
+//! gateways together ([`upstream_limit`](super::upstream_limit)), are sent to
+//! with rights of the same grantor.
 
 mod belief;
 mod book;
@@ -20,7 +24,7 @@
 
 pub use self::{
     belief::ColdBelief,
-    book::{ColdBook, ColdSight},
+    book::{ColdBook, RightSight},
     grantor::Grantor,
     rights::{RightAsk, SendRight, SendRights},
 };
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -23,6 +23,7 @@
 mod slot_time;
 mod topology;
 mod turned_away;
+mod upstream_limit;
 mod usage;
 mod ways;
 mod weight_loads;
--- a/crates/valehold-core/src/fleet/tests/cold.rs
+++ b/crates/valehold-core/src/fleet/tests/cold.rs
@@ -11,8 +11,8 @@
         Holding, Upstream,
         catalog::ColdSpec,
         cold::{
-            ColdBelief, ColdBook, ColdBound, ColdSight, Grantor,
-            RIGHT_HOLDS_MS, RightAnswer, SendRights,
+            ColdBelief, ColdBook, ColdBound, Grantor, RIGHT_HOLDS_MS,
+            RightAnswer, RightSight, SendRights,
         },
     },
     id::{DataCentreId, ServiceName, UpstreamId},
@@ -152,21 +152,21 @@
 #[gtest]
 fn who_gets_no_right_says_when_to_come_back() {
     let mut book = ColdBook::new(7);
-    expect_that!(book.sight(&id("e1"), at(0)), eq(ColdSight::Warm));
+    expect_that!(book.sight(&id("e1"), false, at(0)), eq(RightSight::Free));
     book.belief.hear(&entry(600, None), 3_000, at(0));
-    expect_that!(book.sight(&id("e1"), at(0)), eq(ColdSight::NeedsRight));
+    expect_that!(book.sight(&id("e1"), false, at(0)), eq(RightSight::Needed));
     let ask = book.rights.ask(&id("e1"), at(0));
     let denied = RightAnswer::Denied { next_ms: 400 };
     book.rights.answered(ask.number, denied, at(10));
-    let sight = book.sight(&id("e1"), at(20));
-    expect_that!(sight, eq(ColdSight::NoRight { next_ms: 390 }));
+    let sight = book.sight(&id("e1"), false, at(20));
+    expect_that!(sight, eq(RightSight::None { next_ms: 390 }));
     // It is warm before there is another right.
     let ask = book.rights.ask(&id("e1"), at(300));
     book.rights.answered(ask.number, denied, at(310));
-    let sight = book.sight(&id("e1"), at(310));
-    expect_that!(sight, eq(ColdSight::NoRight { next_ms: 290 }));
+    let sight = book.sight(&id("e1"), false, at(310));
+    expect_that!(sight, eq(RightSight::None { next_ms: 290 }));
     book.sweep(|_| true, at(800));
-    expect_that!(book.sight(&id("e1"), at(800)), eq(ColdSight::Warm));
+    expect_that!(book.sight(&id("e1"), false, at(800)), eq(RightSight::Free));
 }
 
 #[gtest]
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -70,6 +70,9 @@
         UpstreamsCold = "upstreams_cold",
         /// All upstreams that could answer asked this instance for rest.
         UpstreamsResting = "upstreams_resting",
+        /// All upstreams that could answer take a limited number of requests
+        /// and get no more for now.
+        UpstreamsLimited = "upstreams_limited",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
@@ -110,6 +113,7 @@
             | Self::EmptyBound
             | Self::UpstreamsCold
             | Self::UpstreamsResting
+            | Self::UpstreamsLimited
             | Self::CrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
@@ -136,7 +140,8 @@
         RefusedByUpstream = "refused_by_upstream",
         /// The upstream failed before the caller had received anything.
         FailedBeforeOutput = "failed_before_output",
-        /// The upstream is cold, and the right to send to it was over.
+        /// The upstream is cold or in need, and the right to send to it was
+        /// over.
         RightOver = "right_over",
         /// The upstream leaves, as was heard since it was chosen.
         UpstreamLeaving = "upstream_leaving",
--- a/crates/valehold-gateway/src/control/behind.rs
+++ b/crates/valehold-gateway/src/control/behind.rs
@@ -198,6 +198,7 @@
                     // They may have stood for any time.
                     self.evacuate(orders, 0, CatalogSource::Peer, now);
                 }
+                self.hear_limits(&state.limits, now);
                 if let Some(catalog) = state.catalog {
                     self.configure(catalog, CatalogSource::Peer, now);
                 }
--- a/crates/valehold-gateway/src/control/cold.rs
+++ b/crates/valehold-gateway/src/control/cold.rs
@@ -1,4 +1,4 @@
-//! Which upstreams are cold, and who may send to them.
+//! Which upstreams are cold, and who may send to them and to those in need.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -8,6 +8,7 @@
         Listing, Upstream,
         catalog::ColdSpec,
         cold::{RightAnswer, RightAsk},
+        upstream_limit::LimitWord,
     },
     id::{DataCentreId, UpstreamId},
 };
@@ -100,40 +101,71 @@
         self.grantor.sweep(now);
     }
 
-    /// Asks for the right to send to a cold upstream.
+    /// Asks for the right to send to an upstream that is cold or in need.
     pub(super) fn ask_right(&mut self, ask: RightAsk) {
         let now = self.now();
         let own = self.shared.settings.peers.heartbeats;
+        let is_cold = self.shared.cold().belief.is_cold(&ask.upstream, now);
+        let limit = self.limit_of(&ask.upstream);
         match self.grantor.grantor(&ask.upstream) {
             Some(grantor) if grantor != own => {
-                self.send([grantor], &Message::AskRight(ask));
+                let ask = Message::AskRight { ask, is_cold, limit };
+                self.send([grantor], &ask);
             }
             _ => {
-                let answer = self.right(&ask.upstream, now);
+                let answer = self.right(&ask.upstream, is_cold, now);
                 let mut book = self.shared.cold();
                 book.rights.answered(ask.number, answer, now);
             }
         }
     }
 
-    /// Answers a gateway that asks for the right to send to a cold upstream.
+    /// Answers a gateway that asks for the right to send to an upstream.
     pub(super) fn answer_right(
         &mut self,
         from: SocketAddr,
         ask: &RightAsk,
+        is_cold: bool,
+        known: Option<&LimitWord>,
         now: Millis,
     ) {
-        let answer = self.right(&ask.upstream, now);
-        self.send([from], &Message::Right { number: ask.number, answer });
+        let answer = self.right(&ask.upstream, is_cold, now);
+        let limit = self.limit_of(&ask.upstream);
+        let limit = limit.filter(|limit| known != Some(limit));
+        let number = ask.number;
+        self.send([from], &Message::Right { number, answer, limit });
     }
 
-    fn right(&mut self, id: &UpstreamId, now: Millis) -> RightAnswer {
-        let bound = self.shared.settings.cold.bound();
+    /// Returns whether a request may be sent to an upstream: one that is
+    /// neither cold nor in need takes what comes.
+    fn right(
+        &mut self,
+        id: &UpstreamId,
+        is_cold: bool,
+        now: Millis,
+    ) -> RightAnswer {
         let known = self.upstreams.listing().upstreams.get(id);
-        let spec = known.and_then(|upstream| self.cold_spec(upstream));
-        let Some(most) = spec.map(|spec| bound.rights_in_window(spec)) else {
+        let Some(known) = known.cloned() else {
             return RightAnswer::Denied { next_ms: NOT_KNOWN_MS };
         };
-        self.grantor.answer(id, most, now)
+        let bound = self.shared.settings.cold.bound();
+        let spec = self.cold_spec(&known).filter(|_| is_cold);
+        if let Some(most) = spec.map(|spec| bound.rights_in_window(spec)) {
+            let answer = self.grantor.answer(id, most, now);
+            if answer != RightAnswer::Granted {
+                return answer;
+            }
+        }
+        let rate = self.shared.upstream_limits().rate(&known.start());
+        match rate {
+            Some(rate) => self.grantor.answer_limited(id, rate, now),
+            None => RightAnswer::Granted,
+        }
+    }
+
+    /// Returns what this gateway knows of the limit of an upstream.
+    fn limit_of(&self, id: &UpstreamId) -> Option<LimitWord> {
+        let known = self.upstreams.listing().upstreams.get(id)?;
+        self.shared.upstream_limits().word(&known.start()).cloned()
     }
 }
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -39,8 +39,8 @@
     pub(super) leaving: bool,
     /// Whether its data centre is to be empty: it is told and asked nothing.
     pub(super) emptied: bool,
-    /// Whether it asked this gateway for rest: it is told and asked nothing,
-    /// and keeps what it holds.
+    /// Whether it asked this gateway for rest, or takes a limited number of
+    /// requests: it is told and asked nothing, and keeps what it holds.
     pub(super) resting: bool,
     pub(super) holding: Holding,
     pub(super) loading: Option<ModelName>,
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -39,6 +39,7 @@
 mod publishing;
 mod store_sight;
 mod telling;
+mod upstream_limits;
 mod upstreams;
 
 use std::{
@@ -181,6 +182,8 @@
     told_crashes: crashes::ToldCrashes,
     /// Upstreams that leave, of which others are told once more.
     told_leaving: leaving::ToldLeaving,
+    /// Limits of upstreams of which others are to be told.
+    told_limits: upstream_limits::ToldLimits,
     /// What this gateway said last as a hub of who is there.
     told_members: ToldMembers,
 }
@@ -287,6 +290,7 @@
             record: crashes::RecordDuty::default(),
             told_crashes: crashes::ToldCrashes::default(),
             told_leaving: leaving::ToldLeaving::default(),
+            told_limits: upstream_limits::ToldLimits::default(),
             told_members: ToldMembers::default(),
             shared: shared.clone(),
         };
@@ -324,6 +328,7 @@
                     let now = self.now();
                     self.hear_leaving(&[start], WordSource::Answer, now);
                 }
+                Some(start) = wishes.limits.recv() => self.limit_stated(&start),
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
                     let own = self.shared.settings.peers.heartbeats;
@@ -349,6 +354,7 @@
         self.tell_evacuations(now);
         self.tell_crashes(now);
         self.tell_leaving_again(now);
+        self.tell_limits(now);
         self.keep_record(now);
         self.contend(now);
         self.place(now);
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -34,6 +34,7 @@
         peaks::Peaks,
         rest::Rests,
         topology::Topology,
+        upstream_limit::UpstreamLimits,
         weight_loads::{Inheritance, LostLoads, WeightLoads},
     },
     id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
@@ -286,10 +287,17 @@
         told.collect()
     }
 
-    /// Takes in which engines asked this gateway for rest.
-    pub(super) fn note_rests(&mut self, rests: &Rests, now: Millis) {
+    /// Takes in which engines asked this gateway for rest, or take a limited
+    /// number of requests: questions and orders would be some of them.
+    pub(super) fn note_rests(
+        &mut self,
+        rests: &Rests,
+        limits: &UpstreamLimits,
+        now: Millis,
+    ) {
         for entry in self.entries.values_mut() {
-            entry.resting = !rests.is_awake(&entry.start, now);
+            entry.resting = !rests.is_awake(&entry.start, now)
+                || limits.rate(&entry.start).is_some();
         }
     }
 
--- a/crates/valehold-gateway/src/control/placing.rs
+++ b/crates/valehold-gateway/src/control/placing.rs
@@ -79,7 +79,10 @@
         if self.sums.is_old(now) {
             self.sums = self.sum_up(now);
         }
-        self.placer.note_rests(&self.shared.rests(), now);
+        {
+            let limits = self.shared.upstream_limits();
+            self.placer.note_rests(&self.shared.rests(), &limits, now);
+        }
         let Sums { demand, loads, .. } = &self.sums;
         for (name, service) in &catalog.services {
             let Some(spec) = &service.engine else { continue };
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -366,8 +366,15 @@
             Message::Leaving(starts) => {
                 self.hear_leaving(&starts, WordSource::Peer, now);
             }
-            Message::AskRight(ask) => self.answer_right(from, &ask, now),
-            Message::Right { number, answer } => {
+            Message::UpstreamLimits(words) => {
+                self.hear_limits(&words, now);
+            }
+            Message::AskRight { ask, is_cold, limit } => {
+                self.hear_limits(limit.as_slice(), now);
+                self.answer_right(from, &ask, is_cold, limit.as_ref(), now);
+            }
+            Message::Right { number, answer, limit } => {
+                self.hear_limits(limit.as_slice(), now);
                 self.shared.cold().rights.answered(number, answer, now);
             }
             Message::Fragment(fragment) => {
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -16,6 +16,7 @@
         cold::{RightAnswer, RightAsk},
         crashes::CrashWords,
         paces::{PaceNews, PaceObservation},
+        upstream_limit::LimitWord,
         usage::{Rulings, UsageTotal},
     },
     id::{DataCentreId, InstanceId, UpstreamTag},
@@ -33,7 +34,7 @@
 
 /// The number of the format in which gateways write to each other: datagrams
 /// and states. It changes with any change of a type that they carry.
-pub const FORMAT: u8 = 0xB9;
+pub const FORMAT: u8 = 0xBA;
 
 /// What is under way at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -456,18 +457,30 @@
     Crashes(CrashWords),
     /// From who had such an answer: upstreams that say that they leave.
     Leaving(Vec<UpstreamStart>),
+    /// From who had such an answer: how many requests upstreams in need take.
+    UpstreamLimits(Vec<LimitWord>),
     /// A fragment of a message that is larger than a datagram.
     Fragment(Fragment),
     /// To hubs: a datagram that they pass on to their groups.
     Relay(Vec<u8>),
-    /// To the grantor of a cold upstream: a request is to be sent to it.
-    AskRight(RightAsk),
+    /// To the grantor of an upstream that is cold or in need: a request is to
+    /// be sent to it.
+    AskRight {
+        /// The wish.
+        ask: RightAsk,
+        /// Whether the upstream is cold.
+        is_cold: bool,
+        /// What is known of its limit.
+        limit: Option<LimitWord>,
+    },
     /// From the grantor: its answer to the wish with a number.
     Right {
         /// The wish's number.
         number: u64,
         /// The answer.
         answer: RightAnswer,
+        /// What the grantor knows of the upstream's limit, if that is later.
+        limit: Option<LimitWord>,
     },
 }
 
@@ -526,9 +539,10 @@
             Self::Evacuations(_) => "evacuations",
             Self::Crashes(_) => "crashes",
             Self::Leaving(_) => "leaving",
+            Self::UpstreamLimits(_) => "upstream_limits",
             Self::Fragment(_) => "fragment",
             Self::Relay(_) => "relay",
-            Self::AskRight(_) => "ask_right",
+            Self::AskRight { .. } => "ask_right",
             Self::Right { .. } => "right",
         }
     }
@@ -552,9 +566,10 @@
             | Self::Evacuations(_)
             | Self::Crashes(_)
             | Self::Leaving(_)
+            | Self::UpstreamLimits(_)
             | Self::Fragment(_)
             | Self::Relay(_)
-            | Self::AskRight(_)
+            | Self::AskRight { .. }
             | Self::Right { .. } => return None,
         };
         Some((to, number))
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -21,7 +21,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use valehold_core::fleet::{Catalog, Evacuations, Listing, ListingDelta};
+use valehold_core::fleet::{
+    Catalog, Evacuations, Listing, ListingDelta, upstream_limit::LimitWord,
+};
 use valehold_ports::{
     PortError,
     http::client::{
@@ -107,6 +109,8 @@
     /// The orders to empty data centres, whatever the reader has: they are
     /// few.
     pub evacuations: Option<Evacuations>,
+    /// How many requests upstreams in need take, whatever the reader has.
+    pub limits: Vec<LimitWord>,
 }
 
 impl PeerState {
@@ -202,6 +206,7 @@
     catalog: Option<Arc<Catalog>>,
     listing: Arc<Listing>,
     evacuations: Option<Evacuations>,
+    limits: Vec<LimitWord>,
     bytes: Bytes,
 }
 
@@ -241,6 +246,7 @@
             listing,
             changes,
             evacuations: view.evacuations.orders().cloned(),
+            limits: self.limits(),
         };
         state.encode().map(Bytes::from)
     }
@@ -249,12 +255,14 @@
         let view = self.shared.view.load();
         let (catalog, listing) = (view.catalog.clone(), view.listing.clone());
         let evacuations = view.evacuations.orders();
+        let limits = self.limits();
         let mut whole = self.whole.borrow_mut();
         if let Some(written) = &*whole
             && written.catalog.as_ref().map(Arc::as_ptr)
                 == catalog.as_ref().map(Arc::as_ptr)
             && Arc::ptr_eq(&written.listing, &listing)
             && written.evacuations.as_ref() == evacuations
+            && written.limits == limits
         {
             return Ok(written.bytes.clone());
         }
@@ -263,17 +271,23 @@
             listing: (listing.version > 0).then(|| self.listing()),
             changes: None,
             evacuations: evacuations.cloned(),
+            limits: limits.clone(),
         };
         let bytes = Bytes::from(state.encode()?);
         *whole = Some(Written {
             catalog,
             listing,
             evacuations: evacuations.cloned(),
+            limits,
             bytes: bytes.clone(),
         });
         Ok(bytes)
     }
 
+    fn limits(&self) -> Vec<LimitWord> {
+        self.shared.upstream_limits().words().cloned().collect()
+    }
+
     /// Returns the upstreams without those that lapsed: a peer could not tell
     /// when those are to be taken as gone.
     fn listing(&self) -> Listing {
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -37,6 +37,10 @@
 /// no room comes again with the upstream's next answer.
 const LEAVING_WORDS: usize = 256;
 
+/// How many words of upstreams' limits may wait for control. Others hear what
+/// finds no room with the upstream's next answers to them.
+const LIMIT_WORDS: usize = 256;
+
 /// How many first events are noted between two times that control takes them:
 /// some hundred milliseconds.
 const MOST_SEEN_PACES: usize = 128;
@@ -59,6 +63,8 @@
     pub rights: mpsc::Receiver<RightAsk>,
     /// Upstreams that said that they leave.
     pub leaving: mpsc::Receiver<UpstreamStart>,
+    /// Upstreams whose limit changed.
+    pub limits: mpsc::Receiver<UpstreamStart>,
 }
 
 /// What control and traffic have in common.
@@ -93,6 +99,7 @@
     wishes: mpsc::Sender<Asked>,
     right_asks: mpsc::Sender<RightAsk>,
     leaving_words: mpsc::Sender<UpstreamStart>,
+    limit_words: mpsc::Sender<UpstreamStart>,
     life: watch::Sender<Life>,
 }
 
@@ -106,6 +113,7 @@
         let (wishes, variants) = mpsc::channel(WISHES);
         let (right_asks, rights) = mpsc::channel(RIGHT_ASKS);
         let (leaving_words, leaving) = mpsc::channel(LEAVING_WORDS);
+        let (limit_words, limits) = mpsc::channel(LIMIT_WORDS);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -130,10 +138,11 @@
             wishes,
             right_asks,
             leaving_words,
+            limit_words,
             life: watch::Sender::new(Life::Starting),
             settings,
         };
-        (Arc::new(shared), Wishes { variants, rights, leaving })
+        (Arc::new(shared), Wishes { variants, rights, leaving, limits })
     }
 
     /// Asks control for a variant that no engine inside its bound holds.
@@ -143,7 +152,8 @@
         let _ = self.wishes.try_send(asked.clone());
     }
 
-    /// Asks control for the right to send to a cold upstream.
+    /// Asks control for the right to send to an upstream that is cold or in
+    /// need.
     ///
     /// A wish that finds no room is lost; who waits goes elsewhere soon.
     pub fn ask_right(&self, ask: RightAsk) {
@@ -156,6 +166,11 @@
         let _ = self.leaving_words.try_send(start);
     }
 
+    /// Tells control that an answer said something new of an upstream's limit.
+    pub fn say_limit(&self, start: UpstreamStart) {
+        let _ = self.limit_words.try_send(start);
+    }
+
     /// Which upstreams asked this gateway for rest.
     pub fn rests(&self) -> MutexGuard<'_, Rests> {
         // Each entry stands for itself: any that a panic left is valid.
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -3,14 +3,15 @@
 //! Those outside the regions that bind it never do, and those in a data centre
 //! that is to be empty none from a moment after this gateway heard so. Until
 //! then they get what no other upstream can take. One that asked this gateway
-//! for rest gets nothing until that is over, and a cold one a request only with
-//! a right to send to it.
+//! for rest gets nothing until that is over, and one that is cold or in need a
+//! request only with a right to send to it.
 
 use std::{borrow::Cow, sync::Arc};
 
 use valehold_core::{
     fleet::{
-        RegionBound, Upstream, Variant, cold::ColdSight, rest::RestSight,
+        RegionBound, Upstream, Variant, cold::RightSight, rest::RestSight,
+        upstream_limit::RequestRate,
     },
     id::UpstreamId,
 };
@@ -190,8 +191,9 @@
 #[derive(Clone, Copy)]
 pub(super) struct Able<'a> {
     pub(super) upstream: &'a Arc<Upstream>,
-    /// Whether it is cold, so that a right is needed.
-    pub(super) is_cold: bool,
+    /// How many requests a second it takes, if it is cold or in need: a right
+    /// to send to it is needed.
+    pub(super) per_second: Option<f64>,
 }
 
 impl AsRef<Upstream> for Able<'_> {
@@ -228,8 +230,8 @@
     }
 }
 
-/// Returns the upstreams that were not tried and that are warm, or cold and a
-/// right to send to them may be had.
+/// Returns the upstreams that were not tried, less those to which a right to
+/// send is needed and none to be had now.
 pub(super) fn able<'a>(
     app: &App,
     job: &Job,
@@ -237,27 +239,39 @@
     tried: &[UpstreamId],
 ) -> Result<Vec<Able<'a>>, NoChoice> {
     let untried = upstreams.filter(|one| !tried.contains(&one.id));
-    if job.cold_spec().is_none() {
-        let warm = |upstream| Able { upstream, is_cold: false };
-        return Ok(untried.map(warm).collect());
+    let limits = app.shared.upstream_limits();
+    let cold = job.cold_spec();
+    if cold.is_none() && limits.is_empty() {
+        let free = |upstream| Able { upstream, per_second: None };
+        return Ok(untried.map(free).collect());
     }
     let (book, now) = (app.shared.cold(), app.now());
     let mut able = Vec::new();
-    let mut soonest_ms: Option<u64> = None;
+    let mut soonest: Option<(u64, NoChoice)> = None;
     for upstream in untried {
-        match book.sight(&upstream.id, now) {
-            ColdSight::Warm => able.push(Able { upstream, is_cold: false }),
-            ColdSight::NeedsRight => {
-                able.push(Able { upstream, is_cold: true });
+        let limit = limits.rate(&upstream.start());
+        let limit = limit.map(RequestRate::per_second);
+        let cold = cold.filter(|_| book.belief.is_cold(&upstream.id, now));
+        let bears = cold.map(|cold| cold.bears_per_second);
+        let per_second = [limit, bears].into_iter().flatten().reduce(f64::min);
+        let no_choice = match book.sight(&upstream.id, limit.is_some(), now) {
+            RightSight::Free | RightSight::Needed => {
+                able.push(Able { upstream, per_second });
+                continue;
             }
-            ColdSight::NoRight { next_ms } => {
-                let soonest = soonest_ms.map_or(next_ms, |s| s.min(next_ms));
-                soonest_ms = Some(soonest);
+            RightSight::None { next_ms } if limit.is_some() => {
+                (next_ms, NoChoice::AllLimited { next_ms })
+            }
+            RightSight::None { next_ms } => {
+                (next_ms, NoChoice::AllCold { next_ms })
             }
+        };
+        if soonest.is_none_or(|(next_ms, _)| no_choice.0 < next_ms) {
+            soonest = Some(no_choice);
         }
     }
-    match soonest_ms {
-        Some(next_ms) if able.is_empty() => Err(NoChoice::AllCold { next_ms }),
+    match soonest {
+        Some((_, no_choice)) if able.is_empty() => Err(no_choice),
         _ => Ok(able),
     }
 }
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -61,7 +61,7 @@
             let is_home = home.as_ref() == Some(&one.upstream.id);
             Candidate {
                 pause_within_ms: pause_within_ms(app, job),
-                slots: slots(job, spec, one),
+                slots: slots(spec, one),
                 ..candidate(app, spec, one.upstream, &prompt, is_home)
             }
         })
@@ -97,18 +97,19 @@
         upstream,
         read_tokens: prompt.usual_tokens(prompt.tokens).saturating_sub(cached),
         blocks: prompt.blocks,
-        is_cold: able
-            .iter()
-            .any(|one| one.is_cold && one.upstream.id == choice.engine),
+        needs_right: able.iter().any(|one| {
+            one.per_second.is_some() && one.upstream.id == choice.engine
+        }),
     })
 }
 
-/// Returns how many requests an engine works on at once: a cold one as many as
-/// it gets in a second, since it is slow and takes no more for now.
+/// Returns how many requests an engine works on at once: one that is cold or in
+/// need as many as it gets in a second, since it is slow and takes no more for
+/// now.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn slots(job: &Job, spec: &EngineSpec, able: &Able<'_>) -> u32 {
-    match job.cold_spec().filter(|_| able.is_cold) {
-        Some(cold) => spec.slots.min(cold.bears_per_second.max(1.0) as u32),
+fn slots(spec: &EngineSpec, able: &Able<'_>) -> u32 {
+    match able.per_second {
+        Some(per_second) => spec.slots.min(per_second.max(1.0) as u32),
         None => spec.slots,
     }
 }
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `eligible` says which upstreams may get the request at all: by the regions
 //! that bind it, by data centres that are to be empty, by which asked for rest,
-//! by what was tried, and by which are cold. Of these, `process` chooses a
+//! by what was tried, and by which are cold or in need. Of these, `process` chooses a
 //! process of a plain service, and `engine` an engine that holds the model;
 //! `prompt` says what of a prompt an engine may have read already.
 
@@ -21,7 +21,7 @@
 pub(super) use self::eligible::{
     able_elsewhere, bound_now, holders, passed_over, usable,
 };
-use super::{cold, route::Job, state::App};
+use super::{rights, route::Job, state::App};
 use crate::view::Load;
 
 /// An upstream that was chosen.
@@ -44,8 +44,8 @@
     pub(super) pace: f64,
     /// The hashes of the prompt's leading parts.
     pub(super) blocks: Vec<u64>,
-    /// Whether it is cold, so that a right is needed to send to it.
-    pub(super) is_cold: bool,
+    /// Whether it is cold or in need, so that a right is needed to send to it.
+    pub(super) needs_right: bool,
 }
 
 /// Why none was chosen.
@@ -64,6 +64,11 @@
         /// In how many ms one may get a request.
         next_ms: u64,
     },
+    /// All that could take it are in need, and get no more for now.
+    AllLimited {
+        /// In how many ms one may get a request.
+        next_ms: u64,
+    },
     /// All that could take it asked this gateway for rest.
     AllResting {
         /// In how many ms one may get a request.
@@ -100,7 +105,7 @@
 }
 
 /// Chooses an upstream that was not `tried`; gets the right to send to it if
-/// it is cold.
+/// one is needed.
 pub(super) async fn choose_with_right(
     app: &App,
     job: &Job,
@@ -108,11 +113,12 @@
 ) -> Result<(Chosen, Option<SendRight>), NoChoice> {
     loop {
         let chosen = choose(app, job, tried)?;
-        if !chosen.is_cold {
+        if !chosen.needs_right {
             return Ok((chosen, None));
         }
         // Who gets none passes the upstream over from now on.
-        if let Some(right) = cold::right_for(app, &chosen.upstream.id).await {
+        if let Some(right) = rights::right_for(app, &chosen.upstream.id).await
+        {
             return Ok((chosen, Some(right)));
         }
     }
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -55,8 +55,8 @@
         reading_ms: 0.0,
         pace: 1.0,
         blocks: Vec::new(),
-        is_cold: all
-            .iter()
-            .any(|one| one.is_cold && one.upstream.id == chosen.upstream),
+        needs_right: all.iter().any(|one| {
+            one.per_second.is_some() && one.upstream.id == chosen.upstream
+        }),
     })
 }
--- a/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/giving_up.rs
@@ -43,9 +43,19 @@
 
     /// Refuses a request that only upstreams which rest could take.
     pub(super) fn refuse_for_rest(&self, next_ms: u64) -> Refusal {
+        self.refuse_until(RefusalReason::UpstreamsResting, next_ms)
+    }
+
+    /// Refuses a request that only upstreams in need could take.
+    pub(super) fn refuse_for_limit(&self, next_ms: u64) -> Refusal {
+        self.refuse_until(RefusalReason::UpstreamsLimited, next_ms)
+    }
+
+    /// Refuses a request with when an upstream may take one; callers that wait
+    /// for the same moment come back one after the other.
+    fn refuse_until(&self, reason: RefusalReason, next_ms: u64) -> Refusal {
         let spread_ms = rand::random_range(0..=RETURN_SPREAD_MS);
-        let come_back = Some(next_ms + spread_ms);
-        self.give_up(RefusalReason::UpstreamsResting, come_back)
+        self.give_up(reason, Some(next_ms + spread_ms))
     }
 
     /// Refuses a request that all upstreams which it was sent to turned away
@@ -59,6 +69,9 @@
             Err(NoChoice::AllResting { next_ms }) => {
                 return self.refuse_for_rest(next_ms);
             }
+            Err(NoChoice::AllLimited { next_ms }) => {
+                return self.refuse_for_limit(next_ms);
+            }
             Err(NoChoice::WouldBeLate { come_back_ms, .. }) => {
                 Some(come_back_ms)
             }
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -33,6 +33,7 @@
     crashes,
     record::Record,
     refusal::Refusal,
+    rights,
     route::Job,
     send::{SendFailure, is_promise},
     state::App,
@@ -111,6 +112,14 @@
                 Err(failure) => {
                     self.failed(&chosen, failure)?;
                     reason = match failure.reason {
+                        RetryReason::RightOver
+                            if rights::is_limited(
+                                &self.app,
+                                &chosen.upstream,
+                            ) =>
+                        {
+                            RefusalReason::UpstreamsLimited
+                        }
                         RetryReason::RightOver => RefusalReason::UpstreamsCold,
                         RetryReason::UpstreamResting => {
                             RefusalReason::UpstreamsResting
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -106,12 +106,19 @@
                     let reason = RefusalReason::UpstreamsCold;
                     return Err(self.give_up(reason, Some(next_ms)));
                 }
+                NoChoice::AllLimited { next_ms }
+                    if self.app.now() + next_ms >= until =>
+                {
+                    return Err(self.refuse_for_limit(next_ms));
+                }
                 NoChoice::AllResting { next_ms }
                     if self.app.now() + next_ms >= until =>
                 {
                     return Err(self.refuse_for_rest(next_ms));
                 }
-                NoChoice::AllCold { .. } | NoChoice::AllResting { .. } => {}
+                NoChoice::AllCold { .. }
+                | NoChoice::AllLimited { .. }
+                | NoChoice::AllResting { .. } => {}
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
                 NoChoice::NoUpstream => {
                     // The holder of the lease looks after those that failed.
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -3,7 +3,7 @@
 //! A request goes straight through these modules: `face` takes it from the
 //! connection and answers calls to the gateway itself, `route` finds what the
 //! configuration says of it, `charge` counts it to its workspace's limit,
-//! `choose` finds an upstream, `cold` the right to send to a cold one, `send`
+//! `choose` finds an upstream, `rights` the right to send to one, `send`
 //! brings it there, `words` notes what the answer says of the upstream, and
 //! `answer` passes the whole answer back, event by event where it is a stream.
 //! `exchange` leads it from one to the next.
@@ -12,7 +12,6 @@
 mod answer;
 mod charge;
 mod choose;
-mod cold;
 mod crashes;
 mod exchange;
 mod face;
@@ -20,6 +19,7 @@
 mod record;
 mod refusal;
 mod retry_after;
+mod rights;
 mod route;
 mod send;
 mod server;
--- a/crates/valehold-gateway/src/traffic/cold.rs
+++ b/crates/valehold-gateway/src/traffic/rights.rs
@@ -1,4 +1,4 @@
-//! Sending to cold upstreams.
+//! Sending to upstreams that are cold or in need.
 
 use std::time::Duration;
 
@@ -10,16 +10,16 @@
 
 use super::{route::Job, state::App};
 
-/// How long a request waits for the right to send to a cold upstream, before
-/// it goes elsewhere: the way to the grantor and back, and two machines that
+/// How long a request waits for the right to send to an upstream, before it
+/// goes elsewhere: the way to the grantor and back, and two machines that
 /// are busy. It is a tenth of what callers expect an answer to begin in.
 const PATIENCE: Duration = Duration::from_millis(60);
 
 /// How often it looks whether the right has come.
 const LOOK_AGAIN: Duration = Duration::from_millis(3);
 
-/// Gets the right to send a request to a cold upstream; `None` if there is
-/// none to be had now.
+/// Gets the right to send a request to an upstream; `None` if there is none to
+/// be had now.
 pub(super) async fn right_for(
     app: &App,
     upstream: &UpstreamId,
@@ -48,19 +48,25 @@
 }
 
 /// Tells whether a request may be sent to an upstream at this moment: it is
-/// warm, or the right to send to it still holds.
+/// neither cold nor in need, or the right to send to it still holds.
 pub(super) fn may_send(
     app: &App,
     job: &Job,
     upstream: &Upstream,
     right: Option<SendRight>,
 ) -> bool {
-    if job.cold_spec().is_none() {
+    let now = app.now();
+    if right.is_some_and(|right| right.holds(now)) {
         return true;
     }
-    let now = app.now();
-    right.is_some_and(|right| right.holds(now))
-        || !app.shared.cold().belief.is_cold(&upstream.id, now)
+    let is_cold = job.cold_spec().is_some()
+        && app.shared.cold().belief.is_cold(&upstream.id, now);
+    !is_cold && !is_limited(app, upstream)
+}
+
+/// Tells whether an upstream takes a limited number of requests.
+pub(super) fn is_limited(app: &App, upstream: &Upstream) -> bool {
+    app.shared.upstream_limits().rate(&upstream.start()).is_some()
 }
 
 /// Notes that an upstream closed a connection or cannot be reached: where
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -17,7 +17,7 @@
 use valehold_ports::port::fleet::Sending;
 
 use super::{
-    cold, retry_after,
+    retry_after, rights,
     route::Job,
     state::App,
     words::{self, Words},
@@ -160,7 +160,7 @@
             Event::UpstreamUnreachable { upstream: upstream_id, error }.log();
             let start = upstream.start();
             app.judge(&start, |health, now| health.unreachable(now));
-            cold::may_have_restarted(app, job, upstream);
+            rights::may_have_restarted(app, job, upstream);
             SendFailure::not_sent()
         })?;
         if let Some(made_in) = connection.made_in {
@@ -173,7 +173,7 @@
             return Err(SendFailure::not_sent());
         }
         app.dialect.write_request(request.headers_mut(), &sending);
-        if !cold::may_send(app, job, upstream, right) {
+        if !rights::may_send(app, job, upstream, right) {
             return Err(SendFailure::withheld(RetryReason::RightOver));
         }
         if words::has_left(app, upstream) {
@@ -204,7 +204,7 @@
                         upstream.id,
                         error.error()
                     );
-                    cold::may_have_restarted(app, job, upstream);
+                    rights::may_have_restarted(app, job, upstream);
                     return Err(SendFailure::cut_off());
                 }
             },
--- a/crates/valehold-gateway/src/traffic/words.rs
+++ b/crates/valehold-gateway/src/traffic/words.rs
@@ -58,10 +58,14 @@
 }
 
 fn note_limit(app: &App, start: &UpstreamStart, words: Words) {
-    let now = app.now();
-    let mut limits = app.shared.upstream_limits();
-    let word = limits.answered(start, words.sent, words.limit, now);
+    let word = app.shared.upstream_limits().answered(
+        start,
+        words.sent,
+        words.limit,
+        app.now(),
+    );
     let Some(word) = word else { return };
+    app.shared.say_limit(start.clone());
     let source = WordSource::Answer;
     app.shared.metrics.upstream_limit(word.limit.is_none(), source);
     Event::of_limit(&word, source).log();
