Gateways log that the store has no history, and that a list was left out

Refusals of watches were answers that failed nothing, and a list that was thrown away as older left no trace: that lists count as old, that the word is undone, and that the watch hangs looked the same.

--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -19,7 +19,7 @@
 pub(super) use self::orders::WatchOrders;
 use self::{orders::BETWEEN_CHANGES, pauses::Pauses};
 use super::input::Input;
-use crate::peers::roster::Observing;
+use crate::{events::Event, peers::roster::Observing};
 
 /// How much longer than its span's patience a watch is waited for, whatever
 /// the adapter does.
@@ -65,6 +65,7 @@
                 Input::CatalogHeard { catalog, evacuations }
             }
             Ok(CatalogNews::HistoryGone) => {
+                tell_history_gone("watch_configuration", after);
                 after = None;
                 tokio::time::sleep(BETWEEN_CHANGES).await;
                 continue;
@@ -81,6 +82,11 @@
     }
 }
 
+fn tell_history_gone(call: &str, after: Option<u64>) {
+    let (call, after) = (call.to_owned(), after.unwrap_or_default());
+    Event::HistoryGone { call, after }.log();
+}
+
 /// Limits a watch to its span's patience.
 async fn within_patience<T>(
     span: WatchSpan,
@@ -124,6 +130,7 @@
         };
         match news {
             Ok(ListingNews::HistoryGone) => {
+                tell_history_gone("watch_upstreams", Some(from));
                 let read = read_all(&*store, &inputs, &mut pauses).await;
                 if read.is_some() {
                     after = read;
--- a/crates/valehold-gateway/src/control/upstreams.rs
+++ b/crates/valehold-gateway/src/control/upstreams.rs
@@ -7,13 +7,17 @@
 use valehold_ports::port::fleet::ListingNews;
 
 use super::Control;
-use crate::peers::message::Message;
+use crate::{events::Event, peers::message::Message};
 
 impl Control {
     /// Takes in a whole list.
     pub(super) fn list(&mut self, listing: Listing, now: Millis) {
         let after_outage = self.store_presence.has_just_returned(now);
         let words = self.words_of_cold(&listing);
+        let (version, known) = (listing.version, self.upstreams.version());
+        if version < known {
+            Event::ListLeftOut { version, known }.log();
+        }
         if self.upstreams.replace(listing, after_outage, now) {
             self.hear_cold(&words, now);
             self.list_changed();
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -92,6 +92,10 @@
     LoadsHeldBack = "loads_held_back",
     /// An upstream could not be connected to.
     UpstreamUnreachable = "upstream_unreachable",
+    /// The store has no history from a version on.
+    HistoryGone = "history_gone",
+    /// A whole list of upstreams was left out as older.
+    ListLeftOut = "list_left_out",
     /// An upstream crashed with requests of this gateway.
     UpstreamCrashed = "upstream_crashed",
     /// An upstream said in an answer that it leaves.
@@ -304,6 +308,20 @@
         /// Why.
         error: String,
     },
+    /// The store has no history from the version on that a watch asked for.
+    HistoryGone {
+        /// Which call it was, as `valehold_store_calls_total` has it.
+        call: String,
+        /// The version.
+        after: u64,
+    },
+    /// A whole list of upstreams was left out as older than what is known.
+    ListLeftOut {
+        /// Its version.
+        version: u64,
+        /// The version that is known.
+        known: u64,
+    },
     /// An upstream crashed: it broke off requests of this gateway, and takes
     /// no connections.
     UpstreamCrashed {
@@ -388,6 +406,8 @@
             Self::OrderEnded { .. } => EventKind::OrderEnded,
             Self::LoadsHeldBack { .. } => EventKind::LoadsHeldBack,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
+            Self::HistoryGone { .. } => EventKind::HistoryGone,
+            Self::ListLeftOut { .. } => EventKind::ListLeftOut,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -277,6 +277,14 @@
                     under_way.join(", "),
                 )
             }
+            Self::HistoryGone { call, after } => format!(
+                "the store has no history after {after} ({call}): what \
+                 changed is read whole\n"
+            ),
+            Self::ListLeftOut { version, known } => format!(
+                "a list of upstreams, {version}, was left out: {known} is \
+                 known\n"
+            ),
             Self::UpstreamLeaving { upstream, source } => {
                 format!("{upstream} leaves, from {}\n", told_by(*source))
             }
@@ -326,6 +334,8 @@
             | Self::LoadsHeldBack { .. }
             | Self::StoreLost { .. }
             | Self::StoreBack
+            | Self::HistoryGone { .. }
+            | Self::ListLeftOut { .. }
             | Self::StoreCallFailed { .. } => true,
             _ => false,
         }
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -87,6 +87,8 @@
             upstream: UpstreamId::new("e1"),
             error: error(),
         },
+        Event::HistoryGone { call: "watch_upstreams".to_owned(), after: 120 },
+        Event::ListLeftOut { version: 95, known: 120 },
         Event::UpstreamCrashed {
             upstream: UpstreamId::new("e1"),
             under_way: vec!["0123456789abcdef".to_owned()],
