What the store says after it came back from a copy counts

Callers' requests went to an engine for seconds after it had said that it leaves. Cause: the store came back from an older copy with smaller versions; each list was thrown away as older, and the watch asked for versions that the store did not have until its counter had passed them, 11 s later. The class: a number that somebody else keeps was taken to rise for ever.

Change: the store's era and version together are one number that rises, made in the platform's folder; an answer of another era than a watch's is none to it. What the copy undoes stays: upstreams that left, orders to empty data centres. The lease has a row for each era, its holder goes on by writing the first one, others wait a term, and epochs begin anew above all earlier ones. Refused requests are recorded again.

Why it holds: nothing is compared or conditioned across eras any more without them.

--- a/crates/valehold-core/src/fleet/crashes/book.rs
+++ b/crates/valehold-core/src/fleet/crashes/book.rs
@@ -39,6 +39,8 @@
     answered: BTreeMap<RequestContent, Millis>,
     /// Those that the store names.
     recorded: BTreeMap<RequestContent, Millis>,
+    /// Those of them that the store may not name any more.
+    record_lost: BTreeSet<RequestContent>,
     /// What follows from all this: who is refused, and until when.
     refused: BTreeMap<RequestContent, Millis>,
     /// What this instance noted since it was last told.
@@ -61,6 +63,7 @@
             crashes: BTreeMap::new(),
             answered: BTreeMap::new(),
             recorded: BTreeMap::new(),
+            record_lost: BTreeSet::new(),
             refused: BTreeMap::new(),
             news: BTreeSet::new(),
             changes: 0,
@@ -99,7 +102,9 @@
     /// Returns who is refused and is not named by the store yet.
     pub fn unrecorded(&self, now: Millis) -> Vec<RefusedWord> {
         let refused = self.refused.iter().filter(|(content, until)| {
-            now < **until && !self.recorded.contains_key(content)
+            let is_named = self.recorded.contains_key(content)
+                && !self.record_lost.contains(content);
+            now < **until && !is_named
         });
         let words = refused.map(|(content, until)| RefusedWord {
             content: *content,
@@ -146,8 +151,17 @@
         }
     }
 
+    /// Notes that the store came back from a copy: it may not name any more
+    /// whom it named.
+    pub fn record_may_be_lost(&mut self) {
+        self.record_lost = self.recorded.keys().copied().collect();
+    }
+
     /// Takes in which requests the store names.
     pub fn recorded(&mut self, refused: Vec<RefusedWord>, now: Millis) {
+        for word in &refused {
+            self.record_lost.remove(&word.content);
+        }
         let words = CrashWords { refused, ..CrashWords::default() };
         self.hear(&words, now);
     }
@@ -262,6 +276,7 @@
         self.crashes.retain(|_, crash| is_kept(crash.until));
         self.answered.retain(|_, until| is_kept(*until));
         self.recorded.retain(|_, until| is_kept(*until));
+        self.record_lost.retain(|one| self.recorded.contains_key(one));
         if self.refused.values().any(|until| now >= *until) {
             self.judge(now);
         }
--- a/crates/valehold-core/src/fleet/evacuation.rs
+++ b/crates/valehold-core/src/fleet/evacuation.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Listing, topology::Topology};
+use super::{Listing, StoreVersion, topology::Topology};
 use crate::{
     Millis,
     id::{DataCentreId, RegionId, ServiceName},
@@ -24,6 +24,11 @@
 /// longer than any upstream is cold after a start.
 const REMEMBERED_MS: u64 = 600_000;
 
+/// For how long an order stands that the store does not have any more since it
+/// came back from a copy, in ms: operators write within seconds again what was
+/// lost.
+const HELD_MS: u64 = 10_000;
+
 /// The data centres that are to be empty, as of one version of the platform's
 /// store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -110,6 +115,9 @@
     orders: Option<Evacuations>,
     in_force_from: BTreeMap<DataCentreId, Millis>,
     taken_back: BTreeMap<DataCentreId, Millis>,
+    /// Data centres that are to be empty although the store, since it came back
+    /// from a copy, does not say so, and until when.
+    held: BTreeMap<DataCentreId, Millis>,
 }
 
 impl EvacuationView {
@@ -128,6 +136,7 @@
     pub fn is_emptying(&self, data_centre: &DataCentreId) -> bool {
         let orders = self.orders.as_ref();
         orders.is_none_or(|orders| orders.is_ordered(data_centre))
+            || self.held.contains_key(data_centre)
     }
 
     /// Tells whether a data centre's upstreams get nothing any more.
@@ -146,6 +155,7 @@
     pub fn is_any(&self) -> bool {
         let orders = self.orders.as_ref();
         orders.is_none_or(|orders| !orders.data_centres.is_empty())
+            || !self.held.is_empty()
     }
 
     /// Returns in how long the order of a data centre comes into force, in
@@ -163,7 +173,9 @@
 
     /// Returns the data centres of which an order is known.
     pub fn ordered(&self) -> impl Iterator<Item = &DataCentreId> {
-        self.orders.iter().flat_map(|orders| &orders.data_centres)
+        let orders = self.orders.iter();
+        let ordered = orders.flat_map(|orders| &orders.data_centres);
+        ordered.chain(self.held.keys())
     }
 
     /// Returns how long ago the order of a data centre was taken back, in ms,
@@ -181,7 +193,9 @@
     /// newer than what is known.
     ///
     /// Orders come into force after `within_ms`. Those in the first set that
-    /// is heard of, however, do at once, as they may have stood for long.
+    /// is heard of, however, do at once, as they may have stood for long. One
+    /// that is missing since the store came back from a copy stands for a
+    /// while yet.
     pub fn hear(
         &mut self,
         orders: Evacuations,
@@ -201,8 +215,15 @@
         let beyond = |one: &Evacuations, other: &Evacuations| {
             one.data_centres.difference(&other.data_centres).cloned().collect()
         };
-        let ordered: BTreeSet<DataCentreId> = beyond(&orders, &known);
-        let taken_back: BTreeSet<DataCentreId> = beyond(&known, &orders);
+        let mut ordered: BTreeSet<DataCentreId> = beyond(&orders, &known);
+        let mut taken_back: BTreeSet<DataCentreId> = beyond(&known, &orders);
+        ordered.retain(|one| !self.held.contains_key(one));
+        self.held.retain(|one, _| !orders.is_ordered(one));
+        if StoreVersion::is_later_era(orders.version, known.version) {
+            let until = now + HELD_MS;
+            let held = std::mem::take(&mut taken_back);
+            self.held.extend(held.into_iter().map(|one| (one, until)));
+        }
         self.orders = Some(orders);
         self.taken_back.retain(|_, at| now.since(*at) < REMEMBERED_MS);
         for data_centre in &ordered {
@@ -215,6 +236,24 @@
         }
         Some(EvacuationsChanged { ordered, taken_back })
     }
+
+    /// Takes in that operators took the order of a data centre back, whatever
+    /// is held against a copy of the store; tells whether it was.
+    pub fn let_go(&mut self, data_centre: &DataCentreId, now: Millis) -> bool {
+        let was_held = self.held.remove(data_centre).is_some();
+        if was_held {
+            self.in_force_from.remove(data_centre);
+            self.taken_back.insert(data_centre.clone(), now);
+        }
+        was_held
+    }
+
+    /// Returns the data centres of which orders are held against a copy of the
+    /// store for no longer.
+    pub fn held_out(&self, now: Millis) -> Vec<DataCentreId> {
+        let over = self.held.iter().filter(|(_, until)| now >= **until);
+        over.map(|(one, _)| one.clone()).collect()
+    }
 }
 
 /// Returns the services that have upstreams only in empty data centres; where
--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -23,12 +23,17 @@
     leaving::LeavingUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream, Upstreams},
     recent::RecentChanges,
+    store_version::StoreVersion,
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
 
 /// By how much the list may lag behind what the holder says, in ms.
 const LIST_LAGS_MS: u64 = 2_500;
 
+/// For how long it is kept that a start went from the list, in ms: copies from
+/// which the store comes back are some seconds old.
+const REMEMBER_GONE_MS: u64 = 60_000;
+
 /// What an engine holds, as the holder of the lease knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineHolding {
@@ -60,6 +65,8 @@
     told: BTreeMap<UpstreamId, Told>,
     leaving: LeavingUpstreams,
     births: Births,
+    /// Starts that went from the list lately, and when.
+    gone: BTreeMap<UpstreamStart, Millis>,
     /// All four together.
     known: Arc<Listing>,
     /// The same by what they serve.
@@ -121,6 +128,12 @@
             return false;
         }
         self.void_earlier_starts(&mut listing, now);
+        let known = self.rows.version;
+        let is_copy = StoreVersion::is_later_era(listing.version, known);
+        if is_copy && self.has_list() {
+            self.leave_out_copied(&mut listing, now);
+        }
+        let after_outage = after_outage || is_copy;
         let before = std::mem::replace(&mut self.rows, listing);
         if after_outage {
             self.keep_missing(&before, now);
@@ -133,7 +146,10 @@
             differ.map(|(id, _)| id.clone()).collect();
         let rows = &self.rows.upstreams;
         let gone = before.upstreams.keys();
-        touched.extend(gone.filter(|id| !rows.contains_key(*id)).cloned());
+        let gone = gone.filter(|id| !rows.contains_key(*id));
+        let gone: Vec<UpstreamId> = gone.cloned().collect();
+        self.note_gone(&before, &gone, now);
+        touched.extend(gone);
         self.note_replaced(before.version, &touched);
         self.touch(touched);
         self.pass(now);
@@ -161,6 +177,44 @@
         Arc::make_mut(&mut self.recent).note(delta, upstreams);
     }
 
+    /// Leaves out of a list that the store has from a copy what it said and
+    /// took back later: starts that left are not brought back. One that is
+    /// there after all writes its entry again.
+    fn leave_out_copied(&mut self, listing: &mut Listing, now: Millis) {
+        let gone = &self.gone;
+        let copied: Vec<UpstreamId> = listing
+            .upstreams
+            .values()
+            .filter(|one| gone.contains_key(&one.start()))
+            .map(|one| one.id.clone())
+            .collect();
+        for id in copied {
+            listing.upstreams.remove(&id);
+        }
+        let listed = listing.upstreams.values();
+        self.keep_leaving(listed.cloned().collect(), now);
+    }
+
+    /// Keeps to it that starts leave of which entries do not say so any more.
+    fn keep_leaving(&mut self, entries: Vec<Arc<Upstream>>, now: Millis) {
+        let upstreams = self.known.upstreams.len();
+        for entry in entries.iter().filter(|entry| !entry.leaving) {
+            let start = entry.start();
+            if self.rows.of_start(&start).is_some_and(|known| known.leaving) {
+                self.leaving.note(&start, upstreams, now);
+            }
+        }
+    }
+
+    /// Notes which starts went from the list.
+    fn note_gone(&mut self, from: &Listing, ids: &[UpstreamId], now: Millis) {
+        let starts = ids.iter().filter_map(|id| from.upstreams.get(id));
+        let starts: Vec<UpstreamStart> =
+            starts.map(|one| one.start()).collect();
+        self.gone.retain(|_, at| now.since(*at) < REMEMBER_GONE_MS);
+        self.gone.extend(starts.into_iter().map(|start| (start, now)));
+    }
+
     /// Puts what was listed before in the place of entries of earlier starts.
     fn void_earlier_starts(&mut self, listing: &mut Listing, now: Millis) {
         let mut latest = Upstreams::new();
@@ -186,7 +240,14 @@
     /// Takes in changes of the list; tells whether they were new.
     pub fn apply(&mut self, delta: &ListingDelta, now: Millis) -> bool {
         let delta = &self.of_latest_starts(delta, now);
-        let gone = delta.gone.iter().filter(|_| delta.after_outage);
+        let known = self.rows.version;
+        let is_copy = StoreVersion::is_later_era(delta.version, known);
+        let after_outage = delta.after_outage || is_copy;
+        if is_copy {
+            self.keep_leaving(delta.changed.clone(), now);
+        }
+        let before = self.rows.clone();
+        let gone = delta.gone.iter().filter(|_| after_outage);
         let lapsed: Vec<Arc<Upstream>> = gone
             .filter_map(|id| self.rows.upstreams.get(id).cloned())
             .collect();
@@ -198,6 +259,10 @@
         for one in &lapsed {
             self.lapsed.keep(one, now);
         }
+        self.note_gone(&before, &delta.gone, now);
+        for one in &delta.changed {
+            self.gone.remove(&one.start());
+        }
         let changed = delta.changed.iter().map(|upstream| &upstream.id);
         for id in changed.clone() {
             let told = self.told.get(id);
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 pub mod rest;
 pub mod share;
 pub mod slot_time;
+pub mod store_version;
 #[cfg(test)]
 mod tests;
 pub mod topology;
@@ -54,4 +55,5 @@
     index::UpstreamIndex,
     known::{EngineHolding, KnownUpstreams},
     listing::{Holding, Listing, ListingDelta, Upstream, Variant},
+    store_version::StoreVersion,
 };
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -21,6 +21,7 @@
 mod rest;
 mod share;
 mod slot_time;
+mod store_version;
 mod topology;
 mod turned_away;
 mod upstream_limit;
--- a/crates/valehold-core/src/fleet/tests/evacuation.rs
+++ b/crates/valehold-core/src/fleet/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use crate::{
     fleet::{
         EvacuationChange, EvacuationView, Evacuations, Holding, Listing,
-        Upstream, evacuation::left_without, topology::Topology,
+        StoreVersion, Upstream, evacuation::left_without, topology::Topology,
     },
     id::{DataCentreId, RegionId, ServiceName, UpstreamId},
     time::Millis,
@@ -193,3 +193,39 @@
         }
     }
 }
+
+/// An order that the store lost with a copy stands until it is written again,
+/// taken back, or has stood for ten seconds.
+#[gtest]
+fn an_order_stands_though_the_store_came_back_without_it() {
+    let later = |version| StoreVersion { era: 1, version }.rising();
+    let emptied = || {
+        let mut view = EvacuationView::default();
+        view.hear(orders(4, &[]), 1_000, at(0));
+        view.hear(orders(7, &["north"]), 1_000, at(100));
+        let changed = view.hear(orders(later(4), &[]), 1_000, at(5_000));
+        expect_false!(changed.unwrap().is_any());
+        expect_true!(view.is_empty(&dc("north"), at(5_000)));
+        expect_true!(view.is_any());
+        view
+    };
+    let mut again = emptied();
+    let orders_again = orders(later(5), &["north"]);
+    let changed = again.hear(orders_again, 1_000, at(6_000)).unwrap();
+    expect_false!(changed.is_any());
+    expect_true!(again.is_empty(&dc("north"), at(6_000)));
+    expect_that!(again.held_out(at(99_000)), is_empty());
+    let changed = again.hear(orders(later(6), &[]), 1_000, at(7_000));
+    expect_that!(changed.unwrap().taken_back.len(), eq(1));
+    expect_false!(again.is_empty(&dc("north"), at(7_000)));
+    let mut held = emptied();
+    expect_that!(held.held_out(at(14_999)), is_empty());
+    expect_that!(held.held_out(at(15_000)), eq(&vec![dc("north")]));
+    expect_true!(held.let_go(&dc("north"), at(15_000)));
+    expect_false!(held.is_empty(&dc("north"), at(15_000)));
+    expect_that!(
+        held.taken_back_ms_ago(&dc("north"), at(15_200)),
+        some(eq(200))
+    );
+    expect_false!(held.let_go(&dc("north"), at(15_300)));
+}
--- a/crates/valehold-core/src/fleet/tests/known.rs
+++ b/crates/valehold-core/src/fleet/tests/known.rs
@@ -8,7 +8,7 @@
 use crate::{
     fleet::{
         EngineHolding, Holding, KnownUpstreams, Listing, ListingDelta,
-        Upstream, Variant,
+        StoreVersion, Upstream, Variant,
     },
     id::{DataCentreId, ModelName, ServiceName, UpstreamId},
     order::Stamp,
@@ -396,3 +396,63 @@
     expect_that!(known.recent().since(1), none());
     expect_that!(known.recent().since(60), some(anything()));
 }
+
+/// Returns a version of the store after it came back from a copy.
+fn later(version: u64) -> u64 {
+    StoreVersion { era: 1, version }.rising()
+}
+
+fn is_used(known: &KnownUpstreams, id: &str) -> bool {
+    let upstream = known.listing().upstreams.get(&UpstreamId::new(id));
+    upstream.is_some_and(|one| !one.leaving)
+}
+
+/// A copy of the list has upstreams that said later that they leave, or went.
+#[gtest]
+fn a_copy_of_the_store_brings_nobody_back_who_left() {
+    let mut known = KnownUpstreams::default();
+    let all = ["e1", "e2", "e3"].map(|id| engine(id, &["alpha"]));
+    known.replace(list(5, &all), false, at(0));
+    let leaving = Arc::new(Upstream { leaving: true, ..(*all[0]).clone() });
+    let said = ListingDelta {
+        changed: vec![leaving],
+        gone: vec![UpstreamId::new("e2")],
+        ..delta(5, 9)
+    };
+    expect_true!(known.apply(&said, at(1_000)));
+    expect_true!(known.replace(list(later(5), &all), false, at(8_000)));
+    expect_false!(is_used(&known, "e1"));
+    expect_false!(is_used(&known, "e2"));
+    expect_true!(is_used(&known, "e3"));
+    // What is older than the copy's list does not count, whatever its number.
+    expect_false!(known.replace(list(900, &all), false, at(8_100)));
+    // One that writes again was not gone.
+    let again = ListingDelta {
+        changed: vec![all[1].clone()],
+        ..delta(later(5), later(6))
+    };
+    expect_true!(known.apply(&again, at(9_000)));
+    expect_true!(is_used(&known, "e2"));
+    expect_false!(is_used(&known, "e1"));
+}
+
+/// One that came after the copy is missing in it, and writes its entry again.
+#[gtest]
+fn an_upstream_that_the_copy_misses_stays_for_a_while() {
+    let mut known = KnownUpstreams::default();
+    let all = ["e1", "e2"].map(|id| engine(id, &["alpha"]));
+    known.replace(list(5, &all), false, at(0));
+    known.replace(list(later(3), &all[..1]), false, at(1_000));
+    expect_true!(is_used(&known, "e2"));
+    known.pass(at(2_000));
+    expect_false!(is_used(&known, "e2"));
+    // The same by what a peer tells of it.
+    let mut told = KnownUpstreams::default();
+    told.replace(list(5, &all), false, at(0));
+    let gone = vec![UpstreamId::new("e2")];
+    let missing = ListingDelta { gone, ..delta(5, later(3)) };
+    expect_true!(told.apply(&missing, at(1_000)));
+    expect_true!(is_used(&told, "e2"));
+    told.pass(at(2_000));
+    expect_false!(is_used(&told, "e2"));
+}
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -216,6 +216,14 @@
         self.seen = None;
     }
 
+    /// Takes in that the row that is held has to be written anew, as the first
+    /// one under another version.
+    pub fn row_moved(&mut self, version: u64) {
+        if let Some((lease, _)) = &mut self.seen {
+            lease.version = version;
+        }
+    }
+
     /// Gives the lease up; returns the write that hands it back, if held.
     pub fn step_down(&mut self, now: Millis) -> Option<LeaseStep> {
         let held = self.held_epoch(now).is_some();
--- a/crates/valehold-gateway/src/control/evacuating.rs
+++ b/crates/valehold-gateway/src/control/evacuating.rs
@@ -6,9 +6,10 @@
 use valehold_core::{
     Millis,
     fleet::{
-        EvacuationNews, Evacuations, evacuation::left_without,
-        topology::Topology,
+        EvacuationChange, EvacuationNews, Evacuations,
+        evacuation::left_without, topology::Topology,
     },
+    id::DataCentreId,
 };
 
 use super::Control;
@@ -62,7 +63,9 @@
                     return;
                 };
                 let left_ms = if was_lost { 0 } else { self.still_used_ms() };
-                (known.after(changes), left_ms)
+                let orders = known.after(changes.iter().cloned());
+                self.let_go_of_held(&changes, now);
+                (orders, left_ms)
             }
         };
         let source = CatalogSource::Store;
@@ -74,6 +77,33 @@
         }
     }
 
+    /// Takes in which orders that are held against a copy of the store were
+    /// taken back, or are held no longer.
+    pub(super) fn let_go_of_held(
+        &mut self,
+        changes: &[EvacuationChange],
+        now: Millis,
+    ) {
+        let taken_back = changes.iter().filter(|one| !one.is_ordered);
+        let taken_back = taken_back.map(|one| one.data_centre.clone());
+        let mut over: Vec<DataCentreId> = taken_back.collect();
+        over.extend(self.evacuations.held_out(now));
+        over.retain(|one| self.evacuations.let_go(one, now));
+        if over.is_empty() {
+            return;
+        }
+        let orders = self.evacuations.orders();
+        let version = orders.map_or(0, |orders| orders.version);
+        for data_centre in over {
+            self.may_have_cooled(&data_centre, now);
+            let source = CatalogSource::Store;
+            Event::EvacuationTakenBack { data_centre, version, source }.log();
+        }
+        self.placer.evacuate(&self.evacuations);
+        self.tell_evacuations(now);
+        self.publish();
+    }
+
     /// Takes in what a peer says of orders.
     pub(super) fn hear_evacuations(
         &mut self,
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -125,6 +125,8 @@
 pub(super) enum Input {
     /// The store answered a read of what operators wrote or a watch on it.
     CatalogHeard {
+        /// The store's version.
+        version: u64,
         /// The configuration, if there is a newer one.
         catalog: Option<Box<Catalog>>,
         /// Orders to empty data centres.
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -7,6 +7,10 @@
 //!
 //! A holder that cannot reach the store while others can gives the lease up
 //! by its own word, and another need not wait for its term to end.
+//!
+//! When the store comes back from an older copy, whoever holds the lease writes
+//! its row anew. Where nobody does, nobody knows whether another took it by a
+//! write that is gone: it is taken a whole term after that was heard.
 
 #[cfg(test)]
 mod tests;
@@ -16,7 +20,10 @@
 use tokio::sync::mpsc;
 use valehold_core::{
     Millis,
-    fleet::weight_loads::{Inheritance, LostLoads},
+    fleet::{
+        StoreVersion,
+        weight_loads::{Inheritance, LostLoads},
+    },
     id::InstanceId,
     lease::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease},
 };
@@ -60,6 +67,10 @@
 /// hold, in ms.
 const GIVE_UP_AFTER_MS: u64 = 1_500;
 
+/// The epochs of an era of the store begin at so many times its number: those
+/// that were given out in writes that are gone are not given out again.
+const EPOCHS_IN_ERA: u64 = 1 << 20;
+
 /// What other gateways say.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Around {
@@ -142,6 +153,11 @@
     lost_loads: LostLoads,
     /// The row's version when its holder was heard last.
     heard: Option<(u64, Millis)>,
+    /// The store's era, as far as the lease's calls say.
+    era: u64,
+    /// Since when the row is known to be from before the store came back from
+    /// a copy.
+    restored_since: Option<Millis>,
     other_gave_up: Option<GivenUp>,
     gave_up: Option<GivenUp>,
     version: u64,
@@ -173,6 +189,8 @@
             inheritance: None,
             lost_loads: LostLoads::default(),
             heard: None,
+            era: 0,
+            restored_since: None,
             other_gave_up: None,
             gave_up: None,
             version: 0,
@@ -324,7 +342,14 @@
                 return;
             }
         };
+        if !self.note_era(sight.lease.version) {
+            return;
+        }
         self.clock = Some(StoreClock { store_ms: sight.store_ms, read: now });
+        if sight.is_restored {
+            self.take_restored(sight.lease, now);
+            return;
+        }
         let row = sight.lease.row.clone();
         // A row that stands as its holder told stands since then.
         let since = match self.heard {
@@ -351,6 +376,45 @@
         }
     }
 
+    /// Notes the era of a version; tells whether it is the latest that is known.
+    ///
+    /// What was said of the lease in an earlier one says nothing of the row
+    /// that stands there now.
+    fn note_era(&mut self, version: u64) -> bool {
+        let era = StoreVersion::of(version).era;
+        if era > self.era {
+            self.era = era;
+            self.restored_since = None;
+            self.other_gave_up = None;
+        }
+        era == self.era
+    }
+
+    /// Takes the lease of which the row is from before the store came back from
+    /// a copy, once whoever held it last, perhaps by a write that is gone,
+    /// holds it no longer.
+    fn take_restored(&mut self, lease: VersionedLease, now: Millis) {
+        let since = *self.restored_since.get_or_insert(now);
+        if now.since(since) < TERMS.term_ms {
+            return;
+        }
+        let before = lease.row.clone();
+        let free = |row| LeaseRow { holder: None, ..row };
+        let lease = VersionedLease { row: lease.row.map(free), ..lease };
+        self.keeper.row_read(lease, now);
+        if let LeaseStep::Write { version, mut row, takes } =
+            self.keeper.step(now)
+        {
+            let in_copy = row.epoch;
+            row.epoch = in_copy.max(self.era.saturating_mul(EPOCHS_IN_ERA));
+            self.orders_from = after_another(now, self.quiet_ms);
+            self.inheritance =
+                self.inherited(Before::Another, before.as_ref());
+            self.ordered = None;
+            self.write(SentLease { version, row, takes, sent: now });
+        }
+    }
+
     /// Returns who held the lease before, by its row.
     fn before(&self, row: Option<&LeaseRow>) -> Before {
         let Some(row) = row else { return Before::Nobody };
@@ -407,7 +471,7 @@
             Some(given_up) if given_up.epoch == row.epoch => {
                 given_up.quiet_until.max(now)
             }
-            _ => now + self.quiet_ms + ORDER_FLIGHT_MS - TERMS.margin_ms,
+            _ => after_another(now, self.quiet_ms),
         }
     }
 
@@ -425,6 +489,15 @@
                 self.won(write, version, now);
             }
             Ok(LeaseWrite::Lost) => self.keeper.write_lost(write.takes),
+            Ok(LeaseWrite::OtherEra { version }) => {
+                let is_latest = self.note_era(version);
+                let holds = self.held_epoch(now).is_some() && !write.takes;
+                match holds && is_latest {
+                    // Nobody can have taken it while its term lasts.
+                    true => self.keeper.row_moved(version),
+                    false => self.keeper.write_lost(write.takes),
+                }
+            }
             Err(error) => {
                 log::debug!("writing the lease: {error}");
                 // It may have taken effect: the row tells.
@@ -468,3 +541,9 @@
         }
     }
 }
+
+/// Returns from when on orders may be given after another holder's term is
+/// over.
+fn after_another(now: Millis, quiet_ms: u64) -> Millis {
+    now + quiet_ms + ORDER_FLIGHT_MS - TERMS.margin_ms
+}
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use futures::FutureExt;
@@ -11,7 +11,7 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Listing,
+        Listing, StoreVersion,
         crashes::{RecordChange, RecordSight},
         weight_loads::{Inheritance, LostLoads},
     },
@@ -49,13 +49,35 @@
 struct RowStore {
     lease: Mutex<VersionedLease>,
     clock_ms: AtomicU64,
+    /// How often it came back from a copy.
+    era: AtomicU64,
+    /// Whether the row is from before that.
+    is_restored: AtomicBool,
 }
 
 impl RowStore {
     fn new() -> Arc<Self> {
         let lease = VersionedLease { version: 0, row: None };
         let lease = Mutex::new(lease);
-        Arc::new(Self { lease, clock_ms: AtomicU64::new(0) })
+        Arc::new(Self {
+            lease,
+            clock_ms: AtomicU64::new(0),
+            era: AtomicU64::new(0),
+            is_restored: AtomicBool::new(false),
+        })
+    }
+
+    /// Comes back from a copy.
+    fn come_back_from(&self, copy: &VersionedLease) {
+        let era = self.era.fetch_add(1, Ordering::SeqCst) + 1;
+        let version = StoreVersion { era, version: 0 }.rising();
+        let row = copy.row.clone();
+        *self.lease.lock().unwrap() = VersionedLease { version, row };
+        self.is_restored.store(true, Ordering::SeqCst);
+    }
+
+    fn copy(&self) -> VersionedLease {
+        self.lease.lock().unwrap().clone()
     }
 }
 
@@ -79,7 +101,9 @@
     fn read_lease(&self) -> Answer<'_, LeaseSight> {
         let lease = self.lease.lock().unwrap().clone();
         let store_ms = self.clock_ms.load(Ordering::SeqCst);
-        async move { Ok(LeaseSight { lease, store_ms }) }.boxed()
+        let is_restored = self.is_restored.load(Ordering::SeqCst);
+        let sight = LeaseSight { lease, store_ms, is_restored };
+        async move { Ok(sight) }.boxed()
     }
 
     fn write_lease<'a>(
@@ -88,10 +112,17 @@
         row: &'a LeaseRow,
     ) -> Answer<'a, LeaseWrite> {
         let mut lease = self.lease.lock().unwrap();
+        let era = self.era.load(Ordering::SeqCst);
+        if StoreVersion::of(version).era != era {
+            let version = StoreVersion { era, version: 0 }.rising();
+            return async move { Ok(LeaseWrite::OtherEra { version }) }
+                .boxed();
+        }
         if lease.version != version {
             return async { Ok(LeaseWrite::Lost) }.boxed();
         }
         let version = version + 1;
+        self.is_restored.store(false, Ordering::SeqCst);
         *lease = VersionedLease { version, row: Some(row.clone()) };
         let store_ms = self.clock_ms.load(Ordering::SeqCst);
         async move { Ok(LeaseWrite::Won { version, store_ms }) }.boxed()
@@ -327,3 +358,67 @@
     };
     LocalSet::new().run_until(steps).await;
 }
+
+/// Who holds the lease when the store comes back from a copy goes on, and no
+/// other takes it.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_holder_goes_on_though_its_row_is_gone() {
+    let steps = async {
+        let store = RowStore::new();
+        let nothing = store.copy();
+        let mut holder = Member::start(&store, "g1", 0);
+        holder.act_from(SETTLED_MS, 5_000).await;
+        let epoch = holder.duty.held_epoch(at(5_000));
+        expect_true!(epoch.is_some());
+        store.come_back_from(&nothing);
+        let mut other = Member::start(&store, "g2", 0);
+        for now in (5_000..20_000).step_by(50) {
+            holder.act(now).await;
+            other.act(now).await;
+            expect_that!(holder.duty.held_epoch(at(now)), eq(epoch), "{now}");
+            expect_false!(other.order(now), "{now}");
+        }
+    };
+    LocalSet::new().run_until(steps).await;
+}
+
+/// A copy names the first holder; the second one took the lease after that, and
+/// is gone. The first has waited for it to be over, like any other, and has an
+/// epoch that nobody had.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn an_epoch_that_the_copy_does_not_have_is_not_given_out_again() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut first = Member::start(&store, "g1", 0);
+        first.act_from(SETTLED_MS, 5_000).await;
+        let copy = store.copy();
+        let mut second = Member::start(&store, "g2", 0);
+        second.act_from(5_000, 14_000).await;
+        expect_true!(second.order(14_000));
+        let lost = second.duty.held_epoch(at(14_000)).unwrap();
+        store.come_back_from(&copy);
+        drop(second);
+        let mut earliest = None;
+        for now in (14_000..30_000).step_by(50) {
+            first.act(now).await;
+            if earliest.is_none() && first.order(now) {
+                earliest = Some(now);
+                let epoch = first.duty.held_epoch(at(now)).unwrap();
+                expect_that!(epoch, gt(lost));
+            }
+        }
+        // The second could have given orders until its term was over.
+        let quiet_from = 14_000 + 3_000;
+        expect_that!(earliest, some(ge(quiet_from + QUIET_MS)));
+        expect_that!(earliest, some(le(24_000)));
+        // The next one has a later epoch again.
+        let held = first.duty.held_epoch(at(29_950)).unwrap();
+        drop(first);
+        let mut third = Member::start(&store, "g3", 30_000);
+        third.act_from(30_000, 40_000).await;
+        expect_that!(third.duty.held_epoch(at(40_000)), some(gt(held)));
+    };
+    LocalSet::new().run_until(steps).await;
+}
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -159,6 +159,8 @@
     watch_orders: Rc<WatchOrders>,
     store: StoreSight,
     store_presence: StorePresence,
+    /// How often the store came back from a copy, once it is known.
+    store_era: Option<u64>,
     behind: Behind,
     published: Published,
     started: Millis,
@@ -275,6 +277,7 @@
             watch_orders,
             store: StoreSight::Unknown,
             store_presence: StorePresence::default(),
+            store_era: None,
             behind: Behind::new(is_seed, now),
             published: Published::default(),
             started: now,
@@ -351,6 +354,7 @@
             self.hear_members(now);
         }
         self.upstreams.pass(now);
+        self.let_go_of_held(&[], now);
         self.tell_evacuations(now);
         self.tell_crashes(now);
         self.tell_leaving_again(now);
@@ -427,9 +431,10 @@
             Input::StoreFailed { error, lasted } => {
                 self.store_failed(&error, lasted, now);
             }
-            Input::CatalogHeard { catalog, evacuations } => {
+            Input::CatalogHeard { version, catalog, evacuations } => {
                 let was_lost = self.store == StoreSight::Fails;
                 self.store_heard(now);
+                self.note_era(version);
                 self.evacuate_by_store(evacuations, was_lost, now);
                 if let Some(catalog) = catalog {
                     self.configure_by_store(*catalog, now);
@@ -437,6 +442,7 @@
             }
             Input::ListingRead(listing) => {
                 self.store_heard(now);
+                self.note_era(listing.version);
                 self.list(listing, now);
             }
             Input::ListingChanged(news) => {
--- a/crates/valehold-gateway/src/control/store_sight.rs
+++ b/crates/valehold-gateway/src/control/store_sight.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use valehold_core::Millis;
+use valehold_core::{Millis, fleet::StoreVersion};
 use valehold_ports::PortError;
 
 use super::Control;
@@ -63,6 +63,22 @@
         self.store = StoreSight::Fails;
     }
 
+    /// Notes the store's era, by the version of an answer: what was recorded in
+    /// an earlier one may be gone.
+    pub(super) fn note_era(&mut self, version: u64) {
+        let era = StoreVersion::of(version).era;
+        let before = self.store_era;
+        if before.is_some_and(|before| era <= before) {
+            return;
+        }
+        self.store_era = Some(era);
+        if let Some(before) = before {
+            Event::StoreRestored { era, before }.log();
+            self.shared.crashes().record_may_be_lost();
+        }
+        self.shared.metrics.store_era(era);
+    }
+
     /// Takes in that the store answered a call.
     pub(super) fn store_heard(&mut self, now: Millis) {
         if self.store == StoreSight::Fails {
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -92,6 +92,8 @@
     LoadsHeldBack = "loads_held_back",
     /// An upstream could not be connected to.
     UpstreamUnreachable = "upstream_unreachable",
+    /// The store came back from an older copy.
+    StoreRestored = "store_restored",
     /// The store has no history from a version on.
     HistoryGone = "history_gone",
     /// A whole list of upstreams was left out as older.
@@ -308,6 +310,14 @@
         /// Why.
         error: String,
     },
+    /// The store came back from an older copy of itself: what was written
+    /// since is gone.
+    StoreRestored {
+        /// How often it did.
+        era: u64,
+        /// How often it had before.
+        before: u64,
+    },
     /// The store has no history from the version on that a watch asked for.
     HistoryGone {
         /// Which call it was, as `valehold_store_calls_total` has it.
@@ -406,6 +416,7 @@
             Self::OrderEnded { .. } => EventKind::OrderEnded,
             Self::LoadsHeldBack { .. } => EventKind::LoadsHeldBack,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
+            Self::StoreRestored { .. } => EventKind::StoreRestored,
             Self::HistoryGone { .. } => EventKind::HistoryGone,
             Self::ListLeftOut { .. } => EventKind::ListLeftOut,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -277,6 +277,9 @@
                     under_way.join(", "),
                 )
             }
+            Self::StoreRestored { era, before } => format!(
+                "the store came back from a copy, era {era} after {before}\n"
+            ),
             Self::HistoryGone { call, after } => format!(
                 "the store has no history after {after} ({call}): what \
                  changed is read whole\n"
@@ -334,6 +337,7 @@
             | Self::LoadsHeldBack { .. }
             | Self::StoreLost { .. }
             | Self::StoreBack
+            | Self::StoreRestored { .. }
             | Self::HistoryGone { .. }
             | Self::ListLeftOut { .. }
             | Self::StoreCallFailed { .. } => true,
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -100,6 +100,7 @@
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
+    store_era: Gauge<u64>,
     evacuated: Gauge<u64>,
     holds_lease: Gauge<u64>,
     weight_loads: Gauge<u64>,
@@ -159,6 +160,10 @@
                 "Datagrams to other gateways that could not be sent.",
             ),
             catalog: gauge("valehold_revision", "Configuration in force."),
+            store_era: gauge(
+                "valehold_store_era",
+                "How often the platform's store came back from a copy.",
+            ),
             evacuated: gauge(
                 "valehold_evacuated_data_centres",
                 "Data centres whose upstreams get nothing.",
@@ -266,6 +271,11 @@
         self.catalog.record(version, &[]);
     }
 
+    /// Notes how often the store came back from a copy.
+    pub fn store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     /// Notes in how many data centres upstreams get nothing.
     pub fn evacuated(&self, data_centres: usize) {
         let count = u64::try_from(data_centres).unwrap_or(u64::MAX);
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -87,6 +87,7 @@
             upstream: UpstreamId::new("e1"),
             error: error(),
         },
+        Event::StoreRestored { era: 2, before: 1 },
         Event::HistoryGone { call: "watch_upstreams".to_owned(), after: 120 },
         Event::ListLeftOut { version: 95, known: 120 },
         Event::UpstreamCrashed {
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -63,6 +63,9 @@
     pub lease: VersionedLease,
     /// The store's steady clock, in ms.
     pub store_ms: u64,
+    /// Whether the row is from before the store came back from a copy: what
+    /// was written later is gone.
+    pub is_restored: bool,
 }
 
 /// How a conditional write of the lease ended.
@@ -77,6 +80,12 @@
     },
     /// Another's row stood there.
     Lost,
+    /// The store came back from a copy since the version that the write was
+    /// conditioned on: none stands there in its new era.
+    OtherEra {
+        /// On what the first write of the row in that era is conditioned.
+        version: u64,
+    },
 }
 
 /// For how long a watch on the store waits for a change.
@@ -120,6 +129,10 @@
 }
 
 /// The store of a platform.
+///
+/// Its versions rise with each change, also when it comes back from an older
+/// copy of itself: they are numbers of
+/// [`StoreVersion`](valehold_core::fleet::StoreVersion).
 pub trait FleetStore: Send + Sync {
     /// Reads the newest configuration and all orders to empty data centres,
     /// with the store's version.
