Who does not know what cold upstreams bear gives out no rights to them

Found by reading: since the grantor also answers for upstreams in need, one that knows no configuration with a cold service's rate granted what is asked for a cold upstream, where it denied it before. It denies it again. No test: it takes a gateway that is kept on an older configuration than its peers.

--- a/crates/valehold-gateway/src/control/cold.rs
+++ b/crates/valehold-gateway/src/control/cold.rs
@@ -17,7 +17,7 @@
 use crate::peers::message::Message;
 
 /// In how many ms to ask again for an upstream that this gateway does not know
-/// yet.
+/// yet, or of which it does not know what it bears while it is cold.
 const NOT_KNOWN_MS: u32 = 200;
 
 impl Control {
@@ -148,9 +148,12 @@
         let Some(known) = known.cloned() else {
             return RightAnswer::Denied { next_ms: NOT_KNOWN_MS };
         };
-        let bound = self.shared.settings.cold.bound();
-        let spec = self.cold_spec(&known).filter(|_| is_cold);
-        if let Some(most) = spec.map(|spec| bound.rights_in_window(spec)) {
+        if is_cold {
+            let bound = self.shared.settings.cold.bound();
+            let Some(spec) = self.cold_spec(&known) else {
+                return RightAnswer::Denied { next_ms: NOT_KNOWN_MS };
+            };
+            let most = bound.rights_in_window(spec);
             let answer = self.grantor.answer(id, most, now);
             if answer != RightAnswer::Granted {
                 return answer;
