A lease's row of an earlier era is left alone while it goes on changing

Found by reading the mend for a store that comes back from a copy: where the store names an era above 0, gateways of an earlier version go on renewing the row that they know, and one of this version took the lease a term after it had first seen it. It waits now until that row has stood still for a term.

--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -155,9 +155,9 @@
     heard: Option<(u64, Millis)>,
     /// The store's era, as far as the lease's calls say.
     era: u64,
-    /// Since when the row is known to be from before the store came back from
-    /// a copy.
-    restored_since: Option<Millis>,
+    /// The row, where it is from before the store came back from a copy, and
+    /// since when it stands still.
+    restored: Option<(Option<LeaseRow>, Millis)>,
     other_gave_up: Option<GivenUp>,
     gave_up: Option<GivenUp>,
     version: u64,
@@ -190,7 +190,7 @@
             lost_loads: LostLoads::default(),
             heard: None,
             era: 0,
-            restored_since: None,
+            restored: None,
             other_gave_up: None,
             gave_up: None,
             version: 0,
@@ -384,7 +384,7 @@
         let era = StoreVersion::of(version).era;
         if era > self.era {
             self.era = era;
-            self.restored_since = None;
+            self.restored = None;
             self.other_gave_up = None;
         }
         era == self.era
@@ -392,13 +392,16 @@
 
     /// Takes the lease of which the row is from before the store came back from
     /// a copy, once whoever held it last, perhaps by a write that is gone,
-    /// holds it no longer.
+    /// holds it no longer. A row that goes on changing has a holder that knows
+    /// no eras: a gateway of an earlier version.
     fn take_restored(&mut self, lease: VersionedLease, now: Millis) {
-        let since = *self.restored_since.get_or_insert(now);
+        let before = lease.row.clone();
+        let known = self.restored.take().filter(|(row, _)| *row == before);
+        let since = known.map_or(now, |(_, since)| since);
+        self.restored = Some((before.clone(), since));
         if now.since(since) < TERMS.term_ms {
             return;
         }
-        let before = lease.row.clone();
         let free = |row| LeaseRow { holder: None, ..row };
         let lease = VersionedLease { row: lease.row.map(free), ..lease };
         self.keeper.row_read(lease, now);
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -422,3 +422,28 @@
     };
     LocalSet::new().run_until(steps).await;
 }
+
+/// Gateways of an earlier version renew the row that they know, whatever era
+/// the store names.
+#[gtest]
+#[tokio::test(flavor = "current_thread")]
+async fn a_row_of_an_earlier_era_that_goes_on_changing_is_held() {
+    let steps = async {
+        let store = RowStore::new();
+        let mut earlier = Member::start(&store, "g1", 0);
+        earlier.act_from(SETTLED_MS, 5_000).await;
+        store.come_back_from(&store.copy());
+        let mut later = Member::start(&store, "g2", 0);
+        for now in (5_000..20_000).step_by(50) {
+            if now % 700 == 0 {
+                let mut lease = store.lease.lock().unwrap();
+                lease.row.as_mut().unwrap().renewals += 1;
+            }
+            later.act(now).await;
+            expect_that!(later.duty.held_epoch(at(now)), none(), "{now}");
+        }
+        later.act_from(20_000, 25_000).await;
+        expect_true!(later.duty.held_epoch(at(25_000)).is_some());
+    };
+    LocalSet::new().run_until(steps).await;
+}
