A request's line names upstreams in need that it could not go to

Each refusal is to be explainable: upstreams_limited said that all are in need, and not who. The test fails without it: no line names the upstream.

--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -11,9 +11,10 @@
 //! - `telling` says to peers what this gateway does and knows, `loads` more
 //!   often what it has under way, `limits` what it lets through, and `paces`
 //!   how fast engines are.
-//! - `crashes` tells others of crashes and who was there, and `leaving` of
-//!   upstreams that say that they leave.
-//! - `cold` says which upstreams are cold, and gives out rights to send to them.
+//! - `crashes` tells others of crashes and who was there, `leaving` of upstreams
+//!   that say that they leave, and `upstream_limits` of those in need.
+//! - `cold` says which upstreams are cold, and gives out rights to send to them
+//!   and to those in need.
 //! - `upstreams` puts together what is known of upstreams, and `publishing`
 //!   gives it to traffic.
 //! - `lease`, `placer`, `entry`, `needs` and `demand` place models.
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -109,6 +109,9 @@
     /// It asked this gateway for rest, or another request is the first one
     /// after its rest.
     Resting,
+    /// It takes a limited number of requests, and no right to send to it was
+    /// to be had.
+    Limited,
 }
 
 /// An upstream that held what a request asks for and could not get it.
--- a/crates/valehold-gateway/src/events/story.rs
+++ b/crates/valehold-gateway/src/events/story.rs
@@ -126,6 +126,7 @@
         let why = match self.reason {
             PassedOverFor::Leaving => "leaves",
             PassedOverFor::Resting => "asked for rest",
+            PassedOverFor::Limited => "takes no more requests for now",
         };
         format!("  passed over: {}, which {why}\n", self.upstream)
     }
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -173,20 +173,28 @@
     view: &View,
     job: &Job,
 ) -> Vec<PassedOver> {
-    let (rests, now) = (app.shared.rests(), app.now());
     let able = only_inside_bound(app, view, job, all_holders(view, job));
     let passed_over = able.filter_map(|one| {
-        let is_awake = rests.is_awake(&one.start(), now);
-        let reason = match (one.leaving, is_awake) {
-            (true, _) => PassedOverFor::Leaving,
-            (false, false) => PassedOverFor::Resting,
-            (false, true) => return None,
-        };
+        let reason = passed_over_for(app, one)?;
         Some(PassedOver { upstream: one.id.clone(), reason })
     });
     passed_over.take(MOST_PASSED_OVER).collect()
 }
 
+fn passed_over_for(app: &App, one: &Upstream) -> Option<PassedOverFor> {
+    let (start, now) = (one.start(), app.now());
+    if one.leaving {
+        return Some(PassedOverFor::Leaving);
+    }
+    if !app.shared.rests().is_awake(&start, now) {
+        return Some(PassedOverFor::Resting);
+    }
+    let is_limited = app.shared.upstream_limits().rate(&start).is_some();
+    let sight = app.shared.cold().sight(&one.id, is_limited, now);
+    let has_none = matches!(sight, RightSight::None { .. });
+    (is_limited && has_none).then_some(PassedOverFor::Limited)
+}
+
 /// An upstream that may get a request.
 #[derive(Clone, Copy)]
 pub(super) struct Able<'a> {
