--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -408,8 +408,8 @@
         if let LeaseStep::Write { version, mut row, takes } =
             self.keeper.step(now)
         {
-            let in_copy = row.epoch;
-            row.epoch = in_copy.max(self.era.saturating_mul(EPOCHS_IN_ERA));
+            let least = self.era.saturating_mul(EPOCHS_IN_ERA);
+            row.epoch = row.epoch.max(least);
             self.orders_from = after_another(now, self.quiet_ms);
             self.inheritance =
                 self.inherited(Before::Another, before.as_ref());
