--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -39,6 +39,16 @@
     }
 }
 
+impl From<&str> for Variant {
+    /// Reads a model, and after a slash an adapter of it.
+    fn from(text: &str) -> Self {
+        match text.split_once('/') {
+            Some((model, adapter)) => Self::adapted(model, adapter),
+            None => Self::plain(text),
+        }
+    }
+}
+
 impl fmt::Display for Variant {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.adapter {
--- a/crates/valehold-core/src/fleet/upstream_limit.rs
+++ b/crates/valehold-core/src/fleet/upstream_limit.rs
@@ -57,6 +57,19 @@
     Of(RequestRate),
 }
 
+impl StatedLimit {
+    /// Puts together what several headers of an answer say, of which `None`
+    /// cannot be read: the least limit counts.
+    pub fn least(stated: impl Iterator<Item = Option<RequestRate>>) -> Self {
+        stated.fold(Self::No, |least, rate| match (rate, least) {
+            (Some(rate), Self::Of(known)) => Self::Of(known.min(rate)),
+            (Some(rate), _) => Self::Of(rate),
+            (None, Self::No) => Self::Unreadable,
+            (None, known) => known,
+        })
+    }
+}
+
 /// What an instance knows of the limit of one start of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitWord {
--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -54,6 +54,35 @@
     pub row: Option<LeaseRow>,
 }
 
+/// The row of a lease in a store that may come back from an older copy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseInEra {
+    /// The row, and on what a write of it is conditioned in the store's era.
+    pub lease: VersionedLease,
+    /// Whether it is from before the store came back: what was written later
+    /// is gone.
+    pub is_restored: bool,
+}
+
+impl LeaseInEra {
+    /// Finds the row that counts in an era among those of all eras, each with
+    /// its era and version; `first` is the version before any in this one.
+    pub fn newest(
+        era: u64,
+        first: u64,
+        rows: impl Iterator<Item = (u64, u64, LeaseRow)>,
+    ) -> Self {
+        let newest = rows.filter(|one| one.0 <= era).max_by_key(|one| one.0);
+        let is_restored = newest.as_ref().is_some_and(|one| one.0 < era);
+        let version = match &newest {
+            Some((_, version, _)) if !is_restored => *version,
+            _ => first,
+        };
+        let row = newest.map(|(_, _, row)| row);
+        Self { lease: VersionedLease { version, row }, is_restored }
+    }
+}
+
 /// What an instance should do about the lease now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep {
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -25,7 +25,10 @@
         weight_loads::{Inheritance, LostLoads},
     },
     id::InstanceId,
-    lease::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease},
+    lease::{
+        LeaseInEra, LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms,
+        VersionedLease,
+    },
 };
 use valehold_ports::{
     PortError,
@@ -342,21 +345,22 @@
                 return;
             }
         };
-        if !self.note_era(sight.lease.version) {
+        let LeaseInEra { lease, is_restored } = sight.lease;
+        if !self.note_era(lease.version) {
             return;
         }
         self.clock = Some(StoreClock { store_ms: sight.store_ms, read: now });
-        if sight.is_restored {
-            self.take_restored(sight.lease, now);
+        if is_restored {
+            self.take_restored(lease, now);
             return;
         }
-        let row = sight.lease.row.clone();
+        let row = lease.row.clone();
         // A row that stands as its holder told stands since then.
         let since = match self.heard {
-            Some((version, at)) if version == sight.lease.version => at,
+            Some((version, at)) if version == lease.version => at,
             _ => now,
         };
-        self.keeper.row_read(sight.lease, since);
+        self.keeper.row_read(lease, since);
         if let LeaseStep::Write { version, row: taken, takes } =
             self.keeper.step(now)
         {
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -16,7 +16,7 @@
         weight_loads::{Inheritance, LostLoads},
     },
     id::InstanceId,
-    lease::{LeaseRow, VersionedLease},
+    lease::{LeaseInEra, LeaseRow, VersionedLease},
 };
 use valehold_ports::{
     PortError,
@@ -102,7 +102,8 @@
         let lease = self.lease.lock().unwrap().clone();
         let store_ms = self.clock_ms.load(Ordering::SeqCst);
         let is_restored = self.is_restored.load(Ordering::SeqCst);
-        let sight = LeaseSight { lease, store_ms, is_restored };
+        let lease = LeaseInEra { lease, is_restored };
+        let sight = LeaseSight { lease, store_ms };
         async move { Ok(sight) }.boxed()
     }
 
--- a/crates/valehold-instance/src/traffic/pages.rs
+++ b/crates/valehold-instance/src/traffic/pages.rs
@@ -7,6 +7,7 @@
 use valehold_core::{
     chart::library::InstanceState, directory, id::DataCentreId,
 };
+use valehold_ports::http::text::query_value;
 use viz::{IntoResponse, Request, RequestExt, Response};
 
 use super::{App, refusal::json_response, trace::Trace};
@@ -43,7 +44,8 @@
 pub(super) fn addresses(app: &Arc<App>, request: &Request) -> Response {
     let snapshot = app.shared.snapshot.load_full();
     let own = &app.shared.settings.data_centre;
-    let asked = query_value(request, "data_centre").map(DataCentreId::new);
+    let asked = query_value(request.uri(), "data_centre");
+    let asked = asked.map(DataCentreId::new);
     let from = asked.as_ref().unwrap_or(own);
     let distance_ms = |to: &DataCentreId| match &snapshot.config {
         Some(config) => config.distance_ms(from, to),
@@ -89,9 +91,3 @@
 pub(super) fn metrics(app: &Arc<App>) -> Response {
     app.shared.metrics.render().into_response()
 }
-
-fn query_value<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    let query = request.query_string()?;
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
-}
--- a/crates/valehold-ports/src/http/client.rs
+++ b/crates/valehold-ports/src/http/client.rs
@@ -255,6 +255,39 @@
     Err(PortError::new(kind, Verdict::MayHaveRun, message))
 }
 
+/// Reads a JSON answer of a server that says with 429 and 503 that it did
+/// nothing.
+///
+/// # Errors
+///
+/// If the answer is no success, or not what it should be.
+pub fn json_of<T: DeserializeOwned>(
+    answer: &Response<Bytes>,
+) -> Result<T, PortError> {
+    refuse_if_failed(answer.status())?;
+    serde_json::from_slice(answer.body())
+        .map_err(|e| PortError::malformed(e.to_string()))
+}
+
+/// Makes an error of a status that is not a success, of such a server.
+///
+/// # Errors
+///
+/// If it is none.
+pub fn refuse_if_failed(status: StatusCode) -> Result<(), PortError> {
+    if status.is_success() {
+        return Ok(());
+    }
+    let verdict = match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Verdict::NotRun
+        }
+        _ => Verdict::MayHaveRun,
+    };
+    let message = format!("the store answered {status}");
+    Err(PortError::new(PortErrorKind::Failed, verdict, message))
+}
+
 /// Makes the error of a request that could not be written.
 pub fn not_sendable(message: &str) -> PortError {
     let kind = PortErrorKind::Malformed;
--- a/crates/valehold-ports/src/http/mod.rs
+++ b/crates/valehold-ports/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod platform;
 mod service;
+pub mod text;
 
 pub use self::{
     client::{ClientSettings, NOT_RUN_HEADER},
--- a/crates/valehold-ports/src/lib.rs
+++ b/crates/valehold-ports/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod error;
 pub mod http;
+pub mod left_out;
 pub mod port;
 pub mod store;
 
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -16,7 +16,7 @@
     id::{
         DataCentreId, InstanceId, ModelName, RegionId, UpstreamId, WorkspaceId,
     },
-    lease::{LeaseRow, VersionedLease},
+    lease::{LeaseInEra, LeaseRow},
 };
 
 use super::Answer;
@@ -60,12 +60,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseSight {
     /// The row.
-    pub lease: VersionedLease,
+    pub lease: LeaseInEra,
     /// The store's steady clock, in ms.
     pub store_ms: u64,
-    /// Whether the row is from before the store came back from a copy: what
-    /// was written later is gone.
-    pub is_restored: bool,
 }
 
 /// How a conditional write of the lease ended.
