Reading the change once more: one check of limits, no copies of whole lists

Why an engine was passed over asked for its limit in words of its own, beside rights::is_limited; keeping those that leave against a copy of the store copied every entry of the list first. Behaviour as before.

--- a/crates/valehold-core/src/fleet/known.rs
+++ b/crates/valehold-core/src/fleet/known.rs
@@ -191,14 +191,17 @@
         for id in copied {
             listing.upstreams.remove(&id);
         }
-        let listed = listing.upstreams.values();
-        self.keep_leaving(listed.cloned().collect(), now);
+        self.keep_leaving(listing.upstreams.values(), now);
     }
 
     /// Keeps to it that starts leave of which entries do not say so any more.
-    fn keep_leaving(&mut self, entries: Vec<Arc<Upstream>>, now: Millis) {
+    fn keep_leaving<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a Arc<Upstream>>,
+        now: Millis,
+    ) {
         let upstreams = self.known.upstreams.len();
-        for entry in entries.iter().filter(|entry| !entry.leaving) {
+        for entry in entries.filter(|entry| !entry.leaving) {
             let start = entry.start();
             if self.rows.of_start(&start).is_some_and(|known| known.leaving) {
                 self.leaving.note(&start, upstreams, now);
@@ -244,7 +247,7 @@
         let is_copy = StoreVersion::is_later_era(delta.version, known);
         let after_outage = delta.after_outage || is_copy;
         if is_copy {
-            self.keep_leaving(delta.changed.clone(), now);
+            self.keep_leaving(delta.changed.iter(), now);
         }
         let before = self.rows.clone();
         let gone = delta.gone.iter().filter(|_| after_outage);
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    super::{route::Job, state::App},
+    super::{rights, route::Job, state::App},
     NoChoice,
 };
 use crate::{
@@ -182,14 +182,14 @@
 }
 
 fn passed_over_for(app: &App, one: &Upstream) -> Option<PassedOverFor> {
-    let (start, now) = (one.start(), app.now());
     if one.leaving {
         return Some(PassedOverFor::Leaving);
     }
-    if !app.shared.rests().is_awake(&start, now) {
+    let now = app.now();
+    if !app.shared.rests().is_awake(&one.start(), now) {
         return Some(PassedOverFor::Resting);
     }
-    let is_limited = app.shared.upstream_limits().rate(&start).is_some();
+    let is_limited = rights::is_limited(app, one);
     let sight = app.shared.cold().sight(&one.id, is_limited, now);
     let has_none = matches!(sight, RightSight::None { .. });
     (is_limited && has_none).then_some(PassedOverFor::Limited)
