A peer's word with the greatest number does no harm

Found by reading: the number after a word that a peer numbered 2^64 - 1 was added beyond what it holds, a panic of control in a debug build and the number 0 in a release. Datagrams may be anybody's. The number stays at the greatest. The test panics without the change.

--- a/crates/valehold-core/src/fleet/tests/upstream_limit.rs
+++ b/crates/valehold-core/src/fleet/tests/upstream_limit.rs
@@ -191,3 +191,18 @@
         }
     }
 }
+
+/// Datagrams may be anybody's.
+#[gtest]
+fn a_word_with_the_greatest_number_does_no_harm() {
+    let mut limits = UpstreamLimits::default();
+    let one = start(1);
+    limits.answered(&one, at(50), of(2.0), at(100));
+    let over = LimitWord { start: one.clone(), number: u64::MAX, limit: None };
+    let heard = limits.hear(&over, at(200));
+    expect_that!(heard, pat!(HeardLimit::Contradicted(_)));
+    expect_that!(limits.rate(&one), some(eq(rate(2.0))));
+    limits.hear(&over, at(2_000));
+    limits.answered(&one, at(2_100), of(3.0), at(2_200));
+    expect_that!(limits.rate(&one), some(eq(rate(3.0))));
+}
--- a/crates/valehold-core/src/fleet/upstream_limit.rs
+++ b/crates/valehold-core/src/fleet/upstream_limit.rs
@@ -142,7 +142,7 @@
             known.named = named.or(known.named);
             return None;
         }
-        let number = self.number(start) + 1;
+        let number = self.number(start).saturating_add(1);
         let word = LimitWord { start: start.clone(), number, limit };
         let known = Known { word: word.clone(), confirmed: now, named };
         self.known.insert(start.clone(), known);
@@ -158,7 +158,7 @@
             let has_just_named =
                 known.named.is_some_and(|at| now.since(at) < OBJECT_MS);
             if word.limit.is_none() && has_just_named {
-                known.word.number = word.number + 1;
+                known.word.number = word.number.saturating_add(1);
                 return HeardLimit::Contradicted(known.word.clone());
             }
         }
