--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -75,13 +75,16 @@
             stop: stopping,
             seeds: new_seeds,
         };
+        let instance = control.shared.settings.instance.clone();
         let (started, starting) = std_mpsc::channel();
-        spawn("control", move || control.run(started))?;
+        let name = format!("control {instance}");
+        spawn(name, move || control.run(started))?;
         wait_for_start(starting)?;
         let (started, starting) = std_mpsc::channel();
         let dialect = ports.dialect;
+        let name = format!("traffic {instance}");
         let traffic =
-            spawn("traffic", move || run_traffic(shared, dialect, started))?;
+            spawn(name, move || run_traffic(shared, dialect, started))?;
         wait_for_start(starting)?;
         Ok(Self { stop, seeds, traffic })
     }
@@ -119,11 +122,11 @@
 }
 
 fn spawn(
-    name: &str,
+    name: String,
     run: impl FnOnce() + Send + 'static,
 ) -> Result<JoinHandle<()>, Error> {
     std::thread::Builder::new()
-        .name(name.to_owned())
+        .name(name)
         .spawn(run)
         .map_err(|e| Error::new("starting a thread", e))
 }
