Put the end of an upstream's limit in order by number, not by age

What callers saw: after an upstream had stopped stating a request limit, all gateways limited it again for up to a second and refused requests with 503 upstreams_limited (55 to one caller in 970 ms in the recorded failure).

Cause: a report of the end that arrived within 1,000 ms of the receiver's own last answer was taken for older than that answer and contradicted. Permits of a limit of one per second are 1,000 ms apart, so that a few ms decided; at greater rates ends were contradicted as a rule.

Change: each answer that confirms a limit raises the number of its report and sends it to the grantor of permits, from which gateways learn it with their next permit. An end takes a greater number than all statements that its sender knew of at the send; only others contradict it, however late it arrives. Ages are no longer compared anywhere in it.

--- a/crates/valehold-core/src/fleet/upstream_limit.rs
+++ b/crates/valehold-core/src/fleet/upstream_limit.rs
@@ -3,22 +3,23 @@
 //! An upstream that is short of a resource states in its answers how many
 //! requests per second it accepts from all instances together. The limit
 //! applies until an answer omits it. Each instance records the limits by
-//! upstream and sends each change to the other instances. The reports about
-//! one upstream are numbered, so that all instances converge on the same
-//! limit in whatever order the reports arrive.
+//! upstream and sends each change to the other instances.
+//!
+//! The reports about one upstream are numbered, so that all instances converge
+//! on the same limit in whatever order the reports arrive. An answer that
+//! states the limit again raises the number as well: the end of a limit then
+//! replaces exactly those statements that its sender knew of when it sent the
+//! request.
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use serde::{Deserialize, Serialize};
 
 use super::identity::UpstreamStart;
-use crate::time::Millis;
 
-/// The time after an answer to this instance stated a limit for which another
-/// instance's report that the limit has ended is contradicted, in ms. Such a
-/// report may have been sent before the answer; no report is in transit for
-/// longer than this.
-const CONTRADICTION_MS: u64 = 1_000;
+/// The greatest number of a report. No upstream gives this many answers, so a
+/// report with a greater number is forged and ignored.
+const MAX_NUMBER: u64 = 1 << 48;
 
 /// The least rate that is applied, in requests per second: an upstream that
 /// gets no request at all could never state that its limit has ended.
@@ -93,25 +94,40 @@
     }
 }
 
+/// The effect of an answer on the limit of the upstream that sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerEffect {
+    /// The answer says nothing new.
+    Unchanged,
+    /// The answer states the recorded limit again. The contained report has to
+    /// be sent to the grantor of the upstream's permits, from which instances
+    /// learn the number before their next request.
+    Confirmed(LimitReport),
+    /// The limit changed. The contained report has to be sent to the other
+    /// instances.
+    Changed(LimitReport),
+}
+
 /// The result of merging another instance's report.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LimitMerge {
     /// The report is not newer than the recorded one.
     Unchanged,
-    /// The report replaces the recorded one.
+    /// The report confirms the recorded limit.
+    Confirmed,
+    /// The report replaces the recorded limit.
     Applied,
-    /// An answer has just stated otherwise to this instance. The contained
-    /// report has to be sent to the other instances.
+    /// An answer to this instance has stated a limit that the sender of the
+    /// report did not know of. The contained report has to be sent to the
+    /// other instances.
     Contradicted(LimitReport),
 }
 
 #[derive(Debug, Clone)]
 struct Entry {
     report: LimitReport,
-    /// When an answer or a report last confirmed the recorded report.
-    confirmed_at: Millis,
-    /// When an answer to this instance last stated the limit.
-    stated_at: Option<Millis>,
+    /// Whether the report results from an answer to this instance.
+    is_own: bool,
 }
 
 /// The limits of upstreams, as recorded by one instance.
@@ -121,64 +137,65 @@
 }
 
 impl UpstreamLimits {
-    /// Records the limit stated in the answer to a request that was sent at
-    /// `sent`. Returns the report to send if the limit changed.
+    /// Records the limit stated in the answer to a request.
     ///
-    /// The absence of a limit counts only if the request was sent after the
-    /// limit was last confirmed; an earlier request may have been answered
-    /// before the upstream stated the limit.
+    /// `number_at_send` is the [`number`](Self::number) when the request was
+    /// sent. The absence of a limit counts only if no later statement has
+    /// become known since: an earlier request may have been answered before
+    /// the upstream stated the limit.
     pub fn on_answer(
         &mut self,
         start: &UpstreamStart,
-        sent: Millis,
+        number_at_send: u64,
         stated: StatedLimit,
-        now: Millis,
-    ) -> Option<LimitReport> {
-        let known = self.known.get_mut(start);
-        let limit = match (stated, known.as_ref()) {
-            (StatedLimit::Rate(rate), _) => Some(rate),
-            (StatedLimit::Absent, Some(known))
-                if sent > known.confirmed_at =>
+    ) -> AnswerEffect {
+        let known = self.report(start);
+        let recorded = known.and_then(|known| known.limit);
+        let number = known.map_or(0, |known| known.number);
+        let limit = match stated {
+            StatedLimit::Rate(rate) => Some(rate),
+            StatedLimit::Absent
+                if recorded.is_some() && number == number_at_send =>
             {
                 None
             }
-            (StatedLimit::Absent | StatedLimit::Unreadable, _) => return None,
+            StatedLimit::Absent | StatedLimit::Unreadable => {
+                return AnswerEffect::Unchanged;
+            }
         };
-        let stated_at = limit.map(|_| now);
-        if let Some(known) = known
-            && known.report.limit == limit
-        {
-            known.confirmed_at = now;
-            known.stated_at = stated_at.or(known.stated_at);
-            return None;
-        }
-        let number = self.number(start).saturating_add(1);
+        let number = (number + 1).min(MAX_NUMBER);
         let report = LimitReport { start: start.clone(), number, limit };
-        let entry =
-            Entry { report: report.clone(), confirmed_at: now, stated_at };
+        let entry = Entry { report: report.clone(), is_own: true };
         self.known.insert(start.clone(), entry);
-        Some(report)
+        match limit == recorded {
+            true => AnswerEffect::Confirmed(report),
+            false => AnswerEffect::Changed(report),
+        }
     }
 
     /// Merges another instance's report.
-    pub fn merge(&mut self, report: &LimitReport, now: Millis) -> LimitMerge {
-        if let Some(known) = self.known.get_mut(&report.start) {
-            if report.rank() <= known.report.rank() {
-                return LimitMerge::Unchanged;
-            }
-            let was_just_stated = known
-                .stated_at
-                .is_some_and(|at| now.since(at) < CONTRADICTION_MS);
-            if report.limit.is_none() && was_just_stated {
-                known.report.number = report.number.saturating_add(1);
-                return LimitMerge::Contradicted(known.report.clone());
-            }
+    pub fn merge(&mut self, report: &LimitReport) -> LimitMerge {
+        let known = self.known.get(&report.start);
+        let recorded = known.and_then(|known| known.report.limit);
+        let is_other = report.limit != recorded;
+        let is_later = known
+            .is_none_or(|known| report.rank() > known.report.rank())
+            && report.number <= MAX_NUMBER;
+        if !is_later {
+            let contradicts = |known: &&Entry| {
+                is_other && known.is_own && known.report.limit.is_some()
+            };
+            return match known.filter(contradicts) {
+                Some(known) => LimitMerge::Contradicted(known.report.clone()),
+                None => LimitMerge::Unchanged,
+            };
+        }
+        let entry = Entry { report: report.clone(), is_own: false };
+        self.known.insert(report.start.clone(), entry);
+        match is_other {
+            true => LimitMerge::Applied,
+            false => LimitMerge::Confirmed,
         }
-        let report = report.clone();
-        let start = report.start.clone();
-        let entry = Entry { report, confirmed_at: now, stated_at: None };
-        self.known.insert(start, entry);
-        LimitMerge::Applied
     }
 
     /// Returns the limit of a start, or `None` if the start has no limit.
@@ -206,7 +223,9 @@
         self.known.retain(|start, _| known(start));
     }
 
-    fn number(&self, start: &UpstreamStart) -> u64 {
+    /// Returns the number of the recorded report about a start, or 0 if there
+    /// is none.
+    pub fn number(&self, start: &UpstreamStart) -> u64 {
         self.report(start).map_or(0, |report| report.number)
     }
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -346,8 +346,8 @@
                     let now = self.now();
                     self.on_leaving(&[start], ReportSource::Answer, now);
                 }
-                Some(start) = wishes.limit_changes.recv() =>
-                    self.on_limit_stated(&start),
+                Some(effect) = wishes.limit_answers.recv() =>
+                    self.on_limit_answered(&effect),
                 Ok(()) = stop.changed() => self.stop(),
                 Ok(()) = new_seeds.changed() => {
                     let own = self.shared.settings.peers.heartbeats;
--- a/crates/valehold-gateway/src/control/upstream_limits.rs
+++ b/crates/valehold-gateway/src/control/upstream_limits.rs
@@ -6,7 +6,7 @@
     Millis,
     fleet::{
         UpstreamStart,
-        upstream_limit::{LimitMerge, LimitReport},
+        upstream_limit::{AnswerEffect, LimitMerge, LimitReport},
     },
 };
 
@@ -71,12 +71,31 @@
 }
 
 impl Control {
-    /// Broadcasts the limit of an upstream, which an answer to a request of
-    /// this gateway has just changed.
-    pub(super) fn on_limit_stated(&mut self, start: &UpstreamStart) {
+    /// Broadcasts a limit that an answer to a request of this gateway changed,
+    /// and sends the grantor of the upstream's permits one that an answer
+    /// confirmed.
+    pub(super) fn on_limit_answered(&mut self, effect: &AnswerEffect) {
         let now = self.now();
-        self.advertised_limits.schedule(start, now);
-        self.send_due_limits(now);
+        match effect {
+            AnswerEffect::Unchanged => {}
+            AnswerEffect::Confirmed(report) => {
+                self.send_limit_to_grantor(report);
+            }
+            AnswerEffect::Changed(report) => {
+                self.advertised_limits.schedule(&report.start, now);
+                self.send_due_limits(now);
+            }
+        }
+    }
+
+    /// Sends a limit to the grantor of the upstream's permits.
+    fn send_limit_to_grantor(&self, report: &LimitReport) {
+        let own = self.shared.settings.peers.heartbeats;
+        let grantor = self.grantor.grantor_of(&report.start.id);
+        if let Some(grantor) = grantor.filter(|grantor| *grantor != own) {
+            let reports = vec![report.clone()];
+            self.send([grantor], &Message::UpstreamLimits(reports));
+        }
     }
 
     /// Merges limit reports of other gateways.
@@ -86,9 +105,9 @@
         now: Millis,
     ) {
         for report in reports {
-            let merged = self.shared.upstream_limits().merge(report, now);
+            let merged = self.shared.upstream_limits().merge(report);
             match merged {
-                LimitMerge::Unchanged => {}
+                LimitMerge::Unchanged | LimitMerge::Confirmed => {}
                 LimitMerge::Applied => {
                     let source = ReportSource::Peer;
                     let is_lifted = report.limit.is_none();
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -17,7 +17,7 @@
     crashes::CrashTracker,
     paces::{PaceObservation, Paces},
     topology::Topology,
-    upstream_limit::UpstreamLimits,
+    upstream_limit::{AnswerEffect, UpstreamLimits},
     usage::UsageMeter,
 };
 
@@ -40,9 +40,10 @@
 /// reported again with the upstream's next answer.
 const LEAVING_CAPACITY: usize = 256;
 
-/// The capacity of the queue of changed upstream limits. If one is dropped,
-/// other gateways learn the limit from the upstream's next answers to them.
-const LIMIT_CHANGE_CAPACITY: usize = 256;
+/// The capacity of the queue of answers about upstream limits. If one is
+/// dropped, other gateways learn the limit from the upstream's next answers to
+/// them.
+const LIMIT_ANSWER_CAPACITY: usize = 256;
 
 /// The most pace observations that are kept until control takes them, which it
 /// does every few hundred milliseconds.
@@ -67,8 +68,8 @@
     pub permit_requests: mpsc::Receiver<PermitRequest>,
     /// Upstreams that announced that they are leaving.
     pub leaving: mpsc::Receiver<UpstreamStart>,
-    /// Upstreams whose stated limit changed.
-    pub limit_changes: mpsc::Receiver<UpstreamStart>,
+    /// Answers that changed or confirmed the limit of an upstream.
+    pub limit_answers: mpsc::Receiver<AnswerEffect>,
 }
 
 /// The state that control and traffic share.
@@ -103,7 +104,7 @@
     load_requests: mpsc::Sender<BoundVariant>,
     permit_requests: mpsc::Sender<PermitRequest>,
     leaving: mpsc::Sender<UpstreamStart>,
-    limit_changes: mpsc::Sender<UpstreamStart>,
+    limit_answers: mpsc::Sender<AnswerEffect>,
     life: watch::Sender<Life>,
 }
 
@@ -119,8 +120,8 @@
         let (permit_requests, permit_receiver) =
             mpsc::channel(PERMIT_REQUEST_CAPACITY);
         let (leaving, leaving_receiver) = mpsc::channel(LEAVING_CAPACITY);
-        let (limit_changes, limit_receiver) =
-            mpsc::channel(LIMIT_CHANGE_CAPACITY);
+        let (limit_answers, limit_receiver) =
+            mpsc::channel(LIMIT_ANSWER_CAPACITY);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -145,7 +146,7 @@
             load_requests,
             permit_requests,
             leaving,
-            limit_changes,
+            limit_answers,
             life: watch::Sender::new(Life::Starting),
             settings,
         };
@@ -155,7 +156,7 @@
                 load_requests: load_receiver,
                 permit_requests: permit_receiver,
                 leaving: leaving_receiver,
-                limit_changes: limit_receiver,
+                limit_answers: limit_receiver,
             },
         )
     }
@@ -185,9 +186,12 @@
         let _ = self.leaving.try_send(start);
     }
 
-    /// Reports to control that an answer changed an upstream's limit.
-    pub fn report_limit_change(&self, start: UpstreamStart) {
-        let _ = self.limit_changes.try_send(start);
+    /// Reports to control that an answer changed or confirmed the limit of an
+    /// upstream.
+    ///
+    /// The report is dropped if the queue is full.
+    pub fn report_limit(&self, effect: AnswerEffect) {
+        let _ = self.limit_answers.try_send(effect);
     }
 
     /// Returns the backoffs that upstreams requested from this gateway.
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use valehold_core::{
-    Millis, Verdict,
+    Verdict,
     fleet::{Upstream, cold::SendPermit, rejections::Rejection},
     reason::RetryReason,
 };
@@ -186,11 +186,12 @@
             return Err(SendFailure::withheld(reason));
         }
         is_cleared = true;
-        let sent = app.now();
+        let limit_number =
+            app.shared.upstream_limits().number(&upstream.start());
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => {
-                let answer = TimedAnswer { answer, sent };
+                let answer = NumberedAnswer { answer, limit_number };
                 return evaluate_head(
                     app,
                     job,
@@ -257,11 +258,11 @@
     }
 }
 
-/// An answer and the time of its request.
-struct TimedAnswer {
+/// An answer and what was known of the upstream when its request was sent.
+struct NumberedAnswer {
     answer: Response<Incoming>,
-    /// When the request was sent.
-    sent: Millis,
+    /// The number of the upstream's limit.
+    limit_number: u64,
 }
 
 /// Decides by the head of an answer whether the answer can be passed on.
@@ -269,7 +270,7 @@
     app: &App,
     job: &Job,
     upstream: &Upstream,
-    answered: TimedAnswer,
+    answered: NumberedAnswer,
     sender: SendRequest<Full<Bytes>>,
 ) -> Result<BegunAnswer, SendFailure> {
     let (mut head, body) = answered.answer.into_parts();
@@ -278,7 +279,7 @@
         leaving: stated.leaving,
         backoff,
         limit: stated.limit,
-        sent: answered.sent,
+        limit_number_at_send: answered.limit_number,
     };
     if stated.id != job.request.id {
         // The answer belongs to another request, so the connection is closed.
--- a/crates/valehold-gateway/src/traffic/signals.rs
+++ b/crates/valehold-gateway/src/traffic/signals.rs
@@ -5,7 +5,10 @@
 
 use valehold_core::{
     Millis,
-    fleet::{Upstream, UpstreamStart, upstream_limit::StatedLimit},
+    fleet::{
+        Upstream, UpstreamStart,
+        upstream_limit::{AnswerEffect, StatedLimit},
+    },
 };
 
 use super::state::App;
@@ -20,8 +23,8 @@
     pub(super) backoff: Option<Duration>,
     /// The number of requests a second that the upstream accepts.
     pub(super) limit: StatedLimit,
-    /// When the answered request was sent.
-    pub(super) sent: Millis,
+    /// The number of the upstream's limit when the answered request was sent.
+    pub(super) limit_number_at_send: u64,
 }
 
 /// Returns whether an upstream is leaving or no longer listed.
@@ -68,15 +71,17 @@
 }
 
 fn record_limit(app: &App, start: &UpstreamStart, signals: UpstreamSignals) {
-    let report = app.shared.upstream_limits().on_answer(
+    let effect = app.shared.upstream_limits().on_answer(
         start,
-        signals.sent,
+        signals.limit_number_at_send,
         signals.limit,
-        app.now(),
     );
-    let Some(report) = report else { return };
-    app.shared.report_limit_change(start.clone());
-    let source = ReportSource::Answer;
-    app.shared.metrics.upstream_limit(report.limit.is_none(), source);
-    Event::of_limit(&report, source).log();
+    if let AnswerEffect::Changed(report) = &effect {
+        let source = ReportSource::Answer;
+        app.shared.metrics.upstream_limit(report.limit.is_none(), source);
+        Event::of_limit(report, source).log();
+    }
+    if effect != AnswerEffect::Unchanged {
+        app.shared.report_limit(effect);
+    }
 }
