Tell requests that crash upstreams from those that a loss of many upstreams hit

What callers saw: after six of eight engines had ended, requests that many callers repeat were refused by all gateways with 503 crashes_upstreams for up to ten minutes, though the other engines answer them.

Cause: in flight at three crashes meant guilty unless an upstream without the request crashed within 100 ms. What many callers repeat is in flight nearly everywhere: no upstream is without it, or the end of the one that was is known to nobody (its entry had gone, so that its end passed for a planned one), or upstreams end further apart than 100 ms.

Without load the test passed for want of evidence: no crash was recorded at all.

Change: crashes count as independent only if the request was sent to the next upstream after the crash of the last; crashes of upstreams to which it had been sent before form a wave, which counts for one, or for two where all crashed as long after the send. Upstreams that outlive a suspected request speak for it. Ages travel at the end of the message, where earlier builds pass over them. A record of the store no longer outweighs three crashes that a gateway knows. The event request_suspected shows the evidence.

Found beside it and mended by the same rule: a popular request that was in flight at all crashes of a request that crashes engines protected that one; it does so only if its own crashes are independent.

The model in crash_evidence.rs plays both promises under reports that are late and lost; it fails without independence, without survivors, and with four crashes in place of three.

--- a/crates/valehold-core/examples/crash_book.rs
+++ b/crates/valehold-core/examples/crash_book.rs
@@ -8,7 +8,7 @@
 
 use valehold_core::{
     Millis,
-    fleet::crashes::{CrashTracker, RequestContent},
+    fleet::crashes::{CrashTracker, InFlight, RequestContent},
     id::UpstreamTag,
 };
 
@@ -45,7 +45,8 @@
         });
         let record_us = mean_us(|| {
             let mut tracker = tracker.clone();
-            tracker.record_crash(UpstreamTag::new(u32::MAX), [look_up], now);
+            let in_flight = [InFlight::from(look_up)];
+            tracker.record_crash(UpstreamTag::new(u32::MAX), in_flight, now);
             black_box(&tracker);
         });
         println!(
@@ -66,7 +67,7 @@
     for crash in 0..crashes {
         now = now + 500;
         let beside = (1..IN_FLIGHT).map(|one| of(&format!("{crash} {one}")));
-        let in_flight = beside.chain([of("causes it")]);
+        let in_flight = beside.chain([of("causes it")]).map(InFlight::from);
         tracker.record_crash(UpstreamTag::new(crash), in_flight, now);
     }
     (tracker, now)
--- a/crates/valehold-core/src/fleet/crashes/tracker.rs
+++ b/crates/valehold-core/src/fleet/crashes/tracker.rs
@@ -8,8 +8,10 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
-    AnsweredReport, Crash, CrashReport, CrashReports, REFUSED_AFTER_CRASHES,
-    RefusedReport, RequestContent, find_culprits,
+    AnsweredReport, Crash, CrashReport, CrashReports, Evidence,
+    ExposureReport, Exposures, REFUSED_AFTER_CRASHES, RefusedReport,
+    RequestContent, SuspicionReport, culprits::outlived_after_ms,
+    find_culprits, suspicions::ReportedSuspicions,
 };
 use crate::{id::UpstreamTag, time::Millis};
 
@@ -32,6 +34,42 @@
 /// new record, and instances would pass it back and forth for ever.
 const RETAINED_AFTER_EXPIRY_MS: u64 = 60_000;
 
+/// A request that was in flight at a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InFlight {
+    /// The request.
+    pub content: RequestContent,
+    /// The time for which the request had been in flight, in ms.
+    pub for_ms: u64,
+}
+
+impl From<RequestContent> for InFlight {
+    /// Returns the request as one that was sent just before the crash.
+    fn from(content: RequestContent) -> Self {
+        Self { content, for_ms: 0 }
+    }
+}
+
+/// Whether a request may crash upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspicion {
+    /// The request was answered, or was in flight at fewer than two crashes.
+    None,
+    /// The request may crash upstreams. Whoever sends the request must not
+    /// send it to several upstreams at once.
+    Suspect {
+        /// The time in flight from which an upstream has outlived the request,
+        /// in ms.
+        outlived_after_ms: u64,
+    },
+    /// The request is refused.
+    Refused {
+        /// The time in flight from which an upstream has outlived the request,
+        /// in ms.
+        outlived_after_ms: u64,
+    },
+}
+
 /// The crashes that one instance knows of, the requests that were in flight at
 /// each, and the requests that are refused for them.
 ///
@@ -42,6 +80,9 @@
 pub struct CrashTracker {
     retention_ms: u64,
     crashes: BTreeMap<UpstreamTag, Crash>,
+    /// Since when requests in flight at the crashes were, and upstreams that
+    /// outlived some of these requests.
+    exposures: Exposures,
     /// Suspects that an upstream has answered, with the expiry of the answer.
     answered: BTreeMap<RequestContent, Millis>,
     /// Requests that the store records as refused, with their expiry.
@@ -54,6 +95,9 @@
     pending: BTreeSet<Update>,
     /// How often the set of refused requests has changed.
     changes: u64,
+    /// How often any record was added.
+    revision: u64,
+    reported_suspicions: ReportedSuspicions,
 }
 
 /// A record to send to other instances.
@@ -61,6 +105,7 @@
 enum Update {
     Crash(UpstreamTag),
     Answered(RequestContent),
+    Exposure(RequestContent, UpstreamTag),
 }
 
 impl CrashTracker {
@@ -69,12 +114,15 @@
         Self {
             retention_ms,
             crashes: BTreeMap::new(),
+            exposures: Exposures::default(),
             answered: BTreeMap::new(),
             recorded: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
             refused: BTreeMap::new(),
             pending: BTreeSet::new(),
             changes: 0,
+            revision: 0,
+            reported_suspicions: ReportedSuspicions::default(),
         }
     }
 
@@ -89,6 +137,50 @@
         self.changes
     }
 
+    /// Returns how often a record was added.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns whether a request may crash upstreams.
+    pub fn suspicion(
+        &self,
+        content: &RequestContent,
+        now: Millis,
+    ) -> Suspicion {
+        let is_refused = self.refused_ms(content, now).is_some();
+        let is_suspect = self.is_near_refusal(content)
+            && !self.answered.contains_key(content);
+        if !is_refused && !is_suspect {
+            return Suspicion::None;
+        }
+        let outlived_after_ms = self.outlived_after_ms(content);
+        match is_refused {
+            true => Suspicion::Refused { outlived_after_ms },
+            false => Suspicion::Suspect { outlived_after_ms },
+        }
+    }
+
+    /// Returns the time in flight from which an upstream has outlived a
+    /// request, in ms: longer than the request was in flight at a crash.
+    fn outlived_after_ms(&self, content: &RequestContent) -> u64 {
+        let in_flight_ms = self.crashes.iter().filter_map(|(tag, crash)| {
+            let sent_expiry = self.exposures.get(content, *tag)?;
+            Some(crash.until.since(sent_expiry))
+        });
+        outlived_after_ms(in_flight_ms)
+    }
+
+    /// Returns when the last known crash happened at which a request was in
+    /// flight, or `None` if there is none.
+    pub fn last_crash(&self, content: &RequestContent) -> Option<Millis> {
+        let crashes = self.crashes.values();
+        let involved = crashes.filter(|one| one.in_flight.contains(content));
+        let last_expiry = involved.map(|one| one.until).max()?;
+        let at_ms = last_expiry.get().saturating_sub(self.retention_ms);
+        Some(Millis::new(at_ms))
+    }
+
     /// Returns how long a request is still refused, in ms, or `None` if the
     /// request is not refused.
     pub fn refused_ms(
@@ -103,9 +195,19 @@
     /// Returns whether one more crash may be enough for a request to be
     /// refused.
     pub fn is_near_refusal(&self, content: &RequestContent) -> bool {
+        self.crash_count(content) + 1 >= REFUSED_AFTER_CRASHES
+    }
+
+    /// Counts the known crashes at which a request was in flight.
+    fn crash_count(&self, content: &RequestContent) -> usize {
         let crashes = self.crashes.values();
-        let involved = crashes.filter(|one| one.in_flight.contains(content));
-        involved.count() + 1 >= REFUSED_AFTER_CRASHES
+        crashes.filter(|one| one.in_flight.contains(content)).count()
+    }
+
+    /// Returns whether this instance knows enough crashes to decide whether
+    /// to refuse a request, whatever the store records.
+    fn can_judge(&self, content: &RequestContent) -> bool {
+        self.crash_count(content) >= REFUSED_AFTER_CRASHES
     }
 
     /// Returns the refused requests that the store does not record yet, or may
@@ -124,12 +226,16 @@
     }
 
     /// Returns the requests that the store records as refused although an
-    /// upstream has answered them.
-    pub fn recorded_but_answered(&self) -> Vec<RequestContent> {
+    /// upstream has answered them, or the crashes that this instance knows of
+    /// do not speak against them.
+    pub fn recorded_but_cleared(&self) -> Vec<RequestContent> {
         let recorded = self.recorded.keys().copied();
-        recorded
-            .filter(|content| self.answered.contains_key(content))
-            .collect()
+        let is_cleared = |content: &RequestContent| {
+            let is_judged = self.can_judge(content);
+            let is_refused = self.refused.contains_key(content);
+            self.answered.contains_key(content) || (is_judged && !is_refused)
+        };
+        recorded.filter(is_cleared).collect()
     }
 
     /// Returns whether a crash of this start of an upstream is recorded.
@@ -137,16 +243,41 @@
         self.crashes.contains_key(&upstream)
     }
 
-    /// Records a crash that this instance detected, with the requests that
-    /// were in flight there without output.
+    /// Records a crash at `at` that this instance detected, with the requests
+    /// that were in flight there without output.
     pub fn record_crash(
         &mut self,
         upstream: UpstreamTag,
-        in_flight: impl IntoIterator<Item = RequestContent>,
-        now: Millis,
+        in_flight: impl IntoIterator<Item = InFlight>,
+        at: Millis,
     ) {
-        if self.add_crash(upstream, now + self.retention_ms, in_flight) {
+        let until = at + self.retention_ms;
+        let in_flight: Vec<InFlight> = in_flight.into_iter().collect();
+        let contents = in_flight.iter().map(|one| one.content);
+        let is_new = self.add_crash(upstream, until, contents);
+        for one in &in_flight {
+            let sent_expiry =
+                Millis::new(until.get().saturating_sub(one.for_ms));
+            self.exposures.insert(one.content, upstream, sent_expiry);
+        }
+        if is_new {
             self.pending.insert(Update::Crash(upstream));
+            self.update_refused(at);
+        }
+    }
+
+    /// Records that an upstream has outlived a suspected request, which was
+    /// sent to the upstream at `sent`.
+    pub fn record_survival(
+        &mut self,
+        content: RequestContent,
+        upstream: UpstreamTag,
+        sent: Millis,
+        now: Millis,
+    ) {
+        let sent_expiry = sent + self.retention_ms;
+        if self.exposures.insert(content, upstream, sent_expiry) {
+            self.pending.insert(Update::Exposure(content, upstream));
             self.update_refused(now);
         }
     }
@@ -204,6 +335,12 @@
             is_changed |=
                 insert_earliest(&mut self.recorded, report.content, until);
         }
+        for report in reports.exposures.iter().take(MAX_REQUESTS) {
+            let ExposureReport { content, upstream, sent_left_ms } = *report;
+            let sent_expiry = now + sent_left_ms.min(self.retention_ms);
+            is_changed |=
+                self.exposures.insert(content, upstream, sent_expiry);
+        }
         if is_changed {
             self.update_refused(now);
         }
@@ -229,16 +366,52 @@
                     left_ms: until.since(now),
                 })
                 .collect(),
+            exposures: self
+                .exposures
+                .iter()
+                .filter(|(_, _, sent_expiry)| now < *sent_expiry)
+                .map(|(content, upstream, sent_expiry)| ExposureReport {
+                    content,
+                    upstream,
+                    sent_left_ms: sent_expiry.since(now),
+                })
+                .collect(),
         }
     }
 
+    /// Takes the evidence against suspected requests that has changed since
+    /// the last call.
+    pub fn take_suspicions(&mut self, now: Millis) -> Vec<SuspicionReport> {
+        let crashes = self.unexpired_crashes(now);
+        let evidence = Evidence {
+            crashes: &crashes,
+            exposures: &self.exposures,
+            answered: &self.answered,
+        };
+        self.reported_suspicions.take_changes(
+            evidence,
+            &self.refused,
+            self.retention_ms,
+            now,
+        )
+    }
+
+    fn unexpired_crashes(&self, now: Millis) -> BTreeMap<UpstreamTag, Crash> {
+        let crashes = self.crashes.iter().filter(|(_, c)| now < c.until);
+        crashes.map(|(tag, one)| (*tag, one.clone())).collect()
+    }
+
     /// Takes the records of this instance's own that have not been sent yet.
     pub fn take_updates(&mut self, now: Millis) -> CrashReports {
         let mut reports = CrashReports::default();
         for one in std::mem::take(&mut self.pending) {
             match one {
                 Update::Crash(upstream) => {
-                    reports.crashes.extend(self.crash_report(upstream, now));
+                    self.add_crash_update(&mut reports, upstream, now);
+                }
+                Update::Exposure(content, upstream) => {
+                    let report = self.exposure_report(content, upstream, now);
+                    reports.exposures.extend(report);
                 }
                 Update::Answered(content) => {
                     reports
@@ -250,6 +423,53 @@
         reports
     }
 
+    /// Adds the report of a crash, with since when the requests were in flight
+    /// there, and the earlier crashes of the same requests.
+    ///
+    /// Transit times differ between messages. A receiver that learned of an
+    /// earlier crash from another message could take it for later than a send
+    /// that followed the crash.
+    fn add_crash_update(
+        &self,
+        reports: &mut CrashReports,
+        upstream: UpstreamTag,
+        now: Millis,
+    ) {
+        let Some(report) = self.crash_report(upstream, now) else { return };
+        let exposures = report.in_flight.iter();
+        reports.exposures.extend(exposures.filter_map(|content| {
+            self.exposure_report(*content, upstream, now)
+        }));
+        let in_flight: BTreeSet<_> =
+            report.in_flight.iter().copied().collect();
+        reports.crashes.push(report);
+        for (tag, crash) in &self.crashes {
+            let shared = crash.in_flight.intersection(&in_flight);
+            let shared: Vec<RequestContent> = shared.copied().collect();
+            if *tag != upstream && !shared.is_empty() {
+                reports.crashes.push(CrashReport {
+                    upstream: *tag,
+                    left_ms: crash.until.since(now),
+                    in_flight: shared,
+                });
+            }
+        }
+    }
+
+    fn exposure_report(
+        &self,
+        content: RequestContent,
+        upstream: UpstreamTag,
+        now: Millis,
+    ) -> Option<ExposureReport> {
+        let sent_expiry = self.exposures.get(&content, upstream)?;
+        (now < sent_expiry).then(|| ExposureReport {
+            content,
+            upstream,
+            sent_left_ms: sent_expiry.since(now),
+        })
+    }
+
     fn crash_report(
         &self,
         upstream: UpstreamTag,
@@ -293,6 +513,9 @@
         for report in &reports.refused {
             report.content.hash(&mut hasher);
         }
+        for report in &reports.exposures {
+            (report.content, report.upstream).hash(&mut hasher);
+        }
         hasher.finish().max(1)
     }
 
@@ -301,7 +524,11 @@
     pub fn prune(&mut self, now: Millis) {
         let is_kept =
             |until: Millis| now.since(until) < RETAINED_AFTER_EXPIRY_MS;
+        let known_crashes = self.crashes.len();
         self.crashes.retain(|_, crash| is_kept(crash.until));
+        if self.crashes.len() < known_crashes {
+            self.forget_unsuspected();
+        }
         self.answered.retain(|_, until| is_kept(*until));
         self.recorded.retain(|_, until| is_kept(*until));
         self.unconfirmed.retain(|one| self.recorded.contains_key(one));
@@ -338,6 +565,7 @@
     /// Crashes at which a refused request was in flight are evicted last:
     /// without them the refusal would end.
     fn evict_excess(&mut self) {
+        let mut is_evicted = false;
         loop {
             let in_flight = self.crashes.values().map(|c| c.in_flight.len());
             let is_full = in_flight.sum::<usize>() > MAX_REQUESTS
@@ -354,6 +582,10 @@
                 .min_by_key(|(_, crash)| (is_explained(crash), crash.until));
             let Some(oldest) = oldest.map(|(tag, _)| *tag) else { break };
             self.crashes.remove(&oldest);
+            is_evicted = true;
+        }
+        if is_evicted {
+            self.forget_unsuspected();
         }
         while self.recorded.len() > MAX_RECORDED {
             let oldest = self.recorded.iter().min_by_key(|(_, until)| **until);
@@ -364,19 +596,34 @@
         }
     }
 
+    /// Removes the exposures of requests that were in flight at no recorded
+    /// crash.
+    fn forget_unsuspected(&mut self) {
+        let crashes = self.crashes.values();
+        let suspects: BTreeSet<RequestContent> =
+            crashes.flat_map(|one| one.in_flight.iter().copied()).collect();
+        self.exposures.retain(|content| suspects.contains(content));
+    }
+
     /// Recomputes the set of refused requests.
     fn update_refused(&mut self, now: Millis) {
+        self.revision += 1;
         let is_answered =
             |content: &RequestContent| self.answered.contains_key(content);
-        let crashes = self.crashes.iter().filter(|(_, c)| now < c.until);
-        let crashes = crashes.map(|(tag, one)| (*tag, one.clone())).collect();
+        let crashes = self.unexpired_crashes(now);
         let recorded = self.recorded.iter();
         let recorded: BTreeMap<RequestContent, Millis> = recorded
-            .filter(|(content, until)| now < **until && !is_answered(content))
+            .filter(|(_, until)| now < **until)
+            .filter(|(content, _)| !is_answered(content))
+            .filter(|(content, _)| !self.can_judge(content))
             .map(|(content, until)| (*content, *until))
             .collect();
-        let mut refused =
-            find_culprits(&crashes, recorded.keys().copied(), is_answered);
+        let evidence = Evidence {
+            crashes: &crashes,
+            exposures: &self.exposures,
+            answered: &self.answered,
+        };
+        let mut refused = find_culprits(evidence, recorded.keys().copied());
         refused.extend(recorded);
         if !refused.keys().eq(self.refused.keys()) {
             self.changes += 1;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod choice;
 mod cold;
+mod crash_evidence;
 mod crashes;
 mod evacuation;
 mod event;
--- a/crates/valehold-core/src/fleet/tests/crashes.rs
+++ b/crates/valehold-core/src/fleet/tests/crashes.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     fleet::crashes::{
-        CrashReports, CrashTracker, RefusedReport, RequestContent,
+        CrashReports, CrashTracker, InFlight, RefusedReport, RequestContent,
     },
     id::UpstreamTag,
     testing::{cases, few_cases},
@@ -19,6 +19,11 @@
     RequestContent::of("callers.example", name, None, b"")
 }
 
+/// Returns a request in flight at a crash that was sent just before.
+fn just_sent(name: &str) -> InFlight {
+    InFlight::from(content(name))
+}
+
 fn tag(number: u32) -> UpstreamTag {
     UpstreamTag::new(number)
 }
@@ -32,7 +37,7 @@
 fn tracker_of(crashes: &[(u32, u64, &[&str])]) -> CrashTracker {
     let mut tracker = CrashTracker::new(RETENTION_MS);
     for (number, ms, in_flight) in crashes {
-        let in_flight = in_flight.iter().map(|name| content(name));
+        let in_flight = in_flight.iter().map(|name| just_sent(name));
         tracker.record_crash(tag(*number), in_flight, at(*ms));
     }
     tracker
@@ -46,7 +51,7 @@
 fn a_request_is_refused_after_the_third_crash() {
     let mut tracker = tracker_of(&[(1, 1_000, &["p"]), (2, 2_000, &["p"])]);
     expect_false!(is_refused(&tracker, "p", 2_000));
-    tracker.record_crash(tag(3), [content("p")], at(3_000));
+    tracker.record_crash(tag(3), [just_sent("p")], at(3_000));
     expect_true!(is_refused(&tracker, "p", 3_000));
     expect_false!(is_refused(&tracker, "other", 3_000));
     expect_that!(tracker.changes(), eq(1));
@@ -55,7 +60,7 @@
 #[gtest]
 fn a_crash_detected_by_several_instances_counts_once() {
     let mut tracker = tracker_of(&[(1, 1_000, &["p"]), (2, 2_000, &["p"])]);
-    tracker.record_crash(tag(2), [content("p")], at(2_500));
+    tracker.record_crash(tag(2), [just_sent("p")], at(2_500));
     let reports = tracker.reports(at(2_600));
     tracker.receive(&reports, at(9_000));
     expect_false!(is_refused(&tracker, "p", 9_000));
@@ -91,7 +96,7 @@
     answered.record_answer(content("a"), at(1_500));
     expect_true!(is_refused(&answered, "p", 1_500));
     expect_false!(is_refused(&answered, "a", 1_500));
-    tracker.record_crash(tag(4), [content("p")], at(1_600));
+    tracker.record_crash(tag(4), [just_sent("p")], at(1_600));
     expect_true!(is_refused(&tracker, "p", 1_600));
     expect_false!(is_refused(&tracker, "a", 1_600));
 }
@@ -127,9 +132,9 @@
         expect_false!(is_refused(&tracker, name, 1_100), "{name}");
     }
     // `a` does crash upstreams: two later crashes complete the three.
-    tracker.record_crash(tag(6), [content("a")], at(3_000));
+    tracker.record_crash(tag(6), [just_sent("a")], at(3_000));
     expect_false!(is_refused(&tracker, "a", 3_000));
-    tracker.record_crash(tag(7), [content("a")], at(4_000));
+    tracker.record_crash(tag(7), [just_sent("a")], at(4_000));
     expect_true!(is_refused(&tracker, "a", 4_000));
 }
 
@@ -139,7 +144,7 @@
     tracker.record_answer(content("a"), at(2_500));
     for number in 3..9 {
         let ms = u64::from(number) * 1_000;
-        tracker.record_crash(tag(number), [content("a")], at(ms));
+        tracker.record_crash(tag(number), [just_sent("a")], at(ms));
         expect_false!(is_refused(&tracker, "a", ms));
     }
 }
@@ -166,15 +171,33 @@
     expect_that!(later.unrecorded(at(7)), is_empty());
     expect_that!(other.unrecorded(at(7)).len(), eq(1));
     // An answer clears the request although the store records it.
-    later.record_crash(tag(9), [content("p")], at(8));
+    later.record_crash(tag(9), [just_sent("p")], at(8));
     later.record_answer(content("p"), at(9));
     expect_that!(
-        later.recorded_but_answered(),
+        later.recorded_but_cleared(),
         elements_are![eq(&content("p"))]
     );
     expect_that!(later.refused_ms(&content("p"), at(9)), none());
 }
 
+/// Some instances learn late what shows that a request is harmless, after the
+/// store has recorded the request as refused.
+#[gtest]
+fn a_record_of_the_store_does_not_outweigh_known_crashes() {
+    let mut tracker = CrashTracker::new(RETENTION_MS);
+    let report = RefusedReport { content: content("a"), left_ms: 500_000 };
+    tracker.receive_recorded(vec![report], at(1_000));
+    expect_true!(is_refused(&tracker, "a", 1_000));
+    for number in 1..=3 {
+        let in_flight = InFlight { content: content("a"), for_ms: 900 };
+        let crashed_at = 1_000 + u64::from(number) * 200;
+        tracker.record_crash(tag(number), [in_flight], at(crashed_at));
+    }
+    expect_false!(is_refused(&tracker, "a", 2_000));
+    let cleared = tracker.recorded_but_cleared();
+    expect_that!(cleared, elements_are![eq(&content("a"))]);
+}
+
 #[gtest]
 fn a_refusal_ends_when_its_crashes_expire() {
     let mut tracker = tracker_of(&[
@@ -187,7 +210,7 @@
     tracker.prune(at(601_000));
     expect_false!(is_refused(&tracker, "p", 601_001));
     // The two later crashes have not expired.
-    tracker.record_crash(tag(4), [content("p")], at(601_500));
+    tracker.record_crash(tag(4), [just_sent("p")], at(601_500));
     expect_true!(is_refused(&tracker, "p", 601_500));
 }
 
@@ -220,10 +243,11 @@
     let mut tracker = CrashTracker::new(RETENTION_MS);
     for number in 0..3 {
         let ms = 1_000 + u64::from(number) * 200;
-        tracker.record_crash(tag(number), [content("p")], at(ms));
+        tracker.record_crash(tag(number), [just_sent("p")], at(ms));
     }
     for number in 10..400 {
-        let in_flight = (0..40).map(|one| content(&format!("{number} {one}")));
+        let in_flight =
+            (0..40).map(|one| just_sent(&format!("{number} {one}")));
         tracker.record_crash(
             tag(number),
             in_flight,
@@ -307,11 +331,13 @@
             for (one, own) in &crash.detected_by {
                 let own: Vec<_> = own.iter().map(|n| name(*n)).collect();
                 if !own.is_empty() {
+                    let own = own.into_iter().map(InFlight::from);
                     trackers[*one].record_crash(tag(number), own, at(now));
                 }
             }
             let detector = detector.index(INSTANCES);
-            trackers[detector].record_crash(tag(number), [culprit], at(now));
+            let in_flight = [InFlight::from(culprit)];
+            trackers[detector].record_crash(tag(number), in_flight, at(now));
             let next: Vec<Sent> = sent.by_ref().take(3).collect();
             for (from, to, delay) in next {
                 let reports = trackers[from].reports(at(now));
--- a/crates/valehold-core/src/id.rs
+++ b/crates/valehold-core/src/id.rs
@@ -98,6 +98,12 @@
     }
 }
 
+impl fmt::Display for UpstreamTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// A short stand-in for a model's name, where many are told at once. As with
 /// upstreams, it is used for figures that may be off.
 #[derive(
--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -36,11 +36,18 @@
 /// settings never match.
 const FULL_REPORT_INTERVAL_MS: u64 = 1_000;
 
+/// The time after which the digest is computed again although no record was
+/// added, in ms: records expire.
+const DIGEST_LIFETIME_MS: u64 = 1_000;
+
 /// The last known digest of crash reports and the recipients of full reports.
 #[derive(Debug, Default)]
 pub(super) struct AdvertisedCrashes {
     digest: u64,
     unchanged_since: Millis,
+    /// The revision of the records for which the digest was computed last, and
+    /// when.
+    computed_for: Option<(u64, Millis)>,
     /// When each peer last got a full report.
     full_reports_sent: BTreeMap<SocketAddr, Millis>,
 }
@@ -132,7 +139,7 @@
         {
             return (Vec::new(), Vec::new());
         }
-        let mut obsolete = crashes.recorded_but_answered();
+        let mut obsolete = crashes.recorded_but_cleared();
         obsolete.retain(|content| !sync.removed.contains(content));
         (crashes.unrecorded(now), obsolete)
     }
@@ -164,12 +171,21 @@
 
     /// Returns the digest of the crash reports known to this gateway.
     pub(super) fn crash_digest(&mut self, now: Millis) -> u64 {
-        let digest = self.shared.crashes().digest(now);
-        if digest != self.advertised_crashes.digest {
-            self.advertised_crashes.digest = digest;
-            self.advertised_crashes.unchanged_since = now;
+        let crashes = self.shared.crashes();
+        let revision = crashes.revision();
+        let advertised = &mut self.advertised_crashes;
+        let is_current = advertised.computed_for.is_some_and(|(known, at)| {
+            known == revision && now.since(at) < DIGEST_LIFETIME_MS
+        });
+        if !is_current {
+            advertised.computed_for = Some((revision, now));
+            let digest = crashes.digest(now);
+            if digest != advertised.digest {
+                advertised.digest = digest;
+                advertised.unchanged_since = now;
+            }
         }
-        digest
+        advertised.digest
     }
 
     /// Broadcasts the crash updates noted since the last call.
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -279,6 +279,24 @@
                     under_way.join(", "),
                 )
             }
+            Self::RequestSuspected {
+                content,
+                refused,
+                survivors,
+                crashes,
+            } => {
+                let crashes: Vec<String> =
+                    crashes.iter().map(ToString::to_string).collect();
+                let refused = match refused {
+                    true => "refused",
+                    false => "not refused",
+                };
+                format!(
+                    "request {content} may crash upstreams ({refused}, \
+                     {survivors} outlived it): {}\n",
+                    crashes.join(", "),
+                )
+            }
             Self::StoreRestored { era, before } => format!(
                 "the store came back from a copy, era {era} after {before}\n"
             ),
@@ -321,6 +339,9 @@
         let variant = request.variant.as_deref().unwrap_or_default();
         let model = variant.split('/').next().unwrap_or_default();
         match self {
+            Self::RequestSuspected { content, .. } => {
+                request.content.as_deref() == Some(content)
+            }
             Self::OrderEnded { variant, .. } => {
                 !model.is_empty() && variant.split('/').next() == Some(model)
             }
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -12,10 +12,13 @@
 
 use serde::{Deserialize, Serialize};
 use valehold_core::{
-    fleet::{replicas::LoadSource, upstream_limit::LimitReport},
+    fleet::{
+        crashes::SuspicionReport, replicas::LoadSource,
+        upstream_limit::LimitReport,
+    },
     id::{
         DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
-        WorkspaceId,
+        UpstreamTag, WorkspaceId,
     },
 };
 
@@ -100,6 +103,8 @@
     ListLeftOut = "list_left_out",
     /// An upstream crashed while it served requests of this gateway.
     UpstreamCrashed = "upstream_crashed",
+    /// The evidence changed that a request crashes upstreams.
+    RequestSuspected = "request_suspected",
     /// An upstream reported that it is leaving.
     UpstreamLeaving = "upstream_leaving",
     /// An upstream requested a backoff from this gateway.
@@ -161,6 +166,30 @@
     }
 }
 
+/// A crash at which a suspected request was in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// The upstream, or the tag of its start if the upstream is not listed.
+    pub upstream: String,
+    /// The time since the crash became known to the first gateway, in ms.
+    pub ago_ms: u64,
+    /// The time for which the request was in flight at the crash, in ms, if
+    /// known.
+    pub in_flight_ms: Option<u64>,
+}
+
+impl fmt::Display for CrashEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} ms ago", self.upstream, self.ago_ms)?;
+        match self.in_flight_ms {
+            Some(in_flight_ms) => {
+                write!(f, " ({in_flight_ms} ms after the send)")
+            }
+            None => Ok(()),
+        }
+    }
+}
+
 /// One event.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -343,6 +372,18 @@
         /// The content digests of the aborted requests without any output.
         under_way: Vec<String>,
     },
+    /// The evidence changed that a request crashes upstreams: the request was
+    /// in flight at two crashes or more, and no upstream has answered it.
+    RequestSuspected {
+        /// The content digest of the request, as in the line of a request.
+        content: String,
+        /// Whether the request is refused from now on.
+        refused: bool,
+        /// The number of upstreams that have outlived the request.
+        survivors: usize,
+        /// The crashes, the earliest first.
+        crashes: Vec<CrashEvidence>,
+    },
     /// An upstream reported that it is leaving.
     UpstreamLeaving {
         /// The upstream.
@@ -378,6 +419,25 @@
 }
 
 impl Event {
+    /// Returns the event for changed evidence against a request. `name`
+    /// returns the name of a start of an upstream.
+    pub fn of_suspicion(
+        report: &SuspicionReport,
+        name: impl Fn(UpstreamTag) -> String,
+    ) -> Self {
+        let crashes = report.crashes.iter().map(|crash| CrashEvidence {
+            upstream: name(crash.upstream),
+            ago_ms: crash.ago_ms,
+            in_flight_ms: crash.in_flight_ms,
+        });
+        Self::RequestSuspected {
+            content: report.content.to_string(),
+            refused: report.refused,
+            survivors: report.survivors,
+            crashes: crashes.collect(),
+        }
+    }
+
     /// Returns the event for a change of an upstream's limit.
     pub fn of_limit(report: &LimitReport, source: ReportSource) -> Self {
         let upstream = report.start.id.clone();
@@ -422,6 +482,7 @@
             Self::HistoryGone { .. } => EventKind::HistoryGone,
             Self::ListLeftOut { .. } => EventKind::ListLeftOut,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
+            Self::RequestSuspected { .. } => EventKind::RequestSuspected,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
             Self::UpstreamLimited { .. } => EventKind::UpstreamLimited,
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -10,19 +10,23 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
-use valehold_core::fleet::{
-    BoundVariant, UpstreamStart,
-    backoff::UpstreamBackoffs,
-    cold::{ColdPermits, PermitRequest},
-    crashes::CrashTracker,
-    paces::{PaceObservation, Paces},
-    topology::Topology,
-    upstream_limit::{AnswerEffect, UpstreamLimits},
-    usage::UsageMeter,
+use valehold_core::{
+    fleet::{
+        BoundVariant, UpstreamStart,
+        backoff::UpstreamBackoffs,
+        cold::{ColdPermits, PermitRequest},
+        crashes::{CrashTracker, SuspicionReport},
+        paces::{PaceObservation, Paces},
+        topology::Topology,
+        upstream_limit::{AnswerEffect, UpstreamLimits},
+        usage::UsageMeter,
+    },
+    id::{UpstreamId, UpstreamTag},
 };
 
 use crate::{
     clock::Clock,
+    events::Event,
     metrics::Metrics,
     peers::roster::sums::Loads,
     settings::Settings,
@@ -222,20 +226,45 @@
     /// Changes the records of crashes, and notifies requests in flight if the
     /// set of refused requests changed.
     pub fn update_crashes(&self, change: impl FnOnce(&mut CrashTracker)) {
-        let changes = {
-            let mut book = self.crashes();
-            change(&mut book);
-            book.changes()
+        let (revision, suspicions) = {
+            let mut tracker = self.crashes();
+            let before = tracker.revision();
+            change(&mut tracker);
+            let revision = tracker.revision();
+            let suspicions = match revision == before {
+                true => Vec::new(),
+                false => tracker.take_suspicions(self.clock.now()),
+            };
+            (revision, suspicions)
         };
+        self.log_suspicions(&suspicions);
         self.crash_changes.send_if_modified(|known| {
-            let is_new = *known != changes;
-            *known = changes;
+            let is_new = *known != revision;
+            *known = revision;
             is_new
         });
     }
 
-    /// Returns a receiver that is notified when the set of requests that are
-    /// refused for crashes changes.
+    /// Logs changed evidence against requests, with the names of the upstreams
+    /// that are still listed.
+    fn log_suspicions(&self, suspicions: &[SuspicionReport]) {
+        if suspicions.is_empty() {
+            return;
+        }
+        let view = self.view.load();
+        let listed = view.listing.upstreams.values();
+        let names: BTreeMap<UpstreamTag, &UpstreamId> =
+            listed.map(|one| (one.start().tag(), &one.id)).collect();
+        for suspicion in suspicions {
+            let name = |upstream: UpstreamTag| {
+                let name = names.get(&upstream).map(ToString::to_string);
+                name.unwrap_or_else(|| upstream.to_string())
+            };
+            Event::of_suspicion(suspicion, name).log();
+        }
+    }
+
+    /// Returns a receiver that is notified when a record of crashes is added.
     pub fn watch_crashes(&self) -> watch::Receiver<u64> {
         self.crash_changes.subscribe()
     }
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -1,17 +1,17 @@
 //! Detects crashes of upstreams, and refuses requests that cause them.
 
 use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet},
-    io::ErrorKind,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
+    cell::RefCell, collections::BTreeMap, io::ErrorKind, net::SocketAddr,
+    rc::Rc, time::Duration,
 };
 
 use tokio::{net::TcpStream, time};
 use valehold_core::{
-    fleet::{Upstream, UpstreamStart, crashes::RequestContent},
+    Millis,
+    fleet::{
+        Upstream, UpstreamStart,
+        crashes::{InFlight, RequestContent, Suspicion},
+    },
     id::UpstreamId,
 };
 
@@ -29,30 +29,78 @@
 /// not count as crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The time for which a request that an upstream has outlived stays there
+/// after it was refused. Other gateways report meanwhile which upstreams have
+/// outlived the request as well, and two of them end the refusal.
+const SURVIVAL_REPORT_TIME: Duration = Duration::from_millis(200);
+
+/// Requests that one upstream broke off before any output.
+#[derive(Debug, Clone)]
+struct BreakOffs {
+    /// When the first of them broke off.
+    at: Millis,
+    /// When each was sent. Of several attempts at one request, the first.
+    sent: BTreeMap<RequestContent, Millis>,
+}
+
+impl BreakOffs {
+    fn new(at: Millis) -> Self {
+        Self { at, sent: BTreeMap::new() }
+    }
+
+    fn add(&mut self, content: RequestContent, sent: Millis) {
+        let known = self.sent.entry(content).or_insert(sent);
+        *known = sent.min(*known);
+    }
+
+    /// Returns the requests with the time for which they were in flight.
+    fn in_flight(&self) -> impl Iterator<Item = InFlight> {
+        self.sent.iter().map(|(content, sent)| InFlight {
+            content: *content,
+            for_ms: self.at.since(*sent),
+        })
+    }
+}
+
 /// Requests that broke off before any output, by upstream, until the probe has
 /// shown whether the upstream crashed.
 #[derive(Debug, Default)]
 pub(super) struct PendingBreakOffs {
-    requests: RefCell<BTreeMap<UpstreamStart, BTreeSet<RequestContent>>>,
+    by_upstream: RefCell<BTreeMap<UpstreamStart, BreakOffs>>,
 }
 
 impl PendingBreakOffs {
-    /// Adds a request, and returns whether it is the first of its upstream.
-    fn add(&self, upstream: UpstreamStart, content: RequestContent) -> bool {
-        let mut requests = self.requests.borrow_mut();
-        let is_first = !requests.contains_key(&upstream);
-        requests.entry(upstream).or_default().insert(content);
+    /// Adds a request that was sent at `sent` and broke off at `at`, and
+    /// returns whether it is the first of its upstream.
+    fn add(
+        &self,
+        upstream: UpstreamStart,
+        content: RequestContent,
+        sent: Millis,
+        at: Millis,
+    ) -> bool {
+        let mut by_upstream = self.by_upstream.borrow_mut();
+        let is_first = !by_upstream.contains_key(&upstream);
+        let break_offs =
+            by_upstream.entry(upstream).or_insert_with(|| BreakOffs::new(at));
+        break_offs.add(content, sent);
         is_first
     }
 
     /// Returns whether the result of the probe of an upstream is pending.
     fn is_pending(&self, upstream: &UpstreamStart) -> bool {
-        self.requests.borrow().contains_key(upstream)
+        self.by_upstream.borrow().contains_key(upstream)
+    }
+
+    /// Returns whether the results of the probes of several upstreams are
+    /// pending.
+    fn is_several(&self) -> bool {
+        self.by_upstream.borrow().len() > 1
     }
 
     /// Removes and returns the requests of an upstream.
-    fn take(&self, upstream: &UpstreamStart) -> BTreeSet<RequestContent> {
-        self.requests.borrow_mut().remove(upstream).unwrap_or_default()
+    fn take(&self, upstream: &UpstreamStart) -> Option<BreakOffs> {
+        self.by_upstream.borrow_mut().remove(upstream)
     }
 }
 
@@ -62,28 +110,39 @@
 /// upstream refuses connections: within 1 ms of the crash, and seconds before
 /// the entry of the upstream leaves the listing. A probe of the address
 /// therefore distinguishes crashes from other failures.
-pub(super) fn on_break_off(app: &Rc<App>, job: &Job, upstream: &Upstream) {
-    let start = upstream.start();
+pub(super) fn on_break_off(
+    app: &Rc<App>,
+    job: &Job,
+    upstream: &Upstream,
+    sent: Millis,
+) {
+    let (start, at) = (upstream.start(), app.now());
     if app.shared.crashes().has_crashed(start.tag()) {
-        report_crash(app, &start, BTreeSet::from([job.content()]));
+        let mut break_offs = BreakOffs::new(at);
+        break_offs.add(job.content(), sent);
+        report_crash(app, &start, &break_offs);
         return;
     }
-    if app.pending_break_offs.add(start.clone(), job.content()) {
+    let pending = &app.pending_break_offs;
+    if pending.add(start.clone(), job.content(), sent, at) {
         let (app, address) = (app.clone(), upstream.address);
         tokio::task::spawn_local(async move {
             time::sleep(PROBE_DELAY).await;
             let has_crashed = refuses_connections(address).await;
-            let in_flight = app.pending_break_offs.take(&start);
-            if has_crashed && !is_planned_shutdown(&app, &start.id) {
-                report_crash(&app, &start, in_flight);
+            let break_offs = app.pending_break_offs.take(&start);
+            let is_crash =
+                has_crashed && !is_planned_shutdown(&app, &start.id);
+            if let (true, Some(break_offs)) = (is_crash, break_offs) {
+                report_crash(&app, &start, &break_offs);
             }
         });
     }
 }
 
 /// Waits until the probe has shown whether an upstream crashed, if a crash
-/// would lead to the refusal of the request. Without this wait, the request
-/// would be sent to another upstream and could crash that one too.
+/// would lead to the refusal of the request, or other upstreams break off as
+/// well. Without this wait, the request would be sent to another upstream and
+/// could crash that one too, or to one that is crashing just now.
 pub(super) async fn wait_for_probe(app: &App, job: &Job, upstream: &Upstream) {
     let start = upstream.start();
     // Most failures are not break-offs. Returning early avoids computing the
@@ -92,7 +151,8 @@
         return;
     }
     let is_near_refusal = app.shared.crashes().is_near_refusal(&job.content());
-    while is_near_refusal && app.pending_break_offs.is_pending(&start) {
+    let waits = is_near_refusal || app.pending_break_offs.is_several();
+    while waits && app.pending_break_offs.is_pending(&start) {
         time::sleep(PROBE_DELAY).await;
     }
 }
@@ -117,19 +177,15 @@
 
 /// Logs the crash of an upstream, and records the requests that were in flight
 /// on the upstream.
-fn report_crash(
-    app: &App,
-    start: &UpstreamStart,
-    in_flight: BTreeSet<RequestContent>,
-) {
+fn report_crash(app: &App, start: &UpstreamStart, break_offs: &BreakOffs) {
     let event = Event::UpstreamCrashed {
         upstream: start.id.clone(),
-        under_way: in_flight.iter().map(ToString::to_string).collect(),
+        under_way: break_offs.sent.keys().map(ToString::to_string).collect(),
     };
     event.log();
-    let now = app.now();
     app.shared.update_crashes(|crashes| {
-        crashes.record_crash(start.tag(), in_flight, now);
+        let in_flight = break_offs.in_flight();
+        crashes.record_crash(start.tag(), in_flight, break_offs.at);
     });
 }
 
@@ -153,15 +209,73 @@
     app.shared.crashes().refused_ms(&content, now)
 }
 
-/// Waits until an in-flight request is refused because it crashes upstreams.
+/// Waits until an in-flight request has to be cancelled because it crashes
+/// upstreams. Records meanwhile whether the upstream outlives the request.
 ///
 /// The request may be queued on an upstream and not have started to run.
 /// Cancelling the send at this point keeps that upstream from crashing.
-pub(super) async fn until_refused(app: &App, job: &Job) {
+pub(super) async fn until_cancelled(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+    sent: Millis,
+) {
     let mut changes = app.shared.watch_crashes();
-    while remaining_refusal_ms(app, job).is_none() {
-        if changes.changed().await.is_err() {
-            std::future::pending().await
+    let mut is_outlived = false;
+    loop {
+        let suspicion = suspicion(app, job);
+        let outlived_at = match suspicion {
+            Suspicion::None => None,
+            Suspicion::Suspect { outlived_after_ms }
+            | Suspicion::Refused { outlived_after_ms } => {
+                Some(sent + outlived_after_ms).filter(|_| !is_outlived)
+            }
+        };
+        if outlived_at.is_some_and(|at| app.now() >= at) {
+            is_outlived = true;
+            record_survival(app, job, upstream, sent);
+            continue;
+        }
+        if matches!(suspicion, Suspicion::Refused { .. }) {
+            if is_outlived && !is_still_refused(app, job).await {
+                continue;
+            }
+            return;
+        }
+        let changed = changes.changed();
+        // The sender of changes lives as long as `app`, so there is no error.
+        match outlived_at {
+            None => {
+                let _ = changed.await;
+            }
+            Some(at) => {
+                let _ = app.shared.clock.wait_until(at, changed).await;
+            }
         }
     }
 }
+
+/// Returns whether a request is refused even after other gateways have had the
+/// time to report that upstreams outlive the request.
+async fn is_still_refused(app: &App, job: &Job) -> bool {
+    time::sleep(SURVIVAL_REPORT_TIME).await;
+    remaining_refusal_ms(app, job).is_some()
+}
+
+/// Records that an upstream has outlived a suspected request.
+fn record_survival(app: &App, job: &Job, upstream: &Upstream, sent: Millis) {
+    let (content, tag) = (job.content(), upstream.start().tag());
+    app.shared.update_crashes(|crashes| {
+        crashes.record_survival(content, tag, sent, app.now());
+    });
+}
+
+/// Returns whether a request may crash upstreams.
+fn suspicion(app: &App, job: &Job) -> Suspicion {
+    // Returning early avoids computing the digest of the request.
+    if app.shared.crashes().is_empty() {
+        return Suspicion::None;
+    }
+    let (content, now) = (job.content(), app.now());
+    app.shared.crashes().suspicion(&content, now)
+}
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -62,6 +62,8 @@
     tried: Vec<UpstreamId>,
     /// The number of sends that may have reached an upstream.
     sends: u32,
+    /// When the request was last sent.
+    sent_at: Millis,
     /// Whether the request may have run, according to all sends so far.
     verdict: Verdict,
     /// The usage charged to the workspace.
@@ -88,6 +90,7 @@
         order: EventOrder::after(after),
         tried: Vec::new(),
         sends: 0,
+        sent_at: app.now(),
         verdict: Verdict::NotRun,
         charge: None,
         record: Record::new(app.shared.clock),
@@ -157,10 +160,14 @@
         let mut order = self.order;
         let timeout = self.begin_timeout();
         let sent = Instant::now();
+        self.sent_at = app.now();
         let beginning = begin(&app, &self.job, chosen, permit, &mut order);
+        let upstream = &chosen.upstream;
+        let cancelled =
+            crashes::until_cancelled(&app, &self.job, upstream, self.sent_at);
         let begun = tokio::select! {
             begun = self.wait_for_upstream(id, timeout, beginning) => begun,
-            () = crashes::until_refused(&app, &self.job) => None,
+            () = cancelled => None,
         };
         let begun = begun.ok_or_else(SendFailure::broken)??;
         let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
@@ -315,7 +322,9 @@
         self.verdict = self.verdict.worst(failure.verdict);
         self.keep_charge(self.verdict != Verdict::NotRun);
         if failure.cut_off {
-            crashes::on_break_off(&self.app, &self.job, &chosen.upstream);
+            let upstream = &chosen.upstream;
+            let sent = self.sent_at;
+            crashes::on_break_off(&self.app, &self.job, upstream, sent);
         }
         self.refuse_if_it_crashes()?;
         let is_free = !failure.arrived && self.sends == 0;
@@ -401,7 +410,8 @@
                     let start = chosen.upstream.start();
                     if failure.cut_off {
                         let upstream = &chosen.upstream;
-                        crashes::on_break_off(&self.app, &self.job, upstream);
+                        let (job, sent) = (&self.job, self.sent_at);
+                        crashes::on_break_off(&self.app, job, upstream, sent);
                     }
                     self.record_rejection(&start, failure);
                     self.exclude(&start.id, failure.arrived);
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -12,9 +12,9 @@
     reason::RefusalReason,
 };
 use valehold_gateway::events::{
-    BoundRecord, CatalogSource, EmptyBoundPair, Event, EventKind, PassedOver,
-    PassedOverFor, ReportSource, RequestEnd, RequestEnded, RequestOutcome,
-    SendEnd, SendRecord,
+    BoundRecord, CatalogSource, CrashEvidence, EmptyBoundPair, Event,
+    EventKind, PassedOver, PassedOverFor, ReportSource, RequestEnd,
+    RequestEnded, RequestOutcome, SendEnd, SendRecord,
 };
 
 const OPERATIONS_PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -95,6 +95,16 @@
             upstream: UpstreamId::new("e1"),
             under_way: vec!["0123456789abcdef".to_owned()],
         },
+        Event::RequestSuspected {
+            content: "0123456789abcdef".to_owned(),
+            refused: false,
+            survivors: 1,
+            crashes: vec![CrashEvidence {
+                upstream: "e1".to_owned(),
+                ago_ms: 120,
+                in_flight_ms: Some(45),
+            }],
+        },
         Event::UpstreamLeaving {
             upstream: UpstreamId::new("e1"),
             source: ReportSource::Answer,
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -27,8 +27,8 @@
         },
         cold::{PermitReply, PermitRequest},
         crashes::{
-            AnsweredReport, CrashReport, CrashReports, RefusedReport,
-            RequestContent,
+            AnsweredReport, CrashReport, CrashReports, ExposureReport,
+            RefusedReport, RequestContent,
         },
         paces::{LogRatio, PaceObservation, PaceUpdate, Paces},
         upstream_limit::{LimitReport, RequestRate},
@@ -453,6 +453,7 @@
         crashes: vec![crash],
         answered: vec![answered],
         refused: vec![refused],
+        exposures: Vec::new(),
     }
 }
 
@@ -604,6 +605,22 @@
     expect_that!(indices, eq(&Vec::from_iter(0..20)));
 }
 
+/// A build without exposures ignores the bytes after those that it knows.
+#[gtest]
+fn exposures_follow_the_bytes_of_builds_without_them() {
+    let exposure = ExposureReport {
+        content: content("0123456789abcdef"),
+        upstream: UpstreamTag::new(0x0102_0304),
+        sent_left_ms: 589_000,
+    };
+    let exposures = vec![exposure];
+    let message =
+        Message::Crashes(CrashReports { exposures, ..crash_reports() });
+    let bytes = message.encode().unwrap();
+    expect_that!(hexadecimal(&bytes), starts_with(CRASHES));
+    expect_that!(Message::decode(&bytes), ok(eq(&message)));
+}
+
 #[gtest]
 fn a_state_is_encoded_to_the_recorded_bytes_and_decoded_from_them() {
     let bytes = state().encode().unwrap();
