--- a/crates/valehold-core/src/fleet/tests/retry_share.rs
+++ b/crates/valehold-core/src/fleet/tests/retry_share.rs
@@ -13,11 +13,16 @@
 const BUDGET: RetryBudget =
     RetryBudget { ratio: 0.2, slack: 54.0, window_ms: 10_000, instances: 16 };
 
+/// When instances started, and a window after that.
+const START: Millis = Millis::new(0);
+const NOW: Millis = Millis::new(10_000);
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Pass(u64),
     Request(usize),
     Retry(usize),
+    Restart(usize),
 }
 
 fn step(instances: usize) -> impl Strategy<Value = Step> {
@@ -25,6 +30,7 @@
         2 => (1_u64..400).prop_map(Step::Pass),
         2 => (0..instances).prop_map(Step::Request),
         4 => (0..instances).prop_map(Step::Retry),
+        1 => (0..instances).prop_map(Step::Restart),
     ]
 }
 
@@ -36,8 +42,8 @@
         steps in prop::collection::vec(step(16), 1..400),
     ) {
         let mut shares: Vec<RetryShare> =
-            (0..16).map(|_| RetryShare::new(BUDGET)).collect();
-        let mut now = Millis::new(0);
+            (0..16).map(|_| RetryShare::new(BUDGET, START)).collect();
+        let mut now = NOW;
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         for step in steps {
             match step {
@@ -51,6 +57,9 @@
                         retries.push(now);
                     }
                 }
+                Step::Restart(instance) => {
+                    shares[instance] = RetryShare::new(BUDGET, now);
+                }
             }
             let within = |times: &[Millis]| {
                 let young = |at: &&Millis| now.since(**at) < 10_000;
@@ -69,10 +78,10 @@
 /// together the gateways could use 2.4 times the slack.
 #[gtest]
 fn more_instances_than_configured_share_the_slack() {
-    let now = Millis::new(0);
+    let now = NOW;
     let used: usize = (0..63)
         .map(|_| {
-            let mut share = RetryShare::new(BUDGET);
+            let mut share = RetryShare::new(BUDGET, START);
             share.observe_instances(63);
             // An instance that is cut off sees fewer.
             share.observe_instances(2);
@@ -85,10 +94,32 @@
     expect_that!(used, le(63.0 * 0.2 + 54.0));
 }
 
+/// Two lives of all gateways within a window used 1.2 of the slack.
+#[gtest]
+fn restarts_give_nobody_the_slack_anew() {
+    let mut retries = 0;
+    let mut now = NOW;
+    let mut use_up = |share: &mut RetryShare, now: Millis| {
+        while share.try_retry(now) {
+            retries += 1;
+        }
+    };
+    let budget = RetryBudget { instances: 1, ..BUDGET };
+    use_up(&mut RetryShare::new(budget, START), now);
+    for life_ms in [900, 4_000, 100, 2_000, 2_999] {
+        let mut share = RetryShare::new(budget, now);
+        now = now + life_ms;
+        use_up(&mut share, now);
+    }
+    expect_that!(retries, le(54));
+    // An instance that goes on has a part of it all the while.
+    expect_that!(retries, ge(32 + 10));
+}
+
 #[gtest]
 fn a_single_instance_can_retry() {
-    let mut share = RetryShare::new(BUDGET);
-    let now = Millis::new(0);
+    let mut share = RetryShare::new(BUDGET, START);
+    let now = NOW;
     expect_true!(share.try_retry(now));
     expect_true!(share.try_retry(now));
     expect_false!(share.try_retry(now));
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -45,6 +45,8 @@
     pub shared: Arc<Shared>,
     /// The wire format of requests and answers.
     pub dialect: Arc<dyn Dialect>,
+    /// When this gateway started.
+    started: Millis,
     pub(super) pool: Pool,
     pub(super) pending_break_offs: PendingBreakOffs,
     health: RefCell<BTreeMap<UpstreamStart, Health>>,
@@ -60,6 +62,7 @@
     /// Creates the state of a gateway that has served no requests.
     pub fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Self {
         Self {
+            started: shared.clock.now(),
             pool: Pool::new(shared.clock),
             shared,
             dialect,
@@ -289,7 +292,7 @@
         let budget = self.shared.settings.retry.budget();
         let share = retry_shares
             .entry(service.clone())
-            .or_insert_with(|| RetryShare::new(budget));
+            .or_insert_with(|| RetryShare::new(budget, self.started));
         share.observe_instances(u32::try_from(instances).unwrap_or(u32::MAX));
         act(share)
     }
