Report held evacuations to gateways that start after the store's return

An order to empty a data centre that the store lost with its return from a copy is held for 10 s by the gateways that knew it.

Cause: heartbeats and peers' state carry the set of the store's newest version, which lacks the order. Who holds orders reports them with its heartbeats now, and a gateway that starts serves 0.6 s after its start at the earliest if the store ever came back from a copy. No late report brings back an order that was cancelled (unit test).

--- a/crates/valehold-core/src/fleet/evacuation.rs
+++ b/crates/valehold-core/src/fleet/evacuation.rs
@@ -93,6 +93,16 @@
     }
 }
 
+/// An order that is held although the platform's store, which was restored
+/// from a copy, lacks the order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldEvacuation {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// The time for which the order is still held, in ms.
+    pub left_ms: u64,
+}
+
 /// The difference that newer orders make.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EvacuationChanges {
@@ -250,6 +260,35 @@
         Some(EvacuationChanges { ordered, cancelled })
     }
 
+    /// Returns the held orders, for gateways that started after the store was
+    /// restored.
+    pub fn held(&self, now: Millis) -> Vec<HeldEvacuation> {
+        let held = self.held.iter().map(|(data_centre, until)| {
+            let data_centre = data_centre.clone();
+            HeldEvacuation { data_centre, left_ms: until.since(now) }
+        });
+        held.filter(|one| one.left_ms > 0).collect()
+    }
+
+    /// Holds an order that another gateway holds, and returns whether the
+    /// order was unknown.
+    ///
+    /// Does nothing if the order applies or was cancelled: the other gateway
+    /// may not know of that yet.
+    pub fn hold(&mut self, held: &HeldEvacuation, now: Millis) -> bool {
+        let HeldEvacuation { data_centre, left_ms } = held;
+        let orders = self.orders.as_ref();
+        let applies = orders.is_some_and(|one| one.is_ordered(data_centre));
+        let is_known = applies
+            || self.held.contains_key(data_centre)
+            || self.cancelled.contains_key(data_centre);
+        if !is_known {
+            let until = now + (*left_ms).min(HOLD_MS);
+            self.held.insert(data_centre.clone(), until);
+        }
+        !is_known
+    }
+
     /// Releases the held order of a data centre, because operators cancelled
     /// the order or the hold expired. Returns whether an order was held.
     pub fn release_held(
--- a/crates/valehold-core/src/fleet/tests/evacuation.rs
+++ b/crates/valehold-core/src/fleet/tests/evacuation.rs
@@ -8,7 +8,8 @@
 use crate::{
     fleet::{
         EvacuationChange, EvacuationState, Evacuations, Holding, Listing,
-        StoreVersion, Upstream, evacuation::services_without_upstreams,
+        StoreVersion, Upstream,
+        evacuation::{HeldEvacuation, services_without_upstreams},
         topology::Topology,
     },
     id::{DataCentreId, RegionId, ServiceName, UpstreamId},
@@ -200,6 +201,31 @@
     }
 }
 
+/// A gateway that started after the store was restored knew nothing of the
+/// orders that the others held.
+#[gtest]
+fn a_held_order_is_reported_to_gateways_that_started_later() {
+    let later_era = |version| StoreVersion { era: 1, version }.pack();
+    let mut one = EvacuationState::default();
+    one.update(orders(50, &["north"]), 0, at(1_000));
+    one.update(orders(later_era(20), &[]), 0, at(5_000));
+    let held = one.held(at(6_000));
+    let expected = HeldEvacuation { data_centre: dc("north"), left_ms: 9_000 };
+    expect_that!(held, eq(&vec![expected]));
+    let mut other = EvacuationState::default();
+    other.update(orders(later_era(20), &[]), 0, at(300));
+    expect_true!(other.hold(&held[0], at(400)));
+    expect_false!(other.hold(&held[0], at(500)));
+    expect_true!(other.is_evacuated(&dc("north"), at(500)));
+    expect_that!(other.expired_holds(at(9_399)), is_empty());
+    expect_that!(other.expired_holds(at(9_400)), eq(&vec![dc("north")]));
+    // Once operators have cancelled it, no late report brings it back.
+    expect_true!(other.release_held(&dc("north"), at(600)));
+    expect_false!(other.hold(&held[0], at(700)));
+    expect_false!(other.is_evacuated(&dc("north"), at(700)));
+    expect_that!(one.held(at(15_000)), is_empty());
+}
+
 /// An order that is missing after the store was restored from a copy is held
 /// until it is written again, is cancelled, or ten seconds have passed.
 #[gtest]
--- a/crates/valehold-gateway/src/control/evacuating.rs
+++ b/crates/valehold-gateway/src/control/evacuating.rs
@@ -1,13 +1,14 @@
 //! Applies and propagates evacuation orders for data centres, and reports them
 //! to placement and operators.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use valehold_core::{
     Millis,
     fleet::{
         EvacuationChange, EvacuationUpdate, Evacuations,
-        evacuation::services_without_upstreams, topology::Topology,
+        evacuation::{HeldEvacuation, services_without_upstreams},
+        topology::Topology,
     },
     id::DataCentreId,
 };
@@ -30,7 +31,64 @@
 /// store by mistake must not make heartbeats too large to send.
 const MAX_ORDERS: usize = 64;
 
+/// The time after the start in which another gateway reports the orders that
+/// it holds, in ms: two heartbeat intervals and a busy machine.
+const HELD_REPORT_MS: u64 = 600;
+
 impl Control {
+    /// Reports the orders that this gateway holds to other gateways, which may
+    /// have started after the store was restored from a copy without them.
+    pub(super) fn send_held_evacuations(
+        &self,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        now: Millis,
+    ) {
+        let held = self.evacuations.held(now);
+        if !held.is_empty() {
+            self.send(targets, &Message::HeldEvacuations(held));
+        }
+    }
+
+    /// Holds orders that another gateway holds.
+    pub(super) fn receive_held_evacuations(
+        &mut self,
+        held: &[HeldEvacuation],
+        now: Millis,
+    ) {
+        let orders = self.evacuations.orders();
+        let version = orders.map_or(0, |orders| orders.version);
+        let topology = &self.shared.topology;
+        let mut is_new = false;
+        for one in held.iter().take(MAX_ORDERS) {
+            if !self.evacuations.hold(one, now) {
+                continue;
+            }
+            is_new = true;
+            let data_centre = one.data_centre.clone();
+            let is_declared = topology.region_of(&data_centre).is_some();
+            Event::EvacuationOrdered {
+                data_centre,
+                version,
+                left_ms: 0,
+                is_declared,
+                source: CatalogSource::Push,
+            }
+            .log();
+        }
+        if is_new {
+            self.placer.evacuate(&self.evacuations);
+            self.report_evacuations_in_force(now);
+            self.publish();
+        }
+    }
+
+    /// Returns whether other gateways may hold orders of which this gateway,
+    /// which has just started, knows nothing yet.
+    pub(super) fn may_lack_held_evacuations(&self, now: Millis) -> bool {
+        let was_restored = self.store_era.is_some_and(|era| era > 0);
+        was_restored && now.since(self.started) < HELD_REPORT_MS
+    }
+
     /// Returns the evacuation report for peers, or `None` if this gateway does
     /// not know the orders yet.
     pub(super) fn evacuation_report(
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -370,6 +370,7 @@
             self.update_grantor(now);
         }
         self.upstreams.prune(now);
+        self.serve_if_ready();
         self.release_held_evacuations(&[], now);
         self.report_evacuations_in_force(now);
         self.send_crash_updates(now);
@@ -536,6 +537,7 @@
         self.catalog.is_some()
             && self.upstreams.has_list()
             && self.evacuations.is_known()
+            && !self.may_lack_held_evacuations(self.now())
     }
 
     fn serve_if_ready(&mut self) {
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -93,7 +93,8 @@
         }
         let message = Message::Heartbeat(Box::new(heartbeat));
         let targets = self.roster.heartbeat_targets(now);
-        self.send(targets, &message);
+        self.send(targets.iter().copied(), &message);
+        self.send_held_evacuations(targets, now);
     }
 
     /// Sends a summary of all gateways to the group of this hub.
@@ -111,7 +112,11 @@
             // The primary hub sends loads in separate messages and more often.
             summary.loads.clear();
         }
-        self.send(targets, &Message::Summary(Box::new(summary)));
+        self.send(
+            targets.iter().copied(),
+            &Message::Summary(Box::new(summary)),
+        );
+        self.send_held_evacuations(targets, now);
         // A link with capacity for this many changes per group member can
         // carry the full list to the same number of recipients.
         let all = self.advertised_members.len();
@@ -164,8 +169,10 @@
         targets: impl IntoIterator<Item = SocketAddr>,
         now: Millis,
     ) {
-        let heartbeat = self.heartbeat(now);
-        self.send(targets, &Message::Heartbeat(Box::new(heartbeat)));
+        let heartbeat = Message::Heartbeat(Box::new(self.heartbeat(now)));
+        let targets: Vec<SocketAddr> = targets.into_iter().collect();
+        self.send(targets.iter().copied(), &heartbeat);
+        self.send_held_evacuations(targets, now);
     }
 
     /// Repeats to all peers which engines are unloading a model, if not all
@@ -392,6 +399,9 @@
                     now,
                 );
             }
+            Message::HeldEvacuations(held) => {
+                self.receive_held_evacuations(&held, now);
+            }
             Message::Crashes(reports) => self.receive_crashes(&reports, now),
             Message::Leaving(starts) => {
                 self.on_leaving(&starts, ReportSource::Peer, now);
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -14,6 +14,7 @@
         RegionBound, UpstreamStart, Variant,
         cold::{PermitReply, PermitRequest},
         crashes::CrashReports,
+        evacuation::HeldEvacuation,
         paces::{PaceObservation, PaceUpdate},
         upstream_limit::LimitReport,
         usage::{Throttles, UsageTotal},
@@ -487,6 +488,9 @@
         /// of the request.
         limit: Option<LimitReport>,
     },
+    /// From a gateway that knew them before the store was restored from a
+    /// copy: evacuation orders that the store lacks.
+    HeldEvacuations(Vec<HeldEvacuation>),
 }
 
 /// Why a datagram cannot be decoded or encoded.
@@ -549,6 +553,7 @@
             Self::Relay(_) => "relay",
             Self::PermitRequest { .. } => "ask_right",
             Self::PermitReply { .. } => "right",
+            Self::HeldEvacuations(_) => "held_evacuations",
         }
     }
 
@@ -576,7 +581,8 @@
             | Self::Fragment(_)
             | Self::Relay(_)
             | Self::PermitRequest { .. }
-            | Self::PermitReply { .. } => return None,
+            | Self::PermitReply { .. }
+            | Self::HeldEvacuations(_) => return None,
         };
         Some((audience, number))
     }
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -30,6 +30,7 @@
             AnsweredReport, CrashReport, CrashReports, ExposureReport,
             RefusedReport, RequestContent,
         },
+        evacuation::HeldEvacuation,
         paces::{LogRatio, PaceObservation, PaceUpdate, Paces},
         upstream_limit::{LimitReport, RequestRate},
         usage::{Fraction, Throttle, Throttles, UsageTotal},
@@ -511,6 +512,10 @@
             reply: PermitReply::Denied { retry_after_ms: 250 },
             limit: Some(limit_report()),
         },
+        Message::HeldEvacuations(vec![HeldEvacuation {
+            data_centre: DataCentreId::new("zone-4"),
+            left_ms: 9_500,
+        }]),
     ]
 }
 
@@ -553,6 +558,7 @@
         Message::Relay(_) => RELAY,
         Message::PermitRequest { .. } => ASK_RIGHT,
         Message::PermitReply { .. } => RIGHT,
+        Message::HeldEvacuations(_) => HELD_EVACUATIONS,
     }
 }
 
@@ -602,7 +608,7 @@
         .iter()
         .map(|message| bytes_of(recorded(message))[1])
         .collect();
-    expect_that!(indices, eq(&Vec::from_iter(0..20)));
+    expect_that!(indices, eq(&Vec::from_iter(0..21)));
 }
 
 /// A build without exposures ignores the bytes after those that it knows.
@@ -639,6 +645,9 @@
     6e67696e652d310181d095ffbc31150205616c70686102026131026132046265746100\
     1617";
 
+/// Of a later revision than the others.
+const HELD_EVACUATIONS: &str = "ba1401067a6f6e652d349c4a";
+
 const WISH: &str = "ba010102056e6f72746805736f75746805616c70686101026131";
 
 const HOLDINGS: &str = "\
