--- a/crates/valehold-core/src/fleet/crashes/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -11,6 +11,7 @@
 mod content;
 mod culprits;
 mod exposures;
+mod independence;
 mod record;
 mod reports;
 mod suspicions;
--- a/crates/valehold-core/src/fleet/crashes/tracker.rs
+++ b/crates/valehold-core/src/fleet/crashes/tracker.rs
@@ -10,8 +10,8 @@
 use super::{
     AnsweredReport, Crash, CrashReport, CrashReports, Evidence,
     ExposureReport, Exposures, REFUSED_AFTER_CRASHES, RefusedReport,
-    RequestContent, SuspicionReport, culprits::outlived_after_ms,
-    find_culprits, suspicions::ReportedSuspicions,
+    RequestContent, SuspicionReport, find_culprits,
+    independence::outlived_after_ms, suspicions::ReportedSuspicions,
 };
 use crate::{id::UpstreamTag, time::Millis};
 
