Tell a gateway that starts which upstreams said that they leave

What an upstream says of its leaving in an answer is kept for good by the gateways that know of it; a gateway that starts had only the result, in a peer's list. The next entry that said ready brought the upstream back there until its first answer.

Who gets a gateway's first heartbeat, also after silence, sends it all starts that are known to leave, in the message that spreads them at first.

--- a/crates/valehold-core/src/fleet/registry.rs
+++ b/crates/valehold-core/src/fleet/registry.rs
@@ -382,6 +382,11 @@
         is_new
     }
 
+    /// Returns the starts that are recorded as leaving, whatever the list says.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = &UpstreamStart> {
+        self.leaving.starts()
+    }
+
     /// Removes lapsed upstreams whose grace period is over, and old records of
     /// upstreams that are no longer known.
     pub fn prune(&mut self, now: Millis) {
--- a/crates/valehold-gateway/src/control/leaving.rs
+++ b/crates/valehold-gateway/src/control/leaving.rs
@@ -1,6 +1,8 @@
 //! Handles upstreams that announce in their answers that they are leaving:
 //! informs traffic, placement and other gateways.
 
+use std::net::SocketAddr;
+
 use valehold_core::{Millis, fleet::UpstreamStart};
 
 use super::Control;
@@ -62,6 +64,17 @@
         }
     }
 
+    /// Sends all known leaving upstreams to a gateway that has just started or
+    /// come back. It knows them at most from the list, in which an entry that
+    /// is written again says that the upstream accepts requests.
+    pub(super) fn send_leaving_to(&self, peer: SocketAddr) {
+        let leaving: Vec<UpstreamStart> =
+            self.upstreams.announced_leaving().cloned().collect();
+        if !leaving.is_empty() {
+            self.send([peer], &Message::Leaving(leaving));
+        }
+    }
+
     /// Broadcasts leaving upstreams again where the repetition is due.
     pub(super) fn repeat_leaving(&mut self, now: Millis) {
         let due = self.advertised_leaving.take_due(now);
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -479,6 +479,7 @@
             Event::PeerFound { address: from }.log();
             // A peer that has just started learns of this gateway at once.
             self.send_heartbeat_to([from], now);
+            self.send_leaving_to(from);
         }
     }
 
