Gateway: connections to upstreams come through a port

Nothing changes for callers. The way to upstreams is a port now, as the store and the engines' orders are, so that a test can cut one gateway of several from all upstreams: refused, reset, or silent.

--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -12,7 +12,9 @@
     task::LocalSet,
 };
 use valehold_core::chart::library;
-use valehold_ports::port::fleet::{Dialect, FleetEngines, FleetStore};
+use valehold_ports::port::fleet::{
+    Dialect, FleetEngines, FleetStore, UpstreamConnector,
+};
 
 use crate::{
     clock::Clock,
@@ -33,6 +35,8 @@
     pub engines: Arc<dyn FleetEngines>,
     /// The format of requests and answers.
     pub dialect: Arc<dyn Dialect>,
+    /// The network over which callers' requests reach upstreams.
+    pub connector: Arc<dyn UpstreamConnector>,
 }
 
 /// A running gateway.
@@ -81,10 +85,12 @@
         spawn(name, move || control.run(started))?;
         wait_for_start(starting)?;
         let (started, starting) = std_mpsc::channel();
-        let dialect = ports.dialect;
+        let app = (shared, ports.dialect, ports.connector);
         let name = format!("traffic {instance}");
-        let traffic =
-            spawn(name, move || run_traffic(shared, dialect, started))?;
+        let traffic = spawn(name, move || {
+            let (shared, dialect, connector) = app;
+            run_traffic(shared, dialect, connector, started);
+        })?;
         wait_for_start(starting)?;
         Ok(Self { stop, seeds, traffic })
     }
@@ -192,6 +198,7 @@
 fn run_traffic(
     shared: Arc<Shared>,
     dialect: Arc<dyn Dialect>,
+    connector: Arc<dyn UpstreamConnector>,
     started: StartSender,
 ) {
     let run = || async move {
@@ -203,7 +210,8 @@
             }
         };
         let _ = started.send(Ok(()));
-        traffic::serve(App::new(shared, dialect), listeners).await;
+        let app = App::new(shared, dialect, connector);
+        traffic::serve(app, listeners).await;
     };
     if let Err(error) = block_on(run) {
         log::error!("{error}");
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -5,7 +5,7 @@
     rc::Rc, time::Duration,
 };
 
-use tokio::{net::TcpStream, time};
+use tokio::time;
 use valehold_core::{
     Millis,
     fleet::{
@@ -128,7 +128,7 @@
         let (app, address) = (app.clone(), upstream.address);
         tokio::task::spawn_local(async move {
             time::sleep(PROBE_DELAY).await;
-            let has_crashed = refuses_connections(address).await;
+            let has_crashed = refuses_connections(&app, address).await;
             let break_offs = app.pending_break_offs.take(&start);
             let is_crash =
                 has_crashed && !is_planned_shutdown(&app, &start.id);
@@ -158,8 +158,8 @@
 }
 
 /// Returns whether an address refuses connections.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connecting = TcpStream::connect(address);
+async fn refuses_connections(app: &App, address: SocketAddr) -> bool {
+    let connecting = app.connector.connect(address);
     match time::timeout(PROBE_TIMEOUT, connecting).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod answer;
 mod charge;
 mod choose;
+mod connector;
 mod crashes;
 mod dispatch;
 mod exchange;
@@ -39,6 +40,7 @@
 use bytes::Bytes;
 
 pub use self::{
+    connector::TcpConnector,
     server::{Listeners, serve},
     state::App,
 };
--- a/crates/valehold-gateway/src/traffic/pool.rs
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -1,28 +1,23 @@
 //! A pool of connections to upstreams.
 
 use std::{
-    cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration,
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time::Instant};
+use tokio::time::Instant;
 use valehold_core::{Millis, fleet::UpstreamStart};
+use valehold_ports::port::fleet::UpstreamConnector;
 
 use crate::clock::Clock;
 
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// The idle time before the first keepalive probe, and between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How long a connection is kept idle if the upstream states no time.
 const DEFAULT_IDLE: Duration = Duration::from_millis(2_500);
 
@@ -52,13 +47,17 @@
 /// suspension, and a request sent on such a connection may be lost.
 pub(super) struct Pool {
     clock: Clock,
+    connector: Arc<dyn UpstreamConnector>,
     idle: RefCell<BTreeMap<UpstreamStart, Vec<IdleConnection>>>,
 }
 
 impl Pool {
     /// Creates an empty pool.
-    pub(super) fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::default() }
+    pub(super) fn new(
+        clock: Clock,
+        connector: Arc<dyn UpstreamConnector>,
+    ) -> Self {
+        Self { clock, connector, idle: RefCell::default() }
     }
 
     /// Takes an idle connection, or opens a new one.
@@ -74,7 +73,7 @@
         if let Some(sender) = self.take_idle(upstream) {
             return Ok(Connection { sender, connect_time: None });
         }
-        let (sender, connect_time) = connect(address).await?;
+        let (sender, connect_time) = self.connect(address).await?;
         Ok(Connection { sender, connect_time: Some(connect_time) })
     }
 
@@ -133,37 +132,31 @@
             known(id) && !connections.is_empty()
         });
     }
-}
 
-/// Connects to an upstream, and returns how long it took to accept.
-async fn connect(
-    address: SocketAddr,
-) -> std::io::Result<(SendRequest<Full<Bytes>>, Duration)> {
-    let began = Instant::now();
-    let connecting = TcpStream::connect(address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    let connect_time = began.elapsed();
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
-    tokio::task::spawn_local(async move {
-        // The outcome of a request is reported with its answer, so this error
-        // is only logged.
-        if let Err(error) = connection.await {
-            log::debug!(
-                "a connection to an upstream ended with an error: {error}"
-            );
-        }
-    });
-    Ok((sender, connect_time))
+    /// Connects to an upstream, and returns how long it took to accept.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> std::io::Result<(SendRequest<Full<Bytes>>, Duration)> {
+        let began = Instant::now();
+        let connecting = self.connector.connect(address);
+        let stream =
+            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.map_err(
+                |_| std::io::Error::from(std::io::ErrorKind::TimedOut),
+            )??;
+        let connect_time = began.elapsed();
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        tokio::task::spawn_local(async move {
+            // The outcome of a request is reported with its answer, so this
+            // error is only logged.
+            if let Err(error) = connection.await {
+                log::debug!(
+                    "a connection to an upstream ended with an error: {error}"
+                );
+            }
+        });
+        Ok((sender, connect_time))
+    }
 }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -22,7 +22,7 @@
     id::{DataCentreId, ModelName, ServiceName, UpstreamId},
     prefix::PrefixHints,
 };
-use valehold_ports::port::fleet::Dialect;
+use valehold_ports::port::fleet::{Dialect, UpstreamConnector};
 
 use super::{choose::Chosen, crashes::PendingBreakOffs, pool::Pool};
 use crate::{mechanisms::MechanismSettings, shared::Shared, view::Load};
@@ -45,6 +45,8 @@
     pub shared: Arc<Shared>,
     /// The wire format of requests and answers.
     pub dialect: Arc<dyn Dialect>,
+    /// Opens connections to upstreams.
+    pub(super) connector: Arc<dyn UpstreamConnector>,
     /// When this gateway started.
     started: Millis,
     pub(super) pool: Pool,
@@ -60,12 +62,17 @@
 
 impl App {
     /// Creates the state of a gateway that has served no requests.
-    pub fn new(shared: Arc<Shared>, dialect: Arc<dyn Dialect>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        dialect: Arc<dyn Dialect>,
+        connector: Arc<dyn UpstreamConnector>,
+    ) -> Self {
         Self {
             started: shared.clock.now(),
-            pool: Pool::new(shared.clock),
+            pool: Pool::new(shared.clock, connector.clone()),
             shared,
             dialect,
+            connector,
             pending_break_offs: PendingBreakOffs::default(),
             health: RefCell::default(),
             paces: RefCell::default(),
--- a/crates/valehold-instance/src/gateway.rs
+++ b/crates/valehold-instance/src/gateway.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use valehold_gateway::{
     FileSettings, Gateway, Ports, Settings, events::Event,
+    traffic::TcpConnector,
 };
 use valehold_instance::{
     Error,
@@ -69,6 +70,7 @@
         store: Arc::new(PlatformStore::new(settings.platform.store)),
         engines: Arc::new(PlatformEngines::new()),
         dialect: Arc::new(PlatformDialect),
+        connector: Arc::new(TcpConnector),
     };
     let gateway = Gateway::start(settings, ports)
         .map_err(|e| Error::new("starting a gateway", e))?;
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -1,11 +1,15 @@
 //! A platform that keeps the configuration, lists upstreams, and holds the
 //! lease; engines that take orders; and the headers that all of them use.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncWrite};
 use valehold_core::{
     fleet::{
         Catalog, EvacuationUpdate, Holding, Listing, Upstream, Variant,
@@ -263,6 +267,20 @@
     fn order<'a>(&'a self, order: &'a EngineOrder) -> Answer<'a, OrderAnswer>;
 }
 
+/// A connection to an upstream.
+pub trait UpstreamStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> UpstreamStream for T {}
+
+/// Opens connections to upstreams.
+pub trait UpstreamConnector: Send + Sync {
+    /// Connects to the address of an upstream. The caller limits the time.
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> BoxFuture<'_, io::Result<Box<dyn UpstreamStream>>>;
+}
+
 /// What a caller's request says of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CallerRequest {
