Gateway: say when its own links reach no upstream, and why no connection was made

A cut of a gateway from all upstreams could be told from failed upstreams only by comparing the logs of several gateways. upstream_links_lost and upstream_links_regained say it at once, the gauge valehold_upstream_links_lost counts it, and the line of a request names the error of each send that was not sent. No decision changes.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 pub mod paces;
 pub mod path_cost;
 pub mod peak_demand;
+pub mod reachability;
 pub mod recent;
 pub mod registry;
 pub mod rejections;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -18,6 +18,7 @@
 mod paces;
 mod path_cost;
 mod peak_demand;
+mod reachability;
 mod registry;
 mod rejections;
 mod replicas;
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -152,10 +152,13 @@
         let rest = self.rest_ms.map_or_else(String::new, |ms| {
             format!("; it asked for {ms} ms of rest")
         });
+        let error = self.connect_error.as_ref();
+        let error =
+            error.map_or_else(String::new, |error| format!(": {error}"));
         format!(
             "  send {number} to {} at {} ms: {} requests under way there, \
              {} tokens waiting, {} to read; first event predicted after {} \
-             ms, {first}; {end}{rest}\n",
+             ms, {first}; {end}{error}{rest}\n",
             self.upstream,
             self.at_ms,
             self.running,
@@ -272,6 +275,15 @@
             Self::UpstreamUnreachable { upstream, error } => {
                 format!("{upstream} cannot be reached: {error}\n")
             }
+            Self::UpstreamLinksLost { unreachable, error } => {
+                format!(
+                    "the own links reach no upstream: {unreachable} failed, \
+                     the last one with {error}\n"
+                )
+            }
+            Self::UpstreamLinksRegained { after_ms } => {
+                format!("an upstream is reached again after {after_ms} ms\n")
+            }
             Self::UpstreamCrashed { upstream, under_way } => {
                 format!(
                     "{upstream} crashed; requests here without any output: \
@@ -354,6 +366,8 @@
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
             Self::Suspended { .. }
+            | Self::UpstreamLinksLost { .. }
+            | Self::UpstreamLinksRegained { .. }
             | Self::EvacuationOrdered { .. }
             | Self::EvacuationInForce { .. }
             | Self::EvacuationLeavesNone { .. }
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -95,6 +95,10 @@
     LoadsHeldBack = "loads_held_back",
     /// An upstream could not be connected to.
     UpstreamUnreachable = "upstream_unreachable",
+    /// The gateway's own links reach no upstream.
+    UpstreamLinksLost = "upstream_links_lost",
+    /// The gateway's own links reach an upstream again.
+    UpstreamLinksRegained = "upstream_links_regained",
     /// The store was restored from an older copy.
     StoreRestored = "store_restored",
     /// The store no longer has the history after a version.
@@ -341,6 +345,19 @@
         /// The connection error.
         error: String,
     },
+    /// The gateway's own links reach no upstream: connections to several
+    /// failed, and none was accepted in between.
+    UpstreamLinksLost {
+        /// The number of upstreams to which connections failed.
+        unreachable: usize,
+        /// The last connection error.
+        error: String,
+    },
+    /// The gateway's own links reach an upstream again.
+    UpstreamLinksRegained {
+        /// How long the links were lost, in ms.
+        after_ms: u64,
+    },
     /// The store was restored from an older copy of its data: all later
     /// writes are lost.
     StoreRestored {
@@ -478,6 +495,10 @@
             Self::OrderEnded { .. } => EventKind::OrderEnded,
             Self::LoadsHeldBack { .. } => EventKind::LoadsHeldBack,
             Self::UpstreamUnreachable { .. } => EventKind::UpstreamUnreachable,
+            Self::UpstreamLinksLost { .. } => EventKind::UpstreamLinksLost,
+            Self::UpstreamLinksRegained { .. } => {
+                EventKind::UpstreamLinksRegained
+            }
             Self::StoreRestored { .. } => EventKind::StoreRestored,
             Self::HistoryGone { .. } => EventKind::HistoryGone,
             Self::ListLeftOut { .. } => EventKind::ListLeftOut,
@@ -499,6 +520,7 @@
         match self {
             Self::RequestEnded(ended) => ended.level(),
             Self::SettingsKept { .. }
+            | Self::UpstreamLinksLost { .. }
             | Self::LoadsHeldBack { .. }
             | Self::EmptyBounds { .. }
             | Self::EvacuationLeavesNone { .. } => log::Level::Warn,
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -53,6 +53,9 @@
     pub first_ms: Option<u64>,
     /// The outcome of the send.
     pub end: SendEnd,
+    /// Why no connection to the upstream could be made.
+    #[serde(default)]
+    pub connect_error: Option<String>,
     /// The backoff that the upstream requested when it rejected the request.
     #[serde(default)]
     pub rest_ms: Option<u64>,
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -97,6 +97,7 @@
     leaving: Counter<u64>,
     backoffs: Counter<u64>,
     upstream_limits: Counter<u64>,
+    upstream_links_lost: Gauge<u64>,
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
@@ -152,6 +153,10 @@
                 "valehold_upstream_limits",
                 "Limits of requests that upstreams named, and their ends.",
             ),
+            upstream_links_lost: gauge(
+                "valehold_upstream_links_lost",
+                "1 while the gateway's own links reach no upstream.",
+            ),
             peer_bytes: counter(
                 "valehold_peer_bytes",
                 "Bytes of datagrams sent to other gateways.",
@@ -251,6 +256,11 @@
             .add(1, &[change, KeyValue::new("source", source.label())]);
     }
 
+    /// Records whether the gateway's own links reach no upstream.
+    pub fn upstream_links_lost(&self, are_lost: bool) {
+        self.upstream_links_lost.record(u64::from(are_lost), &[]);
+    }
+
     /// Counts the bytes of a message that was sent to another gateway.
     pub fn sent_to_peer(&self, message: &'static str, bytes: u64) {
         let message = KeyValue::new("message", message);
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod crashes;
 mod dispatch;
 mod exchange;
+mod links;
 mod permits;
 mod pool;
 mod record;
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -69,6 +69,7 @@
             read_tokens: chosen.read_tokens,
             first_ms: None,
             end: SendEnd::UnderWay,
+            connect_error: None,
             rest_ms: None,
         });
     }
@@ -84,6 +85,8 @@
     /// Records that the last send failed.
     pub(super) fn record_failure(&mut self, failure: &SendFailure) {
         if let Some(send) = self.sends.last_mut() {
+            send.connect_error =
+                failure.connect_error.map(|kind| kind.to_string());
             send.rest_ms =
                 failure.backoff.map(|rest| Millis::from(rest).get());
             send.end = match failure.rejection {
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an upstream, and evaluates the head of the answer.
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -57,6 +57,8 @@
     pub(super) rejection: Option<Rejection>,
     /// Whether the connection ended before any output arrived.
     pub(super) cut_off: bool,
+    /// Why no connection could be made.
+    pub(super) connect_error: Option<ErrorKind>,
 }
 
 impl SendFailure {
@@ -69,9 +71,15 @@
             backoff: None,
             rejection: None,
             cut_off: false,
+            connect_error: None,
         }
     }
 
+    /// Nothing was sent, since no connection could be made.
+    fn unconnected(error: ErrorKind) -> Self {
+        Self { connect_error: Some(error), ..Self::not_sent() }
+    }
+
     /// Nothing was sent, since the upstream may no longer be sent to.
     fn withheld(reason: RetryReason) -> Self {
         Self { reason, ..Self::not_sent() }
@@ -95,7 +103,7 @@
             reason: RetryReason::RefusedByUpstream,
             backoff,
             rejection: Some(why),
-            cut_off: false,
+            ..Self::not_sent()
         }
     }
 
@@ -105,9 +113,7 @@
             verdict: Verdict::MayHaveRun,
             arrived: true,
             reason: RetryReason::FailedBeforeOutput,
-            backoff: None,
-            rejection: None,
-            cut_off: false,
+            ..Self::not_sent()
         }
     }
 
@@ -156,15 +162,18 @@
     for _ in 0..MAX_CLOSED {
         let taken = app.pool.take(&upstream.start(), upstream.address).await;
         let mut connection = taken.map_err(|error| {
+            let start = upstream.start();
+            let kind = error.kind();
+            app.record_unconnected(&start, &error);
             let upstream_id = upstream.id.clone();
             let error = error.to_string();
             Event::UpstreamUnreachable { upstream: upstream_id, error }.log();
-            let start = upstream.start();
             app.update_health(&start, |h, now| h.record_unreachable(now));
             permits::on_possible_restart(app, job, upstream);
-            SendFailure::not_sent()
+            SendFailure::unconnected(kind)
         })?;
         if let Some(connect_time) = connection.connect_time {
+            app.record_connected(&upstream.start());
             app.record_connect_time(&upstream.data_centre, connect_time);
         }
         // Connecting takes time, and the machine may have been suspended
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -15,6 +15,7 @@
         pace::Pace,
         paces::{LogRatio, PaceObservation},
         path_cost::{PathCost, PathLatencies},
+        reachability::Reachability,
         rejections::{RecentRejections, Rejection},
         retry_share::RetryShare,
         slot_time::SlotTimes,
@@ -58,6 +59,7 @@
     rejections: RefCell<RecentRejections>,
     slot_times: RefCell<SlotTimes>,
     path_latencies: RefCell<PathLatencies>,
+    pub(super) reachability: RefCell<Reachability>,
 }
 
 impl App {
@@ -84,6 +86,7 @@
             rejections: RefCell::default(),
             slot_times: RefCell::default(),
             path_latencies: RefCell::default(),
+            reachability: RefCell::default(),
         }
     }
 
@@ -211,6 +214,7 @@
         self.health.borrow_mut().retain(|id, _| is_current(id));
         self.paces.borrow_mut().retain(|id, _| is_current(id));
         self.rejections.borrow_mut().prune(is_current, now);
+        self.reachability.borrow_mut().prune(is_current);
         self.slot_times.borrow_mut().prune(now);
         let is_listed = |id: &UpstreamId| listing.upstreams.contains_key(id);
         self.shared.cold().prune(is_listed, now);
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -88,6 +88,8 @@
             upstream: UpstreamId::new("e1"),
             error: error(),
         },
+        Event::UpstreamLinksLost { unreachable: 3, error: error() },
+        Event::UpstreamLinksRegained { after_ms: 12_000 },
         Event::StoreRestored { era: 2, before: 1 },
         Event::HistoryGone { call: "watch_upstreams".to_owned(), after: 120 },
         Event::ListLeftOut { version: 95, known: 120 },
@@ -170,6 +172,7 @@
             read_tokens: 50,
             first_ms: None,
             end: SendEnd::Busy,
+            connect_error: None,
             rest_ms: Some(3_000),
         }],
     }
