Serve callers of a gateway that lost its links through other gateways

Cause: a gateway's own links were its only way to upstreams. Each request was sent to three or four upstreams, every send failed with connection refused within 6 ms (or timed out after 300 ms), and nothing else was left to try. The class: what a peer can do is not used when the own way fails.

Change: Reachability tells lost links from failed upstreams by attempts to connect alone, and probes them; connections are then opened through another gateway (HTTP CONNECT to peers.tunnels), which connects to listed upstreams and copies bytes. Decisions, budgets and verdicts stay where they were.

Why it holds: nothing depends on which links are cut, only on one gateway inside the request's bound reaching the upstream; the tests cut one, two, and then the ones that helped.

--- a/crates/valehold-core/src/fleet/reachability.rs
+++ b/crates/valehold-core/src/fleet/reachability.rs
@@ -15,6 +15,13 @@
 /// machine may fail together.
 const LOST_AFTER_UPSTREAMS: usize = 3;
 
+/// How long a failed attempt to connect to an upstream counts, in ms.
+const FAILURE_LIFETIME_MS: u64 = 3_000;
+
+/// How long an upstream has to be silent before it is probed, in ms. The
+/// answers of a slow upstream to other requests show that the link works.
+const SILENT_MS: u64 = 400;
+
 /// A change of the state of the links.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkChange {
@@ -30,12 +37,31 @@
     },
 }
 
+/// The way by which a connection to an upstream is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionPath {
+    /// Over this instance's own links.
+    Direct,
+    /// Through another instance that reaches the upstream.
+    ViaPeer,
+}
+
+/// What is known of the link to one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Link {
+    /// When the upstream last answered or accepted a connection.
+    heard_at: Option<Millis>,
+    /// When the last attempt to connect failed, if it did.
+    failed_at: Option<Millis>,
+    needs_probe: bool,
+}
+
 /// The results of an instance's own attempts to connect to upstreams.
 #[derive(Debug, Clone, Default)]
 pub struct Reachability {
-    /// The last failed attempt for each upstream whose last attempt failed.
-    failed: BTreeMap<UpstreamStart, Millis>,
-    last_success: Option<Millis>,
+    links: BTreeMap<UpstreamStart, Link>,
+    /// When any upstream last accepted a connection.
+    connected_at: Option<Millis>,
     lost_since: Option<Millis>,
 }
 
@@ -47,11 +73,14 @@
         upstream: &UpstreamStart,
         now: Millis,
     ) -> Option<LinkChange> {
-        self.last_success = Some(now);
-        self.failed.remove(upstream);
+        self.connected_at = Some(now);
+        let link = self.link(upstream);
+        *link = Link { heard_at: Some(now), ..Link::default() };
         let lost_since = self.lost_since.take()?;
         // The failures while the links were lost say nothing about upstreams.
-        self.failed.clear();
+        for link in self.links.values_mut() {
+            link.failed_at = None;
+        }
         Some(LinkChange::Regained { after_ms: now.since(lost_since) })
     }
 
@@ -63,10 +92,10 @@
         listed: usize,
         now: Millis,
     ) -> Option<LinkChange> {
-        self.failed.insert(upstream.clone(), now);
-        let since = self.last_success;
-        let after_success = |at: &&Millis| since.is_none_or(|s| **at > s);
-        let unreachable = self.failed.values().filter(after_success).count();
+        let link = self.link(upstream);
+        link.failed_at = Some(now);
+        link.needs_probe = false;
+        let unreachable = self.unreachable(now);
         let needed = LOST_AFTER_UPSTREAMS.min(listed).max(1);
         if self.lost_since.is_some() || unreachable < needed {
             return None;
@@ -75,14 +104,79 @@
         Some(LinkChange::Lost { unreachable })
     }
 
+    /// Records that an upstream answered over this instance's own links. Open
+    /// connections may work while no new ones can be made.
+    pub fn record_answer(&mut self, upstream: &UpstreamStart, now: Millis) {
+        self.link(upstream).heard_at = Some(now);
+    }
+
+    /// Records that an upstream did not answer in time, or that a connection
+    /// to it is needed. The link is probed, unless the upstream was heard from
+    /// meanwhile.
+    pub fn request_probe(&mut self, upstream: &UpstreamStart, now: Millis) {
+        let link = self.link(upstream);
+        let is_silent =
+            link.heard_at.is_none_or(|at| now.since(at) >= SILENT_MS);
+        link.needs_probe |= is_silent;
+    }
+
+    /// Removes and returns some of the upstreams to probe. While the links are
+    /// lost, at least one upstream is probed: other instances may ask for the
+    /// links of this one, which may get no requests of its own.
+    pub fn take_probes(&mut self, max: usize) -> Vec<UpstreamStart> {
+        let needed = self.links.iter_mut().filter(|(_, l)| l.needs_probe);
+        let mut probes: Vec<UpstreamStart> = needed
+            .take(max)
+            .map(|(upstream, link)| {
+                link.needs_probe = false;
+                upstream.clone()
+            })
+            .collect();
+        if self.is_lost() && probes.is_empty() {
+            let failed_first =
+                self.links.iter().min_by_key(|(_, link)| link.failed_at);
+            probes.extend(failed_first.map(|(upstream, _)| upstream.clone()));
+        }
+        probes
+    }
+
+    /// Returns the way by which to open the next connection to an upstream.
+    pub fn path_to(
+        &self,
+        upstream: &UpstreamStart,
+        now: Millis,
+    ) -> ConnectionPath {
+        let failed_at = self.links.get(upstream).and_then(|l| l.failed_at);
+        let has_failed =
+            failed_at.is_some_and(|at| now.since(at) < FAILURE_LIFETIME_MS);
+        match has_failed || self.is_lost() {
+            true => ConnectionPath::ViaPeer,
+            false => ConnectionPath::Direct,
+        }
+    }
+
     /// Returns whether no upstream can be connected to over this instance's
     /// own links.
     pub const fn is_lost(&self) -> bool {
         self.lost_since.is_some()
     }
 
-    /// Removes the attempts for upstreams for which `known` returns `false`.
+    /// Removes the links to upstreams for which `known` returns `false`.
     pub fn prune(&mut self, known: impl Fn(&UpstreamStart) -> bool) {
-        self.failed.retain(|upstream, _| known(upstream));
+        self.links.retain(|upstream, _| known(upstream));
+    }
+
+    fn link(&mut self, upstream: &UpstreamStart) -> &mut Link {
+        self.links.entry(upstream.clone()).or_default()
+    }
+
+    /// Returns the number of upstreams to which connections failed lately,
+    /// and since any upstream accepted one.
+    fn unreachable(&self, now: Millis) -> usize {
+        let failures = self.links.values().filter_map(|link| link.failed_at);
+        let is_recent = |at: &Millis| now.since(*at) < FAILURE_LIFETIME_MS;
+        let after_success =
+            |at: &Millis| self.connected_at.is_none_or(|since| *at > since);
+        failures.filter(is_recent).filter(after_success).count()
     }
 }
--- a/crates/valehold-gateway/src/gateway.rs
+++ b/crates/valehold-gateway/src/gateway.rs
@@ -226,7 +226,12 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
+    let tunnels = match settings.peers.tunnels {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
     Ok(traffic::Listeners {
+        tunnels,
         requests: bind(callers.requests).await?,
         ready: bind(callers.ready).await?,
         addresses: bind(callers.addresses).await?,
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -98,6 +98,7 @@
     backoffs: Counter<u64>,
     upstream_limits: Counter<u64>,
     upstream_links_lost: Gauge<u64>,
+    tunnels: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
@@ -153,6 +154,10 @@
                 "valehold_upstream_limits",
                 "Limits of requests that upstreams named, and their ends.",
             ),
+            tunnels: counter(
+                "valehold_tunnels",
+                "Tunnels to upstreams asked of other gateways.",
+            ),
             upstream_links_lost: gauge(
                 "valehold_upstream_links_lost",
                 "1 while the gateway's own links reach no upstream.",
@@ -256,6 +261,11 @@
             .add(1, &[change, KeyValue::new("source", source.label())]);
     }
 
+    /// Counts a tunnel that another gateway was asked for, by its outcome.
+    pub fn tunnel_opened(&self, outcome: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records whether the gateway's own links reach no upstream.
     pub fn upstream_links_lost(&self, are_lost: bool) {
         self.upstream_links_lost.record(u64::from(are_lost), &[]);
--- a/crates/valehold-gateway/src/settings.rs
+++ b/crates/valehold-gateway/src/settings.rs
@@ -96,6 +96,12 @@
     /// The TCP address at which peers read the configuration and the list of
     /// upstreams.
     pub state: SocketAddr,
+    /// The TCP address at which the gateway accepts tunnels: other gateways
+    /// that have lost their links to upstreams reach them through this one.
+    /// All gateways use the same port. If it is absent, the gateway opens and
+    /// accepts no tunnels.
+    #[serde(default)]
+    pub tunnels: Option<SocketAddr>,
     /// State addresses of other gateways; some may be stale.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, watch};
 use valehold_core::{
+    Millis,
     fleet::{
         BoundVariant, UpstreamStart,
         backoff::UpstreamBackoffs,
@@ -110,6 +111,8 @@
     leaving: mpsc::Sender<UpstreamStart>,
     limit_answers: mpsc::Sender<AnswerEffect>,
     life: watch::Sender<Life>,
+    /// Since when this gateway's own links reach no upstream.
+    links_lost_since: Mutex<Option<Millis>>,
 }
 
 impl Shared {
@@ -152,6 +155,7 @@
             leaving,
             limit_answers,
             life: watch::Sender::new(Life::Starting),
+            links_lost_since: Mutex::default(),
             settings,
         };
         (
@@ -313,6 +317,23 @@
         self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets since when this gateway's own links reach no upstream.
+    pub fn set_links_lost(&self, since: Option<Millis>) {
+        self.metrics.upstream_links_lost(since.is_some());
+        *self.lock_links_lost() = since;
+    }
+
+    /// Returns for how long this gateway's own links have reached no upstream,
+    /// in ms; `None` if they reach one.
+    pub fn links_lost_ms(&self, now: Millis) -> Option<u64> {
+        self.lock_links_lost().map(|since| now.since(since))
+    }
+
+    fn lock_links_lost(&self) -> MutexGuard<'_, Option<Millis>> {
+        // A single value, so any that a panic left is valid.
+        self.links_lost_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets this gateway's phase of life.
     pub fn set_life(&self, life: Life) {
         self.life.send_replace(life);
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -17,8 +17,9 @@
 use super::{
     Body, BrokenOff,
     exchange::{Exchange, ReceivedAnswer},
+    pool::Reuse,
     route::Job,
-    send::{BegunAnswer, Reuse, SendFailure},
+    send::{BegunAnswer, SendFailure},
     state::{App, InFlightGuard},
 };
 use crate::view::Life;
@@ -151,7 +152,7 @@
             app.record_slot_time(&variant.model, took_ms);
         }
         if let (Some(sender), Some(reuse)) = (self.sender.take(), self.reuse) {
-            app.pool.put_back(&self.upstream.start(), sender, reuse.stated);
+            app.pool.put_back(&self.upstream.start(), sender, reuse);
         }
     }
 
@@ -178,7 +179,7 @@
             let reading = relay.next(&app, &mut order);
             let read = self
                 .exchange
-                .wait_for_upstream(&start.id, MAX_PAUSE, reading)
+                .wait_for_upstream(&start, MAX_PAUSE, reading)
                 .await;
             self.exchange.order = order;
             match read {
--- a/crates/valehold-gateway/src/traffic/dispatch.rs
+++ b/crates/valehold-gateway/src/traffic/dispatch.rs
@@ -31,6 +31,8 @@
     Own,
     /// Metrics.
     Metrics,
+    /// Tunnels of other gateways.
+    Tunnels,
 }
 
 /// Answers one request.
@@ -42,6 +44,7 @@
     Ok(match listener {
         Listener::Requests => forward(app, request).await,
         Listener::Own => answer_own_call(&app, &request),
+        Listener::Tunnels => plain(StatusCode::NOT_FOUND, ""),
         Listener::Metrics => {
             plain(StatusCode::OK, app.shared.metrics.render())
         }
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -53,7 +53,7 @@
     let reading = Limited::new(begun.body, MAX_ANSWER_BYTES).collect();
     let collected = reading.await.map_err(|_| SendFailure::cut_off())?;
     if let Some(reuse) = begun.reuse {
-        app.pool.put_back(&upstream.start(), begun.sender, reuse.stated);
+        app.pool.put_back(&upstream.start(), begun.sender, reuse);
     }
     Ok(collected.to_bytes())
 }
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -154,7 +154,7 @@
         if self.sends == 0 {
             app.record_first_send(&self.job.service_name);
         }
-        let id = &chosen.upstream.id;
+        let start = chosen.upstream.start();
         self.keep_charge(true);
         self.record.record_send(chosen);
         let mut order = self.order;
@@ -166,7 +166,7 @@
         let cancelled =
             crashes::until_cancelled(&app, &self.job, upstream, self.sent_at);
         let begun = tokio::select! {
-            begun = self.wait_for_upstream(id, timeout, beginning) => begun,
+            begun = self.wait_for_upstream(&start, timeout, beginning) => begun,
             () = cancelled => None,
         };
         let begun = begun.ok_or_else(SendFailure::broken)??;
@@ -232,7 +232,7 @@
     /// another upstream can take over the request, or at the deadline.
     pub(super) async fn wait_for_upstream<F: Future>(
         &self,
-        upstream: &UpstreamId,
+        upstream: &UpstreamStart,
         timeout: Duration,
         waiting: F,
     ) -> Option<F::Output> {
@@ -246,7 +246,8 @@
             if result.is_some() {
                 return result;
             }
-            if self.left().is_zero() || self.can_switch_from(upstream) {
+            self.app.request_link_probe(upstream);
+            if self.left().is_zero() || self.can_switch_from(&upstream.id) {
                 return None;
             }
         }
@@ -312,10 +313,13 @@
         // An expired permit or a backoff is no failure of the upstream, which
         // may become available again. Excluding the upstream here would refuse
         // the request as failed if no other upstream is available.
-        let may_try_again = matches!(
-            failure.reason,
-            RetryReason::RightOver | RetryReason::UpstreamResting
-        );
+        // An upstream that only this gateway cannot reach is the last choice,
+        // through another gateway.
+        let may_try_again = failure.may_use_peer
+            || matches!(
+                failure.reason,
+                RetryReason::RightOver | RetryReason::UpstreamResting
+            );
         if !may_try_again {
             self.exclude(&start.id, failure.arrived);
         }
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -8,6 +8,8 @@
 //! - `charge` charges the request against the limit of its workspace.
 //! - `choose` chooses an upstream.
 //! - `permits` acquires a send permit if the upstream requires one.
+//! - `connect` provides the connection: over the gateway's own links (`links`),
+//!   or through another gateway (`tunnel`) if those have failed.
 //! - `send` sends the request to the upstream.
 //! - `signals` records what the answer states about the upstream: a shutdown, a
 //!   backoff or a request limit.
@@ -20,6 +22,7 @@
 mod answer;
 mod charge;
 mod choose;
+mod connect;
 mod connector;
 mod crashes;
 mod dispatch;
@@ -35,6 +38,7 @@
 mod server;
 mod signals;
 mod state;
+mod tunnel;
 
 use std::{convert::Infallible, pin::Pin};
 
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an upstream, and evaluates the head of the answer.
 
-use std::{io::ErrorKind, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{
@@ -17,7 +17,10 @@
 use valehold_ports::port::fleet::Sending;
 
 use super::{
-    permits, retry_after,
+    connect::{ConnectError, connect},
+    permits,
+    pool::Reuse,
+    retry_after,
     route::Job,
     signals::{self, UpstreamSignals},
     state::App,
@@ -59,6 +62,8 @@
     pub(super) cut_off: bool,
     /// Why no connection could be made.
     pub(super) connect_error: Option<ErrorKind>,
+    /// Whether another gateway may reach the upstream and was not asked.
+    pub(super) may_use_peer: bool,
 }
 
 impl SendFailure {
@@ -72,12 +77,17 @@
             rejection: None,
             cut_off: false,
             connect_error: None,
+            may_use_peer: false,
         }
     }
 
     /// Nothing was sent, since no connection could be made.
-    fn unconnected(error: ErrorKind) -> Self {
-        Self { connect_error: Some(error), ..Self::not_sent() }
+    fn unconnected(failure: &ConnectError) -> Self {
+        Self {
+            connect_error: Some(failure.error.kind()),
+            may_use_peer: failure.may_use_peer,
+            ..Self::not_sent()
+        }
     }
 
     /// Nothing was sent, since the upstream may no longer be sent to.
@@ -128,17 +138,10 @@
     pub(super) head: Parts,
     pub(super) body: Incoming,
     pub(super) sender: SendRequest<Full<Bytes>>,
-    /// For how long the connection may be reused; `None` if it is closed.
+    /// How the connection may be reused; `None` if it is closed.
     pub(super) reuse: Option<Reuse>,
 }
 
-/// How long a connection may stay idle for reuse after its answer.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Reuse {
-    /// The idle time that the upstream stated, if any.
-    pub(super) stated: Option<Duration>,
-}
-
 /// Sends a request, and waits for the head of the answer.
 pub(super) async fn send(
     app: &App,
@@ -160,20 +163,10 @@
     // another attempt on a second connection.
     let mut is_cleared = false;
     for _ in 0..MAX_CLOSED {
-        let taken = app.pool.take(&upstream.start(), upstream.address).await;
-        let mut connection = taken.map_err(|error| {
-            let start = upstream.start();
-            let kind = error.kind();
-            app.record_unconnected(&start, &error);
-            let upstream_id = upstream.id.clone();
-            let error = error.to_string();
-            Event::UpstreamUnreachable { upstream: upstream_id, error }.log();
-            app.update_health(&start, |h, now| h.record_unreachable(now));
-            permits::on_possible_restart(app, job, upstream);
-            SendFailure::unconnected(kind)
-        })?;
+        let mut connection = connect(app, job, upstream)
+            .await
+            .map_err(|error| on_unconnected(app, job, upstream, &error))?;
         if let Some(connect_time) = connection.connect_time {
-            app.record_connected(&upstream.start());
             app.record_connect_time(&upstream.data_centre, connect_time);
         }
         // Connecting takes time, and the machine may have been suspended
@@ -200,7 +193,8 @@
         let answering = connection.sender.try_send_request(request);
         match answering.await {
             Ok(answer) => {
-                let answer = NumberedAnswer { answer, limit_number };
+                let via = connection.via;
+                let answer = NumberedAnswer { answer, limit_number, via };
                 return evaluate_head(
                     app,
                     job,
@@ -212,9 +206,7 @@
             Err(mut error) => match error.take_message() {
                 // The request was never written: the reused connection was
                 // already closed.
-                Some(unsent) if connection.connect_time.is_none() => {
-                    request = unsent
-                }
+                Some(unsent) if connection.is_reused => request = unsent,
                 Some(_) => return Err(SendFailure::not_sent()),
                 None => {
                     log::debug!(
@@ -231,6 +223,23 @@
     Err(SendFailure::not_sent())
 }
 
+/// Records that there is no connection to an upstream.
+fn on_unconnected(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+    failure: &ConnectError,
+) -> SendFailure {
+    let (id, error) = (upstream.id.clone(), failure.error.to_string());
+    Event::UpstreamUnreachable { upstream: id, error }.log();
+    if failure.may_be_upstream {
+        let start = upstream.start();
+        app.update_health(&start, |h, now| h.record_unreachable(now));
+        permits::on_possible_restart(app, job, upstream);
+    }
+    SendFailure::unconnected(failure)
+}
+
 fn write_request(job: &Job) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.head.method.clone();
@@ -272,6 +281,8 @@
     answer: Response<Incoming>,
     /// The number of the upstream's limit.
     limit_number: u64,
+    /// The gateway whose tunnel the answer came through, if any.
+    via: Option<SocketAddr>,
 }
 
 /// Decides by the head of an answer whether the answer can be passed on.
@@ -283,6 +294,7 @@
     sender: SendRequest<Full<Bytes>>,
 ) -> Result<BegunAnswer, SendFailure> {
     let (mut head, body) = answered.answer.into_parts();
+    let is_unbounded = ends_with_connection(&head.headers);
     let stated = app.dialect.read_answer(head.status, &head.headers);
     let signals = |backoff| UpstreamSignals {
         leaving: stated.leaving,
@@ -305,8 +317,14 @@
         }
         return Err(SendFailure::refused(why, backoff));
     }
+    if answered.via.is_none() {
+        app.record_heard(&upstream.start());
+    }
+    // A gateway that ends closes its tunnels, which must not look like the end
+    // of an answer.
     let is_invalid = head.headers.contains_key(header::CONTENT_ENCODING)
-        || (head.status.is_success() && !stated.signed);
+        || (head.status.is_success() && !stated.signed)
+        || (answered.via.is_some() && is_unbounded);
     if is_invalid {
         return Err(SendFailure::broken());
     }
@@ -325,10 +343,17 @@
         .any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     strip(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let reuse = (!closes).then_some(Reuse { stated: stated.rest });
+    let (stated, via) = (stated.rest, answered.via);
+    let reuse = (!closes).then_some(Reuse { stated, via });
     Ok(BegunAnswer { head, body, sender, reuse })
 }
 
+/// Returns whether only the end of the connection ends the body of an answer.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether an answer with a status may request a backoff.
 fn may_request_backoff(status: StatusCode) -> bool {
     matches!(
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections, and shuts down without cutting off a request.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -11,7 +11,7 @@
 
 use valehold_core::Millis;
 
-use super::{App, dispatch, dispatch::Listener};
+use super::{App, dispatch, dispatch::Listener, links, tunnel};
 use crate::view::Life;
 
 /// How long a connection may stay idle while no configuration is loaded.
@@ -46,6 +46,8 @@
     pub addresses: TcpListener,
     /// For metrics.
     pub metrics: Option<TcpListener>,
+    /// For the tunnels of other gateways.
+    pub tunnels: Option<TcpListener>,
 }
 
 /// The interval at which a stop polls for open connections, and the pause
@@ -90,11 +92,13 @@
         open: OpenConnections::default(),
         life,
     };
-    tokio::task::spawn_local(prune_periodically(app));
+    tokio::task::spawn_local(prune_periodically(app.clone()));
+    tokio::task::spawn_local(links::probe_periodically(app));
     let others = [
         (Some(listeners.ready), Listener::Own),
         (Some(listeners.addresses), Listener::Own),
         (listeners.metrics, Listener::Metrics),
+        (listeners.tunnels, Listener::Tunnels),
     ];
     for (socket, kind) in others {
         if let Some(socket) = socket {
@@ -154,14 +158,16 @@
     fn serve(&self, stream: TcpStream, listener: Listener) {
         // Sends each event of a stream without delay (no Nagle batching).
         let _ = stream.set_nodelay(true);
+        let stream = TokioIo::new(stream);
+        if listener == Listener::Tunnels {
+            self.serve_tunnel(stream);
+            return;
+        }
         let app = self.app.clone();
         let service = service_fn(move |request| {
             dispatch::answer(app.clone(), listener, request)
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.idle_timeout())
-            .serve_connection(TokioIo::new(stream), service);
+        let connection = self.http().serve_connection(stream, service);
         let open = self.open.enter();
         let mut life = self.life.clone();
         tokio::task::spawn_local(async move {
@@ -182,6 +188,33 @@
         });
     }
 
+    /// Serves a connection over which another gateway asks for a tunnel. The
+    /// tunnel counts as an open connection until its end.
+    fn serve_tunnel(&self, stream: TokioIo<TcpStream>) {
+        let (app, open) = (self.app.clone(), self.open.clone());
+        let service = service_fn(move |request| {
+            let (app, guard) = (app.clone(), open.enter());
+            async move {
+                Ok::<_, Infallible>(tunnel::answer(app, request, guard).await)
+            }
+        });
+        let connection =
+            self.http().serve_connection(stream, service).with_upgrades();
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a tunnel's connection failed: {error}");
+            }
+        });
+    }
+
+    fn http(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.idle_timeout());
+        builder
+    }
+
     /// Returns how long a connection may stay idle, or take to send the head
     /// of a request.
     fn idle_timeout(&self) -> Duration {
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -3,6 +3,8 @@
 use std::{
     cell::{RefCell, RefMut},
     collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -25,7 +27,9 @@
 };
 use valehold_ports::port::fleet::{Dialect, UpstreamConnector};
 
-use super::{choose::Chosen, crashes::PendingBreakOffs, pool::Pool};
+use super::{
+    choose::Chosen, crashes::PendingBreakOffs, pool::Pool, tunnel::TunnelPeers,
+};
 use crate::{mechanisms::MechanismSettings, shared::Shared, view::Load};
 
 /// How long a hint about an engine's cached prompts is kept, in ms.
@@ -51,6 +55,9 @@
     /// When this gateway started.
     started: Millis,
     pub(super) pool: Pool,
+    pub(super) tunnel_peers: TunnelPeers,
+    /// One reference for each tunnel that is open, besides this one.
+    pub(super) open_tunnels: Rc<()>,
     pub(super) pending_break_offs: PendingBreakOffs,
     health: RefCell<BTreeMap<UpstreamStart, Health>>,
     paces: RefCell<BTreeMap<UpstreamStart, Pace>>,
@@ -71,10 +78,12 @@
     ) -> Self {
         Self {
             started: shared.clock.now(),
-            pool: Pool::new(shared.clock, connector.clone()),
+            pool: Pool::new(shared.clock),
             shared,
             dialect,
             connector,
+            tunnel_peers: TunnelPeers::default(),
+            open_tunnels: Rc::default(),
             pending_break_offs: PendingBreakOffs::default(),
             health: RefCell::default(),
             paces: RefCell::default(),
@@ -222,9 +231,13 @@
         self.shared.upstream_limits().prune(is_current);
         // An upstream that is leaving can end sooner if no idle connections to
         // the upstream remain.
-        self.pool.prune(|start| {
+        let is_staying = |start: &UpstreamStart| {
             listing.get_start(start).is_some_and(|one| !one.leaving)
-        });
+        };
+        let is_ready = |peer: SocketAddr| {
+            view.ready.iter().any(|member| member.requests == peer)
+        };
+        self.pool.prune(is_staying, is_ready);
     }
 
     /// Returns whether an upstream recently failed for this gateway, or
