Tunnels: a bound request takes no idle tunnel outside its regions

Cause: connections at rest were told apart by upstream alone. A tunnel is reused only if the gateway that carries it is inside the request's bound.

bound_requests_take_no_tunnel_outside_their_regions failed before and passes now.

--- a/crates/valehold-gateway/src/traffic/connect.rs
+++ b/crates/valehold-gateway/src/traffic/connect.rs
@@ -63,11 +63,12 @@
 ) -> Result<Connection, ConnectError> {
     let start = upstream.start();
     let path = app.path_to(&start);
-    if let Some((sender, via)) = app.pool.take_idle(&start, path) {
+    let bound = current_bound(&app.shared.view.load(), job).into_owned();
+    let may_use = |peer| tunnel::is_inside_bound(app, &bound, peer);
+    if let Some((sender, via)) = app.pool.take_idle(&start, path, may_use) {
         let connect_time = None;
         return Ok(Connection { sender, is_reused: true, connect_time, via });
     }
-    let bound = current_bound(&app.shared.view.load(), job).into_owned();
     if path == ConnectionPath::Direct {
         match connect_directly(app, upstream).await {
             Ok(connection) => return Ok(connection),
--- a/crates/valehold-gateway/src/traffic/pool.rs
+++ b/crates/valehold-gateway/src/traffic/pool.rs
@@ -63,11 +63,13 @@
     }
 
     /// Takes an idle connection to an upstream, with the gateway whose tunnel
-    /// it uses. Tunnels are closed once a direct connection can be made.
+    /// it uses; only tunnels through gateways for which `may_use` returns
+    /// `true`. Tunnels are closed once a direct connection can be made.
     pub(super) fn take_idle(
         &self,
         upstream: &UpstreamStart,
         path: ConnectionPath,
+        may_use: impl Fn(SocketAddr) -> bool,
     ) -> Option<(SendRequest<Full<Bytes>>, Option<SocketAddr>)> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
@@ -77,7 +79,9 @@
                 one.via.is_none() || path == ConnectionPath::ViaPeer;
             one.is_usable(now) && is_needed
         });
-        let ready = connections.iter().rposition(|c| c.sender.is_ready())?;
+        let ready = connections.iter().rposition(|one| {
+            one.sender.is_ready() && one.via.is_none_or(&may_use)
+        })?;
         let taken = connections.remove(ready);
         Some((taken.sender, taken.via))
     }
--- a/crates/valehold-gateway/src/traffic/tunnel/mod.rs
+++ b/crates/valehold-gateway/src/traffic/tunnel/mod.rs
@@ -78,6 +78,20 @@
     Err(outcome)
 }
 
+/// Returns whether a gateway is ready and inside a request's region bound.
+pub(super) fn is_inside_bound(
+    app: &App,
+    bound: &RegionBound,
+    peer: SocketAddr,
+) -> bool {
+    let view = app.shared.view.load();
+    let member = view.ready.iter().find(|one| one.requests == peer);
+    let topology = &app.shared.topology;
+    member.is_some_and(|member| {
+        bound.allows(topology.region_of(&member.data_centre))
+    })
+}
+
 /// Returns whether there is another gateway inside a request's region bound
 /// that may open a tunnel.
 pub(super) fn has_peer(app: &App, bound: &RegionBound) -> bool {
