Crashes: other gateways have to be refused as well

Cause: a probe that is refused was taken for the upstream's refusal, and a link may refuse too. With no other gateway to ask, the own links decide as before, unless they are lost.

--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -9,13 +9,13 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Upstream, UpstreamStart,
+        RegionBound, Upstream, UpstreamStart,
         crashes::{InFlight, RequestContent, Suspicion},
     },
     id::UpstreamId,
 };
 
-use super::{route::Job, state::App};
+use super::{choose::current_bound, route::Job, state::App, tunnel};
 use crate::events::Event;
 
 /// The delay between a broken connection and the probe of the upstream's
@@ -125,10 +125,11 @@
     }
     let pending = &app.pending_break_offs;
     if pending.add(start.clone(), job.content(), sent, at) {
-        let (app, address) = (app.clone(), upstream.address);
+        let bound = current_bound(&app.shared.view.load(), job).into_owned();
+        let (app, upstream) = (app.clone(), upstream.clone());
         tokio::task::spawn_local(async move {
             time::sleep(PROBE_DELAY).await;
-            let has_crashed = refuses_connections(&app, address).await;
+            let has_crashed = has_crashed(&app, &bound, &upstream).await;
             let break_offs = app.pending_break_offs.take(&start);
             let is_crash =
                 has_crashed && !is_planned_shutdown(&app, &start.id);
@@ -157,6 +158,23 @@
     }
 }
 
+/// Returns whether an upstream accepts no connections.
+///
+/// The links of this gateway may refuse connections that the upstream would
+/// accept, so the upstream counts as crashed only if other gateways are refused
+/// as well. Without other gateways, this gateway's own links decide.
+async fn has_crashed(
+    app: &App,
+    bound: &RegionBound,
+    upstream: &Upstream,
+) -> bool {
+    if !refuses_connections(app, upstream.address).await {
+        return false;
+    }
+    let is_reached = tunnel::is_reached_by_peers(app, bound, upstream).await;
+    is_reached.map_or(!app.are_links_lost(), |is_reached| !is_reached)
+}
+
 /// Returns whether an address refuses connections.
 async fn refuses_connections(app: &App, address: SocketAddr) -> bool {
     let connecting = app.connector.connect(address);
--- a/crates/valehold-gateway/src/traffic/tunnel/mod.rs
+++ b/crates/valehold-gateway/src/traffic/tunnel/mod.rs
@@ -14,6 +14,7 @@
 
 use std::{io, net::SocketAddr};
 
+use futures::{StreamExt, stream::FuturesUnordered};
 use tokio::net::TcpStream;
 use valehold_core::fleet::{RegionBound, Upstream};
 
@@ -97,3 +98,27 @@
 pub(super) fn has_peer(app: &App, bound: &RegionBound) -> bool {
     !candidates(app, bound).is_empty()
 }
+
+/// Returns whether an upstream accepts a connection of any other gateway, or
+/// `None` if no other gateway could tell.
+pub(super) async fn is_reached_by_peers(
+    app: &App,
+    bound: &RegionBound,
+    upstream: &Upstream,
+) -> Option<bool> {
+    let peers = candidates(app, bound);
+    let mut asked: FuturesUnordered<_> =
+        peers.iter().map(|peer| client::open(peer, upstream)).collect();
+    let mut is_reached = None;
+    while let Some(opened) = asked.next().await {
+        match opened {
+            Ok(_) => return Some(true),
+            Err(ClientError::Unreachable(io::ErrorKind::TimedOut)) => {}
+            Err(ClientError::Unreachable(_)) => is_reached = Some(false),
+            Err(ClientError::Unavailable(error)) => {
+                log::debug!("a peer could not tell: {error}");
+            }
+        }
+    }
+    is_reached
+}
