Lease: a holder that lost its links to engines hands it back

Models that were asked for came up nowhere while the holder of the lease was cut from all engines: its orders reached none, and it renewed the lease all the same.

A gateway whose links have been lost for a second hands the lease back, as at a stop, and takes no lease until they work. The next holder keeps the quiet time.

--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -111,6 +111,11 @@
 /// consequences.
 const SUSPENDED_MS: u64 = 250;
 
+/// How long this gateway's links to upstreams have to be lost before it hands
+/// the lease back, in ms. Links that fail briefly leave the holder in place:
+/// the next one has to wait for the quiet time.
+const LINKS_LOST_RELEASE_MS: u64 = 1_000;
+
 /// The maximum position in the order of contenders that delays an attempt to
 /// take the lease.
 const MAX_LEASE_POSITION: usize = 24;
@@ -434,6 +439,16 @@
         if self.life != Life::Serving || !knows_others {
             return;
         }
+        if let Some(lost_ms) = self.shared.links_lost_ms(now) {
+            // Orders of this gateway do not reach engines.
+            let holds_lease = self.lease.borrow().held_epoch(now).is_some();
+            if holds_lease && lost_ms >= LINKS_LOST_RELEASE_MS {
+                self.step_down(now);
+            }
+            if !holds_lease || lost_ms >= LINKS_LOST_RELEASE_MS {
+                return;
+            }
+        }
         let peers = PeerLeaseState {
             has_holder: self.roster.lease_holder(now).is_some(),
             others_reach_store: self.roster.others_reach_store(),
@@ -563,6 +578,11 @@
     fn stop(&mut self) {
         let now = self.now();
         self.set_life(Life::Leaving);
+        self.step_down(now);
+    }
+
+    /// Hands the lease back, and tells the other gateways at once.
+    fn step_down(&mut self, now: Millis) {
         self.lease.borrow_mut().step_down(now);
         self.send_heartbeats(now);
     }
