Brittle upstreams get only what surely finds room, over all gateways

An upstream that names in its answers how many requests it can turn away in a second fell over whenever callers came in numbers: each gateway sent what it had, was turned away, and sent again 0.4 s later.

Also: a request that waited slept 30 ms between its choice and its send, for an adapter that it had not waited for; 40 of them then went at once.

A property test: instances that hear of each rejection cause no more than named.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod backoff;
 pub mod bound;
 pub mod bound_usage;
+pub mod brittle;
 pub mod catalog;
 pub mod choice;
 pub mod cold;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod bound;
 mod bound_usage;
+mod brittle;
 mod catalog;
 mod choice;
 mod cold;
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -73,6 +73,9 @@
         /// All upstreams that could answer take a limited number of requests
         /// and get no more for now.
         UpstreamsLimited = "upstreams_limited",
+        /// All upstreams that could answer fall over if they have to turn
+        /// requests away, and may have no room for now.
+        UpstreamsBrittle = "upstreams_brittle",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
@@ -114,6 +117,7 @@
             | Self::UpstreamsCold
             | Self::UpstreamsResting
             | Self::UpstreamsLimited
+            | Self::UpstreamsBrittle
             | Self::CrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
@@ -147,6 +151,9 @@
         UpstreamLeaving = "upstream_leaving",
         /// The upstream rests, as was heard since it was chosen.
         UpstreamResting = "upstream_resting",
+        /// The upstream is brittle, and turned a request away since it was
+        /// chosen.
+        UpstreamBrittle = "upstream_brittle",
         /// A broken stream was resumed at the same upstream.
         StreamResumed = "stream_resumed",
         /// A call that may be repeated had no whole answer.
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -60,7 +60,8 @@
     Millis,
     fleet::{
         BoundVariant, Catalog, EvacuationState, UpstreamRegistry,
-        cold::PermitGrantor, lapsed::StoreAvailability,
+        brittle::BrittleReport, cold::PermitGrantor,
+        lapsed::StoreAvailability,
     },
     id::{DataCentreId, InstanceId},
 };
@@ -351,6 +352,8 @@
                     let now = self.now();
                     self.on_leaving(&[start], ReportSource::Answer, now);
                 }
+                Some(report) = wishes.brittle_reports.recv() =>
+                    self.on_brittle_answer(report),
                 Some(effect) = wishes.limit_answers.recv() =>
                     self.on_limit_answered(&effect),
                 Ok(()) = stop.changed() => self.stop(),
@@ -547,6 +550,16 @@
         }
     }
 
+    /// Tells the other gateways that a service is brittle, or that one of its
+    /// upstreams rejected a request, before they send it more than it can
+    /// reject.
+    fn on_brittle_answer(&mut self, report: BrittleReport) {
+        if report.is_rejection {
+            self.shared.metrics.brittle_rejection(ReportSource::Answer);
+        }
+        self.send_all(&Message::Brittle(vec![report]));
+    }
+
     /// Returns whether this gateway has all state required to route requests.
     fn has_required_state(&self) -> bool {
         self.catalog.is_some()
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -403,6 +403,18 @@
                 self.receive_held_evacuations(&held, now);
             }
             Message::Crashes(reports) => self.receive_crashes(&reports, now),
+            Message::Brittle(reports) => {
+                let gateways = self.shared.view.load().ready.len();
+                let mut brittle = self.shared.brittle();
+                for report in &reports {
+                    if report.is_rejection {
+                        let source = ReportSource::Peer;
+                        self.shared.metrics.brittle_rejection(source);
+                    }
+                    let spread = rand::random();
+                    brittle.on_report(report, gateways, spread, now);
+                }
+            }
             Message::Leaving(starts) => {
                 self.on_leaving(&starts, ReportSource::Peer, now);
             }
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -127,6 +127,7 @@
         let reason = match self.reason {
             PassedOverFor::Leaving => "leaves",
             PassedOverFor::Resting => "asked for rest",
+            PassedOverFor::Brittle => "is brittle and may have no room",
             PassedOverFor::Limited => "takes no more requests for now",
         };
         format!("  passed over: {}, which {reason}\n", self.upstream)
@@ -342,6 +343,12 @@
                     describe_report_source(*source),
                 )
             }
+            Self::ServiceBrittle { service, rejections_per_second } => {
+                format!(
+                    "upstreams of {service} fall over if they turn away more \
+                     than {rejections_per_second} requests a second\n"
+                )
+            }
             Self::RequestEnded(ended) => ended.describe(),
         }
     }
@@ -365,6 +372,9 @@
             | Self::UpstreamUnlimited { upstream, .. } => {
                 request.sends.iter().any(|send| send.upstream == *upstream)
             }
+            Self::ServiceBrittle { service, .. } => {
+                request.service.as_ref() == Some(service)
+            }
             Self::Suspended { .. }
             | Self::UpstreamLinksLost { .. }
             | Self::UpstreamLinksRegained { .. }
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -99,6 +99,8 @@
     UpstreamLinksLost = "upstream_links_lost",
     /// The gateway's own links reach an upstream again.
     UpstreamLinksRegained = "upstream_links_regained",
+    /// A service's upstreams reported that they are brittle.
+    ServiceBrittle = "service_brittle",
     /// The store was restored from an older copy.
     StoreRestored = "store_restored",
     /// The store no longer has the history after a version.
@@ -431,6 +433,14 @@
         /// The source of the report.
         source: ReportSource,
     },
+    /// An upstream reported that it falls over if it rejects too many requests;
+    /// no other upstream of its service had reported that lately.
+    ServiceBrittle {
+        /// The service.
+        service: ServiceName,
+        /// The number of requests a second that an upstream can reject.
+        rejections_per_second: u32,
+    },
     /// A request ended.
     RequestEnded(Box<RequestEnded>),
 }
@@ -508,6 +518,7 @@
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
             Self::UpstreamLimited { .. } => EventKind::UpstreamLimited,
             Self::UpstreamUnlimited { .. } => EventKind::UpstreamUnlimited,
+            Self::ServiceBrittle { .. } => EventKind::ServiceBrittle,
             Self::RequestEnded(_) => EventKind::RequestEnded,
         }
     }
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -115,6 +115,9 @@
     /// The upstream requested a backoff from this gateway, or another request
     /// is the first one after the backoff.
     Resting,
+    /// The upstream falls over if it rejects too many requests, and may have
+    /// no room.
+    Brittle,
     /// The upstream limits its requests, and no permit to send was available.
     Limited,
 }
--- a/crates/valehold-gateway/src/metrics.rs
+++ b/crates/valehold-gateway/src/metrics.rs
@@ -99,6 +99,7 @@
     upstream_limits: Counter<u64>,
     upstream_links_lost: Gauge<u64>,
     tunnels: Counter<u64>,
+    brittle_rejections: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_drops: Counter<u64>,
     catalog: Gauge<u64>,
@@ -154,6 +155,10 @@
                 "valehold_upstream_limits",
                 "Limits of requests that upstreams named, and their ends.",
             ),
+            brittle_rejections: counter(
+                "valehold_brittle_rejections",
+                "Requests that brittle upstreams rejected.",
+            ),
             tunnels: counter(
                 "valehold_tunnels",
                 "Tunnels to upstreams asked of other gateways.",
@@ -261,6 +266,12 @@
             .add(1, &[change, KeyValue::new("source", source.label())]);
     }
 
+    /// Counts a request that a brittle upstream rejected.
+    pub fn brittle_rejection(&self, source: ReportSource) {
+        let source = KeyValue::new("source", source.label());
+        self.brittle_rejections.add(1, &[source]);
+    }
+
     /// Counts a tunnel that another gateway was asked for, by its outcome.
     pub fn tunnel_opened(&self, outcome: &'static str) {
         self.tunnels.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -12,6 +12,7 @@
     fleet::{
         BoundVariant, Catalog, EngineHolding, Evacuations, ListingDelta,
         RegionBound, UpstreamStart, Variant,
+        brittle::BrittleReport,
         cold::{PermitReply, PermitRequest},
         crashes::CrashReports,
         evacuation::HeldEvacuation,
@@ -33,7 +34,8 @@
 pub const MAX_DATAGRAM: usize = 60_000;
 
 /// The number of the format of datagrams and of peer states. Any change of a
-/// type that they contain needs another number.
+/// type that they contain needs another number. A new kind of message at the
+/// end of the list needs none: earlier versions ignore it.
 pub const FORMAT: u8 = 0xBA;
 
 /// The load of one upstream.
@@ -491,6 +493,9 @@
     /// From a gateway that knew them before the store was restored from a
     /// copy: evacuation orders that the store lacks.
     HeldEvacuations(Vec<HeldEvacuation>),
+    /// From a gateway that received such answers: upstreams that are brittle,
+    /// or have rejected a request.
+    Brittle(Vec<BrittleReport>),
 }
 
 /// Why a datagram cannot be decoded or encoded.
@@ -548,6 +553,7 @@
             Self::Evacuations(_) => "evacuations",
             Self::Crashes(_) => "crashes",
             Self::Leaving(_) => "leaving",
+            Self::Brittle(_) => "brittle",
             Self::UpstreamLimits(_) => "upstream_limits",
             Self::Fragment(_) => "fragment",
             Self::Relay(_) => "relay",
@@ -577,6 +583,7 @@
             | Self::Evacuations(_)
             | Self::Crashes(_)
             | Self::Leaving(_)
+            | Self::Brittle(_)
             | Self::UpstreamLimits(_)
             | Self::Fragment(_)
             | Self::Relay(_)
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -15,6 +15,7 @@
     fleet::{
         BoundVariant, UpstreamStart,
         backoff::UpstreamBackoffs,
+        brittle::{BrittleReport, BrittleUpstreams},
         cold::{ColdPermits, PermitRequest},
         crashes::{CrashTracker, SuspicionReport},
         paces::{PaceObservation, Paces},
@@ -50,6 +51,10 @@
 /// them.
 const LIMIT_ANSWER_CAPACITY: usize = 256;
 
+/// The capacity of the queue of answers of brittle upstreams. Rejections, which
+/// are most of them, become rare with the first one.
+const BRITTLE_REPORT_CAPACITY: usize = 256;
+
 /// The most pace observations that are kept until control takes them, which it
 /// does every few hundred milliseconds.
 const MAX_PACE_OBSERVATIONS: usize = 128;
@@ -75,6 +80,8 @@
     pub leaving: mpsc::Receiver<UpstreamStart>,
     /// Answers that changed or confirmed the limit of an upstream.
     pub limit_answers: mpsc::Receiver<AnswerEffect>,
+    /// Answers of brittle upstreams that the other gateways have to know of.
+    pub brittle_reports: mpsc::Receiver<BrittleReport>,
 }
 
 /// The state that control and traffic share.
@@ -104,12 +111,14 @@
     cold: Mutex<ColdPermits>,
     backoffs: Mutex<UpstreamBackoffs>,
     upstream_limits: Mutex<UpstreamLimits>,
+    brittle: Mutex<BrittleUpstreams>,
     crashes: Mutex<CrashTracker>,
     crash_changes: watch::Sender<u64>,
     load_requests: mpsc::Sender<BoundVariant>,
     permit_requests: mpsc::Sender<PermitRequest>,
     leaving: mpsc::Sender<UpstreamStart>,
     limit_answers: mpsc::Sender<AnswerEffect>,
+    brittle_reports: mpsc::Sender<BrittleReport>,
     life: watch::Sender<Life>,
     /// Since when this gateway's own links reach no upstream.
     links_lost_since: Mutex<Option<Millis>>,
@@ -129,6 +138,8 @@
         let (leaving, leaving_receiver) = mpsc::channel(LEAVING_CAPACITY);
         let (limit_answers, limit_receiver) =
             mpsc::channel(LIMIT_ANSWER_CAPACITY);
+        let (brittle_reports, brittle_receiver) =
+            mpsc::channel(BRITTLE_REPORT_CAPACITY);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -148,12 +159,14 @@
             cold: Mutex::new(ColdPermits::new(rand::random())),
             backoffs: Mutex::default(),
             upstream_limits: Mutex::default(),
+            brittle: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(settings.crashes.keep_ms())),
             crash_changes: watch::Sender::new(0),
             load_requests,
             permit_requests,
             leaving,
             limit_answers,
+            brittle_reports,
             life: watch::Sender::new(Life::Starting),
             links_lost_since: Mutex::default(),
             settings,
@@ -165,6 +178,7 @@
                 permit_requests: permit_receiver,
                 leaving: leaving_receiver,
                 limit_answers: limit_receiver,
+                brittle_reports: brittle_receiver,
             },
         )
     }
@@ -214,6 +228,21 @@
         self.upstream_limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the upstreams that fall over if they reject too many requests.
+    pub fn brittle(&self) -> MutexGuard<'_, BrittleUpstreams> {
+        // Entries are independent, so any state that a panic left is valid.
+        self.brittle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reports to control an answer of a brittle upstream that the other
+    /// gateways have to know of.
+    ///
+    /// The report is dropped if the queue is full; other gateways then learn
+    /// of it by an answer of their own.
+    pub fn report_brittle(&self, report: BrittleReport) {
+        let _ = self.brittle_reports.try_send(report);
+    }
+
     /// Returns the estimate of which upstreams are cold, and the permits to
     /// send to them.
     pub fn cold(&self) -> MutexGuard<'_, ColdPermits> {
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -13,13 +13,13 @@
 use valehold_core::{
     fleet::{
         RegionBound, Upstream, Variant, backoff::BackoffState,
-        cold::PermitState, upstream_limit::RequestRate,
+        brittle::RoomState, cold::PermitState, upstream_limit::RequestRate,
     },
     id::UpstreamId,
 };
 
 use super::{
-    super::{permits, route::Job, state::App},
+    super::{brittle, permits, route::Job, state::App},
     NoChoice,
 };
 use crate::{
@@ -195,6 +195,9 @@
     if !app.shared.backoffs().is_ready(&one.start(), now) {
         return Some(PassedOverFor::Resting);
     }
+    if brittle::room(app, one, one.slots) != RoomState::Room {
+        return Some(PassedOverFor::Brittle);
+    }
     let is_limited = permits::is_limited(app, one);
     let permit = app.shared.cold().permit_state(&one.id, is_limited, now);
     let is_unavailable = matches!(permit, PermitState::Unavailable { .. });
@@ -246,6 +249,41 @@
     }
 }
 
+/// Removes the brittle upstreams that may have no room. `slots` returns how
+/// many requests an upstream runs at once.
+///
+/// Returns [`NoChoice::AllBrittle`] if no upstream remains.
+pub(super) fn with_room<'a>(
+    app: &App,
+    upstreams: Vec<&'a Arc<Upstream>>,
+    slots: impl Fn(&Upstream) -> u32,
+) -> Result<Vec<&'a Arc<Upstream>>, NoChoice> {
+    if app.shared.brittle().is_empty() || upstreams.is_empty() {
+        return Ok(upstreams);
+    }
+    let mut retry_after_ms: Option<u64> = None;
+    let mut is_any_full = false;
+    let mut with_room = Vec::new();
+    for upstream in upstreams {
+        match brittle::room(app, upstream, slots(upstream)) {
+            RoomState::Room => with_room.push(upstream),
+            RoomState::Full => is_any_full = true,
+            RoomState::HeldBack { remaining_ms } => {
+                let soonest = retry_after_ms.unwrap_or(u64::MAX);
+                retry_after_ms = Some(soonest.min(remaining_ms));
+            }
+        }
+    }
+    match with_room.is_empty() {
+        // It is not known when a request ends and leaves room.
+        true if is_any_full => {
+            Err(NoChoice::AllBrittle { retry_after_ms: None })
+        }
+        true => Err(NoChoice::AllBrittle { retry_after_ms }),
+        false => Ok(with_room),
+    }
+}
+
 /// Returns the upstreams that were not tried, without the upstreams that
 /// require a send permit while no permit is available.
 ///
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -15,7 +15,7 @@
     Chosen, NoChoice,
     eligible::{
         EligibleUpstream, eligible, holders, not_backing_off,
-        prefer_not_evacuating, prefer_not_rejecting,
+        prefer_not_evacuating, prefer_not_rejecting, with_room,
     },
     load_of,
     prompt::Prompt,
@@ -53,6 +53,7 @@
         return Err(NoChoice::NotHeld);
     }
     let holders = not_backing_off(app, holders)?;
+    let holders = with_room(app, holders, |_| spec.slots)?;
     let prompt = Prompt::of(app, job, variant);
     let home = match app.mechanisms().prefix_affinity {
         true => prompt.home(&prefer_not_evacuating(view, holders.clone())),
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -80,6 +80,11 @@
         /// The time until an upstream may accept a request, in ms.
         retry_after_ms: u64,
     },
+    /// All available upstreams are brittle and may have no room.
+    AllBrittle {
+        /// The time until an upstream may have room, in ms, if it is known.
+        retry_after_ms: Option<u64>,
+    },
     /// The answer is predicted to begin too late.
     WouldBeLate {
         /// The predicted time to the first event, in ms.
@@ -132,7 +137,7 @@
 
 /// Returns the load of one start of an upstream: the requests that all
 /// gateways have in flight on the upstream.
-fn load_of(app: &App, upstream: &UpstreamStart) -> Load {
+pub(super) fn load_of(app: &App, upstream: &UpstreamStart) -> Load {
     let own = app.shared.loads().get(upstream).copied();
     let others = app.shared.peer_loads.load().get(&upstream.tag()).copied();
     own.unwrap_or_default().plus(others.unwrap_or_default())
--- a/crates/valehold-gateway/src/traffic/choose/process.rs
+++ b/crates/valehold-gateway/src/traffic/choose/process.rs
@@ -10,7 +10,7 @@
     Chosen, NoChoice,
     eligible::{
         eligible, not_backing_off, prefer_not_evacuating,
-        prefer_not_rejecting, usable,
+        prefer_not_rejecting, usable, with_room,
     },
     load_of,
 };
@@ -25,6 +25,7 @@
     tried: &[UpstreamId],
 ) -> Result<Chosen, NoChoice> {
     let ready = not_backing_off(app, usable(app, view, job).collect())?;
+    let ready = with_room(app, ready, |upstream| upstream.slots)?;
     let eligible = eligible(app, job, ready.into_iter(), tried)?;
     let eligible =
         prefer_not_evacuating(view, prefer_not_rejecting(app, eligible, None));
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -30,6 +30,7 @@
     let upstream = &chosen.upstream;
     let variant = job.bound_variant();
     let start = upstream.start();
+    app.shared.brittle().on_send(&start, app.now());
     let in_flight = app.track_in_flight(&start, variant, chosen.read_tokens);
     let begun = send(app, job, upstream, permit, order.last()).await?;
     let head = begun.head.clone();
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -129,6 +129,9 @@
                             RefusalReason::UpstreamsLimited
                         }
                         RetryReason::RightOver => RefusalReason::UpstreamsCold,
+                        RetryReason::UpstreamBrittle => {
+                            RefusalReason::UpstreamsBrittle
+                        }
                         RetryReason::UpstreamResting => {
                             RefusalReason::UpstreamsResting
                         }
@@ -318,7 +321,9 @@
         let may_try_again = failure.may_use_peer
             || matches!(
                 failure.reason,
-                RetryReason::RightOver | RetryReason::UpstreamResting
+                RetryReason::RightOver
+                    | RetryReason::UpstreamBrittle
+                    | RetryReason::UpstreamResting
             );
         if !may_try_again {
             self.exclude(&start.id, failure.arrived);
--- a/crates/valehold-gateway/src/traffic/exchange/refusals.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/refusals.rs
@@ -62,6 +62,18 @@
         )
     }
 
+    /// Returns the refusal for a request whose available upstreams are all
+    /// brittle and may have no room.
+    pub(super) fn refuse_for_room(
+        &self,
+        retry_after_ms: Option<u64>,
+    ) -> Refusal {
+        self.refuse_with_spread(
+            RefusalReason::UpstreamsBrittle,
+            retry_after_ms.unwrap_or(NO_UPSTREAM_RETRY_AFTER_MS),
+        )
+    }
+
     /// Returns a refusal that states when an upstream may accept a request.
     /// A random delay is added, so that callers that wait for the same moment
     /// do not retry all at once.
@@ -92,6 +104,9 @@
             Err(NoChoice::AllLimited { retry_after_ms }) => {
                 return self.refuse_for_limit(retry_after_ms);
             }
+            Err(NoChoice::AllBrittle { retry_after_ms }) => {
+                return self.refuse_for_room(retry_after_ms);
+            }
             Err(NoChoice::WouldBeLate { retry_after_ms, .. }) => {
                 Some(retry_after_ms)
             }
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -79,12 +79,13 @@
         let wait = Millis::from(objective.mul_f64(MAX_WAIT_FRACTION)).get();
         let until = (self.app.now() + wait).min(self.job.deadline);
         let mut polls: u32 = 0;
+        let mut is_loading = false;
         loop {
             let choosing =
                 choose_with_permit(&self.app, &self.job, &self.tried);
             let no_choice = match choosing.await {
                 Ok(chosen) => {
-                    if polls > 0 {
+                    if is_loading {
                         tokio::time::sleep(ADAPTER_LOAD_TIME).await;
                     }
                     return Ok(chosen);
@@ -121,7 +122,19 @@
                 {
                     return Err(self.refuse_for_backoff(retry_after_ms));
                 }
-                NoChoice::AllCold { .. }
+                NoChoice::AllBrittle { retry_after_ms }
+                    if retry_after_ms
+                        .is_some_and(|ms| self.app.now() + ms >= until) =>
+                {
+                    return Err(self.refuse_for_room(retry_after_ms));
+                }
+                NoChoice::AllBrittle { retry_after_ms }
+                    if self.app.now() >= until =>
+                {
+                    return Err(self.refuse_for_room(retry_after_ms));
+                }
+                NoChoice::AllBrittle { .. }
+                | NoChoice::AllCold { .. }
                 | NoChoice::AllLimited { .. }
                 | NoChoice::AllBackingOff { .. } => {}
                 NoChoice::NoUpstream if self.tried.is_empty() => {}
@@ -131,7 +144,10 @@
                     self.request_load(0);
                     return Err(self.refuse_as_failed(None));
                 }
-                NoChoice::NotHeld => self.request_load(polls),
+                NoChoice::NotHeld => {
+                    is_loading = true;
+                    self.request_load(polls);
+                }
             }
             if self.app.now() >= until {
                 let reason = self.unavailable_reason();
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 
 pub mod addresses;
 mod answer;
+mod brittle;
 mod charge;
 mod choose;
 mod connect;
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -11,12 +11,16 @@
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use valehold_core::{
     Verdict,
-    fleet::{Upstream, cold::SendPermit, rejections::Rejection},
+    fleet::{
+        Upstream, brittle::RejectionCapacity, cold::SendPermit,
+        rejections::Rejection,
+    },
     reason::RetryReason,
 };
 use valehold_ports::port::fleet::Sending;
 
 use super::{
+    brittle::{self, BrittleAnswer},
     connect::{ConnectError, connect},
     permits,
     pool::Reuse,
@@ -101,6 +105,7 @@
             self.reason,
             RetryReason::RightOver
                 | RetryReason::UpstreamLeaving
+                | RetryReason::UpstreamBrittle
                 | RetryReason::UpstreamResting
         )
     }
@@ -183,6 +188,10 @@
             let reason = RetryReason::UpstreamLeaving;
             return Err(SendFailure::withheld(reason));
         }
+        if brittle::is_held_back(app, upstream) {
+            let reason = RetryReason::UpstreamBrittle;
+            return Err(SendFailure::withheld(reason));
+        }
         if !is_cleared && !signals::may_send(app, upstream) {
             let reason = RetryReason::UpstreamResting;
             return Err(SendFailure::withheld(reason));
@@ -296,6 +305,7 @@
     let (mut head, body) = answered.answer.into_parts();
     let is_unbounded = ends_with_connection(&head.headers);
     let stated = app.dialect.read_answer(head.status, &head.headers);
+    let capacity = stated.rejections.map(RejectionCapacity);
     let signals = |backoff| UpstreamSignals {
         leaving: stated.leaving,
         backoff,
@@ -314,6 +324,9 @@
         let backoff = retry_after::read(&head.headers);
         if why == Rejection::Busy {
             signals::record(app, upstream, signals(backoff));
+            let is_rejection = true;
+            let answer = BrittleAnswer { capacity, is_rejection };
+            brittle::record(app, upstream, answer);
         }
         return Err(SendFailure::refused(why, backoff));
     }
@@ -328,6 +341,8 @@
     if is_invalid {
         return Err(SendFailure::broken());
     }
+    let answer = BrittleAnswer { capacity, is_rejection: false };
+    brittle::record(app, upstream, answer);
     let backoff = match may_request_backoff(head.status) {
         true => retry_after::read(&head.headers),
         false => None,
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -229,6 +229,7 @@
         self.shared.cold().prune(is_listed, now);
         self.shared.backoffs().prune(is_current, now);
         self.shared.upstream_limits().prune(is_current);
+        self.shared.brittle().prune(now);
         // An upstream that is leaving can end sooner if no idle connections to
         // the upstream remain.
         let is_staying = |start: &UpstreamStart| {
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -90,6 +90,10 @@
         },
         Event::UpstreamLinksLost { unreachable: 3, error: error() },
         Event::UpstreamLinksRegained { after_ms: 12_000 },
+        Event::ServiceBrittle {
+            service: ServiceName::new("plain"),
+            rejections_per_second: 3,
+        },
         Event::StoreRestored { era: 2, before: 1 },
         Event::HistoryGone { call: "watch_upstreams".to_owned(), after: 120 },
         Event::ListLeftOut { version: 95, known: 120 },
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -6,7 +6,8 @@
 //! field goes unnoticed when one build encodes and decodes: gateways of the
 //! other build would misread the values or reject the datagram.
 //!
-//! The recorded bytes are those of revision d6eeeed. A change of the format
+//! The recorded bytes are those of revision d6eeeed, and for later kinds of
+//! messages those of the revision that added them. A change of the format
 //! gives `FORMAT` another number and records them again.
 
 use std::{
@@ -21,6 +22,7 @@
     fleet::{
         BoundVariant, Catalog, EngineHolding, Evacuations, Holding, Listing,
         ListingDelta, RegionBound, Upstream, UpstreamStart, Variant,
+        brittle::{BrittleReport, RejectionCapacity},
         catalog::{
             CallerLimits, ColdSpec, EngineSpec, ModelSpec, Repetition, Route,
             Service, Target,
@@ -516,6 +518,12 @@
             data_centre: DataCentreId::new("zone-4"),
             left_ms: 9_500,
         }]),
+        Message::Brittle(vec![BrittleReport {
+            start: upstream_start(1),
+            service: ServiceName::new("engines"),
+            capacity: RejectionCapacity(3),
+            is_rejection: true,
+        }]),
     ]
 }
 
@@ -559,6 +567,7 @@
         Message::PermitRequest { .. } => ASK_RIGHT,
         Message::PermitReply { .. } => RIGHT,
         Message::HeldEvacuations(_) => HELD_EVACUATIONS,
+        Message::Brittle(_) => BRITTLE,
     }
 }
 
@@ -608,7 +617,7 @@
         .iter()
         .map(|message| bytes_of(recorded(message))[1])
         .collect();
-    expect_that!(indices, eq(&Vec::from_iter(0..21)));
+    expect_that!(indices, eq(&Vec::from_iter(0..22)));
 }
 
 /// A build without exposures ignores the bytes after those that it knows.
@@ -635,6 +644,9 @@
     expect_that!(decoded, eq(&state()));
 }
 
+const BRITTLE: &str =
+    "ba150108656e67696e652d310181d095ffbc3107656e67696e65730301";
+
 const HEARTBEAT: &str = "\
     ba000c656467652d6e6f7274682d31f7ccd5a2b4c6c808d209067a6f6e652d31020cb1\
     f3ddf10901fd000000000000000000000000010001d53f000a000002d43903ac02010e\
--- a/crates/valehold-ports/src/http/text.rs
+++ b/crates/valehold-ports/src/http/text.rs
@@ -1,8 +1,8 @@
 //! Texts of HTTP: headers and queries.
 
-use std::time::Duration;
+use std::{str::FromStr, time::Duration};
 
-use http::{HeaderMap, HeaderName, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -17,6 +17,11 @@
     seconds.flatten().map(Duration::from_secs)
 }
 
+/// Reads a header's value as a number.
+pub fn number<T: FromStr>(value: &HeaderValue) -> Option<T> {
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 /// Returns a value of a query, as it was written.
 pub fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&');
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -350,6 +350,9 @@
     pub leaving: bool,
     /// How many requests a second it says that the upstream takes.
     pub limit: StatedLimit,
+    /// How many requests a second the upstream can turn away before it falls
+    /// over, if it says that it is brittle.
+    pub rejections: Option<u32>,
     /// For how long the connection may rest, as the upstream says.
     pub rest: Option<Duration>,
 }
