Upstreams: a pause of a second ends no connection

A sound upstream that fell silent for 1.2 s and went on lost the connections on which a request had just been sent, and with them the answers of what may run once. Cause: TCP_USER_TIMEOUT was 1.2 s; it also ends idle connections at the first probe that is due after it, whatever the number of probes set. It is 2.5 s now, as for connections to the store, and the number of probes, which does nothing beside it, is gone.

--- a/crates/valehold-gateway/src/traffic/connector.rs
+++ b/crates/valehold-gateway/src/traffic/connector.rs
@@ -7,15 +7,14 @@
 use tokio::net::TcpStream;
 use valehold_ports::port::fleet::{UpstreamConnector, UpstreamStream};
 
-/// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`). A sound
+/// upstream may pause for a second and more. The time also decides when
+/// keepalive probes end a connection, whatever their number.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The idle time before the first keepalive probe, and between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The number of keepalive probes that may stay unanswered.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-
 /// Connects over TCP.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TcpConnector;
@@ -33,8 +32,7 @@
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let probes = TcpKeepalive::new()
             .with_time(PROBE_INTERVAL)
-            .with_interval(PROBE_INTERVAL)
-            .with_retries(MAX_UNANSWERED_PROBES);
+            .with_interval(PROBE_INTERVAL);
         socket.set_tcp_keepalive(&probes)?;
         Ok(stream)
     }
