Crashes: a gateway that starts knows the store's record before it serves

After all gateways had lost power at once, the first request at one of them that ends engines ran and ended a fourth, although the store names it as refused: the gateway was ready before it had read the record, or heard of it from one that had.

A gateway that observes the store serves once it has read the record, or after a second where the store does not answer, and tells those that do not read it what it read.

--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -26,6 +26,10 @@
 /// The delay before the record is accessed again after a failed call, in ms.
 const RECORD_RETRY_MS: u64 = 2_000;
 
+/// How long a gateway that starts waits for the record before it serves, in
+/// ms. The store may be down while the gateway has all other state from peers.
+const MAX_RECORD_WAIT_MS: u64 = 1_000;
+
 /// How long the digest of this gateway must be unchanged before a peer with
 /// another digest gets a full report, in ms. Updates are broadcast at once, so
 /// a recent difference mostly stems from updates still in flight.
@@ -95,10 +99,7 @@
         if self.record.call_in_flight || now < self.record.next_call {
             return;
         }
-        let is_observer = !matches!(
-            self.watch_state.role(),
-            ObserverRole::Inactive | ObserverRole::ConfigurationOnly
-        );
+        let is_observer = self.observes_store();
         let reads_after_crash =
             self.record.must_reread && !self.limits.receives_from_majority();
         let must_read =
@@ -122,6 +123,22 @@
         }
     }
 
+    /// Returns whether this gateway observes the store for the others.
+    fn observes_store(&self) -> bool {
+        !matches!(
+            self.watch_state.role(),
+            ObserverRole::Inactive | ObserverRole::ConfigurationOnly
+        )
+    }
+
+    /// Returns whether this gateway reads the record and has not yet done so
+    /// since its start. If all gateways have started anew, requests that crash
+    /// upstreams would run again until then.
+    pub(super) fn waits_for_record(&self, now: Millis) -> bool {
+        let may_wait = now.since(self.started) < MAX_RECORD_WAIT_MS;
+        self.observes_store() && !self.record.has_read && may_wait
+    }
+
     /// Returns the refused requests missing in the record, and the recorded
     /// requests that were answered since. Both lists are empty until the set
     /// has been unchanged for `RECORD_DELAY_MS`.
@@ -153,11 +170,18 @@
         self.record.call_in_flight = false;
         match done.listed {
             Ok(listed) => {
+                let is_first = !self.record.has_read;
                 self.record.has_read = true;
                 self.record.removed.extend(done.removed);
+                let tells_others = is_first && !listed.is_empty();
                 self.shared.update_crashes(|crashes| {
                     crashes.receive_recorded(listed, now)
                 });
+                if tells_others {
+                    // Gateways that started as well do not read the record.
+                    let reports = self.shared.crashes().reports(now);
+                    self.send_all(&Message::Crashes(reports));
+                }
             }
             Err(error) => {
                 log::debug!(
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -566,6 +566,7 @@
             && self.upstreams.has_list()
             && self.evacuations.is_known()
             && !self.may_lack_held_evacuations(self.now())
+            && !self.waits_for_record(self.now())
     }
 
     fn serve_if_ready(&mut self) {
