Lease: a store that lost the lease's row gives no epoch out again

Cause: a store that came back from a copy counted as restored only if the copy had a row of the lease. One from before the first lease has none, so the next holder took epoch 1 as the first had. Class: nothing there was taken for nothing ever having been.

In an era above 0 a missing row means that it was lost: the next holder waits for a whole term and begins at the era's first epoch.

--- a/crates/valehold-core/src/lease.rs
+++ b/crates/valehold-core/src/lease.rs
@@ -59,8 +59,8 @@
 pub struct LeaseInEra {
     /// The row, and on what a write of it is conditioned in the store's era.
     pub lease: VersionedLease,
-    /// Whether it is from before the store came back: what was written later
-    /// is gone.
+    /// Whether the store came back and the row was not written since: it is
+    /// from before, or missing, and what was written later is gone.
     pub is_restored: bool,
 }
 
@@ -73,7 +73,7 @@
         rows: impl Iterator<Item = (u64, u64, LeaseRow)>,
     ) -> Self {
         let newest = rows.filter(|one| one.0 <= era).max_by_key(|one| one.0);
-        let is_restored = newest.as_ref().is_some_and(|one| one.0 < era);
+        let is_restored = newest.as_ref().map_or(era > 0, |one| one.0 < era);
         let version = match &newest {
             Some((_, version, _)) if !is_restored => *version,
             _ => first,
--- a/crates/valehold-core/src/lease/tests.rs
+++ b/crates/valehold-core/src/lease/tests.rs
@@ -3,7 +3,9 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::{LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease};
+use super::{
+    LeaseInEra, LeaseKeeper, LeaseRow, LeaseStep, LeaseTerms, VersionedLease,
+};
 use crate::{Millis, id::InstanceId, testing::cases};
 
 const TERMS: LeaseTerms =
@@ -294,3 +296,12 @@
     expect_that!(epochs[0], some(eq(1)));
     expect_that!(world.row.as_ref().map(|row| row.epoch), some(eq(2)));
 }
+
+#[gtest]
+fn a_store_that_came_back_without_any_row_counts_as_restored() {
+    let none = || std::iter::empty();
+    expect_false!(LeaseInEra::newest(0, 0, none()).is_restored);
+    let lost = LeaseInEra::newest(3, 300, none());
+    expect_true!(lost.is_restored);
+    expect_that!(lost.lease, eq(&VersionedLease { version: 300, row: None }));
+}
--- a/crates/valehold-gateway/src/control/lease.rs
+++ b/crates/valehold-gateway/src/control/lease.rs
@@ -505,11 +505,12 @@
             }
             PreviousHolder::OtherGateway => quiet_since,
         };
-        let (row, clock) = (row?, self.clock?);
-        let lost = LostLoads {
+        let clock = self.clock?;
+        // A restored store may have lost the row, which names no loads then.
+        let lost = row.map_or_else(LostLoads::default, |row| LostLoads {
             count: row.lost_loads as usize,
             until: clock.local_time(row.lost_until),
-        };
+        });
         Some(InheritedLoads { until, lost })
     }
 
