Crashes: a gateway with silent links asks the others

A request that ends engines went on at a gateway whose links to upstreams were silent: each time through a tunnel, nine engines of nine ended under eight sends. Found by reading the diff: a crash is seen by a refused probe, and a silent link refuses nothing. Class: the own link's word taken for the upstream's, as in the false reports of crashes.

--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -162,13 +162,16 @@
 ///
 /// The links of this gateway may refuse connections that the upstream would
 /// accept, so the upstream counts as crashed only if other gateways are refused
-/// as well. Without other gateways, this gateway's own links decide.
+/// as well. Without other gateways, this gateway's own links decide. Lost links
+/// may also say nothing at all, so then only the other gateways are asked.
 async fn has_crashed(
     app: &App,
     bound: &RegionBound,
     upstream: &Upstream,
 ) -> bool {
-    if !refuses_connections(app, upstream.address).await {
+    let may_have_crashed = app.are_links_lost()
+        || refuses_connections(app, upstream.address).await;
+    if !may_have_crashed {
         return false;
     }
     let is_reached = tunnel::is_reached_by_peers(app, bound, upstream).await;
