--- a/crates/valehold-gateway/src/traffic/links.rs
+++ b/crates/valehold-gateway/src/traffic/links.rs
@@ -14,7 +14,7 @@
 use crate::events::Event;
 
 /// How long connecting may take.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// How often links that may have failed, or may work again, are probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
