Log the software version of each send, and which stream a request continues

Change: the entry's version is kept with the upstream (none if only a report of another start is known), and lines of requests hold `software` and `after_event` of each send and `resumes` of the request; `explain request` prints them. No decision changes.

--- a/crates/valehold-core/src/fleet/listing.rs
+++ b/crates/valehold-core/src/fleet/listing.rs
@@ -12,7 +12,8 @@
 
 use super::identity::UpstreamStart;
 use crate::id::{
-    AdapterName, DataCentreId, ModelName, ServiceName, UpstreamId,
+    AdapterName, DataCentreId, ModelName, ServiceName, SoftwareVersion,
+    UpstreamId,
 };
 
 /// A model without an adapter, or with one of its adapters.
@@ -117,6 +118,9 @@
     /// same name is a restart, after which the upstream has lost all models
     /// that it held before.
     pub started_at_ms: Option<u64>,
+    /// The version of the upstream's software, or `None` if only a report of
+    /// another start states one.
+    pub software: Option<SoftwareVersion>,
     /// The models that the upstream holds; empty for a plain service.
     pub holding: Holding,
 }
--- a/crates/valehold-core/src/fleet/registry.rs
+++ b/crates/valehold-core/src/fleet/registry.rs
@@ -452,8 +452,8 @@
 }
 
 /// Returns the merged entry of an upstream's latest start. If the list entry
-/// belongs to another start and there is no report, the merged entry holds no
-/// models.
+/// belongs to another start, the version of the software is unknown, and the
+/// merged entry holds no models unless there is a report.
 fn merge(
     listed: Arc<Upstream>,
     started_at_ms: Option<u64>,
@@ -477,6 +477,9 @@
     let merged = Arc::make_mut(&mut upstream);
     merged.started_at_ms = started_at_ms;
     merged.leaving = leaving;
+    if is_of_another {
+        merged.software = None;
+    }
     if let Some(holding) = holding {
         merged.holding = holding;
     }
--- a/crates/valehold-core/src/fleet/tests/cold.rs
+++ b/crates/valehold-core/src/fleet/tests/cold.rs
@@ -42,6 +42,7 @@
         leaving: false,
         cold_for_ms,
         started_at_ms: birth,
+        software: None,
         holding: Holding::default(),
     }
 }
--- a/crates/valehold-core/src/fleet/tests/evacuation.rs
+++ b/crates/valehold-core/src/fleet/tests/evacuation.rs
@@ -113,6 +113,7 @@
             leaving: false,
             cold_for_ms: 0,
             started_at_ms: None,
+            software: None,
             holding: Holding::default(),
         };
         (upstream.id.clone(), Arc::new(upstream))
--- a/crates/valehold-core/src/fleet/tests/lapsed.rs
+++ b/crates/valehold-core/src/fleet/tests/lapsed.rs
@@ -27,6 +27,7 @@
         leaving,
         cold_for_ms: 0,
         started_at_ms: None,
+        software: None,
         holding: Holding::default(),
     })
 }
--- a/crates/valehold-core/src/fleet/tests/leaving.rs
+++ b/crates/valehold-core/src/fleet/tests/leaving.rs
@@ -35,6 +35,7 @@
         leaving,
         cold_for_ms: 0,
         started_at_ms: start.started_at_ms,
+        software: None,
         holding: Holding::default(),
     })
 }
--- a/crates/valehold-core/src/fleet/tests/registry.rs
+++ b/crates/valehold-core/src/fleet/tests/registry.rs
@@ -36,6 +36,7 @@
         leaving: false,
         cold_for_ms: 0,
         started_at_ms: None,
+        software: None,
         holding: holding(models),
     })
 }
--- a/crates/valehold-core/src/id.rs
+++ b/crates/valehold-core/src/id.rs
@@ -69,6 +69,8 @@
     ServiceName;
     /// The identifier of one caller's request.
     RequestId;
+    /// The version of an upstream's software. Versions have no order.
+    SoftwareVersion;
 }
 
 /// A short stand-in for one start of an upstream, where many are told at once.
--- a/crates/valehold-gateway/examples/fleet_costs.rs
+++ b/crates/valehold-gateway/examples/fleet_costs.rs
@@ -18,7 +18,10 @@
         Holding, Listing, ListingDelta, Upstream, UpstreamRegistry,
         UpstreamStart, paces::PaceUpdate,
     },
-    id::{DataCentreId, InstanceId, ModelName, ServiceName, UpstreamId},
+    id::{
+        DataCentreId, InstanceId, ModelName, ServiceName, SoftwareVersion,
+        UpstreamId,
+    },
 };
 use valehold_gateway::{
     peers::{
@@ -450,6 +453,7 @@
         leaving: false,
         cold_for_ms: 0,
         started_at_ms,
+        software: Some(SoftwareVersion::new("v1")),
         holding: Holding { sequence: 0, models },
     }
 }
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -94,6 +94,7 @@
         leaving: false,
         cold_for_ms: 0,
         started_at_ms: Some(started_at_ms),
+        software: None,
         holding: holding(0, models),
     };
     let upstreams = [(upstream.id.clone(), Arc::new(upstream))];
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -40,9 +40,13 @@
         let workspace = self.workspace.as_ref();
         let workspace =
             workspace.map_or("no workspace".to_owned(), ToString::to_string);
+        let resumes = self.resumes.as_ref();
+        let resumes = resumes.map_or_else(String::new, |begun| {
+            format!(", continues the stream that {begun} began")
+        });
         format!(
-            "request {} of {workspace} for {service}, {variant}: rank {}, to \
-             begin within {} ms, deadline {} ms\n  configuration {}, list {}: {} \
+            "request {} of {workspace} for {service}, {variant}{resumes}: \
+             rank {}, to begin within {} ms, deadline {} ms\n  configuration {}, list {}: {} \
              upstreams held what it asks for\n",
             self.request,
             self.rank,
@@ -156,10 +160,17 @@
         let error = self.connect_error.as_ref();
         let error =
             error.map_or_else(String::new, |error| format!(": {error}"));
+        let software = self.software.as_ref();
+        let software = software.map_or_else(String::new, |one| {
+            format!("; its software is {one}")
+        });
+        let after = self.after_event.map_or_else(String::new, |event| {
+            format!("; to continue after event {event}")
+        });
         format!(
             "  send {number} to {} at {} ms: {} requests under way there, \
              {} tokens waiting, {} to read; first event predicted after {} \
-             ms, {first}; {end}{error}{rest}\n",
+             ms, {first}; {end}{error}{rest}{software}{after}\n",
             self.upstream,
             self.at_ms,
             self.running,
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use valehold_core::{
     Verdict,
-    id::{RegionId, ServiceName, UpstreamId, WorkspaceId},
+    id::{RegionId, ServiceName, SoftwareVersion, UpstreamId, WorkspaceId},
     reason::RefusalReason,
 };
 
@@ -39,6 +39,13 @@
 pub struct SendRecord {
     /// The upstream.
     pub upstream: UpstreamId,
+    /// The version of the upstream's software, if it is known.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
+    /// The last event of the stream that the caller had when the request was
+    /// sent.
+    #[serde(default)]
+    pub after_event: Option<u64>,
     /// The time from the arrival of the request to the send.
     pub at_ms: u64,
     /// The predicted time from the send to the first event.
@@ -139,6 +146,10 @@
     /// The workspace of the key in the request, if there was one.
     #[serde(default)]
     pub workspace: Option<WorkspaceId>,
+    /// The request that brought the first event of the stream, if the caller
+    /// continues one.
+    #[serde(default)]
+    pub resumes: Option<String>,
     /// The requested service; `None` if no route matched.
     pub service: Option<ServiceName>,
     /// The model, followed by a slash and the adapter if there is one.
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -36,7 +36,7 @@
 /// The number of the format of datagrams and of peer states. Any change of a
 /// type that they contain needs another number. A new kind of message at the
 /// end of the list needs none: earlier versions ignore it.
-pub const FORMAT: u8 = 0xBA;
+pub const FORMAT: u8 = 0xBB;
 
 /// The load of one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -159,7 +159,7 @@
         }
         let start = chosen.upstream.start();
         self.keep_charge(true);
-        self.record.record_send(chosen);
+        self.record.record_send(chosen, self.order.last());
         let mut order = self.order;
         let timeout = self.begin_timeout();
         let sent = Instant::now();
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -58,10 +58,16 @@
     }
 
     /// Records a send of the request.
-    pub(super) fn record_send(&mut self, chosen: &Chosen) {
+    pub(super) fn record_send(
+        &mut self,
+        chosen: &Chosen,
+        after_event: Option<u64>,
+    ) {
         self.predicted_ms = Some(chosen.predicted_ms);
         self.sends.push(SendRecord {
             upstream: chosen.upstream.id.clone(),
+            software: chosen.upstream.software.clone(),
+            after_event,
             at_ms: self.clock.now().since(self.arrived),
             predicted_ms: round_ms(chosen.predicted_ms),
             running: chosen.load.running,
@@ -178,6 +184,7 @@
         RequestEnded {
             request: job.id_text().into_owned(),
             workspace: job.workspace.as_ref().map(|one| one.name.clone()),
+            resumes: job.resumes_text(),
             service: Some(job.service_name.clone()),
             variant: job.request.variant.as_ref().map(ToString::to_string),
             content: Some(job.content().to_string()),
@@ -224,6 +231,7 @@
     let event = Event::RequestEnded(Box::new(RequestEnded {
         request: id.into_owned(),
         workspace: None,
+        resumes: None,
         service: None,
         variant: None,
         content: None,
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -77,6 +77,13 @@
         String::from_utf8_lossy(id.unwrap_or_default())
     }
 
+    /// Returns the identifier of the request whose stream this one continues,
+    /// as written to the log.
+    pub(super) fn resumes_text(&self) -> Option<String> {
+        let id = self.request.resumes.as_deref()?;
+        Some(String::from_utf8_lossy(id).into_owned())
+    }
+
     /// Returns the digest of the request's content. The digest is computed on
     /// first use, because most requests never need the digest.
     pub(super) fn content(&self) -> RequestContent {
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -6,8 +6,8 @@
     Verdict,
     fleet::replicas::LoadSource,
     id::{
-        DataCentreId, InstanceId, RegionId, ServiceName, UpstreamId,
-        WorkspaceId,
+        DataCentreId, InstanceId, RegionId, ServiceName, SoftwareVersion,
+        UpstreamId, WorkspaceId,
     },
     reason::RefusalReason,
 };
@@ -136,6 +136,7 @@
     RequestEnded {
         request: "a1".to_owned(),
         workspace: Some(WorkspaceId::new("north")),
+        resumes: Some("a0".to_owned()),
         service: Some(ServiceName::new("engines")),
         variant: Some("alpha/a1".to_owned()),
         content: Some("0123456789abcdef".to_owned()),
@@ -169,6 +170,8 @@
         listing: 20,
         sends: vec![SendRecord {
             upstream: UpstreamId::new("e1"),
+            software: Some(SoftwareVersion::new("v1.1")),
+            after_event: Some(4),
             at_ms: 1,
             predicted_ms: 90,
             running: 3,
@@ -252,4 +255,7 @@
     expect_that!(text, contains_substring("refused with 503"));
     expect_that!(text, contains_substring("it has not run"));
     expect_that!(text, contains_substring("come back in 400 ms"));
+    expect_that!(text, contains_substring("continues the stream that a0"));
+    expect_that!(text, contains_substring("its software is v1.1"));
+    expect_that!(text, contains_substring("continue after event 4"));
 }
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -302,6 +302,9 @@
     pub parts: Vec<PromptPart>,
     /// The last event that the caller has already.
     pub after_event: Option<u64>,
+    /// The identifier of the caller's request that brought the first event of
+    /// the stream, if this one continues it.
+    pub resumes: Option<Bytes>,
 }
 
 /// A part of a prompt that requests may share.
