Streams go on only at the software version that began them

Cause: nothing read the version in the engines' entries. A gateway resumed a broken stream at any engine that holds the model, and sent a stream that a caller takes up again to any engine; no gateway knew where a stream of another gateway had begun.

From its first event on, a stream is bound to service and version. A gateway records where streams began and reports that to keepers, unless one version of the service is certain; a gateway that is asked to continue a stream looks there, and refuses what nobody knows. Versions that just appeared are not preferred for such streams.

Why it holds: from the first event on there is no path to an engine that does not pass the filter of versions (choice, resumptions, tunnels, waiting), and what a request is bound to comes from a record or from the certainty that the service has one version only.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -86,6 +86,11 @@
         let last_weighted = self.targets.iter().rev().find(|t| t.weight > 0);
         last_weighted.or(self.targets.last()).map(|target| &target.service)
     }
+
+    /// Returns whether a service answers requests of the route.
+    pub fn has_target(&self, service: &ServiceName) -> bool {
+        self.targets.iter().any(|target| target.service == *service)
+    }
 }
 
 /// A model that a service's engines can hold.
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -39,7 +39,9 @@
 pub mod replicas;
 pub mod retry_share;
 pub mod slot_time;
+pub mod software;
 pub mod store_version;
+pub mod stream_origin;
 #[cfg(test)]
 mod tests;
 pub mod topology;
--- a/crates/valehold-core/src/fleet/registry.rs
+++ b/crates/valehold-core/src/fleet/registry.rs
@@ -24,6 +24,7 @@
     leaving::LeavingUpstreams,
     listing::{Holding, Listing, ListingDelta, Upstream, Upstreams},
     recent::RecentChanges,
+    software::SoftwareHistory,
     store_version::StoreVersion,
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
@@ -76,6 +77,8 @@
     merged: Arc<Listing>,
     /// The index of the merged entries.
     index: UpstreamIndex,
+    /// The versions of the software of the merged entries.
+    software: SoftwareHistory,
     /// The most recent changes of the platform's list.
     recent: Arc<RecentChanges>,
     /// Upstreams that changed since the last call of `take_changes`.
@@ -103,6 +106,11 @@
         &self.index
     }
 
+    /// Returns the software versions of the merged entries over time.
+    pub fn software(&self) -> &SoftwareHistory {
+        &self.software
+    }
+
     /// Returns the most recent changes of the platform's list.
     pub fn recent(&self) -> &Arc<RecentChanges> {
         &self.recent
@@ -158,7 +166,7 @@
         self.record_removed(&before, &removed, now);
         changed.extend(removed);
         self.record_replacement(before.version, &changed);
-        self.rebuild(changed);
+        self.rebuild(changed, now);
         self.prune(now);
         true
     }
@@ -295,7 +303,7 @@
                 self.reports.remove(id);
             }
         }
-        self.rebuild(changed.chain(&delta.removed).cloned());
+        self.rebuild(changed.chain(&delta.removed).cloned(), now);
         self.prune(now);
         true
     }
@@ -352,7 +360,7 @@
             );
         }
         let is_new = !changed.is_empty();
-        self.rebuild(changed);
+        self.rebuild(changed, now);
         is_new
     }
 
@@ -377,7 +385,7 @@
         let upstreams = self.merged.upstreams.len();
         let is_new = self.leaving.record(start, upstreams, now);
         if is_new && self.merged.upstreams.contains_key(&start.id) {
-            self.rebuild([start.id.clone()]);
+            self.rebuild([start.id.clone()], now);
         }
         is_new
     }
@@ -391,7 +399,8 @@
     /// upstreams that are no longer known.
     pub fn prune(&mut self, now: Millis) {
         let over = self.lapsed.prune(&self.list, now);
-        self.rebuild(over);
+        self.rebuild(over, now);
+        self.software.prune(now);
         let entries = &self.merged.upstreams;
         self.start_times.prune(|id| entries.contains_key(id), now);
         let merged = &self.merged;
@@ -412,9 +421,13 @@
 
     /// Rebuilds the merged entries of some upstreams, and records the
     /// upstreams as changed.
-    fn rebuild(&mut self, ids: impl IntoIterator<Item = UpstreamId>) {
+    fn rebuild(
+        &mut self,
+        ids: impl IntoIterator<Item = UpstreamId>,
+        now: Millis,
+    ) {
         for id in ids {
-            self.rebuild_one(&id);
+            self.rebuild_one(&id, now);
             self.changed.insert(id);
         }
         if self.merged.version != self.list.version {
@@ -422,13 +435,14 @@
         }
     }
 
-    fn rebuild_one(&mut self, id: &UpstreamId) {
+    fn rebuild_one(&mut self, id: &UpstreamId, now: Millis) {
         let listed = self.list.upstreams.get(id).or(self.lapsed.get(id));
         let Some(listed) = listed else {
             self.reports.remove(id);
             let merged = Arc::make_mut(&mut self.merged);
             let before = merged.upstreams.remove(id);
             self.index.update(before.as_deref(), None);
+            self.software.update(before.as_deref(), None, now);
             return;
         };
         let listed = listed.clone();
@@ -448,6 +462,7 @@
         let merged = Arc::make_mut(&mut self.merged);
         let before = merged.upstreams.insert(id.clone(), upstream.clone());
         self.index.update(before.as_deref(), Some(&upstream));
+        self.software.update(before.as_deref(), Some(&upstream), now);
     }
 }
 
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -76,6 +76,11 @@
         /// All upstreams that could answer fall over if they have to turn
         /// requests away, and may have no room for now.
         UpstreamsBrittle = "upstreams_brittle",
+        /// It continues a stream of which no reachable instance knows at which
+        /// software version it began.
+        UnknownOrigin = "unknown_origin",
+        /// It continues a stream of a software version that no upstream runs.
+        NoUpstreamOfVersion = "no_upstream_of_version",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
@@ -118,6 +123,8 @@
             | Self::UpstreamsResting
             | Self::UpstreamsLimited
             | Self::UpstreamsBrittle
+            | Self::UnknownOrigin
+            | Self::NoUpstreamOfVersion
             | Self::CrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -15,6 +15,7 @@
 //! - `crashes` propagates reports of crashes and the requests in flight at the
 //!   time, `leaving` propagates leaving upstreams, and `upstream_limits` the
 //!   limits of overloaded upstreams.
+//! - `origins` propagates the software versions at which streams began.
 //! - `cold` tracks cold upstreams and grants permits to send to cold or
 //!   limited upstreams.
 //! - `upstreams` maintains the registry of upstreams, and `publishing`
@@ -37,6 +38,7 @@
 mod limits;
 mod loads;
 mod needs;
+mod origins;
 mod paces;
 mod placement;
 mod placer;
@@ -203,6 +205,7 @@
     advertised_limits: upstream_limits::AdvertisedLimits,
     /// The members that this gateway last advertised as a hub.
     advertised_members: AdvertisedMembers,
+    origins: origins::OriginState,
 }
 
 impl Control {
@@ -310,6 +313,7 @@
             advertised_leaving: leaving::AdvertisedLeaving::default(),
             advertised_limits: upstream_limits::AdvertisedLimits::default(),
             advertised_members: AdvertisedMembers::default(),
+            origins: origins::OriginState::default(),
             shared: shared.clone(),
         };
         control.update_presence(now);
@@ -354,6 +358,8 @@
                 }
                 Some(report) = wishes.brittle_reports.recv() =>
                     self.on_brittle_answer(report),
+                Some(lookup) = wishes.origin_lookups.recv() =>
+                    self.look_up_origin(lookup),
                 Some(effect) = wishes.limit_answers.recv() =>
                     self.on_limit_answered(&effect),
                 Ok(()) = stop.changed() => self.stop(),
@@ -372,7 +378,11 @@
 
     fn tick(&mut self) {
         let now = self.now();
+        let (_, last_tick) = self.last_tick;
         self.resume_if_suspended(now);
+        self.update_software_knowledge(last_tick, now);
+        self.report_origins(now);
+        self.continue_lookups(now);
         if self.roster.tick(self.local_report(), now) {
             self.update_ready_members();
             self.update_grantor(now);
--- /dev/null
+++ b/crates/valehold-gateway/src/control/origins.rs
@@ -0,0 +1,271 @@
+//! Reports the origins of streams to other gateways, and finds the origins of
+//! streams that began at other gateways.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use tokio::sync::oneshot;
+use valehold_core::{
+    Millis,
+    fleet::stream_origin::{OriginReport, StreamId, StreamOrigin, reports_of},
+    id::{ServiceName, SoftwareVersion},
+};
+
+use super::Control;
+use crate::{
+    peers::message::{Message, StoreStatus},
+    shared::OriginLookup,
+};
+
+/// The time after which gateways that did not report an origin are asked once
+/// more, in ms. A datagram may be lost, and the gateway that began the stream
+/// may just be reporting it.
+const REPEAT_AFTER_MS: u64 = 60;
+
+/// The time after which a lookup ends without an answer, in ms: two round
+/// trips across regions and the delay of busy machines.
+const LOOKUP_TIMEOUT_MS: u64 = 180;
+
+/// The time without a tick from which this gateway may have missed messages,
+/// in ms.
+const STALL_MS: u64 = 500;
+
+/// How long after a stall this gateway relies on others, in ms: until it has
+/// handled the messages that arrived meanwhile.
+const STALL_RECOVERY_MS: u64 = 1_000;
+
+/// How long the knowledge of software versions counts as current after the
+/// last tick, in ms.
+const CURRENT_MS: u64 = 400;
+
+/// A stream whose origin other gateways were asked for.
+#[derive(Debug)]
+struct PendingLookup {
+    began: Millis,
+    is_repeated: bool,
+    service: ServiceName,
+    is_only_service: bool,
+    /// The gateways that have not replied since they were asked last.
+    unanswered: BTreeSet<SocketAddr>,
+    /// The versions that are the only ones of the service, as others replied.
+    only_versions: BTreeSet<SoftwareVersion>,
+    replies: Vec<oneshot::Sender<Option<StreamOrigin>>>,
+}
+
+impl PendingLookup {
+    /// Ends the lookup. Without a report, the origin is known only if other
+    /// gateways are certain of the only version of the service.
+    fn finish(mut self, reported: Option<StreamOrigin>) {
+        let only = self.only_versions.pop_first();
+        let only = only
+            .filter(|_| self.is_only_service && self.only_versions.is_empty());
+        let service = self.service;
+        let origin = reported.or_else(|| {
+            only.map(|software| StreamOrigin { service, software })
+        });
+        for reply in self.replies {
+            // A caller that has left needs no reply.
+            let _ = reply.send(origin.clone());
+        }
+    }
+}
+
+/// Lookups of origins, and whether this gateway may have missed messages.
+#[derive(Debug, Default)]
+pub(super) struct OriginState {
+    lookups: BTreeMap<StreamId, PendingLookup>,
+    /// Until when this gateway relies on others, as it stalled.
+    stalled_until: Millis,
+}
+
+impl Control {
+    /// Records whether this gateway knows all software versions that other
+    /// gateways know. `last_tick` is the time of the tick before.
+    pub(super) fn update_software_knowledge(
+        &mut self,
+        last_tick: Millis,
+        now: Millis,
+    ) {
+        if now.since(last_tick) >= STALL_MS {
+            self.origins.stalled_until = now + STALL_RECOVERY_MS;
+        }
+        // While the store answers nobody, no gateway learns of a new version.
+        let hears_of_changes = self.store == StoreStatus::Reachable
+            || self.roster.others_reach_store()
+            || self.limits.receives_from_majority();
+        if hears_of_changes && now >= self.origins.stalled_until {
+            self.shared.set_software_known_until(now + CURRENT_MS);
+        }
+    }
+
+    /// Returns the version that all upstreams of a service run, if this is
+    /// certain.
+    fn only_version(
+        &self,
+        service: &ServiceName,
+        now: Millis,
+    ) -> Option<SoftwareVersion> {
+        if !self.shared.is_software_known(now) {
+            return None;
+        }
+        self.upstreams.software().only_version(service, now)
+    }
+
+    /// Reports the streams that began here to their keepers, except those of
+    /// services whose only version every gateway knows.
+    pub(super) fn report_origins(&mut self, now: Millis) {
+        let unreported = self.shared.origins().take_unreported(
+            |service| self.only_version(service, now).is_some(),
+            now,
+        );
+        if unreported.is_empty() {
+            return;
+        }
+        let own = self.shared.settings.peers.heartbeats;
+        let mut others = self.roster.staying();
+        others.retain(|address| *address != own);
+        let mut by_keeper: BTreeMap<SocketAddr, Vec<_>> = BTreeMap::new();
+        for (reported, origin) in unreported {
+            for keeper in reported.stream.keepers(&others) {
+                let streams = by_keeper.entry(keeper).or_default();
+                streams.push((reported, origin.clone()));
+            }
+        }
+        for (keeper, streams) in by_keeper {
+            let reports = reports_of(streams);
+            self.send([keeper], &Message::StreamOrigins(reports));
+        }
+    }
+
+    /// Records origins that another gateway reported.
+    pub(super) fn receive_origins(
+        &mut self,
+        reports: &[OriginReport],
+        now: Millis,
+    ) {
+        self.shared.origins().receive(reports, now);
+        let streams = reports.iter().flat_map(|report| &report.streams);
+        for reported in streams {
+            let stream = reported.stream;
+            let origin = self.shared.origins().get(stream, now).cloned();
+            if let Some(lookup) = self.origins.lookups.remove(&stream) {
+                lookup.finish(origin);
+            }
+        }
+    }
+
+    /// Asks other gateways for the origin of a stream.
+    pub(super) fn look_up_origin(&mut self, lookup: OriginLookup) {
+        let OriginLookup { stream, service, is_only_service, reply } = lookup;
+        if let Some(pending) = self.origins.lookups.get_mut(&stream) {
+            pending.replies.push(reply);
+            return;
+        }
+        let asked = self.possible_keepers(stream);
+        let pending = PendingLookup {
+            began: self.now(),
+            is_repeated: false,
+            service: service.clone(),
+            is_only_service,
+            unanswered: asked.iter().copied().collect(),
+            only_versions: BTreeSet::new(),
+            replies: vec![reply],
+        };
+        if asked.is_empty() {
+            pending.finish(None);
+            return;
+        }
+        self.origins.lookups.insert(stream, pending);
+        self.send(asked, &Message::OriginRequest { stream, service });
+    }
+
+    /// Returns the other gateways that may know the origin of a stream.
+    fn possible_keepers(&self, stream: StreamId) -> Vec<SocketAddr> {
+        let own = self.shared.settings.peers.heartbeats;
+        let mut members = self.roster.staying();
+        members.extend(self.roster.leaving());
+        let mut asked = stream.possible_keepers(&members);
+        asked.retain(|address| *address != own);
+        asked
+    }
+
+    /// Answers a gateway that asks for the origin of a stream.
+    pub(super) fn answer_origin_request(
+        &self,
+        from: SocketAddr,
+        stream: StreamId,
+        service: &ServiceName,
+        now: Millis,
+    ) {
+        let report = self.shared.origins().report(stream, now);
+        let message = match report {
+            Some(report) => Message::StreamOrigins(vec![report]),
+            None => Message::OriginUnknown {
+                stream,
+                only_version: self.only_version(service, now),
+            },
+        };
+        self.send([from], &message);
+    }
+
+    /// Records that another gateway does not know the origin of a stream.
+    pub(super) fn on_origin_unknown(
+        &mut self,
+        from: SocketAddr,
+        stream: StreamId,
+        only_version: Option<SoftwareVersion>,
+        now: Millis,
+    ) {
+        let Some(lookup) = self.origins.lookups.get_mut(&stream) else {
+            return;
+        };
+        // A version that differs from those known here is not the only one.
+        let history = self.upstreams.software();
+        let is_only = |version: &SoftwareVersion| {
+            !history.has_other_version(&lookup.service, version, now)
+        };
+        lookup.only_versions.extend(only_version.filter(is_only));
+        lookup.unanswered.remove(&from);
+        let is_certain = !lookup.only_versions.is_empty();
+        let is_over = is_certain || lookup.is_repeated;
+        if lookup.unanswered.is_empty()
+            && is_over
+            && let Some(lookup) = self.origins.lookups.remove(&stream)
+        {
+            lookup.finish(None);
+        }
+    }
+
+    /// Repeats requests for origins that were not reported, and ends lookups
+    /// that take too long.
+    pub(super) fn continue_lookups(&mut self, now: Millis) {
+        let lookups = &mut self.origins.lookups;
+        let over: Vec<StreamId> = lookups
+            .iter()
+            .filter(|(_, one)| now.since(one.began) >= LOOKUP_TIMEOUT_MS)
+            .map(|(stream, _)| *stream)
+            .collect();
+        for stream in over {
+            if let Some(lookup) = lookups.remove(&stream) {
+                lookup.finish(None);
+            }
+        }
+        let mut repeated = Vec::new();
+        for (stream, lookup) in lookups.iter_mut() {
+            let is_due = now.since(lookup.began) >= REPEAT_AFTER_MS;
+            if is_due && !lookup.is_repeated {
+                lookup.is_repeated = true;
+                repeated.push((*stream, lookup.service.clone()));
+            }
+        }
+        for (stream, service) in repeated {
+            let asked = self.possible_keepers(stream);
+            if let Some(lookup) = self.origins.lookups.get_mut(&stream) {
+                lookup.unanswered = asked.iter().copied().collect();
+            }
+            self.send(asked, &Message::OriginRequest { stream, service });
+        }
+    }
+}
--- a/crates/valehold-gateway/src/control/publishing.rs
+++ b/crates/valehold-gateway/src/control/publishing.rs
@@ -73,6 +73,7 @@
             catalog: self.catalog.clone(),
             listing: self.upstreams.listing().clone(),
             index: self.upstreams.index().clone(),
+            software: self.upstreams.software().clone(),
             recent: self.upstreams.recent().clone(),
             lapsed: self.upstreams.lapsed().clone(),
             evacuations: self.evacuations.clone(),
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -435,6 +435,15 @@
                 self.receive_limits(limit.as_slice(), now);
                 self.shared.cold().permits.on_reply(number, answer, now);
             }
+            Message::StreamOrigins(reports) => {
+                self.receive_origins(&reports, now);
+            }
+            Message::OriginRequest { stream, service } => {
+                self.answer_origin_request(from, stream, &service, now);
+            }
+            Message::OriginUnknown { stream, only_version } => {
+                self.on_origin_unknown(from, stream, only_version, now);
+            }
             Message::Fragment(fragment) => {
                 self.on_fragment(from, fragment, now);
             }
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -17,10 +17,13 @@
         crashes::CrashReports,
         evacuation::HeldEvacuation,
         paces::{PaceObservation, PaceUpdate},
+        stream_origin::{OriginReport, StreamId},
         upstream_limit::LimitReport,
         usage::{Throttles, UsageTotal},
     },
-    id::{DataCentreId, InstanceId, UpstreamTag},
+    id::{
+        DataCentreId, InstanceId, ServiceName, SoftwareVersion, UpstreamTag,
+    },
 };
 
 use super::{
@@ -496,6 +499,24 @@
     /// From a gateway that received such answers: upstreams that are brittle,
     /// or have rejected a request.
     Brittle(Vec<BrittleReport>),
+    /// To the keepers of streams, or in reply to a request: where streams
+    /// began.
+    StreamOrigins(Vec<OriginReport>),
+    /// To the keepers of a stream: a request for its origin.
+    OriginRequest {
+        /// The stream.
+        stream: StreamId,
+        /// The service that is asked to continue the stream.
+        service: ServiceName,
+    },
+    /// From a gateway that does not know the origin of a stream.
+    OriginUnknown {
+        /// The stream.
+        stream: StreamId,
+        /// The version that all upstreams of the service run, if the gateway
+        /// is certain of it.
+        only_version: Option<SoftwareVersion>,
+    },
 }
 
 /// Why a datagram cannot be decoded or encoded.
@@ -560,6 +581,9 @@
             Self::PermitRequest { .. } => "ask_right",
             Self::PermitReply { .. } => "right",
             Self::HeldEvacuations(_) => "held_evacuations",
+            Self::StreamOrigins(_) => "stream_origins",
+            Self::OriginRequest { .. } => "origin_request",
+            Self::OriginUnknown { .. } => "origin_unknown",
         }
     }
 
@@ -589,7 +613,10 @@
             | Self::Relay(_)
             | Self::PermitRequest { .. }
             | Self::PermitReply { .. }
-            | Self::HeldEvacuations(_) => return None,
+            | Self::HeldEvacuations(_)
+            | Self::StreamOrigins(_)
+            | Self::OriginRequest { .. }
+            | Self::OriginUnknown { .. } => return None,
         };
         Some((audience, number))
     }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -5,11 +5,14 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use valehold_core::{
     Millis,
     fleet::{
@@ -19,11 +22,12 @@
         cold::{ColdPermits, PermitRequest},
         crashes::{CrashTracker, SuspicionReport},
         paces::{PaceObservation, Paces},
+        stream_origin::{StreamId, StreamOrigin, StreamOrigins},
         topology::Topology,
         upstream_limit::{AnswerEffect, UpstreamLimits},
         usage::UsageMeter,
     },
-    id::{UpstreamId, UpstreamTag},
+    id::{ServiceName, UpstreamId, UpstreamTag},
 };
 
 use crate::{
@@ -55,6 +59,10 @@
 /// are most of them, become rare with the first one.
 const BRITTLE_REPORT_CAPACITY: usize = 256;
 
+/// The capacity of the queue of streams whose origin is unknown here. A gateway
+/// whose neighbour died may be asked to continue all of its streams.
+const ORIGIN_LOOKUP_CAPACITY: usize = 1_024;
+
 /// The most pace observations that are kept until control takes them, which it
 /// does every few hundred milliseconds.
 const MAX_PACE_OBSERVATIONS: usize = 128;
@@ -68,6 +76,19 @@
     pub busy_ms: f64,
 }
 
+/// A request to find where a stream began.
+#[derive(Debug)]
+pub struct OriginLookup {
+    /// The stream.
+    pub stream: StreamId,
+    /// The service that is to continue the stream.
+    pub service: ServiceName,
+    /// Whether no other service could have begun the stream.
+    pub is_only_service: bool,
+    /// Receives the origin, or `None` if it cannot be found.
+    pub reply: oneshot::Sender<Option<StreamOrigin>>,
+}
+
 /// The receiving ends of the queues from traffic to control.
 #[derive(Debug)]
 pub struct ControlReceivers {
@@ -82,6 +103,8 @@
     pub limit_answers: mpsc::Receiver<AnswerEffect>,
     /// Answers of brittle upstreams that the other gateways have to know of.
     pub brittle_reports: mpsc::Receiver<BrittleReport>,
+    /// Streams that callers continue and whose origin is unknown here.
+    pub origin_lookups: mpsc::Receiver<OriginLookup>,
 }
 
 /// The state that control and traffic share.
@@ -114,11 +137,16 @@
     brittle: Mutex<BrittleUpstreams>,
     crashes: Mutex<CrashTracker>,
     crash_changes: watch::Sender<u64>,
+    origins: Mutex<StreamOrigins>,
+    /// Until when this gateway knows the software versions that others know,
+    /// in ms of the clock.
+    software_known_until: AtomicU64,
     load_requests: mpsc::Sender<BoundVariant>,
     permit_requests: mpsc::Sender<PermitRequest>,
     leaving: mpsc::Sender<UpstreamStart>,
     limit_answers: mpsc::Sender<AnswerEffect>,
     brittle_reports: mpsc::Sender<BrittleReport>,
+    origin_lookups: mpsc::Sender<OriginLookup>,
     life: watch::Sender<Life>,
     /// Since when this gateway's own links reach no upstream.
     links_lost_since: Mutex<Option<Millis>>,
@@ -140,6 +168,8 @@
             mpsc::channel(LIMIT_ANSWER_CAPACITY);
         let (brittle_reports, brittle_receiver) =
             mpsc::channel(BRITTLE_REPORT_CAPACITY);
+        let (origin_lookups, lookup_receiver) =
+            mpsc::channel(ORIGIN_LOOKUP_CAPACITY);
         let topology = Topology::new(
             settings.data_centre.clone(),
             settings.regions.clone(),
@@ -162,11 +192,14 @@
             brittle: Mutex::default(),
             crashes: Mutex::new(CrashTracker::new(settings.crashes.keep_ms())),
             crash_changes: watch::Sender::new(0),
+            origins: Mutex::default(),
+            software_known_until: AtomicU64::new(0),
             load_requests,
             permit_requests,
             leaving,
             limit_answers,
             brittle_reports,
+            origin_lookups,
             life: watch::Sender::new(Life::Starting),
             links_lost_since: Mutex::default(),
             settings,
@@ -179,6 +212,7 @@
                 leaving: leaving_receiver,
                 limit_answers: limit_receiver,
                 brittle_reports: brittle_receiver,
+                origin_lookups: lookup_receiver,
             },
         )
     }
@@ -243,6 +277,32 @@
         let _ = self.brittle_reports.try_send(report);
     }
 
+    /// Returns the known origins of streams.
+    pub fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        // Entries are independent, so any state that a panic left is valid.
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks control to find where a stream began.
+    ///
+    /// The request is dropped, and with it the sender of the reply, if the
+    /// queue is full.
+    pub fn look_up_origin(&self, lookup: OriginLookup) {
+        let _ = self.origin_lookups.try_send(lookup);
+    }
+
+    /// Sets until when this gateway knows the software versions that others
+    /// know.
+    pub fn set_software_known_until(&self, until: Millis) {
+        self.software_known_until.store(until.get(), Ordering::Relaxed);
+    }
+
+    /// Returns whether this gateway knows the software versions that others
+    /// know.
+    pub fn is_software_known(&self, now: Millis) -> bool {
+        now.get() < self.software_known_until.load(Ordering::Relaxed)
+    }
+
     /// Returns the estimate of which upstreams are cold, and the permits to
     /// send to them.
     pub fn cold(&self) -> MutexGuard<'_, ColdPermits> {
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -6,20 +6,23 @@
 //! data centre counts as evacuated and its upstreams receive no requests. An
 //! upstream that requested a backoff from this gateway is not eligible until
 //! the backoff ends. An upstream that is cold or rate-limited receives a
-//! request only with a send permit.
+//! request only with a send permit. A stream that has begun is continued only
+//! at upstreams of the software version that began it.
 
 use std::{borrow::Cow, sync::Arc};
 
 use valehold_core::{
     fleet::{
-        RegionBound, Upstream, Variant, backoff::BackoffState,
+        RegionBound, Repetition, Upstream, Variant, backoff::BackoffState,
         brittle::RoomState, cold::PermitState, upstream_limit::RequestRate,
     },
     id::UpstreamId,
 };
 
 use super::{
-    super::{brittle, permits, route::Job, state::App},
+    super::{
+        brittle, origins::SoftwareBound, permits, route::Job, state::App,
+    },
     NoChoice,
 };
 use crate::{
@@ -72,18 +75,27 @@
             .is_none()
 }
 
-/// Returns the upstreams of a request's service that are not leaving.
+/// Returns whether a request is bound to a software version that no upstream
+/// of its service runs.
+pub(super) fn none_of_version(view: &View, job: &Job) -> bool {
+    job.software != SoftwareBound::Any
+        && of_service(view, job).next().is_none()
+}
+
+/// Returns the upstreams of a request's service that are not leaving and run a
+/// software version at which the request may run.
 fn of_service<'a>(
     view: &'a View,
     job: &'a Job,
 ) -> impl Iterator<Item = &'a Arc<Upstream>> {
     let all = view.index.of_service(&job.service_name, &view.listing);
-    all.filter(|upstream| !upstream.leaving)
+    all.filter(|upstream| !upstream.leaving && job.software.allows(upstream))
 }
 
 /// Returns the upstreams of a request's service that hold the requested model
 /// and adapter, including upstreams that are leaving. For a plain service,
-/// returns all upstreams of the service.
+/// returns all upstreams of the service. Leaves out upstreams of software
+/// versions at which the request may not run.
 fn all_holders<'a>(
     view: &'a View,
     job: &'a Job,
@@ -99,7 +111,8 @@
         Some(_) => None,
         None => Some(view.index.of_service(&job.service_name, &view.listing)),
     };
-    of_model.chain(of_service.into_iter().flatten())
+    let all = of_model.chain(of_service.into_iter().flatten());
+    all.filter(|upstream| job.software.allows(upstream))
 }
 
 /// Removes the upstreams outside a request's region bound.
@@ -341,6 +354,26 @@
     }
 }
 
+/// Removes the upstreams of a software version that other gateways may not
+/// have learned of yet, unless no other upstream would remain. Applies to
+/// requests whose stream another gateway may be asked to continue.
+pub(super) fn prefer_known_software<'a>(
+    app: &App,
+    view: &View,
+    job: &Job,
+    eligible: Vec<EligibleUpstream<'a>>,
+) -> Vec<EligibleUpstream<'a>> {
+    let may_be_continued = job.route.repetition == Repetition::Resumable;
+    if !may_be_continued || job.software != SoftwareBound::Any {
+        return eligible;
+    }
+    let now = app.now();
+    let (new, known): (Vec<_>, Vec<_>) = eligible
+        .into_iter()
+        .partition(|one| view.software.is_new(one.upstream, now));
+    if known.is_empty() { new } else { known }
+}
+
 /// Removes the upstreams that recently rejected a request for this variant,
 /// unless no other upstream would remain.
 pub(super) fn prefer_not_rejecting<'a>(
--- a/crates/valehold-gateway/src/traffic/choose/engine.rs
+++ b/crates/valehold-gateway/src/traffic/choose/engine.rs
@@ -15,7 +15,8 @@
     Chosen, NoChoice,
     eligible::{
         EligibleUpstream, eligible, holders, not_backing_off,
-        prefer_not_evacuating, prefer_not_rejecting, with_room,
+        prefer_known_software, prefer_not_evacuating, prefer_not_rejecting,
+        with_room,
     },
     load_of,
     prompt::Prompt,
@@ -60,6 +61,7 @@
         false => None,
     };
     let eligible = eligible(app, job, holders.iter().copied(), tried)?;
+    let eligible = prefer_known_software(app, view, job, eligible);
     let eligible = prefer_not_evacuating(
         view,
         prefer_not_rejecting(app, eligible, Some(variant)),
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -57,6 +57,9 @@
 pub(super) enum NoChoice {
     /// No untried upstream is available.
     NoUpstream,
+    /// No upstream of the service runs the software version that began the
+    /// stream.
+    NoneOfVersion,
     /// All upstreams of the service are outside the request's region bound.
     NoneInBound,
     /// The region bound of the request allows no region.
@@ -104,6 +107,9 @@
     if current_bound(&view, job).is_empty() {
         return Err(NoChoice::EmptyBound);
     }
+    if eligible::none_of_version(&view, job) {
+        return Err(NoChoice::NoneOfVersion);
+    }
     if eligible::all_outside_bound(app, &view, job) {
         return Err(NoChoice::NoneInBound);
     }
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -31,7 +31,9 @@
     answer::{self, Relay},
     charge::{Charge, charge},
     choose::{Chosen, choose, choose_with_permit},
-    crashes, permits,
+    crashes,
+    origins::{self, SoftwareBound},
+    permits,
     record::Record,
     refusal::Refusal,
     route::Job,
@@ -110,6 +112,7 @@
     async fn run(&mut self) -> Result<ReceivedAnswer, Refusal> {
         self.refuse_if_it_crashes()?;
         self.refuse_if_unservable()?;
+        self.bind_to_origin().await?;
         self.charge = charge(&self.app, &self.job)?;
         record_work(&self.app, &self.job);
         let mut reason = RefusalReason::UpstreamFailed;
@@ -198,6 +201,9 @@
                 if relay.has_output() {
                     crashes::record_answer(&app, &self.job);
                 }
+                // From now on the caller may have events of this version.
+                self.job.software = SoftwareBound::of(&chosen.upstream);
+                origins::record(&app, &self.job, &chosen.upstream);
                 let start = &chosen.upstream.start();
                 app.update_health(start, |h, now| h.record_success(now));
                 if let Some(variant) = &self.job.request.variant {
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -14,6 +14,7 @@
             Chosen, NoChoice, choose_with_permit, current_bound, holders,
             holders_outside_bound, usable,
         },
+        origins,
         refusal::Refusal,
     },
     Exchange,
@@ -53,6 +54,14 @@
 /// region, in ms. Operators have to change the configuration first.
 const EMPTY_BOUND_RETRY_AFTER_MS: u64 = 30_000;
 
+/// The time after which to retry a request that continues a stream of unknown
+/// origin, in ms. Gateways that know it may be cut off for a moment.
+const UNKNOWN_ORIGIN_RETRY_AFTER_MS: u64 = 1_000;
+
+/// The time after which to retry while no upstream runs the software version
+/// of the stream, in ms. An upstream that ended may start again.
+const NO_VERSION_RETRY_AFTER_MS: u64 = 3_500;
+
 impl Exchange {
     /// Refuses a request whose region bound allows no region. Called before
     /// the workspace is charged, so that the request costs nothing.
@@ -64,6 +73,32 @@
         }
     }
 
+    /// Binds a request that continues a stream to the software version that
+    /// began the stream. Refuses the request if the version is unknown: an
+    /// upstream of another version would continue a different text.
+    pub(super) async fn bind_to_origin(&mut self) -> Result<(), Refusal> {
+        if !self.job.continues_stream() {
+            return Ok(());
+        }
+        let Some(origin) = origins::find(&self.app, &self.job).await else {
+            let retry_after = Some(UNKNOWN_ORIGIN_RETRY_AFTER_MS);
+            return Err(
+                self.give_up(RefusalReason::UnknownOrigin, retry_after)
+            );
+        };
+        match self.job.bind_to(origin) {
+            true => Ok(()),
+            false => Err(self.refuse_for_version()),
+        }
+    }
+
+    /// Returns the refusal for a request that continues a stream of a software
+    /// version that no upstream runs.
+    fn refuse_for_version(&self) -> Refusal {
+        let retry_after = Some(NO_VERSION_RETRY_AFTER_MS);
+        self.give_up(RefusalReason::NoUpstreamOfVersion, retry_after)
+    }
+
     /// Returns the refusal for a request whose region bound allows no region.
     fn refuse_for_empty_bound(&self) -> Refusal {
         let retry_after = Some(EMPTY_BOUND_RETRY_AFTER_MS);
@@ -98,6 +133,9 @@
                     let reason = RefusalReason::WouldBeLate;
                     return Err(self.give_up(reason, Some(retry_after_ms)));
                 }
+                NoChoice::NoneOfVersion => {
+                    return Err(self.refuse_for_version());
+                }
                 NoChoice::EmptyBound => {
                     return Err(self.refuse_for_empty_bound());
                 }
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -29,6 +29,7 @@
 mod dispatch;
 mod exchange;
 mod links;
+mod origins;
 mod permits;
 mod pool;
 mod record;
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -0,0 +1,112 @@
+//! Binds streams to the software version that began them.
+//!
+//! A stream that has begun is resumed only at upstreams of the same service
+//! and software version. For a request that continues a stream, the origin of
+//! the stream is looked up first.
+
+use tokio::sync::oneshot;
+use valehold_core::{
+    fleet::{
+        Repetition, Upstream,
+        stream_origin::{StreamId, StreamOrigin},
+    },
+    id::{ServiceName, SoftwareVersion},
+};
+
+use super::{route::Job, state::App};
+use crate::shared::OriginLookup;
+
+/// How long after the deadline of a request its stream may be taken up again,
+/// in ms: callers that retry have less time left than before.
+const KEEP_MARGIN_MS: u64 = 2_000;
+
+/// The software versions at which a request may run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) enum SoftwareBound {
+    /// Any version: no event of a stream has reached the caller.
+    #[default]
+    Any,
+    /// The version that began the stream.
+    Only(SoftwareVersion),
+    /// None: the version that began the stream is unknown.
+    Nowhere,
+}
+
+impl SoftwareBound {
+    /// Returns the bound of a stream that began at an upstream.
+    pub(super) fn of(upstream: &Upstream) -> Self {
+        let software = upstream.software.clone();
+        software.map_or(Self::Nowhere, Self::Only)
+    }
+
+    /// Returns whether a request may run at an upstream.
+    pub(super) fn allows(&self, upstream: &Upstream) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(software) => {
+                upstream.software.as_ref() == Some(software)
+            }
+            Self::Nowhere => false,
+        }
+    }
+}
+
+/// Records the upstream at which a stream began, so that the stream can be
+/// continued here and at other gateways.
+pub(super) fn record(app: &App, job: &Job, upstream: &Upstream) {
+    if job.route.repetition != Repetition::Resumable {
+        return;
+    }
+    let Some(software) = upstream.software.clone() else { return };
+    let service = job.service_name.clone();
+    let origin = StreamOrigin { service, software };
+    let now = app.now();
+    let keep_ms = job.caller_deadline.since(now) + KEEP_MARGIN_MS;
+    let ids = [job.request.id.as_ref(), job.request.resumes.as_ref()];
+    let mut origins = app.shared.origins();
+    for id in ids.into_iter().flatten() {
+        let stream = StreamId::of_request(id);
+        let is_only_service = job.route.targets.len() == 1;
+        origins.record(stream, &origin, is_only_service, keep_ms, now);
+    }
+}
+
+/// Finds where the stream began that a request continues: in the records of
+/// this gateway or others, or as the only version of the service. Returns
+/// `None` if neither tells.
+pub(super) async fn find(app: &App, job: &Job) -> Option<StreamOrigin> {
+    let stream = job.request.resumes.as_ref();
+    let stream = stream.map(|id| StreamId::of_request(id));
+    let service = &job.service_name;
+    if let Some(stream) = stream {
+        let known = app.shared.origins().get(stream, app.now()).cloned();
+        if known.is_some() {
+            return known;
+        }
+    }
+    let is_only_service = job.route.targets.len() == 1;
+    let only_version = only_version(app, service).filter(|_| is_only_service);
+    if let Some(software) = only_version {
+        let service = service.clone();
+        return Some(StreamOrigin { service, software });
+    }
+    let (reply, found) = oneshot::channel();
+    let service = service.clone();
+    app.shared.look_up_origin(OriginLookup {
+        stream: stream?,
+        service,
+        is_only_service,
+        reply,
+    });
+    found.await.ok().flatten()
+}
+
+/// Returns the version that all upstreams of a service run, if this is
+/// certain.
+fn only_version(app: &App, service: &ServiceName) -> Option<SoftwareVersion> {
+    let now = app.now();
+    if !app.shared.is_software_known(now) {
+        return None;
+    }
+    app.shared.view.load().software.only_version(service, now)
+}
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -13,6 +13,7 @@
         BoundVariant, Catalog, RegionBound, Route,
         catalog::{ColdSpec, EngineSpec},
         crashes::RequestContent,
+        stream_origin::StreamOrigin,
         workspace::Workspace,
     },
     id::ServiceName,
@@ -20,7 +21,7 @@
 };
 use valehold_ports::port::fleet::CallerRequest;
 
-use super::{refusal::Refusal, state::App};
+use super::{origins::SoftwareBound, refusal::Refusal, state::App};
 use crate::view::Life;
 
 /// The time after its start in which a gateway is expected to receive the
@@ -65,8 +66,12 @@
     pub(super) bound: RegionBound,
     /// The catalog in which the route, service and workspace were found.
     pub(super) catalog: Arc<Catalog>,
+    /// The software versions at which the request may run.
+    pub(super) software: SoftwareBound,
     /// The time by which the request must be answered or refused.
     pub(super) deadline: Millis,
+    /// The time until which the caller waits, also if the route allows less.
+    pub(super) caller_deadline: Millis,
     content: OnceCell<RequestContent>,
 }
 
@@ -96,6 +101,24 @@
         })
     }
 
+    /// Returns whether the request continues a stream of which the caller has
+    /// events.
+    pub(super) fn continues_stream(&self) -> bool {
+        self.route.streaming && self.request.after_event.is_some()
+    }
+
+    /// Binds the request to the origin of the stream that it continues.
+    /// Returns whether its route still allows the service of the origin.
+    pub(super) fn bind_to(&mut self, origin: StreamOrigin) -> bool {
+        let StreamOrigin { service, software } = origin;
+        if !self.route.has_target(&service) {
+            return false;
+        }
+        self.service_name = service;
+        self.software = SoftwareBound::Only(software);
+        true
+    }
+
     /// Returns the requested variant with the region bound of the request;
     /// `None` if the request names no model.
     pub(super) fn bound_variant(&self) -> Option<BoundVariant> {
@@ -175,7 +198,9 @@
         workspace,
         bound,
         catalog,
+        software: SoftwareBound::Any,
         deadline,
+        caller_deadline: arrived + deadline_ms,
         content: OnceCell::new(),
     })
 }
--- a/crates/valehold-gateway/src/view.rs
+++ b/crates/valehold-gateway/src/view.rs
@@ -7,6 +7,7 @@
     fleet::{
         Catalog, EvacuationState, Listing, UpstreamIndex,
         lapsed::LapsedUpstreams, recent::RecentChanges,
+        software::SoftwareHistory,
     },
     id::DataCentreId,
 };
@@ -94,6 +95,8 @@
     pub listing: Arc<Listing>,
     /// The index of the upstreams by service and model.
     pub index: UpstreamIndex,
+    /// The software versions of the upstreams over time.
+    pub software: SoftwareHistory,
     /// Recent changes of the list, for peers that have an older version.
     pub recent: Arc<RecentChanges>,
     /// Upstreams that the store lost, kept in the list for a grace period.
@@ -114,6 +117,7 @@
             catalog: None,
             listing: Arc::default(),
             index: UpstreamIndex::default(),
+            software: SoftwareHistory::default(),
             recent: Arc::default(),
             lapsed: LapsedUpstreams::default(),
             evacuations: EvacuationState::default(),
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -34,6 +34,9 @@
         },
         evacuation::HeldEvacuation,
         paces::{LogRatio, PaceObservation, PaceUpdate, Paces},
+        stream_origin::{
+            OriginReport, ReportedStream, StreamId, StreamOrigin,
+        },
         upstream_limit::{LimitReport, RequestRate},
         usage::{Fraction, Throttle, Throttles, UsageTotal},
         workspace::{KeyDigest, UsageLimit, UsageUnit, Workspace, Workspaces},
@@ -525,6 +528,24 @@
             capacity: RejectionCapacity(3),
             is_rejection: true,
         }]),
+        Message::StreamOrigins(vec![OriginReport {
+            origin: StreamOrigin {
+                service: ServiceName::new("engines"),
+                software: SoftwareVersion::new("v1.1"),
+            },
+            streams: vec![ReportedStream {
+                stream: StreamId::of_request(b"a1"),
+                keep_ms: 17_000,
+            }],
+        }]),
+        Message::OriginRequest {
+            stream: StreamId::of_request(b"a1"),
+            service: ServiceName::new("engines"),
+        },
+        Message::OriginUnknown {
+            stream: StreamId::of_request(b"a1"),
+            only_version: Some(SoftwareVersion::new("v1.1")),
+        },
     ]
 }
 
@@ -569,6 +590,9 @@
         Message::PermitReply { .. } => RIGHT,
         Message::HeldEvacuations(_) => HELD_EVACUATIONS,
         Message::Brittle(_) => BRITTLE,
+        Message::StreamOrigins(_) => STREAM_ORIGINS,
+        Message::OriginRequest { .. } => ORIGIN_REQUEST,
+        Message::OriginUnknown { .. } => ORIGIN_UNKNOWN,
     }
 }
 
@@ -618,7 +642,7 @@
         .iter()
         .map(|message| bytes_of(recorded(message))[1])
         .collect();
-    expect_that!(indices, eq(&Vec::from_iter(0..22)));
+    expect_that!(indices, eq(&Vec::from_iter(0..25)));
 }
 
 /// A build without exposures ignores the bytes after those that it knows.
@@ -645,6 +669,13 @@
     expect_that!(decoded, eq(&state()));
 }
 
+const STREAM_ORIGINS: &str =
+    "bb160107656e67696e65730476312e3101bcaeb2afbc80e1feb801e88401";
+
+const ORIGIN_REQUEST: &str = "bb17bcaeb2afbc80e1feb80107656e67696e6573";
+
+const ORIGIN_UNKNOWN: &str = "bb18bcaeb2afbc80e1feb801010476312e31";
+
 const BRITTLE: &str =
     "bb150108656e67696e652d310181d095ffbc3107656e67696e65730301";
 
