Streams of the only version go on at gateways that have just started

Change: the list has to be known for 10 s, by when streams of before were taken up or given up (versions that leave it still count for 30 s); streams that are not named are asked about as well; a gateway that has just started waits, as for its configuration. A stream of a version of which no engine holds the model is refused at once: a load takes longer than callers wait.

--- a/crates/valehold-core/src/fleet/software.rs
+++ b/crates/valehold-core/src/fleet/software.rs
@@ -18,6 +18,11 @@
 /// caller takes a broken stream up again within seconds.
 const RETENTION_MS: u64 = 30_000;
 
+/// How long the list must have been known before a version can be the only one,
+/// in ms. Streams of a version that left the list before that have been taken
+/// up or given up by then.
+const MIN_KNOWN_MS: u64 = 10_000;
+
 /// How long a version counts as new, in ms: until every gateway either has
 /// learned of it or knows that it lost contact with the others.
 const NEW_MS: u64 = 2_500;
@@ -52,18 +57,18 @@
 }
 
 impl SoftwareHistory {
-    /// Returns the version that all upstreams of a service run and ran for as
-    /// long as streams of another one could still be taken up.
+    /// Returns the version that all upstreams of a service run, if no stream of
+    /// another one can still be taken up.
     ///
-    /// Returns `None` if another version was in use, or if the list has not
-    /// been known for long enough to exclude this.
+    /// Returns `None` if another version was in use lately, or if the list has
+    /// not been known for long enough to exclude this.
     pub fn only_version(
         &self,
         service: &ServiceName,
         now: Millis,
     ) -> Option<SoftwareVersion> {
         let known_ms = now.since(self.known_since?);
-        if known_ms < RETENTION_MS {
+        if known_ms < MIN_KNOWN_MS {
             return None;
         }
         let mut recent = self.recent_versions(service, now);
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -79,7 +79,8 @@
         /// It continues a stream of which no reachable instance knows at which
         /// software version it began.
         UnknownOrigin = "unknown_origin",
-        /// It continues a stream of a software version that no upstream runs.
+        /// It continues a stream of a software version that no upstream runs
+        /// which holds the model.
         NoUpstreamOfVersion = "no_upstream_of_version",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
--- a/crates/valehold-gateway/src/control/origins.rs
+++ b/crates/valehold-gateway/src/control/origins.rs
@@ -13,7 +13,7 @@
     id::{ServiceName, SoftwareVersion},
 };
 
-use super::Control;
+use super::{Control, SETTLE_MS};
 use crate::{
     peers::message::{Message, StoreStatus},
     shared::OriginLookup,
@@ -173,7 +173,8 @@
             only_versions: BTreeSet::new(),
             replies: vec![reply],
         };
-        if asked.is_empty() {
+        let knows_others = self.now().since(self.started) >= SETTLE_MS;
+        if asked.is_empty() && knows_others {
             pending.finish(None);
             return;
         }
--- a/crates/valehold-gateway/src/traffic/choose/eligible.rs
+++ b/crates/valehold-gateway/src/traffic/choose/eligible.rs
@@ -75,11 +75,19 @@
             .is_none()
 }
 
-/// Returns whether a request is bound to a software version that no upstream
-/// of its service runs.
+/// Returns whether a request is bound to a software version of which no
+/// upstream can answer it: none runs the version, or none of those that do
+/// holds the model. A model is not loaded for a version, as a load takes longer
+/// than callers wait for a stream that has begun.
 pub(super) fn none_of_version(view: &View, job: &Job) -> bool {
-    job.software != SoftwareBound::Any
-        && of_service(view, job).next().is_none()
+    if job.software == SoftwareBound::Any || view.listing.version == 0 {
+        return false;
+    }
+    let model = job.request.variant.as_ref();
+    let model = model.map(|variant| Variant::plain(variant.model.as_str()));
+    !of_service(view, job).any(|upstream| {
+        model.as_ref().is_none_or(|model| upstream.holding.can_run(model))
+    })
 }
 
 /// Returns the upstreams of a request's service that are not leaving and run a
--- a/crates/valehold-gateway/src/traffic/choose/mod.rs
+++ b/crates/valehold-gateway/src/traffic/choose/mod.rs
@@ -57,8 +57,8 @@
 pub(super) enum NoChoice {
     /// No untried upstream is available.
     NoUpstream,
-    /// No upstream of the service runs the software version that began the
-    /// stream.
+    /// No upstream that runs the software version that began the stream can
+    /// continue it.
     NoneOfVersion,
     /// All upstreams of the service are outside the request's region bound.
     NoneInBound,
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -16,6 +16,7 @@
         },
         origins,
         refusal::Refusal,
+        route::wait_until_started,
     },
     Exchange,
     refusals::NO_UPSTREAM_RETRY_AFTER_MS,
@@ -80,6 +81,9 @@
         if !self.job.continues_stream() {
             return Ok(());
         }
+        // A gateway that has just started knows neither the upstreams nor the
+        // gateways to ask.
+        wait_until_started(&self.app).await;
         let Some(origin) = origins::find(&self.app, &self.job).await else {
             let retry_after = Some(UNKNOWN_ORIGIN_RETRY_AFTER_MS);
             return Err(
--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -75,14 +75,14 @@
 /// this gateway or others, or as the only version of the service. Returns
 /// `None` if neither tells.
 pub(super) async fn find(app: &App, job: &Job) -> Option<StreamOrigin> {
-    let stream = job.request.resumes.as_ref();
-    let stream = stream.map(|id| StreamId::of_request(id));
     let service = &job.service_name;
-    if let Some(stream) = stream {
-        let known = app.shared.origins().get(stream, app.now()).cloned();
-        if known.is_some() {
-            return known;
-        }
+    let stream = match &job.request.resumes {
+        Some(id) => StreamId::of_request(id),
+        None => StreamId::unnamed(service),
+    };
+    let known = app.shared.origins().get(stream, app.now()).cloned();
+    if known.is_some() {
+        return known;
     }
     let is_only_service = job.route.targets.len() == 1;
     let only_version = only_version(app, service).filter(|_| is_only_service);
@@ -92,12 +92,8 @@
     }
     let (reply, found) = oneshot::channel();
     let service = service.clone();
-    app.shared.look_up_origin(OriginLookup {
-        stream: stream?,
-        service,
-        is_only_service,
-        reply,
-    });
+    let lookup = OriginLookup { stream, service, is_only_service, reply };
+    app.shared.look_up_origin(lookup);
     found.await.ok().flatten()
 }
 
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -214,13 +214,19 @@
     if let Some(catalog) = current() {
         return Some(catalog);
     }
+    // On a timeout, the caller of this function refuses the request.
+    wait_until_started(app).await;
+    current()
+}
+
+/// Waits until the gateway has all state required to route requests, until
+/// [`MAX_STARTUP_TIME`] after its start.
+pub(super) async fn wait_until_started(app: &App) {
     let age = Duration::from_millis(app.now().get());
     let wait = MAX_STARTUP_TIME.saturating_sub(age);
     let mut life = app.shared.watch_life();
     let serving = life.wait_for(|life| *life != Life::Starting);
-    // On a timeout, the caller of this function refuses the request.
     let _ = tokio::time::timeout(wait, serving).await;
-    current()
 }
 
 /// Removes headers that only a gateway may set, so that no upstream mistakes a
