Placement: a further replica goes to the version of a lone holder

Replicas went to engines of any version, so that a model with four could have each on a version of its own.

Change: of engines with room, one whose version exactly one holder runs comes before one in another data centre. With one version nothing changes.

Test: a_second_replica_goes_to_the_version_of_a_lone_holder, fails without the new rank. An engine of which only a later start's report is known has no version in the plan. Not done: a load for a stream that waits; it takes longer than most callers wait.

--- a/crates/valehold-core/examples/plan_time.rs
+++ b/crates/valehold-core/examples/plan_time.rs
@@ -57,6 +57,7 @@
         EngineState {
             id: UpstreamId::new(format!("engine-{engine:05}")),
             data_centre: DataCentreId::new(format!("dc-{}", engine % 6)),
+            software: None,
             holding: Holding { sequence: 9, models: held.collect() },
             loading: None,
             has_pending_order: false,
--- a/crates/valehold-core/src/fleet/replicas/mod.rs
+++ b/crates/valehold-core/src/fleet/replicas/mod.rs
@@ -54,7 +54,7 @@
 pub use self::need::{ModelNeed, ModelNeeds, Needs};
 use self::planner::Planner;
 use super::{catalog::EngineSpec, listing::Holding, topology::Topology};
-use crate::id::{DataCentreId, ModelName, UpstreamId};
+use crate::id::{DataCentreId, ModelName, SoftwareVersion, UpstreamId};
 
 /// The state of one engine, as input for a plan.
 #[derive(Debug, Clone)]
@@ -63,6 +63,8 @@
     pub id: UpstreamId,
     /// The data centre of the engine.
     pub data_centre: DataCentreId,
+    /// The version of the engine's software, if it is known.
+    pub software: Option<SoftwareVersion>,
     /// The models and adapters that the engine holds.
     pub holding: Holding,
     /// A model that the engine was ordered to load and does not hold yet.
--- a/crates/valehold-core/src/fleet/replicas/room.rs
+++ b/crates/valehold-core/src/fleet/replicas/room.rs
@@ -1,13 +1,13 @@
 //! Chooses the engine that loads a model, and the model that is unloaded to
 //! make room.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
     claim::Claim,
     planner::{EVERYWHERE, Engine, Planner},
 };
-use crate::id::DataCentreId;
+use crate::id::{DataCentreId, SoftwareVersion};
 
 /// The minimum ratio of the pressure of the model that needs room to the
 /// pressure of the model that is unloaded.
@@ -58,8 +58,9 @@
     /// with room.
     ///
     /// In this order, an engine is preferred if its room is not kept for
-    /// another model, if it has a local copy, if no holder is in its data
-    /// centre, and if it has the fewest running requests.
+    /// another model, if it has a local copy, if exactly one holder runs its
+    /// software version, if no holder is in its data centre, and if it has the
+    /// fewest running requests.
     pub(super) fn engine_with_room_where(
         &self,
         model: usize,
@@ -74,14 +75,18 @@
                 && engine.used_mb + size_mb <= self.spec.memory_mb
         });
         let data_centres = self.data_centres_holding(model);
+        let lone = self.versions_with_one_holder(model);
         let rank = |index: usize| {
             let engine = &self.engines[index];
             let has_no_copy = !engine.copies.contains(&model);
+            let leaves_holders_alone =
+                !lone.contains(&engine.state.software.as_ref());
             let has_holder_nearby =
                 data_centres.contains(&engine.state.data_centre);
             (
                 self.is_reserved_for_another(index, model),
                 has_no_copy,
+                leaves_holders_alone,
                 has_holder_nearby,
             )
         };
@@ -100,6 +105,21 @@
         holders.map(|engine| &engine.state.data_centre).collect()
     }
 
+    /// Returns the software versions of which exactly one engine holds or loads
+    /// a model. The streams of this engine could not go on at another one.
+    fn versions_with_one_holder(
+        &self,
+        model: usize,
+    ) -> BTreeSet<Option<&SoftwareVersion>> {
+        let mut counts: BTreeMap<Option<&SoftwareVersion>, usize> =
+            BTreeMap::new();
+        for engine in self.engines.iter().filter(|e| e.will_hold(model)) {
+            *counts.entry(engine.state.software.as_ref()).or_default() += 1;
+        }
+        let lone = counts.into_iter().filter(|(_, count)| *count == 1);
+        lone.map(|(version, _)| version).collect()
+    }
+
     /// Unloads the model with the lowest cost whose removal makes room for the
     /// model of a claim. Returns whether such a model was found.
     pub(super) fn make_room(&mut self, claim: usize, pressure: f64) -> bool {
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -13,7 +13,7 @@
         catalog::EngineSpec,
         replicas::{EngineState, LoadSource, ModelNeed, ReplicaStep, plan},
     },
-    id::{AdapterName, DataCentreId, ModelName, UpstreamId},
+    id::{AdapterName, DataCentreId, ModelName, SoftwareVersion, UpstreamId},
     testing::cases,
 };
 
@@ -52,6 +52,7 @@
     EngineState {
         id: UpstreamId::new(format!("e{number}")),
         data_centre: DataCentreId::new("north"),
+        software: None,
         holding: Holding {
             sequence: 0,
             models: models.iter().map(name).collect(),
@@ -453,3 +454,29 @@
         }
     }
 }
+
+/// A stream of the only holder of its version has no other engine to go on at.
+#[gtest]
+fn a_second_replica_goes_to_the_version_of_a_lone_holder() {
+    let spec = spec(1);
+    let with = |number: usize, software: &str, models: &[usize]| EngineState {
+        software: Some(SoftwareVersion::new(software)),
+        running_requests: number as f64,
+        ..engine(number, &models.iter().copied().collect())
+    };
+    let loads_at = |engines: &[EngineState]| {
+        let steps = plan(&spec, &needs(&[2.0]), engines, 1);
+        let loads = steps.into_iter().filter_map(|step| match step {
+            ReplicaStep::Load { engine, .. } => Some(engine.to_string()),
+            ReplicaStep::Unload { .. } => None,
+        });
+        loads.collect::<Vec<_>>()
+    };
+    let mut engines =
+        vec![with(9, "v1", &[0]), with(1, "v2", &[]), with(2, "v1", &[])];
+    expect_that!(loads_at(&engines), elements_are![eq("e2")]);
+    // With two holders of v1, the engine with the fewest requests comes next.
+    engines[2] = with(2, "v1", &[0]);
+    engines.push(with(3, "v1", &[]));
+    expect_that!(loads_at(&engines), elements_are![eq("e1")]);
+}
--- a/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
@@ -46,6 +46,7 @@
     EngineState {
         id: UpstreamId::new(format!("e{number}")),
         data_centre: DataCentreId::new(data_centre),
+        software: None,
         holding: Holding {
             sequence: 0,
             models: models
--- a/crates/valehold-gateway/src/control/entry.rs
+++ b/crates/valehold-gateway/src/control/entry.rs
@@ -11,7 +11,7 @@
     fleet::{
         Holding, Upstream, UpstreamStart, Variant, weight_loads::OrderPosition,
     },
-    id::{DataCentreId, ModelName, ServiceName},
+    id::{DataCentreId, ModelName, ServiceName, SoftwareVersion},
     order::Stamp,
 };
 use valehold_ports::port::fleet::OrderWish;
@@ -158,10 +158,17 @@
         let listed = Upstream::clone(&self.last_listed);
         let holding = Holding::default();
         let evacuated = self.evacuated;
-        let upstream = Arc::new(Upstream { started_at_ms, holding, ..listed });
+        let software = None;
+        let upstream =
+            Arc::new(Upstream { started_at_ms, software, holding, ..listed });
         *self = Self { evacuated, ..Self::new(&upstream) };
     }
 
+    /// Returns the version of the engine's software, if it is known.
+    pub(super) fn software(&self) -> Option<&SoftwareVersion> {
+        self.last_listed.software.as_ref()
+    }
+
     /// Records whether the engine's data centre is evacuated. When an
     /// evacuation ends, the engine has to be polled, since it may have been
     /// restarted in the meantime.
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -120,6 +120,7 @@
             .map(|(id, entry)| EngineState {
                 id: id.clone(),
                 data_centre: entry.data_centre.clone(),
+                software: entry.software().cloned(),
                 holding: entry.usable_holding(),
                 loading: entry.loading.clone(),
                 has_pending_order: entry.executing_model_order
