Report where a stream began at once, also from gateways that have just started

Cause: records waited for the next tick, up to 50 ms, and were lost with the gateway; a gateway that knew no others yet took its records as reported.

Change: traffic notifies control of each record that cannot be inferred, and records wait until another gateway is known.

--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -331,7 +331,7 @@
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let socket = self.socket.clone();
+        let (socket, shared) = (self.socket.clone(), self.shared.clone());
         loop {
             let waits = !self.outbox.borrow().is_empty();
             tokio::select! {
@@ -358,6 +358,8 @@
                 }
                 Some(report) = wishes.brittle_reports.recv() =>
                     self.on_brittle_answer(report),
+                () = shared.origin_recorded().notified() =>
+                    self.report_origins(self.now()),
                 Some(lookup) = wishes.origin_lookups.recv() =>
                     self.look_up_origin(lookup),
                 Some(effect) = wishes.limit_answers.recv() =>
--- a/crates/valehold-gateway/src/control/origins.rs
+++ b/crates/valehold-gateway/src/control/origins.rs
@@ -116,16 +116,17 @@
     /// Reports the streams that began here to their keepers, except those of
     /// services whose only version every gateway knows.
     pub(super) fn report_origins(&mut self, now: Millis) {
+        let own = self.shared.settings.peers.heartbeats;
+        let mut others = self.roster.staying();
+        others.retain(|address| *address != own);
+        if others.is_empty() {
+            // A gateway that has just started reports once it knows others.
+            return;
+        }
         let unreported = self.shared.origins().take_unreported(
             |service| self.only_version(service, now).is_some(),
             now,
         );
-        if unreported.is_empty() {
-            return;
-        }
-        let own = self.shared.settings.peers.heartbeats;
-        let mut others = self.roster.staying();
-        others.retain(|address| *address != own);
         let mut by_keeper: BTreeMap<SocketAddr, Vec<_>> = BTreeMap::new();
         for (reported, origin) in unreported {
             for keeper in reported.stream.keepers(&others) {
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -12,7 +12,7 @@
 };
 
 use arc_swap::ArcSwap;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use valehold_core::{
     Millis,
     fleet::{
@@ -138,6 +138,8 @@
     crashes: Mutex<CrashTracker>,
     crash_changes: watch::Sender<u64>,
     origins: Mutex<StreamOrigins>,
+    /// Notifies control that an origin is to be reported at once.
+    origin_recorded: Notify,
     /// Until when this gateway knows the software versions that others know,
     /// in ms of the clock.
     software_known_until: AtomicU64,
@@ -193,6 +195,7 @@
             crashes: Mutex::new(CrashTracker::new(settings.crashes.keep_ms())),
             crash_changes: watch::Sender::new(0),
             origins: Mutex::default(),
+            origin_recorded: Notify::new(),
             software_known_until: AtomicU64::new(0),
             load_requests,
             permit_requests,
@@ -283,6 +286,12 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the notification that an origin is to be reported at once:
+    /// origins that are not reported yet are lost if this gateway dies.
+    pub fn origin_recorded(&self) -> &Notify {
+        &self.origin_recorded
+    }
+
     /// Asks control to find where a stream began.
     ///
     /// The request is dropped, and with it the sender of the reply, if the
--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -62,13 +62,18 @@
     let origin = StreamOrigin { service, software };
     let now = app.now();
     let keep_ms = job.caller_deadline.since(now) + KEEP_MARGIN_MS;
+    let is_only_service = job.route.targets.len() == 1;
+    let is_inferred =
+        is_only_service && only_version(app, &origin.service).is_some();
     let ids = [job.request.id.as_ref(), job.request.resumes.as_ref()];
     let mut origins = app.shared.origins();
     for id in ids.into_iter().flatten() {
         let stream = StreamId::of_request(id);
-        let is_only_service = job.route.targets.len() == 1;
         origins.record(stream, &origin, is_only_service, keep_ms, now);
     }
+    if !is_inferred {
+        app.shared.origin_recorded().notify_one();
+    }
 }
 
 /// Finds where the stream began that a request continues: in the records of
