Unnamed streams go on after a start of all gateways

Cause: no gateway is certain of the only version before it has known the list for 10 s, and unnamed streams have no record that could tell otherwise, also those that began after the start.

Change: for unnamed streams it is enough that no other version is known. Named ones, whose records are kept, wait as before. Two known versions refuse both.

--- a/crates/valehold-core/src/fleet/software.rs
+++ b/crates/valehold-core/src/fleet/software.rs
@@ -71,6 +71,17 @@
         if known_ms < MIN_KNOWN_MS {
             return None;
         }
+        self.only_known_version(service, now)
+    }
+
+    /// Returns the version that all upstreams of a service run, if no other one
+    /// is known to have been in use lately. Right after a start of all
+    /// gateways, another one may have been in use without any trace.
+    pub fn only_known_version(
+        &self,
+        service: &ServiceName,
+        now: Millis,
+    ) -> Option<SoftwareVersion> {
         let mut recent = self.recent_versions(service, now);
         let only = recent.next()?;
         if recent.next().is_some() {
--- a/crates/valehold-core/src/fleet/tests/software.rs
+++ b/crates/valehold-core/src/fleet/tests/software.rs
@@ -72,6 +72,8 @@
     let registry = registry();
     expect_that!(only(registry.software(), 2), none());
     expect_that!(only(registry.software(), 10), none());
+    let known = registry.software().only_known_version(&service(), at(2));
+    expect_that!(known, some(eq(&SoftwareVersion::new("v1"))));
     expect_that!(only(registry.software(), 11), some(eq("v1")));
     let unknown = SoftwareHistory::default();
     expect_that!(only(&unknown, 100), none());
--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -63,8 +63,8 @@
     let now = app.now();
     let keep_ms = job.caller_deadline.since(now) + KEEP_MARGIN_MS;
     let is_only_service = job.route.targets.len() == 1;
-    let is_inferred =
-        is_only_service && only_version(app, &origin.service).is_some();
+    let only_version = only_version(app, &origin.service, true);
+    let is_inferred = is_only_service && only_version.is_some();
     let ids = [job.request.id.as_ref(), job.request.resumes.as_ref()];
     let mut origins = app.shared.origins();
     for id in ids.into_iter().flatten() {
@@ -90,7 +90,9 @@
         return known;
     }
     let is_only_service = job.route.targets.len() == 1;
-    let only_version = only_version(app, service).filter(|_| is_only_service);
+    let is_named = job.request.resumes.is_some();
+    let only_version = only_version(app, service, is_named);
+    let only_version = only_version.filter(|_| is_only_service);
     if let Some(software) = only_version {
         let service = service.clone();
         return Some(StreamOrigin { service, software });
@@ -104,10 +106,22 @@
 
 /// Returns the version that all upstreams of a service run, if this is
 /// certain.
-fn only_version(app: &App, service: &ServiceName) -> Option<SoftwareVersion> {
+///
+/// An unnamed stream has no record anywhere, so that waiting for certainty
+/// after a start of all gateways would refuse all of them. For these, it is
+/// enough that no other version is known.
+fn only_version(
+    app: &App,
+    service: &ServiceName,
+    is_named: bool,
+) -> Option<SoftwareVersion> {
     let now = app.now();
     if !app.shared.is_software_known(now) {
         return None;
     }
-    app.shared.view.load().software.only_version(service, now)
+    let view = app.shared.view.load();
+    match is_named {
+        true => view.software.only_version(service, now),
+        false => view.software.only_known_version(service, now),
+    }
 }
