--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -116,12 +116,12 @@
     is_named: bool,
 ) -> Option<SoftwareVersion> {
     let now = app.now();
+    let view = app.shared.view.load();
+    if !is_named {
+        return view.software.only_known_version(service, now);
+    }
     if !app.shared.is_software_known(now) {
         return None;
     }
-    let view = app.shared.view.load();
-    match is_named {
-        true => view.software.only_version(service, now),
-        false => view.software.only_known_version(service, now),
-    }
+    view.software.only_version(service, now)
 }
