Origins: one request to the keepers, no lookup of unnamed streams

From reading the change again, no fault that was seen: - since unnamed streams go on where no other version is known, asking others about them could add nothing; they are refused at once instead of after 60 to 180 ms, and the identifier made for them is gone; - asking keepers stood twice, for the first time and for the repetition; - whether the only version tells the origin depends on the route of each request, but was kept with the first lookup of a stream, which later requests joined; control says what was found (`OriginFinding`), traffic draws the conclusion; - each tick copied the list of all gateways before it looked for anything to report: `Roster::has_others` is asked first, the list is made for reports only.

--- a/crates/valehold-core/src/fleet/catalog.rs
+++ b/crates/valehold-core/src/fleet/catalog.rs
@@ -87,6 +87,11 @@
         last_weighted.or(self.targets.last()).map(|target| &target.service)
     }
 
+    /// Returns whether a single service answers the requests of the route.
+    pub fn has_only_target(&self) -> bool {
+        self.targets.len() == 1
+    }
+
     /// Returns whether a service answers requests of the route.
     pub fn has_target(&self, service: &ServiceName) -> bool {
         self.targets.iter().any(|target| target.service == *service)
--- a/crates/valehold-core/src/fleet/stream_origin.rs
+++ b/crates/valehold-core/src/fleet/stream_origin.rs
@@ -32,10 +32,6 @@
 /// The number of keepers of a stream in a larger fleet.
 const KEEPERS: usize = 3;
 
-/// The seed of the identifiers of unnamed streams, which keeps them apart from
-/// those of requests.
-const UNNAMED_SEED: u64 = 1;
-
 /// Identifies a stream by the request that brought its first event.
 #[derive(
     Debug,
@@ -57,12 +53,6 @@
         Self(xxh3_64(id))
     }
 
-    /// Returns an identifier that no stream has, to ask whether the origin of
-    /// an unnamed stream can be inferred from its service.
-    pub fn unnamed(service: &ServiceName) -> Self {
-        Self(xxh3_64_with_seed(service.as_str().as_bytes(), UNNAMED_SEED))
-    }
-
     /// Returns the gateways to which the origin of the stream is reported.
     /// `others` are the gateways except the one that began the stream.
     pub fn keepers(self, others: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/crates/valehold-gateway/src/control/origins.rs
+++ b/crates/valehold-gateway/src/control/origins.rs
@@ -9,14 +9,14 @@
 use tokio::sync::oneshot;
 use valehold_core::{
     Millis,
-    fleet::stream_origin::{OriginReport, StreamId, StreamOrigin, reports_of},
+    fleet::stream_origin::{OriginReport, StreamId, reports_of},
     id::{ServiceName, SoftwareVersion},
 };
 
 use super::{Control, SETTLE_MS};
 use crate::{
     peers::message::{Message, StoreStatus},
-    shared::OriginLookup,
+    shared::{OriginFinding, OriginLookup},
 };
 
 /// The time after which gateways that did not report an origin are asked once
@@ -46,28 +46,28 @@
     began: Millis,
     is_repeated: bool,
     service: ServiceName,
-    is_only_service: bool,
     /// The gateways that have not replied since they were asked last.
     unanswered: BTreeSet<SocketAddr>,
     /// The versions that are the only ones of the service, as others replied.
     only_versions: BTreeSet<SoftwareVersion>,
-    replies: Vec<oneshot::Sender<Option<StreamOrigin>>>,
+    replies: Vec<oneshot::Sender<OriginFinding>>,
 }
 
 impl PendingLookup {
-    /// Ends the lookup. Without a report, the origin is known only if other
-    /// gateways are certain of the only version of the service.
-    fn finish(mut self, reported: Option<StreamOrigin>) {
+    /// Ends the lookup without a report: other gateways may be certain of the
+    /// only version of the service.
+    fn finish_unreported(mut self) {
         let only = self.only_versions.pop_first();
-        let only = only
-            .filter(|_| self.is_only_service && self.only_versions.is_empty());
-        let service = self.service;
-        let origin = reported.or_else(|| {
-            only.map(|software| StreamOrigin { service, software })
-        });
+        let only = only.filter(|_| self.only_versions.is_empty());
+        self.finish(
+            &only.map_or(OriginFinding::Unknown, OriginFinding::OnlyVersion),
+        );
+    }
+
+    fn finish(self, finding: &OriginFinding) {
         for reply in self.replies {
             // A caller that has left needs no reply.
-            let _ = reply.send(origin.clone());
+            let _ = reply.send(finding.clone());
         }
     }
 }
@@ -116,17 +116,20 @@
     /// Reports the streams that began here to their keepers, except those of
     /// services whose only version every gateway knows.
     pub(super) fn report_origins(&mut self, now: Millis) {
-        let own = self.shared.settings.peers.heartbeats;
-        let mut others = self.roster.staying();
-        others.retain(|address| *address != own);
-        if others.is_empty() {
-            // A gateway that has just started reports once it knows others.
+        // A gateway that has just started reports once it knows others.
+        if !self.roster.has_others() {
             return;
         }
         let unreported = self.shared.origins().take_unreported(
             |service| self.only_version(service, now).is_some(),
             now,
         );
+        if unreported.is_empty() {
+            return;
+        }
+        let own = self.shared.settings.peers.heartbeats;
+        let mut others = self.roster.staying();
+        others.retain(|address| *address != own);
         let mut by_keeper: BTreeMap<SocketAddr, Vec<_>> = BTreeMap::new();
         for (reported, origin) in unreported {
             for keeper in reported.stream.keepers(&others) {
@@ -150,36 +153,51 @@
         let streams = reports.iter().flat_map(|report| &report.streams);
         for reported in streams {
             let stream = reported.stream;
-            let origin = self.shared.origins().get(stream, now).cloned();
-            if let Some(lookup) = self.origins.lookups.remove(&stream) {
-                lookup.finish(origin);
+            let Some(lookup) = self.origins.lookups.remove(&stream) else {
+                continue;
+            };
+            match self.shared.origins().get(stream, now).cloned() {
+                Some(origin) => {
+                    lookup.finish(&OriginFinding::Reported(origin));
+                }
+                None => lookup.finish_unreported(),
             }
         }
     }
 
     /// Asks other gateways for the origin of a stream.
     pub(super) fn look_up_origin(&mut self, lookup: OriginLookup) {
-        let OriginLookup { stream, service, is_only_service, reply } = lookup;
+        let OriginLookup { stream, service, reply } = lookup;
         if let Some(pending) = self.origins.lookups.get_mut(&stream) {
             pending.replies.push(reply);
             return;
         }
-        let asked = self.possible_keepers(stream);
-        let pending = PendingLookup {
-            began: self.now(),
+        let now = self.now();
+        let lookup = PendingLookup {
+            began: now,
             is_repeated: false,
-            service: service.clone(),
-            is_only_service,
-            unanswered: asked.iter().copied().collect(),
+            service,
+            unanswered: BTreeSet::new(),
             only_versions: BTreeSet::new(),
             replies: vec![reply],
         };
-        let knows_others = self.now().since(self.started) >= SETTLE_MS;
-        if asked.is_empty() && knows_others {
-            pending.finish(None);
+        let knows_others = now.since(self.started) >= SETTLE_MS;
+        if knows_others && self.possible_keepers(stream).is_empty() {
+            lookup.finish_unreported();
             return;
         }
-        self.origins.lookups.insert(stream, pending);
+        self.origins.lookups.insert(stream, lookup);
+        self.ask_for_origin(stream);
+    }
+
+    /// Asks the gateways that may know the origin of a pending lookup.
+    fn ask_for_origin(&mut self, stream: StreamId) {
+        let asked = self.possible_keepers(stream);
+        let Some(lookup) = self.origins.lookups.get_mut(&stream) else {
+            return;
+        };
+        lookup.unanswered = asked.iter().copied().collect();
+        let service = lookup.service.clone();
         self.send(asked, &Message::OriginRequest { stream, service });
     }
 
@@ -236,7 +254,7 @@
             && is_over
             && let Some(lookup) = self.origins.lookups.remove(&stream)
         {
-            lookup.finish(None);
+            lookup.finish_unreported();
         }
     }
 
@@ -244,30 +262,20 @@
     /// that take too long.
     pub(super) fn continue_lookups(&mut self, now: Millis) {
         let lookups = &mut self.origins.lookups;
-        let over: Vec<StreamId> = lookups
-            .iter()
-            .filter(|(_, one)| now.since(one.began) >= LOOKUP_TIMEOUT_MS)
-            .map(|(stream, _)| *stream)
-            .collect();
-        for stream in over {
-            if let Some(lookup) = lookups.remove(&stream) {
-                lookup.finish(None);
-            }
-        }
+        let over = lookups.extract_if(.., |_, lookup| {
+            now.since(lookup.began) >= LOOKUP_TIMEOUT_MS
+        });
+        over.for_each(|(_, lookup)| lookup.finish_unreported());
         let mut repeated = Vec::new();
         for (stream, lookup) in lookups.iter_mut() {
             let is_due = now.since(lookup.began) >= REPEAT_AFTER_MS;
             if is_due && !lookup.is_repeated {
                 lookup.is_repeated = true;
-                repeated.push((*stream, lookup.service.clone()));
+                repeated.push(*stream);
             }
         }
-        for (stream, service) in repeated {
-            let asked = self.possible_keepers(stream);
-            if let Some(lookup) = self.origins.lookups.get_mut(&stream) {
-                lookup.unanswered = asked.iter().copied().collect();
-            }
-            self.send(asked, &Message::OriginRequest { stream, service });
+        for stream in repeated {
+            self.ask_for_origin(stream);
         }
     }
 }
--- a/crates/valehold-gateway/src/peers/roster/targets.rs
+++ b/crates/valehold-gateway/src/peers/roster/targets.rs
@@ -125,6 +125,13 @@
         self.members(Member::stays)
     }
 
+    /// Returns whether another gateway that is not leaving is known.
+    pub fn has_others(&self) -> bool {
+        let own = self.own.heartbeats;
+        let mut all = self.hierarchy.all();
+        all.any(|(address, member)| address != own && member.stays())
+    }
+
     /// Returns every gateway that is leaving.
     pub fn leaving(&self) -> Vec<SocketAddr> {
         self.members(|member| !member.stays())
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -27,7 +27,7 @@
         upstream_limit::{AnswerEffect, UpstreamLimits},
         usage::UsageMeter,
     },
-    id::{ServiceName, UpstreamId, UpstreamTag},
+    id::{ServiceName, SoftwareVersion, UpstreamId, UpstreamTag},
 };
 
 use crate::{
@@ -83,10 +83,19 @@
     pub stream: StreamId,
     /// The service that is to continue the stream.
     pub service: ServiceName,
-    /// Whether no other service could have begun the stream.
-    pub is_only_service: bool,
-    /// Receives the origin, or `None` if it cannot be found.
-    pub reply: oneshot::Sender<Option<StreamOrigin>>,
+    /// Receives what was found.
+    pub reply: oneshot::Sender<OriginFinding>,
+}
+
+/// What other gateways know of the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OriginFinding {
+    /// Where the stream began.
+    Reported(StreamOrigin),
+    /// The only version of the service that is to continue the stream.
+    OnlyVersion(SoftwareVersion),
+    /// Nothing, or reports that contradict one another.
+    Unknown,
 }
 
 /// The receiving ends of the queues from traffic to control.
--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{route::Job, state::App};
-use crate::shared::OriginLookup;
+use crate::shared::{OriginFinding, OriginLookup};
 
 /// How long after the deadline of a request its stream may be taken up again,
 /// in ms: callers that retry have less time left than before.
@@ -62,14 +62,14 @@
     let origin = StreamOrigin { service, software };
     let now = app.now();
     let keep_ms = job.caller_deadline.since(now) + KEEP_MARGIN_MS;
-    let is_only_service = job.route.targets.len() == 1;
-    let only_version = only_version(app, &origin.service, true);
-    let is_inferred = is_only_service && only_version.is_some();
+    let has_only_service = job.route.has_only_target();
+    let is_inferred =
+        has_only_service && only_version(app, &origin.service).is_some();
     let ids = [job.request.id.as_ref(), job.request.resumes.as_ref()];
     let mut origins = app.shared.origins();
     for id in ids.into_iter().flatten() {
         let stream = StreamId::of_request(id);
-        origins.record(stream, &origin, is_only_service, keep_ms, now);
+        origins.record(stream, &origin, has_only_service, keep_ms, now);
     }
     if !is_inferred {
         app.shared.origin_recorded().notify_one();
@@ -81,47 +81,40 @@
 /// `None` if neither tells.
 pub(super) async fn find(app: &App, job: &Job) -> Option<StreamOrigin> {
     let service = &job.service_name;
-    let stream = match &job.request.resumes {
-        Some(id) => StreamId::of_request(id),
-        None => StreamId::unnamed(service),
+    let infer = |software| {
+        let service = service.clone();
+        let origin = StreamOrigin { service, software };
+        job.route.has_only_target().then_some(origin)
+    };
+    let Some(id) = &job.request.resumes else {
+        // An unnamed stream has no record anywhere. Waiting for certainty
+        // after a start of all gateways would refuse all of them.
+        let view = app.shared.view.load();
+        let software = view.software.only_known_version(service, app.now());
+        return infer(software?);
     };
+    let stream = StreamId::of_request(id);
     let known = app.shared.origins().get(stream, app.now()).cloned();
-    if known.is_some() {
-        return known;
-    }
-    let is_only_service = job.route.targets.len() == 1;
-    let is_named = job.request.resumes.is_some();
-    let only_version = only_version(app, service, is_named);
-    let only_version = only_version.filter(|_| is_only_service);
-    if let Some(software) = only_version {
-        let service = service.clone();
-        return Some(StreamOrigin { service, software });
+    let inferred = || only_version(app, service).and_then(infer);
+    if let Some(origin) = known.or_else(inferred) {
+        return Some(origin);
     }
     let (reply, found) = oneshot::channel();
     let service = service.clone();
-    let lookup = OriginLookup { stream, service, is_only_service, reply };
-    app.shared.look_up_origin(lookup);
-    found.await.ok().flatten()
+    app.shared.look_up_origin(OriginLookup { stream, service, reply });
+    match found.await.ok()? {
+        OriginFinding::Reported(origin) => Some(origin),
+        OriginFinding::OnlyVersion(software) => infer(software),
+        OriginFinding::Unknown => None,
+    }
 }
 
 /// Returns the version that all upstreams of a service run, if this is
 /// certain.
-///
-/// An unnamed stream has no record anywhere, so that waiting for certainty
-/// after a start of all gateways would refuse all of them. For these, it is
-/// enough that no other version is known.
-fn only_version(
-    app: &App,
-    service: &ServiceName,
-    is_named: bool,
-) -> Option<SoftwareVersion> {
+fn only_version(app: &App, service: &ServiceName) -> Option<SoftwareVersion> {
     let now = app.now();
-    let view = app.shared.view.load();
-    if !is_named {
-        return view.software.only_known_version(service, now);
-    }
     if !app.shared.is_software_known(now) {
         return None;
     }
-    view.software.only_version(service, now)
+    app.shared.view.load().software.only_version(service, now)
 }
