Log the shared parts of prompts, and crashes that nobody confirms

Callers saw engines crash one after the other under requests of one kind. The lines of requests told neither whether such requests share a part of their prompts, nor why some ends of engines were recorded by no gateway. Lines of requests have `parts` now, and `crash_unconfirmed` says that an engine took no connections while the gateway's own links may have failed and no other gateway could tell.

--- a/crates/valehold-core/src/fleet/crashes/content.rs
+++ b/crates/valehold-core/src/fleet/crashes/content.rs
@@ -53,9 +53,9 @@
     }
 }
 
-/// The error for a text that is not the digest of a request.
+/// The error for a text that is not the digest of a request or of a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("the digest of a request must be 16 hexadecimal digits")]
+#[error("a digest must be 16 hexadecimal digits")]
 pub struct ParseContentError;
 
 impl FromStr for RequestContent {
@@ -63,13 +63,16 @@
 
     /// Parses the format that `Display` writes.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let is_hexadecimal = text.bytes().all(|b| b.is_ascii_hexdigit());
-        match text.len() == 16 && is_hexadecimal {
-            true => u64::from_str_radix(text, 16)
-                .map(Self)
-                .map_err(|_| ParseContentError),
-            false => Err(ParseContentError),
-        }
+        parse_digest(text).map(Self)
+    }
+}
+
+/// Parses a digest of 16 hexadecimal digits.
+pub(super) fn parse_digest(text: &str) -> Result<u64, ParseContentError> {
+    let is_hexadecimal = text.bytes().all(|b| b.is_ascii_hexdigit());
+    match text.len() == 16 && is_hexadecimal {
+        true => u64::from_str_radix(text, 16).map_err(|_| ParseContentError),
+        false => Err(ParseContentError),
     }
 }
 
--- a/crates/valehold-core/src/fleet/crashes/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -12,6 +12,7 @@
 mod culprits;
 mod exposures;
 mod independence;
+mod part;
 mod record;
 mod reports;
 mod suspicions;
@@ -21,6 +22,7 @@
     content::{ParseContentError, RequestContent},
     culprits::{Crash, Evidence, REFUSED_AFTER_CRASHES, find_culprits},
     exposures::Exposures,
+    part::PartId,
     record::{RecordChange, RecordState, RecordedRefusal},
     reports::{
         AnsweredReport, CrashReport, CrashReports, ExposureReport,
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -303,6 +303,10 @@
                     under_way.join(", "),
                 )
             }
+            Self::CrashUnconfirmed { upstream } => format!(
+                "{upstream} takes no connections; the own links may have \
+                 failed, and no other gateway told whether it crashed\n"
+            ),
             Self::RequestSuspected {
                 content,
                 refused,
@@ -377,6 +381,7 @@
             }
             Self::UpstreamUnreachable { upstream, .. }
             | Self::UpstreamCrashed { upstream, .. }
+            | Self::CrashUnconfirmed { upstream }
             | Self::UpstreamLeaving { upstream, .. }
             | Self::UpstreamRests { upstream, .. }
             | Self::UpstreamLimited { upstream, .. }
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -109,6 +109,8 @@
     ListLeftOut = "list_left_out",
     /// An upstream crashed while it served requests of this gateway.
     UpstreamCrashed = "upstream_crashed",
+    /// An upstream refused connections, and nothing told whether it crashed.
+    CrashUnconfirmed = "crash_unconfirmed",
     /// The evidence changed that a request crashes upstreams.
     RequestSuspected = "request_suspected",
     /// An upstream reported that it is leaving.
@@ -391,6 +393,13 @@
         /// The content digests of the aborted requests without any output.
         under_way: Vec<String>,
     },
+    /// An upstream aborted requests of this gateway and accepts no connections,
+    /// but this gateway's own links may have failed, and no other gateway told
+    /// whether it reaches the upstream.
+    CrashUnconfirmed {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The evidence changed that a request crashes upstreams: the request was
     /// in flight at two crashes or more, and no upstream has answered it.
     RequestSuspected {
@@ -513,6 +522,7 @@
             Self::HistoryGone { .. } => EventKind::HistoryGone,
             Self::ListLeftOut { .. } => EventKind::ListLeftOut,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
+            Self::CrashUnconfirmed { .. } => EventKind::CrashUnconfirmed,
             Self::RequestSuspected { .. } => EventKind::RequestSuspected,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -158,6 +158,10 @@
     /// `None` if no route matched.
     #[serde(default)]
     pub content: Option<String>,
+    /// The digests of the parts of the prompt that other requests may share,
+    /// in their order.
+    #[serde(default)]
+    pub parts: Vec<String>,
     /// The route's rank; 0 is the most urgent.
     pub rank: u8,
     /// The outcome and its reason.
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -175,6 +175,9 @@
         return false;
     }
     let is_reached = tunnel::is_reached_by_peers(app, bound, upstream).await;
+    if is_reached.is_none() && app.are_links_lost() {
+        Event::CrashUnconfirmed { upstream: upstream.id.clone() }.log();
+    }
     is_reached.map_or(!app.are_links_lost(), |is_reached| !is_reached)
 }
 
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -12,7 +12,7 @@
     fleet::{
         BoundVariant, Catalog, RegionBound, Route,
         catalog::{ColdSpec, EngineSpec},
-        crashes::RequestContent,
+        crashes::{PartId, RequestContent},
         stream_origin::StreamOrigin,
         workspace::Workspace,
     },
@@ -101,6 +101,14 @@
         })
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but
+    /// the last.
+    pub(super) fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let parts = &self.request.parts;
+        let shared = parts.len().saturating_sub(1);
+        parts.iter().take(shared).map(|part| PartId::new(part.digest))
+    }
+
     /// Returns whether the request continues a stream of which the caller has
     /// events.
     pub(super) fn continues_stream(&self) -> bool {
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -101,6 +101,7 @@
             upstream: UpstreamId::new("e1"),
             under_way: vec!["0123456789abcdef".to_owned()],
         },
+        Event::CrashUnconfirmed { upstream: UpstreamId::new("e1") },
         Event::RequestSuspected {
             content: "0123456789abcdef".to_owned(),
             refused: false,
@@ -140,6 +141,7 @@
         service: Some(ServiceName::new("engines")),
         variant: Some("alpha/a1".to_owned()),
         content: Some("0123456789abcdef".to_owned()),
+        parts: vec!["00000000000000aa".to_owned()],
         rank: 1,
         end: RequestEnd {
             outcome: RequestOutcome::Refused,
