--- a/crates/valehold-core/src/fleet/crashes/culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/culprits.rs
@@ -1,10 +1,11 @@
-//! The search for requests that crash the upstreams that run them.
+//! The search for what crashes upstreams: requests, and parts of prompts.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    Exposures, RequestContent,
+    Culprit, Exposures, PartRecords, RequestContent,
     independence::{Count, Involvement, count},
+    part_culprits::next_part_culprits,
 };
 use crate::{id::UpstreamTag, time::Millis};
 
@@ -50,6 +51,10 @@
     pub exposures: &'a Exposures,
     /// The requests that an upstream has answered.
     pub answered: &'a BTreeMap<RequestContent, Millis>,
+    /// The prompts of these requests, and which parts were cleared.
+    pub parts: &'a PartRecords,
+    /// The expiry of a crash that happens now.
+    pub expiry_now: Millis,
 }
 
 impl Evidence<'_> {
@@ -59,10 +64,28 @@
             self.crashes.contains_key(&upstream)
         })
     }
+
+    /// Returns all crashes, as long as none is explained.
+    pub(super) fn unexplained(&self) -> Unexplained<'_> {
+        self.crashes.iter().map(|(tag, crash)| (*tag, crash)).collect()
+    }
+
+    /// Returns whether a culprit was in flight at a crash.
+    pub(super) fn is_at(&self, culprit: &Culprit, crash: &Crash) -> bool {
+        match culprit {
+            Culprit::Request(content) => crash.in_flight.contains(content),
+            Culprit::Parts(group) => self.parts.is_group_at(group, crash),
+        }
+    }
+
+    /// Returns the time since a crash, in ms.
+    pub(super) fn age_ms(&self, crash: &Crash) -> u64 {
+        self.expiry_now.since(crash.until)
+    }
 }
 
-/// Returns the requests that crash upstreams, each with the time from which
-/// fewer than [`REFUSED_AFTER_CRASHES`] of its crashes are unexpired.
+/// Returns the requests and the parts of prompts that crash upstreams, each
+/// with the time from which too few of its crashes for a refusal are unexpired.
 ///
 /// A request that crashes upstreams is in flight at each of the crashes and is
 /// never answered. Harmless requests are in flight beside it, some of them at
@@ -81,28 +104,47 @@
 /// Two requests that were in flight at the same crashes are both allowed until
 /// one of them is answered or is in flight at another crash without the other.
 ///
-/// Crashes at which a request of `found_before` was in flight are explained by
-/// that request and are left out.
-pub fn find_culprits(
+/// Parts of prompts come first: the requests that hold a part are no two alike
+/// and crash few upstreams each, while harmless requests beside them are sent
+/// again after each crash.
+///
+/// Crashes at which a culprit of `found_before` was in flight are explained by
+/// that culprit and are left out.
+pub fn find_culprits<'a>(
     evidence: Evidence<'_>,
-    found_before: impl IntoIterator<Item = RequestContent>,
-) -> BTreeMap<RequestContent, Millis> {
-    let mut unexplained: Unexplained<'_> =
-        evidence.crashes.iter().map(|(tag, crash)| (*tag, crash)).collect();
-    for content in found_before {
-        explain(&mut unexplained, content);
+    found_before: impl IntoIterator<Item = &'a Culprit>,
+) -> BTreeMap<Culprit, Millis> {
+    let mut unexplained = evidence.unexplained();
+    for culprit in found_before {
+        explain(&mut unexplained, evidence, culprit);
     }
     let mut found = BTreeMap::new();
+    loop {
+        let groups = next_part_culprits(&unexplained, evidence);
+        if groups.is_empty() {
+            break;
+        }
+        for one in groups {
+            let culprit = Culprit::Parts(one.group);
+            explain(&mut unexplained, evidence, &culprit);
+            found.insert(culprit, one.until);
+        }
+    }
     while let Some((content, until)) = next_culprit(&unexplained, evidence) {
-        explain(&mut unexplained, content);
-        found.insert(content, until);
+        let culprit = Culprit::Request(content);
+        explain(&mut unexplained, evidence, &culprit);
+        found.insert(culprit, until);
     }
     found
 }
 
 /// Removes the crashes that a culprit explains.
-fn explain(unexplained: &mut Unexplained<'_>, content: RequestContent) {
-    unexplained.retain(|_, crash| !crash.in_flight.contains(&content));
+fn explain(
+    unexplained: &mut Unexplained<'_>,
+    evidence: Evidence<'_>,
+    culprit: &Culprit,
+) {
+    unexplained.retain(|_, crash| !evidence.is_at(culprit, crash));
 }
 
 /// Returns the culprit that explains the most crashes, with its expiry.
@@ -163,8 +205,9 @@
         mut crashes: Vec<Involvement<'a>>,
     ) -> Option<Self> {
         crashes.sort_by_key(|one| one.crash.until);
+        let is_involved = |crash: &Crash| crash.in_flight.contains(&content);
         let Count { independent, outlived } =
-            count(unexplained, content, &crashes);
+            count(unexplained, &is_involved, &crashes);
         let survivors = evidence.survivors(&content) + outlived;
         if independent < needed_crashes(survivors) {
             return None;
--- a/crates/valehold-core/src/fleet/crashes/independence.rs
+++ b/crates/valehold-core/src/fleet/crashes/independence.rs
@@ -1,11 +1,11 @@
-//! Counts the independent ones of the crashes at which a request was in
-//! flight.
+//! Counts the independent ones of the crashes at which a request, or a part of
+//! prompts, was in flight.
 //!
 //! What tells a request that crashes upstreams from one that was in flight at
 //! crashes with another cause is when the request was sent: to the next
 //! upstream after the crash of the last, or to all of them before.
 
-use super::{Crash, RequestContent, culprits::Unexplained};
+use super::{Crash, culprits::Unexplained};
 use crate::time::Millis;
 
 /// Crashes within this time, in ms, may have one common cause, such as the
@@ -58,7 +58,8 @@
     pub(super) outlived: usize,
 }
 
-/// Counts the crashes at which a request was in flight.
+/// Counts the crashes at which a request was in flight, which `is_involved`
+/// tells for any crash.
 ///
 /// `crashes` is sorted by time. A crash is independent of the one before if
 /// the request was sent to the upstream only after that crash: whatever
@@ -67,14 +68,14 @@
 /// request which crashes upstreams sends it again after each crash.
 pub(super) fn count(
     unexplained: &Unexplained<'_>,
-    content: RequestContent,
+    is_involved: &dyn Fn(&Crash) -> bool,
     crashes: &[Involvement<'_>],
 ) -> Count {
     let mut waves: Vec<Wave<'_>> = Vec::new();
     for one in crashes {
         let has_common_cause = waves.last().is_some_and(|wave| {
             is_simultaneous(one.crash, wave.first.crash)
-                && crashes_without(unexplained, content, wave.first.crash)
+                && crashes_without(unexplained, is_involved, wave.first.crash)
         });
         match waves.last_mut() {
             Some(wave) if has_common_cause => {
@@ -142,10 +143,10 @@
 /// of a crash.
 fn crashes_without(
     unexplained: &Unexplained<'_>,
-    content: RequestContent,
+    is_involved: &dyn Fn(&Crash) -> bool,
     at: &Crash,
 ) -> bool {
-    unexplained.values().any(|crash| {
-        is_simultaneous(crash, at) && !crash.in_flight.contains(&content)
-    })
+    unexplained
+        .values()
+        .any(|crash| is_simultaneous(crash, at) && !is_involved(crash))
 }
--- /dev/null
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -0,0 +1,240 @@
+//! The search for parts of prompts that crash upstreams.
+//!
+//! A part that crashes upstreams is in flight at each of the crashes, in
+//! requests of which no two are alike, and no upstream that begins to answer
+//! one of them goes on. Sound requests share its other parts: these were in
+//! flight at the crashes too, and are cleared by the answers to such requests.
+
+use std::collections::BTreeMap;
+
+use super::{
+    Crash, Evidence, PartGroup, PartId, RequestContent,
+    culprits::Unexplained,
+    independence::{Involvement, count},
+};
+use crate::{id::UpstreamTag, time::Millis};
+
+/// Number of crashes after which a part is refused; users accept five.
+pub const PART_REFUSED_AFTER_CRASHES: usize = 4;
+
+/// Number of independent crashes after which a part is refused.
+const MIN_INDEPENDENT: usize = 3;
+
+/// Number of crashes at which a request with the part was in flight, other
+/// than those of the one request that was in flight at most of them. Fewer are
+/// explained by that request.
+const MIN_BESIDE_ONE_REQUEST: usize = 2;
+
+/// Number of crashes from which parts of different requests that were in
+/// flight at the same crashes are all refused: waiting for a crash or an
+/// answer that tells them apart would cost further upstreams.
+const UNDECIDED_UNTIL_CRASHES: usize = 6;
+
+/// Mean number of requests with a part that were in flight at its crashes,
+/// times two, up to which the part is refused at once. Where more requests hold
+/// a part, answers to some of them clear the part if it is sound.
+const RARE_HOLDERS_TWICE: usize = 3;
+
+/// The time that upstreams get to begin an answer with a part that many
+/// requests hold, and to go on with the answer, before the part is refused, in
+/// ms.
+pub(super) const CLEARING_MS: u64 = 1_500;
+
+/// A crash that speaks against a part.
+#[derive(Debug, Clone)]
+struct PartCrash<'a> {
+    crash: &'a Crash,
+    /// When the first request with the part was sent to the upstream, as the
+    /// expiry of a crash at that moment.
+    sent_expiry: Millis,
+    /// The requests with the part that were in flight.
+    holders: Vec<RequestContent>,
+}
+
+/// The crashes that speak against a part.
+type PartCrashes<'a> = BTreeMap<UpstreamTag, PartCrash<'a>>;
+
+/// A part against which enough crashes speak.
+#[derive(Debug, Clone)]
+struct PartSuspect<'a> {
+    part: PartId,
+    crashes: PartCrashes<'a>,
+    /// The number of requests with the part, summed over the crashes.
+    holders: usize,
+}
+
+/// Parts that are refused together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct FoundGroup {
+    pub(super) group: PartGroup,
+    /// The time from which too few crashes for a refusal are unexpired.
+    pub(super) until: Millis,
+}
+
+/// Returns the parts that explain the most crashes; none if no part explains
+/// enough of them, or answers may still clear those that do.
+pub(super) fn next_part_culprits(
+    unexplained: &Unexplained<'_>,
+    evidence: Evidence<'_>,
+) -> Vec<FoundGroup> {
+    let by_part = crashes_by_part(unexplained, evidence);
+    let suspects = by_part.iter().filter_map(|(part, crashes)| {
+        PartSuspect::find(unexplained, evidence, *part, crashes)
+    });
+    let mut suspects: Vec<PartSuspect<'_>> = suspects.collect();
+    suspects.sort_by(|one, other| other.compare(one));
+    let mut decided = suspects.iter().map(|suspect| {
+        let equals = suspects.iter().filter(|one| suspect.is_equal(one));
+        let mut groups: Vec<FoundGroup> = Vec::new();
+        for equal in equals {
+            let found = equal.found(&by_part);
+            if !groups.contains(&found) {
+                groups.push(found);
+            }
+        }
+        (suspect, groups)
+    });
+    let decided = decided.find(|(suspect, groups)| {
+        groups.len() == 1 || suspect.crashes.len() >= UNDECIDED_UNTIL_CRASHES
+    });
+    decided.map_or_else(Vec::new, |(_, groups)| groups)
+}
+
+/// Returns the parts that at least two crashes speak against, with when these
+/// happened, as the expiry of the crashes.
+pub(super) fn suspected_parts(
+    evidence: Evidence<'_>,
+) -> BTreeMap<PartId, Vec<(UpstreamTag, Millis)>> {
+    let by_part = crashes_by_part(&evidence.unexplained(), evidence);
+    let suspected =
+        by_part.into_iter().filter(|(_, crashes)| crashes.len() > 1);
+    suspected
+        .map(|(part, crashes)| {
+            let crashes = crashes.into_iter();
+            let crashes = crashes.map(|(tag, one)| (tag, one.crash.until));
+            (part, crashes.collect())
+        })
+        .collect()
+}
+
+fn crashes_by_part<'a>(
+    unexplained: &Unexplained<'a>,
+    evidence: Evidence<'_>,
+) -> BTreeMap<PartId, PartCrashes<'a>> {
+    let mut by_part: BTreeMap<PartId, PartCrashes<'a>> = BTreeMap::new();
+    for (tag, crash) in unexplained {
+        for content in &crash.in_flight {
+            let sent_expiry = evidence.exposures.get(content, *tag);
+            let sent_expiry = sent_expiry.unwrap_or(crash.until);
+            for part in evidence.parts.parts_of(content) {
+                if !evidence.parts.speaks_against(*tag, part) {
+                    continue;
+                }
+                let crashes = by_part.entry(part).or_default();
+                let one = crashes.entry(*tag).or_insert_with(|| PartCrash {
+                    crash,
+                    sent_expiry,
+                    holders: Vec::new(),
+                });
+                one.sent_expiry = one.sent_expiry.min(sent_expiry);
+                one.holders.push(*content);
+            }
+        }
+    }
+    by_part
+}
+
+impl<'a> PartSuspect<'a> {
+    /// Returns the suspect, or `None` if the crashes do not suffice.
+    fn find(
+        unexplained: &Unexplained<'_>,
+        evidence: Evidence<'_>,
+        part: PartId,
+        crashes: &PartCrashes<'a>,
+    ) -> Option<Self> {
+        if crashes.len() < PART_REFUSED_AFTER_CRASHES
+            || is_explained_by_one_request(crashes)
+        {
+            return None;
+        }
+        let mut involved: Vec<Involvement<'_>> = crashes
+            .values()
+            .map(|one| Involvement {
+                crash: one.crash,
+                sent_expiry: one.sent_expiry,
+            })
+            .collect();
+        involved.sort_by_key(|one| one.crash.until);
+        let holds_part = |crash: &Crash| {
+            let mut in_flight = crash.in_flight.iter();
+            in_flight.any(|content| {
+                evidence.parts.parts_of(content).any(|one| one == part)
+            })
+        };
+        let independent =
+            count(unexplained, &holds_part, &involved).independent;
+        let holders = crashes.values().map(|one| one.holders.len()).sum();
+        let is_rare = 2 * holders <= RARE_HOLDERS_TWICE * crashes.len();
+        let decisive = involved[PART_REFUSED_AFTER_CRASHES - 1].crash;
+        let had_time = evidence.age_ms(decisive) >= CLEARING_MS;
+        (independent >= MIN_INDEPENDENT && (is_rare || had_time))
+            .then(|| Self { part, crashes: crashes.clone(), holders })
+    }
+
+    /// Compares how well two parts explain crashes: the more crashes, and the
+    /// fewer requests in flight there held the part, the better. Nearly every
+    /// request in flight holds a part with which all prompts of a route begin.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let weight = |of: &Self, against: &Self| {
+            of.crashes.len() * of.crashes.len() * against.holders
+        };
+        let (own, others) = (weight(self, other), weight(other, self));
+        let by_crashes = self.crashes.len().cmp(&other.crashes.len());
+        own.cmp(&others).then(by_crashes).then(self.part.cmp(&other.part))
+    }
+
+    /// Returns whether another part explains the same crashes as well.
+    fn is_equal(&self, other: &Self) -> bool {
+        self.crashes.keys().eq(other.crashes.keys())
+            && other.holders <= self.holders
+    }
+
+    /// Returns whether a request held both parts at each of the crashes.
+    fn is_always_beside(&self, other: &PartCrashes<'_>) -> bool {
+        self.crashes.iter().all(|(tag, own)| {
+            other.get(tag).is_some_and(|other| {
+                own.holders.iter().any(|one| other.holders.contains(one))
+            })
+        })
+    }
+
+    /// Returns the part, with those that always stand beside it in a prompt.
+    fn found(
+        &self,
+        by_part: &BTreeMap<PartId, PartCrashes<'_>>,
+    ) -> FoundGroup {
+        let beside = by_part.iter().filter_map(|(part, crashes)| {
+            self.is_always_beside(crashes).then_some(*part)
+        });
+        let mut expiries: Vec<Millis> =
+            self.crashes.values().map(|one| one.crash.until).collect();
+        expiries.sort_unstable();
+        let first_needed = expiries.len() - PART_REFUSED_AFTER_CRASHES;
+        FoundGroup {
+            group: PartGroup::new(beside),
+            until: expiries[first_needed],
+        }
+    }
+}
+
+/// Returns whether all crashes but a few have one request in common.
+fn is_explained_by_one_request(crashes: &PartCrashes<'_>) -> bool {
+    let mut by_holder: BTreeMap<RequestContent, usize> = BTreeMap::new();
+    for one in crashes.values() {
+        for holder in &one.holders {
+            *by_holder.entry(*holder).or_default() += 1;
+        }
+    }
+    let most = by_holder.values().max().copied().unwrap_or(0);
+    crashes.len() - most < MIN_BESIDE_ONE_REQUEST
+}
--- a/crates/valehold-core/src/fleet/crashes/record.rs
+++ b/crates/valehold-core/src/fleet/crashes/record.rs
@@ -1,21 +1,21 @@
-//! The platform's store of refused requests.
+//! The platform's store of what requests are refused for.
 //!
-//! Instances report refused requests to one another. The store keeps the
-//! refusals in case all instances stop at once.
+//! Instances report refusals to one another. The store keeps them in case all
+//! instances stop at once.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use super::{RefusedReport, RequestContent};
+use super::{Culprit, Refusal};
 
 /// Maximum number of refusals that one change writes, and that it removes. A
 /// transaction of the store has at most a hundred entries.
 const MAX_CHANGES: usize = 50;
 
-/// A request that the store records as refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A refusal that the store records.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedRefusal {
-    /// The request.
-    pub content: RequestContent,
+    /// What the requests are refused for.
+    pub culprit: Culprit,
     /// When the refusal expires, by the store's steady clock, in ms.
     pub until_ms: u64,
 }
@@ -34,8 +34,8 @@
 pub struct RecordChange {
     /// The refusals to write.
     pub put: Vec<RecordedRefusal>,
-    /// The requests whose refusals to delete.
-    pub remove: Vec<RequestContent>,
+    /// The culprits whose refusals to delete.
+    pub remove: Vec<Culprit>,
 }
 
 impl RecordChange {
@@ -47,43 +47,42 @@
 
 impl RecordState {
     /// Returns the unexpired refusals.
-    pub fn unexpired(&self) -> Vec<RefusedReport> {
-        let all = self.refusals.iter().map(|one| RefusedReport {
-            content: one.content,
+    pub fn unexpired(&self) -> Vec<Refusal> {
+        let all = self.refusals.iter().map(|one| Refusal {
+            culprit: one.culprit.clone(),
             left_ms: one.until_ms.saturating_sub(self.store_ms),
         });
-        all.filter(|report| report.left_ms > 0).collect()
+        all.filter(|refusal| refusal.left_ms > 0).collect()
     }
 
     /// Returns the change after which the store records the `refused`
-    /// requests, but neither the `cleared` nor the expired ones.
+    /// culprits, but neither the `cleared` nor the expired ones.
     ///
     /// A change holds at most 50 refusals to write and 50 to delete, and
     /// leaves out the rest.
     pub fn change(
         &self,
-        refused: &[RefusedReport],
-        cleared: &[RequestContent],
+        refused: &[Refusal],
+        cleared: &[Culprit],
     ) -> RecordChange {
-        let recorded: BTreeMap<RequestContent, RefusedReport> = self
-            .unexpired()
-            .into_iter()
-            .map(|one| (one.content, one))
-            .collect();
+        let unexpired = self.unexpired();
+        let recorded: BTreeSet<&Culprit> =
+            unexpired.iter().map(|one| &one.culprit).collect();
         let missing =
-            refused.iter().filter(|one| !recorded.contains_key(&one.content));
-        let put = missing.map(|report| RecordedRefusal {
-            content: report.content,
-            until_ms: self.store_ms.saturating_add(report.left_ms),
+            refused.iter().filter(|one| !recorded.contains(&one.culprit));
+        let put = missing.map(|refusal| RecordedRefusal {
+            culprit: refusal.culprit.clone(),
+            until_ms: self.store_ms.saturating_add(refusal.left_ms),
         });
         let put: Vec<RecordedRefusal> = put.take(MAX_CHANGES).collect();
-        let put_contents: BTreeSet<RequestContent> =
-            put.iter().map(|one| one.content).collect();
-        let removable = self.refusals.iter().map(|one| one.content);
+        let put_culprits: BTreeSet<&Culprit> =
+            put.iter().map(|one| &one.culprit).collect();
+        let removable = self.refusals.iter().map(|one| &one.culprit);
         let removable = removable.filter(|one| {
-            let stays = recorded.contains_key(one) && !cleared.contains(one);
-            !stays && !put_contents.contains(one)
+            let stays = recorded.contains(one) && !cleared.contains(one);
+            !stays && !put_culprits.contains(one)
         });
-        RecordChange { remove: removable.take(MAX_CHANGES).collect(), put }
+        let remove = removable.take(MAX_CHANGES).cloned().collect();
+        RecordChange { remove, put }
     }
 }
--- a/crates/valehold-core/src/fleet/crashes/suspicions.rs
+++ b/crates/valehold-core/src/fleet/crashes/suspicions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Evidence, REFUSED_AFTER_CRASHES, RequestContent};
+use super::{Culprit, Evidence, REFUSED_AFTER_CRASHES, RequestContent};
 use crate::{id::UpstreamTag, time::Millis};
 
 /// A crash at which a suspected request was in flight.
@@ -54,7 +54,7 @@
     pub(super) fn take_changes(
         &mut self,
         evidence: Evidence<'_>,
-        refused: &BTreeMap<RequestContent, Millis>,
+        refused: &BTreeMap<Culprit, Millis>,
         retention_ms: u64,
         now: Millis,
     ) -> Vec<SuspicionReport> {
@@ -63,7 +63,7 @@
         let mut reports = Vec::new();
         for (content, tags) in &mut suspected {
             let survivors = evidence.survivors(content);
-            let is_refused = refused.contains_key(content);
+            let is_refused = refused.contains_key(&(*content).into());
             let crashes = tags.len().min(MAX_REPORTED);
             let reported = (crashes, survivors, is_refused);
             if self.by_request.insert(*content, reported) == Some(reported) {
--- a/crates/valehold-core/src/fleet/crashes/tracker.rs
+++ b/crates/valehold-core/src/fleet/crashes/tracker/mod.rs
@@ -1,17 +1,19 @@
 //! The crash records of one instance, and the refusals derived from them.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    hash::{Hash, Hasher},
-};
+pub use self::parts::PartChange;
+
+mod eviction;
+mod parts;
+mod reporting;
 
-use xxhash_rust::xxh3::Xxh3;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    AnsweredReport, Crash, CrashReport, CrashReports, Evidence,
-    ExposureReport, Exposures, REFUSED_AFTER_CRASHES, RefusedReport,
-    RequestContent, SuspicionReport, find_culprits,
-    independence::outlived_after_ms, suspicions::ReportedSuspicions,
+    Crash, CrashReports, Culprit, Evidence, ExposureReport, Exposures,
+    PART_REFUSED_AFTER_CRASHES, PartGroup, PartId, PartRecords,
+    REFUSED_AFTER_CRASHES, Refusal, RequestContent, SuspicionReport,
+    find_culprits, independence::outlived_after_ms,
+    part_culprits::suspected_parts, suspicions::ReportedSuspicions,
 };
 use crate::{id::UpstreamTag, time::Millis};
 
@@ -85,19 +87,28 @@
     exposures: Exposures,
     /// Suspects that an upstream has answered, with the expiry of the answer.
     answered: BTreeMap<RequestContent, Millis>,
-    /// Requests that the store records as refused, with their expiry.
-    recorded: BTreeMap<RequestContent, Millis>,
+    /// What the store records as refused, with expiry.
+    recorded: BTreeMap<Culprit, Millis>,
     /// Those of `recorded` that a restored store may have lost.
-    unconfirmed: BTreeSet<RequestContent>,
-    /// Derived from the records above: the refused requests, with expiry.
-    refused: BTreeMap<RequestContent, Millis>,
+    unconfirmed: BTreeSet<Culprit>,
+    /// What the prompts of the requests in flight at the crashes share.
+    parts: PartRecords,
+    /// Derived from the records above: what is refused, with expiry.
+    refused: BTreeMap<Culprit, Millis>,
+    /// Derived from the records above: the parts that two crashes or more
+    /// speak against, with these crashes and their expiry.
+    suspected_parts: BTreeMap<PartId, Vec<(UpstreamTag, Millis)>>,
     /// Records of this instance's own that are not sent to others yet.
     pending: BTreeSet<Update>,
     /// How often the set of refused requests has changed.
     changes: u64,
+    /// When `refused` was derived last.
+    judged: Millis,
     /// How often any record was added.
     revision: u64,
     reported_suspicions: ReportedSuspicions,
+    /// The refused parts that were reported last.
+    reported_parts: BTreeSet<PartGroup>,
 }
 
 /// A record to send to other instances.
@@ -118,11 +129,15 @@
             answered: BTreeMap::new(),
             recorded: BTreeMap::new(),
             unconfirmed: BTreeSet::new(),
+            parts: PartRecords::default(),
             refused: BTreeMap::new(),
+            suspected_parts: BTreeMap::new(),
             pending: BTreeSet::new(),
             changes: 0,
+            judged: Millis::default(),
             revision: 0,
             reported_suspicions: ReportedSuspicions::default(),
+            reported_parts: BTreeSet::new(),
         }
     }
 
@@ -188,7 +203,7 @@
         content: &RequestContent,
         now: Millis,
     ) -> Option<u64> {
-        let until = self.refused.get(content)?;
+        let until = self.refused.get(&(*content).into())?;
         Some(until.since(now)).filter(|left_ms| *left_ms > 0)
     }
 
@@ -205,35 +220,51 @@
     }
 
     /// Returns whether this instance knows enough crashes to decide whether
-    /// to refuse a request, whatever the store records.
-    fn can_judge(&self, content: &RequestContent) -> bool {
-        self.crash_count(content) >= REFUSED_AFTER_CRASHES
+    /// to refuse a culprit, whatever the store records.
+    fn can_judge(&self, culprit: &Culprit) -> bool {
+        match culprit {
+            Culprit::Request(content) => {
+                self.crash_count(content) >= REFUSED_AFTER_CRASHES
+            }
+            Culprit::Parts(group) => {
+                let crashes = self.crashes_of_group(group);
+                crashes.count() >= PART_REFUSED_AFTER_CRASHES
+            }
+        }
     }
 
-    /// Returns the refused requests that the store does not record yet, or may
-    /// have lost.
-    pub fn unrecorded(&self, now: Millis) -> Vec<RefusedReport> {
-        let refused = self.refused.iter().filter(|(content, until)| {
-            let is_recorded = self.recorded.contains_key(content)
-                && !self.unconfirmed.contains(content);
+    /// Returns whether an upstream has answered the request that is refused.
+    fn is_answered(&self, culprit: &Culprit) -> bool {
+        match culprit {
+            Culprit::Request(content) => self.answered.contains_key(content),
+            Culprit::Parts(_) => false,
+        }
+    }
+
+    /// Returns what is refused and the store does not record yet, or may have
+    /// lost.
+    pub fn unrecorded(&self, now: Millis) -> Vec<Refusal> {
+        let refused = self.refused.iter().filter(|(culprit, until)| {
+            let is_recorded = self.recorded.contains_key(culprit)
+                && !self.unconfirmed.contains(culprit);
             now < **until && !is_recorded
         });
-        let reports = refused.map(|(content, until)| RefusedReport {
-            content: *content,
+        let refusals = refused.map(|(culprit, until)| Refusal {
+            culprit: culprit.clone(),
             left_ms: until.since(now),
         });
-        reports.collect()
-    }
-
-    /// Returns the requests that the store records as refused although an
-    /// upstream has answered them, or the crashes that this instance knows of
-    /// do not speak against them.
-    pub fn recorded_but_cleared(&self) -> Vec<RequestContent> {
-        let recorded = self.recorded.keys().copied();
-        let is_cleared = |content: &RequestContent| {
-            let is_judged = self.can_judge(content);
-            let is_refused = self.refused.contains_key(content);
-            self.answered.contains_key(content) || (is_judged && !is_refused)
+        refusals.collect()
+    }
+
+    /// Returns what the store records as refused although an upstream has
+    /// answered it, or the crashes that this instance knows of do not speak
+    /// against it.
+    pub fn recorded_but_cleared(&self) -> Vec<Culprit> {
+        let recorded = self.recorded.keys().cloned();
+        let is_cleared = |culprit: &Culprit| {
+            let is_judged = self.can_judge(culprit);
+            let is_refused = self.refused.contains_key(culprit);
+            self.is_answered(culprit) || (is_judged && !is_refused)
         };
         recorded.filter(is_cleared).collect()
     }
@@ -298,20 +329,35 @@
     /// Marks all records of the store as unconfirmed: the store was restored
     /// from a copy and may have lost some of them.
     pub fn on_store_restored(&mut self) {
-        self.unconfirmed = self.recorded.keys().copied().collect();
+        self.unconfirmed = self.recorded.keys().cloned().collect();
     }
 
-    /// Receives the requests that the store records as refused.
+    /// Receives what the store records as refused.
     pub fn receive_recorded(
         &mut self,
-        refused: Vec<RefusedReport>,
+        refused: impl IntoIterator<Item = impl Into<Refusal>>,
         now: Millis,
     ) {
-        for report in &refused {
-            self.unconfirmed.remove(&report.content);
+        let mut is_changed = false;
+        for refusal in refused {
+            let refusal = refusal.into();
+            self.unconfirmed.remove(&refusal.culprit);
+            is_changed |= self.add_recorded(refusal, now);
         }
-        let reports = CrashReports { refused, ..CrashReports::default() };
-        self.receive(&reports, now);
+        if is_changed {
+            self.update_refused(now);
+        }
+    }
+
+    /// Adds a record of the store, and returns whether it was unknown.
+    fn add_recorded(&mut self, refusal: Refusal, now: Millis) -> bool {
+        let until = now + refusal.left_ms.min(self.retention_ms);
+        let is_new =
+            insert_earliest(&mut self.recorded, refusal.culprit, until);
+        if is_new {
+            self.evict_excess();
+        }
+        is_new
     }
 
     /// Merges the reports of another instance.
@@ -331,9 +377,7 @@
                 insert_earliest(&mut self.answered, report.content, until);
         }
         for report in reports.refused.iter().take(MAX_RECORDED) {
-            let until = now + report.left_ms.min(self.retention_ms);
-            is_changed |=
-                insert_earliest(&mut self.recorded, report.content, until);
+            is_changed |= self.add_recorded((*report).into(), now);
         }
         for report in reports.exposures.iter().take(MAX_REQUESTS) {
             let ExposureReport { content, upstream, sent_left_ms } = *report;
@@ -346,177 +390,38 @@
         }
     }
 
-    /// Returns reports of all records that have not expired.
-    pub fn reports(&self, now: Millis) -> CrashReports {
-        let crashes = self.crashes.keys();
-        let answered = self.answered.keys();
-        CrashReports {
-            crashes: crashes
-                .filter_map(|one| self.crash_report(*one, now))
-                .collect(),
-            answered: answered
-                .filter_map(|one| self.answered_report(*one, now))
-                .collect(),
-            refused: self
-                .recorded
-                .iter()
-                .filter(|(_, until)| now < **until)
-                .map(|(content, until)| RefusedReport {
-                    content: *content,
-                    left_ms: until.since(now),
-                })
-                .collect(),
-            exposures: self
-                .exposures
-                .iter()
-                .filter(|(_, _, sent_expiry)| now < *sent_expiry)
-                .map(|(content, upstream, sent_expiry)| ExposureReport {
-                    content,
-                    upstream,
-                    sent_left_ms: sent_expiry.since(now),
-                })
-                .collect(),
-        }
-    }
-
     /// Takes the evidence against suspected requests that has changed since
     /// the last call.
     pub fn take_suspicions(&mut self, now: Millis) -> Vec<SuspicionReport> {
         let crashes = self.unexpired_crashes(now);
-        let evidence = Evidence {
-            crashes: &crashes,
-            exposures: &self.exposures,
-            answered: &self.answered,
-        };
-        self.reported_suspicions.take_changes(
-            evidence,
+        let mut reported = std::mem::take(&mut self.reported_suspicions);
+        let changes = reported.take_changes(
+            self.evidence(&crashes, now),
             &self.refused,
             self.retention_ms,
             now,
-        )
-    }
-
-    fn unexpired_crashes(&self, now: Millis) -> BTreeMap<UpstreamTag, Crash> {
-        let crashes = self.crashes.iter().filter(|(_, c)| now < c.until);
-        crashes.map(|(tag, one)| (*tag, one.clone())).collect()
-    }
-
-    /// Takes the records of this instance's own that have not been sent yet.
-    pub fn take_updates(&mut self, now: Millis) -> CrashReports {
-        let mut reports = CrashReports::default();
-        for one in std::mem::take(&mut self.pending) {
-            match one {
-                Update::Crash(upstream) => {
-                    self.add_crash_update(&mut reports, upstream, now);
-                }
-                Update::Exposure(content, upstream) => {
-                    let report = self.exposure_report(content, upstream, now);
-                    reports.exposures.extend(report);
-                }
-                Update::Answered(content) => {
-                    reports
-                        .answered
-                        .extend(self.answered_report(content, now));
-                }
-            }
-        }
-        reports
+        );
+        self.reported_suspicions = reported;
+        changes
     }
 
-    /// Adds the report of a crash, with since when the requests were in flight
-    /// there, and the earlier crashes of the same requests.
-    ///
-    /// Transit times differ between messages. A receiver that learned of an
-    /// earlier crash from another message could take it for later than a send
-    /// that followed the crash.
-    fn add_crash_update(
-        &self,
-        reports: &mut CrashReports,
-        upstream: UpstreamTag,
+    fn evidence<'a>(
+        &'a self,
+        crashes: &'a BTreeMap<UpstreamTag, Crash>,
         now: Millis,
-    ) {
-        let Some(report) = self.crash_report(upstream, now) else { return };
-        let exposures = report.in_flight.iter();
-        reports.exposures.extend(exposures.filter_map(|content| {
-            self.exposure_report(*content, upstream, now)
-        }));
-        let in_flight: BTreeSet<_> =
-            report.in_flight.iter().copied().collect();
-        reports.crashes.push(report);
-        for (tag, crash) in &self.crashes {
-            let shared = crash.in_flight.intersection(&in_flight);
-            let shared: Vec<RequestContent> = shared.copied().collect();
-            if *tag != upstream && !shared.is_empty() {
-                reports.crashes.push(CrashReport {
-                    upstream: *tag,
-                    left_ms: crash.until.since(now),
-                    in_flight: shared,
-                });
-            }
+    ) -> Evidence<'a> {
+        Evidence {
+            crashes,
+            exposures: &self.exposures,
+            answered: &self.answered,
+            parts: &self.parts,
+            expiry_now: now + self.retention_ms,
         }
     }
 
-    fn exposure_report(
-        &self,
-        content: RequestContent,
-        upstream: UpstreamTag,
-        now: Millis,
-    ) -> Option<ExposureReport> {
-        let sent_expiry = self.exposures.get(&content, upstream)?;
-        (now < sent_expiry).then(|| ExposureReport {
-            content,
-            upstream,
-            sent_left_ms: sent_expiry.since(now),
-        })
-    }
-
-    fn crash_report(
-        &self,
-        upstream: UpstreamTag,
-        now: Millis,
-    ) -> Option<CrashReport> {
-        let crash = self.crashes.get(&upstream)?;
-        (now < crash.until).then(|| CrashReport {
-            upstream,
-            left_ms: crash.until.since(now),
-            in_flight: crash.in_flight.iter().copied().collect(),
-        })
-    }
-
-    fn answered_report(
-        &self,
-        content: RequestContent,
-        now: Millis,
-    ) -> Option<AnsweredReport> {
-        let until = *self.answered.get(&content)?;
-        (now < until)
-            .then(|| AnsweredReport { content, left_ms: until.since(now) })
-    }
-
-    /// Returns a hash of all records that have not expired, or 0 if there are
-    /// none.
-    ///
-    /// Instances with the same records have the same digest. Expiry times are
-    /// left out, since they differ by the transit times of reports.
-    pub fn digest(&self, now: Millis) -> u64 {
-        let reports = self.reports(now);
-        if reports.is_empty() {
-            return 0;
-        }
-        let mut hasher = Xxh3::new();
-        for report in &reports.crashes {
-            (report.upstream, &report.in_flight).hash(&mut hasher);
-        }
-        for report in &reports.answered {
-            report.content.hash(&mut hasher);
-        }
-        for report in &reports.refused {
-            report.content.hash(&mut hasher);
-        }
-        for report in &reports.exposures {
-            (report.content, report.upstream).hash(&mut hasher);
-        }
-        hasher.finish().max(1)
+    fn unexpired_crashes(&self, now: Millis) -> BTreeMap<UpstreamTag, Crash> {
+        let crashes = self.crashes.iter().filter(|(_, c)| now < c.until);
+        crashes.map(|(tag, one)| (*tag, one.clone())).collect()
     }
 
     /// Deletes the records whose retention after expiry is over, and ends the
@@ -532,9 +437,12 @@
         self.answered.retain(|_, until| is_kept(*until));
         self.recorded.retain(|_, until| is_kept(*until));
         self.unconfirmed.retain(|one| self.recorded.contains_key(one));
-        if self.refused.values().any(|until| now >= *until) {
+        self.parts.retain_cleared(is_kept);
+        let has_expired = self.refused.values().any(|until| now >= *until);
+        if has_expired {
             self.update_refused(now);
         }
+        self.review_parts(now);
     }
 
     /// Adds a crash, or more requests to a known crash, and returns whether
@@ -560,87 +468,39 @@
         is_changed
     }
 
-    /// Evicts the oldest crashes and records beyond the limits.
-    ///
-    /// Crashes at which a refused request was in flight are evicted last:
-    /// without them the refusal would end.
-    fn evict_excess(&mut self) {
-        let mut is_evicted = false;
-        loop {
-            let in_flight = self.crashes.values().map(|c| c.in_flight.len());
-            let is_full = in_flight.sum::<usize>() > MAX_REQUESTS
-                || self.crashes.len() > MAX_CRASHES;
-            if !is_full {
-                break;
-            }
-            let is_explained = |crash: &Crash| {
-                crash.in_flight.iter().any(|c| self.refused.contains_key(c))
-            };
-            let oldest = self
-                .crashes
-                .iter()
-                .min_by_key(|(_, crash)| (is_explained(crash), crash.until));
-            let Some(oldest) = oldest.map(|(tag, _)| *tag) else { break };
-            self.crashes.remove(&oldest);
-            is_evicted = true;
-        }
-        if is_evicted {
-            self.forget_unsuspected();
-        }
-        while self.recorded.len() > MAX_RECORDED {
-            let oldest = self.recorded.iter().min_by_key(|(_, until)| **until);
-            let Some(oldest) = oldest.map(|(content, _)| *content) else {
-                break;
-            };
-            self.recorded.remove(&oldest);
-        }
-    }
-
-    /// Removes the exposures of requests that were in flight at no recorded
-    /// crash.
-    fn forget_unsuspected(&mut self) {
-        let crashes = self.crashes.values();
-        let suspects: BTreeSet<RequestContent> =
-            crashes.flat_map(|one| one.in_flight.iter().copied()).collect();
-        self.exposures.retain(|content| suspects.contains(content));
-    }
-
-    /// Recomputes the set of refused requests.
+    /// Recomputes what is refused.
     fn update_refused(&mut self, now: Millis) {
         self.revision += 1;
-        let is_answered =
-            |content: &RequestContent| self.answered.contains_key(content);
+        self.judged = now;
         let crashes = self.unexpired_crashes(now);
         let recorded = self.recorded.iter();
-        let recorded: BTreeMap<RequestContent, Millis> = recorded
+        let recorded: BTreeMap<Culprit, Millis> = recorded
             .filter(|(_, until)| now < **until)
-            .filter(|(content, _)| !is_answered(content))
-            .filter(|(content, _)| !self.can_judge(content))
-            .map(|(content, until)| (*content, *until))
+            .filter(|(culprit, _)| !self.is_answered(culprit))
+            .filter(|(culprit, _)| !self.can_judge(culprit))
+            .map(|(culprit, until)| (culprit.clone(), *until))
             .collect();
-        let evidence = Evidence {
-            crashes: &crashes,
-            exposures: &self.exposures,
-            answered: &self.answered,
-        };
-        let mut refused = find_culprits(evidence, recorded.keys().copied());
+        let evidence = self.evidence(&crashes, now);
+        let mut refused = find_culprits(evidence, recorded.keys());
+        let suspected_parts = suspected_parts(evidence);
         refused.extend(recorded);
         if !refused.keys().eq(self.refused.keys()) {
             self.changes += 1;
         }
         self.refused = refused;
+        self.suspected_parts = suspected_parts;
     }
 }
 
 /// Inserts a record with its expiry, or keeps the earlier of two expiries, and
 /// returns whether the record is new.
-fn insert_earliest(
-    all: &mut BTreeMap<RequestContent, Millis>,
-    content: RequestContent,
+fn insert_earliest<K: Ord>(
+    all: &mut BTreeMap<K, Millis>,
+    key: K,
     until: Millis,
 ) -> bool {
-    let is_new = !all.contains_key(&content);
-    let known = all.entry(content).or_insert(until);
+    let is_new = !all.contains_key(&key);
+    let known = all.entry(key).or_insert(until);
     *known = until.min(*known);
     is_new
 }
--- a/crates/valehold-core/src/fleet/tests/crashes.rs
+++ b/crates/valehold-core/src/fleet/tests/crashes.rs
@@ -5,7 +5,8 @@
 
 use crate::{
     fleet::crashes::{
-        CrashReports, CrashTracker, InFlight, RefusedReport, RequestContent,
+        CrashReports, CrashTracker, Culprit, InFlight, RefusedReport,
+        RequestContent,
     },
     id::UpstreamTag,
     testing::{cases, few_cases},
@@ -175,7 +176,7 @@
     later.record_answer(content("p"), at(9));
     expect_that!(
         later.recorded_but_cleared(),
-        elements_are![eq(&content("p"))]
+        elements_are![eq(&Culprit::from(content("p")))]
     );
     expect_that!(later.refused_ms(&content("p"), at(9)), none());
 }
@@ -195,7 +196,7 @@
     }
     expect_false!(is_refused(&tracker, "a", 2_000));
     let cleared = tracker.recorded_but_cleared();
-    expect_that!(cleared, elements_are![eq(&content("a"))]);
+    expect_that!(cleared, elements_are![eq(&Culprit::from(content("a")))]);
 }
 
 #[gtest]
--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -84,6 +84,8 @@
         NoUpstreamOfVersion = "no_upstream_of_version",
         /// The upstreams that ran it crashed, one after the other.
         CrashesUpstreams = "crashes_upstreams",
+        /// Upstreams that ran requests with a part of its prompt crashed.
+        PartCrashesUpstreams = "part_crashes_upstreams",
         /// Every attempt failed, or the budget for retries is spent.
         UpstreamFailed = "upstream_failed",
         /// The answer did not begin within its time.
@@ -127,6 +129,7 @@
             | Self::UnknownOrigin
             | Self::NoUpstreamOfVersion
             | Self::CrashesUpstreams
+            | Self::PartCrashesUpstreams
             | Self::NotReady
             | Self::StoreDown => 503,
         }
--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -1,12 +1,12 @@
 //! Exchanges reports about crashes and the requests in flight at the time with
-//! other gateways, and keeps the store's record of refused requests up to
-//! date.
+//! other gateways, and keeps the store's record of what is refused for them up
+//! to date.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use valehold_core::{
     Millis,
-    fleet::crashes::{CrashReports, RefusedReport, RequestContent},
+    fleet::crashes::{CrashReports, Culprit, PartReports, Refusal},
 };
 use valehold_ports::{PortError, port::fleet::FleetStore};
 
@@ -74,17 +74,16 @@
     /// time of the last change.
     changes: u64,
     unchanged_since: Millis,
-    /// Requests that this gateway removed from the record because they were
-    /// answered.
-    removed: Vec<RequestContent>,
+    /// What this gateway removed from the record because it was cleared.
+    removed: Vec<Culprit>,
 }
 
 /// The result of a call that reads or changes the record.
 #[derive(Debug)]
 pub(super) struct RecordSyncResult {
-    /// The requests that the record lists after the call.
-    listed: Result<Vec<RefusedReport>, PortError>,
-    removed: Vec<RequestContent>,
+    /// The refusals that the record lists after the call.
+    listed: Result<Vec<Refusal>, PortError>,
+    removed: Vec<Culprit>,
 }
 
 impl Control {
@@ -139,13 +138,13 @@
         self.observes_store() && !self.record.has_read && may_wait
     }
 
-    /// Returns the refused requests missing in the record, and the recorded
-    /// requests that were answered since. Both lists are empty until the set
+    /// Returns the refusals missing in the record, and the recorded culprits
+    /// that were cleared since. Both lists are empty until the set
     /// has been unchanged for `RECORD_DELAY_MS`.
     fn pending_record_changes(
         &mut self,
         now: Millis,
-    ) -> (Vec<RefusedReport>, Vec<RequestContent>) {
+    ) -> (Vec<Refusal>, Vec<Culprit>) {
         let crashes = self.shared.crashes();
         let sync = &mut self.record;
         if sync.changes != crashes.changes() {
@@ -157,7 +156,7 @@
             return (Vec::new(), Vec::new());
         }
         let mut obsolete = crashes.recorded_but_cleared();
-        obsolete.retain(|content| !sync.removed.contains(content));
+        obsolete.retain(|culprit| !sync.removed.contains(culprit));
         (crashes.unrecorded(now), obsolete)
     }
 
@@ -179,8 +178,9 @@
                 });
                 if tells_others {
                     // Gateways that started as well do not read the record.
-                    let reports = self.shared.crashes().reports(now);
-                    self.send_all(&Message::Crashes(reports));
+                    for message in self.crash_messages(now) {
+                        self.send_all(&message);
+                    }
                 }
             }
             Err(error) => {
@@ -214,17 +214,30 @@
 
     /// Broadcasts the crash updates noted since the last call.
     pub(super) fn send_crash_updates(&mut self, now: Millis) {
-        let updates = {
+        self.shared.update_crashes(|crashes| crashes.prune(now));
+        let (updates, part_updates) = {
             let mut crashes = self.shared.crashes();
-            crashes.prune(now);
-            crashes.take_updates(now)
+            (crashes.take_updates(now), crashes.take_part_updates(now))
         };
+        // Prompts go first: a crash speaks against parts only with them.
+        if !part_updates.is_empty() {
+            self.send_all(&Message::CrashParts(part_updates));
+        }
         if !updates.is_empty() {
             self.record.must_reread = true;
             self.send_all(&Message::Crashes(updates));
         }
     }
 
+    /// Returns the messages with all reports about crashes.
+    fn crash_messages(&self, now: Millis) -> Vec<Message> {
+        let crashes = self.shared.crashes();
+        let (reports, parts) =
+            (crashes.reports(now), crashes.part_reports(now));
+        let parts = (!parts.is_empty()).then_some(Message::CrashParts(parts));
+        parts.into_iter().chain([Message::Crashes(reports)]).collect()
+    }
+
     /// Compares a peer's digest of crash reports with the digest of this
     /// gateway, and sends the peer a full report if the digests differ:
     /// datagrams may be lost, and the peer may have started or become
@@ -249,23 +262,33 @@
             return;
         }
         full_reports_sent.insert(peer, now);
-        let reports = self.shared.crashes().reports(now);
-        self.send([peer], &Message::Crashes(reports));
+        for message in self.crash_messages(now) {
+            self.send([peer], &message);
+        }
     }
 
     /// Merges crash reports of a peer.
     pub(super) fn receive_crashes(&self, reports: &CrashReports, now: Millis) {
         self.shared.update_crashes(|crashes| crashes.receive(reports, now));
     }
+
+    /// Merges a peer's reports about parts of prompts.
+    pub(super) fn receive_crash_parts(
+        &self,
+        reports: &PartReports,
+        now: Millis,
+    ) {
+        self.shared.update_crashes(|c| c.receive_parts(reports, now));
+    }
 }
 
-/// Writes changes to the record if there are any, and returns the requests
+/// Writes changes to the record if there are any, and returns the refusals
 /// that the record lists afterwards.
 async fn update_record(
     store: &dyn FleetStore,
-    refused: &[RefusedReport],
-    obsolete: &[RequestContent],
-) -> Result<Vec<RefusedReport>, PortError> {
+    refused: &[Refusal],
+    obsolete: &[Culprit],
+) -> Result<Vec<Refusal>, PortError> {
     let state = store.read_refused().await?;
     let change = state.change(refused, obsolete);
     let has_requested_changes = !(refused.is_empty() && obsolete.is_empty());
@@ -273,7 +296,7 @@
         store.write_refused(&change).await?;
     }
     let mut listed = state.unexpired();
-    listed.retain(|report| !change.remove.contains(&report.content));
+    listed.retain(|refusal| !change.remove.contains(&refusal.culprit));
     listed.extend_from_slice(refused);
     Ok(listed)
 }
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -403,6 +403,9 @@
                 self.receive_held_evacuations(&held, now);
             }
             Message::Crashes(reports) => self.receive_crashes(&reports, now),
+            Message::CrashParts(reports) => {
+                self.receive_crash_parts(&reports, now);
+            }
             Message::Brittle(reports) => {
                 let gateways = self.shared.view.load().ready.len();
                 let mut brittle = self.shared.brittle();
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -325,6 +325,18 @@
                     crashes.join(", "),
                 )
             }
+            Self::PartsRefused { parts, refused, crashes } => {
+                let change = match refused {
+                    true => "are refused",
+                    false => "are no longer refused",
+                };
+                format!(
+                    "requests with {} in their prompts {change}; crashes: \
+                     {}\n",
+                    parts.join(" and "),
+                    crashes.join(", "),
+                )
+            }
             Self::StoreRestored { era, before } => format!(
                 "the store came back from a copy, era {era} after {before}\n"
             ),
@@ -376,6 +388,9 @@
             Self::RequestSuspected { content, .. } => {
                 request.content.as_deref() == Some(content)
             }
+            Self::PartsRefused { parts, .. } => {
+                parts.iter().all(|one| request.parts.contains(one))
+            }
             Self::OrderEnded { variant, .. } => {
                 !model.is_empty() && variant.split('/').next() == Some(model)
             }
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -13,7 +13,8 @@
 use serde::{Deserialize, Serialize};
 use valehold_core::{
     fleet::{
-        crashes::SuspicionReport, replicas::LoadSource,
+        crashes::{PartChange, SuspicionReport},
+        replicas::LoadSource,
         upstream_limit::LimitReport,
     },
     id::{
@@ -113,6 +114,8 @@
     CrashUnconfirmed = "crash_unconfirmed",
     /// The evidence changed that a request crashes upstreams.
     RequestSuspected = "request_suspected",
+    /// Requests with some parts in their prompts are refused, or no longer.
+    PartsRefused = "parts_refused",
     /// An upstream reported that it is leaving.
     UpstreamLeaving = "upstream_leaving",
     /// An upstream requested a backoff from this gateway.
@@ -412,6 +415,17 @@
         /// The crashes, the earliest first.
         crashes: Vec<CrashEvidence>,
     },
+    /// Requests that hold some parts in their prompts are refused from now on,
+    /// because one of the parts crashes upstreams, or no longer.
+    PartsRefused {
+        /// The digests of the parts, as in the line of a request.
+        parts: Vec<String>,
+        /// Whether such requests are refused from now on.
+        refused: bool,
+        /// The crashed upstreams at which such requests were in flight; empty
+        /// if the store told.
+        crashes: Vec<String>,
+    },
     /// An upstream reported that it is leaving.
     UpstreamLeaving {
         /// The upstream.
@@ -474,6 +488,19 @@
         }
     }
 
+    /// Returns the event for a change of the set of refused parts. `name`
+    /// returns the name of a start of an upstream.
+    pub fn of_part_change(
+        change: &PartChange,
+        name: impl Fn(UpstreamTag) -> String,
+    ) -> Self {
+        Self::PartsRefused {
+            parts: change.group.iter().map(|one| one.to_string()).collect(),
+            refused: change.is_refused,
+            crashes: change.crashes.iter().copied().map(name).collect(),
+        }
+    }
+
     /// Returns the event for a change of an upstream's limit.
     pub fn of_limit(report: &LimitReport, source: ReportSource) -> Self {
         let upstream = report.start.id.clone();
@@ -524,6 +551,7 @@
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::CrashUnconfirmed { .. } => EventKind::CrashUnconfirmed,
             Self::RequestSuspected { .. } => EventKind::RequestSuspected,
+            Self::PartsRefused { .. } => EventKind::PartsRefused,
             Self::UpstreamLeaving { .. } => EventKind::UpstreamLeaving,
             Self::UpstreamRests { .. } => EventKind::UpstreamRests,
             Self::UpstreamLimited { .. } => EventKind::UpstreamLimited,
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -14,7 +14,7 @@
         RegionBound, UpstreamStart, Variant,
         brittle::BrittleReport,
         cold::{PermitReply, PermitRequest},
-        crashes::CrashReports,
+        crashes::{CrashReports, PartReports},
         evacuation::HeldEvacuation,
         paces::{PaceObservation, PaceUpdate},
         stream_origin::{OriginReport, StreamId},
@@ -517,6 +517,10 @@
         /// is certain of it.
         only_version: Option<SoftwareVersion>,
     },
+    /// From a gateway that observed crashes or answers: the prompts of the
+    /// requests that were in flight, and the parts of prompts that are sound.
+    /// To a gateway whose records differ: all records.
+    CrashParts(PartReports),
 }
 
 /// Why a datagram cannot be decoded or encoded.
@@ -584,6 +588,7 @@
             Self::StreamOrigins(_) => "stream_origins",
             Self::OriginRequest { .. } => "origin_request",
             Self::OriginUnknown { .. } => "origin_unknown",
+            Self::CrashParts(_) => "crash_parts",
         }
     }
 
@@ -616,7 +621,8 @@
             | Self::HeldEvacuations(_)
             | Self::StreamOrigins(_)
             | Self::OriginRequest { .. }
-            | Self::OriginUnknown { .. } => return None,
+            | Self::OriginUnknown { .. }
+            | Self::CrashParts(_) => return None,
         };
         Some((audience, number))
     }
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -20,7 +20,7 @@
         backoff::UpstreamBackoffs,
         brittle::{BrittleReport, BrittleUpstreams},
         cold::{ColdPermits, PermitRequest},
-        crashes::{CrashTracker, SuspicionReport},
+        crashes::{CrashTracker, PartChange, SuspicionReport},
         paces::{PaceObservation, Paces},
         stream_origin::{StreamId, StreamOrigin, StreamOrigins},
         topology::Topology,
@@ -337,18 +337,21 @@
     /// Changes the records of crashes, and notifies requests in flight if the
     /// set of refused requests changed.
     pub fn update_crashes(&self, change: impl FnOnce(&mut CrashTracker)) {
-        let (revision, suspicions) = {
+        let (revision, suspicions, part_changes) = {
             let mut tracker = self.crashes();
             let before = tracker.revision();
             change(&mut tracker);
             let revision = tracker.revision();
-            let suspicions = match revision == before {
-                true => Vec::new(),
-                false => tracker.take_suspicions(self.clock.now()),
-            };
-            (revision, suspicions)
+            match revision == before {
+                true => (revision, Vec::new(), Vec::new()),
+                false => (
+                    revision,
+                    tracker.take_suspicions(self.clock.now()),
+                    tracker.take_part_changes(),
+                ),
+            }
         };
-        self.log_suspicions(&suspicions);
+        self.log_suspicions(&suspicions, &part_changes);
         self.crash_changes.send_if_modified(|known| {
             let is_new = *known != revision;
             *known = revision;
@@ -356,23 +359,30 @@
         });
     }
 
-    /// Logs changed evidence against requests, with the names of the upstreams
-    /// that are still listed.
-    fn log_suspicions(&self, suspicions: &[SuspicionReport]) {
-        if suspicions.is_empty() {
+    /// Logs changed evidence against requests and parts of prompts, with the
+    /// names of the upstreams that are still listed.
+    fn log_suspicions(
+        &self,
+        suspicions: &[SuspicionReport],
+        part_changes: &[PartChange],
+    ) {
+        if suspicions.is_empty() && part_changes.is_empty() {
             return;
         }
         let view = self.view.load();
         let listed = view.listing.upstreams.values();
         let names: BTreeMap<UpstreamTag, &UpstreamId> =
             listed.map(|one| (one.start().tag(), &one.id)).collect();
+        let name = |upstream: UpstreamTag| {
+            let name = names.get(&upstream).map(ToString::to_string);
+            name.unwrap_or_else(|| upstream.to_string())
+        };
         for suspicion in suspicions {
-            let name = |upstream: UpstreamTag| {
-                let name = names.get(&upstream).map(ToString::to_string);
-                name.unwrap_or_else(|| upstream.to_string())
-            };
             Event::of_suspicion(suspicion, name).log();
         }
+        for change in part_changes {
+            Event::of_part_change(change, name).log();
+        }
     }
 
     /// Returns a receiver that is notified when a record of crashes is added.
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -9,13 +9,17 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use tokio::time::Instant;
-use valehold_core::fleet::{
-    Upstream, UpstreamStart, Variant,
-    event::{EventOrder, EventPosition, EventSplitter},
+use valehold_core::{
+    Millis,
+    fleet::{
+        Upstream, Variant,
+        event::{EventOrder, EventPosition, EventSplitter},
+    },
 };
 
 use super::{
     Body, BrokenOff,
+    crashes::{self, AfterClose},
     exchange::{Exchange, ReceivedAnswer},
     pool::Reuse,
     route::Job,
@@ -36,6 +40,7 @@
     reuse: Option<Reuse>,
     splitter: EventSplitter,
     in_flight: InFlightGuard,
+    ends_with_connection: bool,
     variant: Option<Variant>,
     began: Instant,
     /// Events that were read and not passed on yet.
@@ -45,7 +50,8 @@
 /// The next item of a stream.
 enum Next {
     Events(Bytes),
-    End,
+    /// The end, and what is known of the upstream after it.
+    End(AfterClose),
 }
 
 impl Relay {
@@ -60,6 +66,7 @@
             body: begun.body,
             sender: Some(begun.sender),
             reuse: begun.reuse,
+            ends_with_connection: begun.ends_with_connection,
             splitter: EventSplitter::default(),
             in_flight,
             variant: job.request.variant.clone(),
@@ -72,16 +79,17 @@
     pub(super) async fn first_events(
         &mut self,
         app: &App,
+        job: &Job,
         order: &mut EventOrder,
     ) -> Result<Bytes, SendFailure> {
-        let next = self.next(app, order).await;
+        let next = self.next(app, job, order).await;
         let next = next.map_err(|BrokenOff| SendFailure::cut_off())?;
         self.in_flight.prompt_prefilled();
         self.began = Instant::now();
         match next {
             Next::Events(bytes) => Ok(bytes),
             // A complete stream without events is also an answer.
-            Next::End => Ok(Bytes::new()),
+            Next::End(_) => Ok(Bytes::new()),
         }
     }
 
@@ -90,14 +98,10 @@
         self.held = Some(events);
     }
 
-    /// Returns whether held events wait to be passed on.
-    pub(super) fn has_output(&self) -> bool {
-        self.held.as_ref().is_some_and(|held| !held.is_empty())
-    }
-
     async fn next(
         &mut self,
         app: &App,
+        job: &Job,
         order: &mut EventOrder,
     ) -> Result<Next, BrokenOff> {
         if let Some(held) = self.held.take() {
@@ -122,10 +126,7 @@
                     return Err(BrokenOff);
                 }
                 None if self.splitter.has_pending() => return Err(BrokenOff),
-                None => {
-                    self.finish(app);
-                    return Ok(Next::End);
-                }
+                None => return self.end(app, job).await,
             }
         }
     }
@@ -146,6 +147,19 @@
         }
     }
 
+    /// Handles the end of the body, unless a crash of the upstream ended it.
+    async fn end(&mut self, app: &App, job: &Job) -> Result<Next, BrokenOff> {
+        let after_close = match self.ends_with_connection {
+            true => crashes::after_close(app, job, &self.upstream).await,
+            false => AfterClose::Alive,
+        };
+        if after_close == AfterClose::Crashed {
+            return Err(BrokenOff);
+        }
+        self.finish(app);
+        Ok(Next::End(after_close))
+    }
+
     fn finish(&mut self, app: &App) {
         let took_ms = self.began.elapsed().as_secs_f64() * 1_000.0;
         if let Some(variant) = &self.variant {
@@ -156,8 +170,9 @@
         }
     }
 
-    fn upstream_start(&self) -> UpstreamStart {
-        self.upstream.start()
+    /// Returns the time since the first output.
+    fn output_time(&self) -> Duration {
+        self.began.elapsed()
     }
 }
 
@@ -166,6 +181,8 @@
 struct StreamRelay {
     exchange: Exchange,
     relay: Option<Relay>,
+    /// Whether the upstream of `relay` has outlived the request.
+    is_outlived: bool,
 }
 
 impl StreamRelay {
@@ -175,23 +192,32 @@
             let relay = self.relay.as_mut()?;
             let app = self.exchange.app.clone();
             let mut order = self.exchange.order;
-            let start = relay.upstream_start();
-            let reading = relay.next(&app, &mut order);
+            let upstream = relay.upstream.clone();
+            let reading = relay.next(&app, &self.exchange.job, &mut order);
             let read = self
                 .exchange
-                .wait_for_upstream(&start, MAX_PAUSE, reading)
+                .wait_for_upstream(&upstream.start(), MAX_PAUSE, reading)
                 .await;
             self.exchange.order = order;
             match read {
                 Some(Ok(Next::Events(events))) => {
                     self.exchange.record.record_relayed();
+                    self.record_if_outlived();
                     return Some(Ok(events));
                 }
-                Some(Ok(Next::End)) => {
+                Some(Ok(Next::End(after_close))) => {
+                    if after_close == AfterClose::Alive {
+                        self.record_outlived();
+                    }
                     self.relay = None;
                     self.exchange.log_answered(StatusCode::OK);
                     return None;
                 }
+                Some(Err(BrokenOff)) if !self.is_outlived => {
+                    let sent = self.exchange.sent_at();
+                    let job = &self.exchange.job;
+                    crashes::on_break_off(&app, job, &upstream, sent);
+                }
                 Some(Err(BrokenOff)) | None => {}
             }
             if let Err(broken) = self.resume().await {
@@ -202,13 +228,36 @@
         }
     }
 
+    /// Records that the upstream has outlived the request, if the answer has
+    /// gone on for long enough.
+    fn record_if_outlived(&mut self) {
+        let Some(relay) = &self.relay else { return };
+        if relay.output_time() >= crashes::OUTLIVED_AFTER_OUTPUT {
+            self.record_outlived();
+        }
+    }
+
+    /// Records that the upstream has outlived the request.
+    fn record_outlived(&mut self) {
+        let Some(relay) = &self.relay else { return };
+        if std::mem::replace(&mut self.is_outlived, true) {
+            return;
+        }
+        let app = &self.exchange.app;
+        let output_ms = Millis::from(relay.output_time()).get();
+        let began = app.now().get().saturating_sub(output_ms);
+        let job = &self.exchange.job;
+        crashes::record_answer(app, job, Millis::new(began));
+    }
+
     /// Resumes the stream at another engine, if that is allowed.
     async fn resume(&mut self) -> Result<(), BrokenOff> {
         let relay = self.relay.take().ok_or(BrokenOff)?;
-        let start = relay.upstream_start();
+        let upstream = relay.upstream.clone();
         // The engine stops generating when its connection is closed.
         drop(relay);
-        let resumed = self.exchange.resume(&start).await;
+        let resumed = self.exchange.resume(&upstream).await;
+        self.is_outlived = false;
         self.relay = Some(resumed.ok_or(BrokenOff)?);
         Ok(())
     }
@@ -228,7 +277,11 @@
             Response::from_parts(head, Box::pin(body) as Body)
         }
         ReceivedAnswer::Stream { head, relay } => {
-            let relaying = StreamRelay { exchange, relay: Some(*relay) };
+            let relaying = StreamRelay {
+                exchange,
+                relay: Some(*relay),
+                is_outlived: false,
+            };
             let events = stream::unfold(relaying, |mut relaying| async {
                 let next = relaying.next().await?;
                 Some((next.map(Frame::data), relaying))
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -1,8 +1,12 @@
 //! Detects crashes of upstreams, and refuses requests that cause them.
 
 use std::{
-    cell::RefCell, collections::BTreeMap, io::ErrorKind, net::SocketAddr,
-    rc::Rc, time::Duration,
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    io::ErrorKind,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
 };
 
 use tokio::time;
@@ -10,9 +14,10 @@
     Millis,
     fleet::{
         RegionBound, Upstream, UpstreamStart,
-        crashes::{InFlight, RequestContent, Suspicion},
+        crashes::{InFlight, PartId, RequestContent, Suspicion},
     },
     id::UpstreamId,
+    reason::RefusalReason,
 };
 
 use super::{choose::current_bound, route::Job, state::App, tunnel};
@@ -34,35 +39,51 @@
 /// outlived the request as well, and two of them end the refusal.
 const SURVIVAL_REPORT_TIME: Duration = Duration::from_millis(200);
 
-/// Requests that one upstream broke off before any output.
+/// The time for which an answer has to go on after its first output until the
+/// upstream counts as having outlived the request. Upstreams may crash after
+/// they have sent a status or some output.
+pub(super) const OUTLIVED_AFTER_OUTPUT: Duration = Duration::from_secs(1);
+
+/// A request that was broken off.
+#[derive(Debug, Clone)]
+struct BrokenRequest {
+    /// When the request was sent. Of several attempts at it, the first.
+    sent: Millis,
+    /// The parts of its prompt that other requests may share.
+    shared_parts: BTreeSet<PartId>,
+}
+
+/// Requests that one upstream broke off before any output, or soon after.
 #[derive(Debug, Clone)]
 struct BreakOffs {
     /// When the first of them broke off.
     at: Millis,
-    /// When each was sent. Of several attempts at one request, the first.
-    sent: BTreeMap<RequestContent, Millis>,
+    requests: BTreeMap<RequestContent, BrokenRequest>,
 }
 
 impl BreakOffs {
     fn new(at: Millis) -> Self {
-        Self { at, sent: BTreeMap::new() }
+        Self { at, requests: BTreeMap::new() }
     }
 
-    fn add(&mut self, content: RequestContent, sent: Millis) {
-        let known = self.sent.entry(content).or_insert(sent);
-        *known = sent.min(*known);
+    fn add(&mut self, job: &Job, sent: Millis) {
+        let known = self.requests.entry(job.content()).or_insert_with(|| {
+            let shared_parts = job.shared_parts().clone();
+            BrokenRequest { sent, shared_parts }
+        });
+        known.sent = sent.min(known.sent);
     }
 
     /// Returns the requests with the time for which they were in flight.
     fn in_flight(&self) -> impl Iterator<Item = InFlight> {
-        self.sent.iter().map(|(content, sent)| InFlight {
+        self.requests.iter().map(|(content, request)| InFlight {
             content: *content,
-            for_ms: self.at.since(*sent),
+            for_ms: self.at.since(request.sent),
         })
     }
 }
 
-/// Requests that broke off before any output, by upstream, until the probe has
+/// Requests that broke off before any output or soon after, by upstream, until the probe has
 /// shown whether the upstream crashed.
 #[derive(Debug, Default)]
 pub(super) struct PendingBreakOffs {
@@ -75,7 +96,7 @@
     fn add(
         &self,
         upstream: UpstreamStart,
-        content: RequestContent,
+        job: &Job,
         sent: Millis,
         at: Millis,
     ) -> bool {
@@ -83,7 +104,7 @@
         let is_first = !by_upstream.contains_key(&upstream);
         let break_offs =
             by_upstream.entry(upstream).or_insert_with(|| BreakOffs::new(at));
-        break_offs.add(content, sent);
+        break_offs.add(job, sent);
         is_first
     }
 
@@ -104,7 +125,8 @@
     }
 }
 
-/// Handles a request that an upstream broke off before any output.
+/// Handles a request that an upstream broke off before any output, or soon
+/// after.
 ///
 /// Connections break for many reasons. After a crash, the address of the
 /// upstream refuses connections: within 1 ms of the crash, and seconds before
@@ -119,12 +141,12 @@
     let (start, at) = (upstream.start(), app.now());
     if app.shared.crashes().has_crashed(start.tag()) {
         let mut break_offs = BreakOffs::new(at);
-        break_offs.add(job.content(), sent);
+        break_offs.add(job, sent);
         report_crash(app, &start, &break_offs);
         return;
     }
     let pending = &app.pending_break_offs;
-    if pending.add(start.clone(), job.content(), sent, at) {
+    if pending.add(start.clone(), job, sent, at) {
         let bound = current_bound(&app.shared.view.load(), job).into_owned();
         let (app, upstream) = (app.clone(), upstream.clone());
         tokio::task::spawn_local(async move {
@@ -151,13 +173,52 @@
     if !app.pending_break_offs.is_pending(&start) {
         return;
     }
-    let is_near_refusal = app.shared.crashes().is_near_refusal(&job.content());
-    let waits = is_near_refusal || app.pending_break_offs.is_several();
+    let waits =
+        is_near_refusal(app, job) || app.pending_break_offs.is_several();
     while waits && app.pending_break_offs.is_pending(&start) {
         time::sleep(PROBE_DELAY).await;
     }
 }
 
+/// Returns whether one more crash may be enough for a request to be refused.
+fn is_near_refusal(app: &App, job: &Job) -> bool {
+    let crashes = app.shared.crashes();
+    crashes.is_near_refusal(&job.content())
+        || crashes.are_parts_near_refusal(job.shared_parts())
+}
+
+/// What the end of a connection that ended an answer says of the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AfterClose {
+    /// The upstream accepts connections: the answer is whole.
+    Alive,
+    /// The upstream crashed: the answer may have been cut off.
+    Crashed,
+    /// Nothing is known of the upstream.
+    Unknown,
+}
+
+/// Returns whether an upstream crashed when it closed a connection. An answer
+/// without a length that a crash cuts off looks like a whole one.
+pub(super) async fn after_close(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+) -> AfterClose {
+    time::sleep(PROBE_DELAY).await;
+    let bound = current_bound(&app.shared.view.load(), job).into_owned();
+    let connecting = app.connector.connect(upstream.address);
+    if let Ok(Ok(_)) = time::timeout(PROBE_TIMEOUT, connecting).await {
+        return AfterClose::Alive;
+    }
+    let is_crash = has_crashed(app, &bound, upstream).await
+        && !is_planned_shutdown(app, &upstream.id);
+    match is_crash {
+        true => AfterClose::Crashed,
+        false => AfterClose::Unknown,
+    }
+}
+
 /// Returns whether an upstream accepts no connections.
 ///
 /// The links of this gateway may refuse connections that the upstream would
@@ -204,33 +265,74 @@
 fn report_crash(app: &App, start: &UpstreamStart, break_offs: &BreakOffs) {
     let event = Event::UpstreamCrashed {
         upstream: start.id.clone(),
-        under_way: break_offs.sent.keys().map(ToString::to_string).collect(),
+        under_way: break_offs
+            .requests
+            .keys()
+            .map(ToString::to_string)
+            .collect(),
     };
     event.log();
     app.shared.update_crashes(|crashes| {
+        for (content, request) in &break_offs.requests {
+            let parts = request.shared_parts.iter().copied();
+            crashes.record_prompt(*content, parts, break_offs.at);
+        }
         let in_flight = break_offs.in_flight();
         crashes.record_crash(start.tag(), in_flight, break_offs.at);
     });
 }
 
-/// Records that an upstream answered a request with success, or began to do
-/// so. The request then counts as not crashing upstreams.
-pub(super) fn record_answer(app: &App, job: &Job) {
+/// Records that an upstream began to answer a request with success at `began`,
+/// and went on for [`OUTLIVED_AFTER_OUTPUT`] or to the end. The request and the
+/// parts of its prompt then count as not crashing upstreams.
+pub(super) fn record_answer(app: &App, job: &Job, began: Millis) {
     if app.shared.crashes().is_empty() {
         return;
     }
     let (content, now) = (job.content(), app.now());
-    app.shared.update_crashes(|crashes| crashes.record_answer(content, now));
+    app.shared.update_crashes(|crashes| {
+        crashes.record_answer(content, now);
+        crashes.record_sound_parts(job.shared_parts(), began, now);
+    });
 }
 
-/// Returns for how much longer a request is refused because it crashes
-/// upstreams, in ms; `None` if the request is not refused.
-pub(super) fn remaining_refusal_ms(app: &App, job: &Job) -> Option<u64> {
-    if app.shared.crashes().is_empty() {
+/// The refusal of a request that crashes upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CrashRefusal {
+    pub(super) reason: RefusalReason,
+    /// The time for which the request is still refused, in ms.
+    pub(super) left_ms: u64,
+}
+
+/// Returns the refusal of a request that crashes upstreams, or whose prompt
+/// has a part that does; `None` if the request is not refused.
+pub(super) fn current_refusal(app: &App, job: &Job) -> Option<CrashRefusal> {
+    let crashes = app.shared.crashes();
+    if crashes.is_empty() {
         return None;
     }
-    let (content, now) = (job.content(), app.now());
-    app.shared.crashes().refused_ms(&content, now)
+    let now = app.now();
+    let own = crashes.refused_ms(&job.content(), now).map(|left_ms| {
+        CrashRefusal { reason: RefusalReason::CrashesUpstreams, left_ms }
+    });
+    let part = crashes.parts_refused_ms(job.shared_parts(), now);
+    let part = part.map(|left_ms| CrashRefusal {
+        reason: RefusalReason::PartCrashesUpstreams,
+        left_ms,
+    });
+    own.into_iter().chain(part).max_by_key(|refusal| refusal.left_ms)
+}
+
+/// Returns whether a request is refused because it crashes upstreams.
+pub(super) fn is_refused(app: &App, job: &Job) -> bool {
+    current_refusal(app, job).is_some()
+}
+
+/// Returns whether a request is refused because of a part of its prompt.
+fn is_refused_for_part(app: &App, job: &Job) -> bool {
+    let crashes = app.shared.crashes();
+    !crashes.is_empty()
+        && crashes.parts_refused_ms(job.shared_parts(), app.now()).is_some()
 }
 
 /// Waits until an in-flight request has to be cancelled because it crashes
@@ -247,6 +349,9 @@
     let mut changes = app.shared.watch_crashes();
     let mut is_outlived = false;
     loop {
+        if is_refused_for_part(app, job) {
+            return;
+        }
         let suspicion = suspicion(app, job);
         let outlived_at = match suspicion {
             Suspicion::None => None,
@@ -283,7 +388,7 @@
 /// time to report that upstreams outlive the request.
 async fn is_still_refused(app: &App, job: &Job) -> bool {
     time::sleep(SURVIVAL_REPORT_TIME).await;
-    remaining_refusal_ms(app, job).is_some()
+    is_refused(app, job)
 }
 
 /// Records that an upstream has outlived a suspected request.
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -185,12 +185,6 @@
                     false => SendEnd::Answered,
                 };
                 self.record.record_answer(took_ms, end);
-                // A crash of the upstream can end an answer that states no
-                // length before any bytes, so an empty body does not prove
-                // success.
-                if head.status.is_success() && !body.is_empty() {
-                    crashes::record_answer(&app, &self.job);
-                }
                 if self.job.request.variant.is_none() {
                     app.record_accepted(&chosen.upstream.start(), None);
                 }
@@ -198,9 +192,6 @@
             }
             ReceivedAnswer::Stream { head, relay } => {
                 self.record.record_answer(took_ms, SendEnd::Answered);
-                if relay.has_output() {
-                    crashes::record_answer(&app, &self.job);
-                }
                 // From now on the caller may have events of this version.
                 self.job.software = SoftwareBound::of(&chosen.upstream);
                 origins::record(&app, &self.job, &chosen.upstream);
@@ -219,6 +210,11 @@
         }
     }
 
+    /// Returns when the request was last sent.
+    pub(super) const fn sent_at(&self) -> Millis {
+        self.sent_at
+    }
+
     /// Returns the time left until the deadline of the request.
     fn left(&self) -> Duration {
         self.app.shared.clock.until(self.job.deadline)
@@ -313,8 +309,7 @@
     ) -> Result<(), Refusal> {
         let start = &chosen.upstream.start();
         self.record.record_failure(&failure);
-        let is_refused =
-            crashes::remaining_refusal_ms(&self.app, &self.job).is_some();
+        let is_refused = crashes::is_refused(&self.app, &self.job);
         if failure.verdict != Verdict::NotRun && !is_refused {
             self.app.update_health(start, |h, now| h.record_failure(now));
         }
@@ -398,15 +393,14 @@
 
     /// Resumes a broken stream: sends the request to other upstreams until one
     /// continues the stream after the last relayed event.
-    pub(super) async fn resume(
-        &mut self,
-        broken: &UpstreamStart,
-    ) -> Option<Relay> {
-        self.app.update_health(broken, |h, now| h.record_failure(now));
+    pub(super) async fn resume(&mut self, broken: &Upstream) -> Option<Relay> {
+        let start = &broken.start();
+        self.app.update_health(start, |h, now| h.record_failure(now));
         self.record.record_break_off();
-        self.exclude(&broken.id, true);
+        self.exclude(&start.id, true);
+        crashes::wait_for_probe(&self.app, &self.job, broken).await;
         for _ in 0..MAX_TRIES {
-            if crashes::remaining_refusal_ms(&self.app, &self.job).is_some()
+            if crashes::is_refused(&self.app, &self.job)
                 || !self.try_take_retry(Verdict::MayHaveRun)
             {
                 return None;
--- a/crates/valehold-gateway/src/traffic/exchange/refusals.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/refusals.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         choose::{NoChoice, choose},
-        crashes,
+        crashes::{self, CrashRefusal},
         refusal::Refusal,
     },
     Exchange, MIN_TIME_LEFT,
@@ -31,13 +31,15 @@
         Millis::from(max_delay).get().max(1)
     }
 
-    /// Refuses a request that crashes upstreams. The refusal states the full
+    /// Refuses a request that crashes upstreams, or whose prompt has a part
+    /// that does. The refusal states the full
     /// time until the request may run again, because a caller that retries
     /// sooner would be refused again.
     pub(super) fn refuse_if_it_crashes(&self) -> Result<(), Refusal> {
-        let left_ms = crashes::remaining_refusal_ms(&self.app, &self.job);
-        let Some(left_ms) = left_ms else { return Ok(()) };
-        let reason = RefusalReason::CrashesUpstreams;
+        let refusal = crashes::current_refusal(&self.app, &self.job);
+        let Some(CrashRefusal { reason, left_ms }) = refusal else {
+            return Ok(());
+        };
         Err(match self.verdict {
             Verdict::NotRun => Refusal::not_run(reason, left_ms),
             _ => Refusal::may_have_run(reason),
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -188,7 +188,7 @@
             service: Some(job.service_name.clone()),
             variant: job.request.variant.as_ref().map(ToString::to_string),
             content: Some(job.content().to_string()),
-            parts: job.shared_parts().map(|one| one.to_string()).collect(),
+            parts: job.parts_in_order().map(|one| one.to_string()).collect(),
             rank: job.route.rank,
             end,
             took_ms: since(record.clock.now()),
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -1,7 +1,10 @@
 //! Reads requests, and finds the route, service and workspace of each request
 //! in the catalog.
 
-use std::{borrow::Cow, cell::OnceCell, sync::Arc, time::Duration};
+use std::{
+    borrow::Cow, cell::OnceCell, collections::BTreeSet, sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Uri, header, request::Parts};
@@ -73,6 +76,7 @@
     /// The time until which the caller waits, also if the route allows less.
     pub(super) caller_deadline: Millis,
     content: OnceCell<RequestContent>,
+    shared_parts: OnceCell<BTreeSet<PartId>>,
 }
 
 impl Job {
@@ -101,9 +105,14 @@
         })
     }
 
-    /// Returns the parts of the prompt that other requests may share: all but
-    /// the last.
-    pub(super) fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+    /// Returns the parts of the prompt that other requests may share.
+    pub(super) fn shared_parts(&self) -> &BTreeSet<PartId> {
+        self.shared_parts.get_or_init(|| self.parts_in_order().collect())
+    }
+
+    /// Returns the parts of the prompt that other requests may share, in their
+    /// order: all but the last.
+    pub(super) fn parts_in_order(&self) -> impl Iterator<Item = PartId> {
         let parts = &self.request.parts;
         let shared = parts.len().saturating_sub(1);
         parts.iter().take(shared).map(|part| PartId::new(part.digest))
@@ -210,6 +219,7 @@
         deadline,
         caller_deadline: arrived + deadline_ms,
         content: OnceCell::new(),
+        shared_parts: OnceCell::new(),
     })
 }
 
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -145,6 +145,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// How the connection may be reused; `None` if it is closed.
     pub(super) reuse: Option<Reuse>,
+    /// Whether only the end of the connection ends the body.
+    pub(super) ends_with_connection: bool,
 }
 
 /// Sends a request, and waits for the head of the answer.
@@ -303,7 +305,7 @@
     sender: SendRequest<Full<Bytes>>,
 ) -> Result<BegunAnswer, SendFailure> {
     let (mut head, body) = answered.answer.into_parts();
-    let is_unbounded = ends_with_connection(&head.headers);
+    let ends_with_connection = ends_with_connection(&head.headers);
     let stated = app.dialect.read_answer(head.status, &head.headers);
     let capacity = stated.rejections.map(RejectionCapacity);
     let signals = |backoff| UpstreamSignals {
@@ -337,7 +339,7 @@
     // of an answer.
     let is_invalid = head.headers.contains_key(header::CONTENT_ENCODING)
         || (head.status.is_success() && !stated.signed)
-        || (answered.via.is_some() && is_unbounded);
+        || (answered.via.is_some() && ends_with_connection);
     if is_invalid {
         return Err(SendFailure::broken());
     }
@@ -360,7 +362,8 @@
     head.headers.remove(header::CONTENT_LENGTH);
     let (stated, via) = (stated.rest, answered.via);
     let reuse = (!closes).then_some(Reuse { stated, via });
-    Ok(BegunAnswer { head, body, sender, reuse })
+    let reuse = reuse.filter(|_| !ends_with_connection);
+    Ok(BegunAnswer { head, body, sender, reuse, ends_with_connection })
 }
 
 /// Returns whether only the end of the connection ends the body of an answer.
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -112,6 +112,11 @@
                 in_flight_ms: Some(45),
             }],
         },
+        Event::PartsRefused {
+            parts: vec!["00000000000000aa".to_owned()],
+            refused: true,
+            crashes: vec!["e1".to_owned()],
+        },
         Event::UpstreamLeaving {
             upstream: UpstreamId::new("e1"),
             source: ReportSource::Answer,
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -29,8 +29,9 @@
         },
         cold::{PermitReply, PermitRequest},
         crashes::{
-            AnsweredReport, CrashReport, CrashReports, ExposureReport,
-            RefusedReport, RequestContent,
+            AnsweredReport, ClearedReport, CrashReport, CrashReports,
+            ExposureReport, PartGroup, PartId, PartReports, PromptReports,
+            RefusedPartsReport, RefusedReport, RequestContent,
         },
         evacuation::HeldEvacuation,
         paces::{LogRatio, PaceObservation, PaceUpdate, Paces},
@@ -464,6 +465,28 @@
     }
 }
 
+fn part_reports() -> PartReports {
+    let [first, second] = [1, 0xffee].map(PartId::new);
+    PartReports {
+        prompts: PromptReports {
+            parts: vec![first, second],
+            prompts: vec![
+                (content("0123456789abcdef"), vec![0, 1]),
+                (content("00000000000000ff"), vec![0]),
+            ],
+        },
+        cleared: vec![ClearedReport {
+            part: first,
+            upstream: UpstreamTag::new(0x0102_0304),
+            left_ms: 580_000,
+        }],
+        refused: vec![RefusedPartsReport {
+            parts: PartGroup::new([second]),
+            left_ms: 570_000,
+        }],
+    }
+}
+
 fn limit_report() -> LimitReport {
     LimitReport {
         start: upstream_start(2),
@@ -546,6 +569,7 @@
             stream: StreamId::of_request(b"a1"),
             only_version: Some(SoftwareVersion::new("v1.1")),
         },
+        Message::CrashParts(part_reports()),
     ]
 }
 
@@ -593,6 +617,7 @@
         Message::StreamOrigins(_) => STREAM_ORIGINS,
         Message::OriginRequest { .. } => ORIGIN_REQUEST,
         Message::OriginUnknown { .. } => ORIGIN_UNKNOWN,
+        Message::CrashParts(_) => CRASH_PARTS,
     }
 }
 
@@ -642,7 +667,7 @@
         .iter()
         .map(|message| bytes_of(recorded(message))[1])
         .collect();
-    expect_that!(indices, eq(&Vec::from_iter(0..25)));
+    expect_that!(indices, eq(&Vec::from_iter(0..26)));
 }
 
 /// A build without exposures ignores the bytes after those that it knows.
@@ -674,6 +699,10 @@
 
 const ORIGIN_REQUEST: &str = "bb17bcaeb2afbc80e1feb80107656e67696e6573";
 
+const CRASH_PARTS: &str = "\
+    bb190201eeff0302ef9bafcdf8acd19101020001ff010100010184868808a0b3230101eeff03\
+    90e522";
+
 const ORIGIN_UNKNOWN: &str = "bb18bcaeb2afbc80e1feb801010476312e31";
 
 const BRITTLE: &str =
