Parts: tell a crashing part from those around it, by a model with sound traffic

A model of instances before upstreams that crash under a part, and for other reasons, refused sound requests: after waves of crashes, as answers counted only for parts already suspected; parts that were in flight at most crashes by chance; the first part of all prompts where two parts crash upstreams.

Answers are kept by part and clear it once it is suspected. A crash at whose time others crashed without the part counts half. A part is refused only once other parts at the crashes were cleared, or crashes go on for 2.5 s, then for 30 s at a time. Crashes that parts explain which stand only beside this one do not count against it, and crashes count more than the number of requests.

--- a/crates/valehold-core/src/fleet/crashes/culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/culprits.rs
@@ -53,8 +53,10 @@
     pub answered: &'a BTreeMap<RequestContent, Millis>,
     /// The prompts of these requests, and which parts were cleared.
     pub parts: &'a PartRecords,
-    /// The expiry of a crash that happens now.
-    pub expiry_now: Millis,
+    /// The time after which a crash expires, in ms.
+    pub retention_ms: u64,
+    /// The time of the decision.
+    pub now: Millis,
 }
 
 impl Evidence<'_> {
@@ -80,7 +82,7 @@
 
     /// Returns the time since a crash, in ms.
     pub(super) fn age_ms(&self, crash: &Crash) -> u64 {
-        self.expiry_now.since(crash.until)
+        (self.now + self.retention_ms).since(crash.until)
     }
 }
 
@@ -206,7 +208,7 @@
     ) -> Option<Self> {
         crashes.sort_by_key(|one| one.crash.until);
         let is_involved = |crash: &Crash| crash.in_flight.contains(&content);
-        let Count { independent, outlived } =
+        let Count { independent, outlived, .. } =
             count(unexplained, &is_involved, &crashes);
         let survivors = evidence.survivors(&content) + outlived;
         if independent < needed_crashes(survivors) {
--- a/crates/valehold-core/src/fleet/crashes/independence.rs
+++ b/crates/valehold-core/src/fleet/crashes/independence.rs
@@ -54,6 +54,9 @@
 pub(super) struct Count {
     /// The number of independent crashes.
     pub(super) independent: usize,
+    /// The number of these at whose time an upstream crashed that the request
+    /// was not in flight at.
+    pub(super) with_others: usize,
     /// The number of other crashes of upstreams that had outlived the request.
     pub(super) outlived: usize,
 }
@@ -75,17 +78,18 @@
     for one in crashes {
         let has_common_cause = waves.last().is_some_and(|wave| {
             is_simultaneous(one.crash, wave.first.crash)
-                && crashes_without(unexplained, is_involved, wave.first.crash)
+                && wave.has_common_cause
         });
         match waves.last_mut() {
-            Some(wave) if has_common_cause => {
-                wave.has_common_cause = true;
-                wave.others.push(*one);
-            }
+            Some(wave) if has_common_cause => wave.others.push(*one),
             Some(wave) if one.sent_expiry < wave.first.crash.until => {
                 wave.others.push(*one);
             }
-            _ => waves.push(Wave::new(*one)),
+            _ => {
+                let has_common_cause =
+                    crashes_without(unexplained, is_involved, one.crash);
+                waves.push(Wave::new(*one, has_common_cause));
+            }
         }
     }
     let outlived_after_ms =
@@ -94,6 +98,7 @@
     let outlived = others.filter(|one| one.in_flight_ms() > outlived_after_ms);
     Count {
         outlived: outlived.count(),
+        with_others: waves.iter().filter(|w| w.has_common_cause).count(),
         independent: waves.iter().map(Wave::independent).sum(),
     }
 }
@@ -110,8 +115,8 @@
 }
 
 impl<'a> Wave<'a> {
-    fn new(first: Involvement<'a>) -> Self {
-        Self { first, others: Vec::new(), has_common_cause: false }
+    fn new(first: Involvement<'a>, has_common_cause: bool) -> Self {
+        Self { first, others: Vec::new(), has_common_cause }
     }
 
     /// Returns how many independent crashes the wave counts for.
--- a/crates/valehold-core/src/fleet/crashes/part_culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -17,7 +17,8 @@
 /// Number of crashes after which a part is refused; users accept five.
 pub const PART_REFUSED_AFTER_CRASHES: usize = 4;
 
-/// Number of independent crashes after which a part is refused.
+/// Number of independent crashes after which a part is refused. One at whose
+/// time other upstreams crashed without the part counts half.
 const MIN_INDEPENDENT: usize = 3;
 
 /// Number of crashes at which a request with the part was in flight, other
@@ -31,8 +32,9 @@
 const UNDECIDED_UNTIL_CRASHES: usize = 6;
 
 /// Mean number of requests with a part that were in flight at its crashes,
-/// times two, up to which the part is refused at once. Where more requests hold
-/// a part, answers to some of them clear the part if it is sound.
+/// times two, up to which the part is refused as soon as other parts at the
+/// crashes are cleared. Where more requests hold a part, answers to some of
+/// them get time to clear it.
 const RARE_HOLDERS_TWICE: usize = 3;
 
 /// The time that upstreams get to begin an answer with a part that many
@@ -40,6 +42,25 @@
 /// ms.
 pub(super) const CLEARING_MS: u64 = 1_500;
 
+/// Number of crashes from which a part may explain those of another part that
+/// always stands beside it.
+const MIN_REFINING_CRASHES: usize = 3;
+
+/// Number of parts that may explain the crashes of another one together. More
+/// than two parts that crash upstreams at the same time are not expected, and
+/// many parts explain anything.
+const MAX_REFINING_PARTS: usize = 2;
+
+/// The time over which upstreams have to crash for a part to be refused
+/// although no other part at the crashes is cleared, in ms: the upstreams may
+/// all have been lost for another reason.
+const PERSISTENT_MS: u64 = 2_500;
+
+/// How long after the last crash such a part is refused, in ms. Once requests
+/// with the part are let in again, an answer clears the part, or one crash
+/// refuses it.
+const UNCONFIRMED_REFUSAL_MS: u64 = 30_000;
+
 /// A crash that speaks against a part.
 #[derive(Debug, Clone)]
 struct PartCrash<'a> {
@@ -58,9 +79,12 @@
 #[derive(Debug, Clone)]
 struct PartSuspect<'a> {
     part: PartId,
+    /// The crashes that no part explains which stands only beside this one.
     crashes: PartCrashes<'a>,
     /// The number of requests with the part, summed over the crashes.
     holders: usize,
+    /// The time from which the part is no longer refused.
+    until: Millis,
 }
 
 /// Parts that are refused together.
@@ -79,7 +103,8 @@
 ) -> Vec<FoundGroup> {
     let by_part = crashes_by_part(unexplained, evidence);
     let suspects = by_part.iter().filter_map(|(part, crashes)| {
-        PartSuspect::find(unexplained, evidence, *part, crashes)
+        let alone = crashes_alone(&by_part, *part, crashes);
+        PartSuspect::find(unexplained, evidence, *part, alone)
     });
     let mut suspects: Vec<PartSuspect<'_>> = suspects.collect();
     suspects.sort_by(|one, other| other.compare(one));
@@ -144,16 +169,68 @@
     by_part
 }
 
+/// Returns the crashes that speak against a part, without those that other
+/// parts explain which stand in prompts only together with the part. Where two
+/// parts crash upstreams, the first part of all prompts was in flight at the
+/// crashes of both.
+fn crashes_alone<'a>(
+    by_part: &BTreeMap<PartId, PartCrashes<'a>>,
+    part: PartId,
+    crashes: &PartCrashes<'a>,
+) -> PartCrashes<'a> {
+    let mut alone = crashes.clone();
+    if crashes.len() < PART_REFUSED_AFTER_CRASHES {
+        return alone;
+    }
+    let refines = |other: &PartId, others: &PartCrashes<'_>| {
+        *other != part
+            && others.len() >= MIN_REFINING_CRASHES
+            && holders(others) < holders(crashes)
+            && are_always_beside(others, crashes)
+    };
+    let mut refining: Vec<&PartCrashes<'_>> = by_part
+        .iter()
+        .filter(|(other, others)| refines(other, others))
+        .map(|(_, others)| others)
+        .collect();
+    for _ in 0..MAX_REFINING_PARTS {
+        let covered = |others: &PartCrashes<'_>| {
+            alone.keys().filter(|tag| others.contains_key(*tag)).count()
+        };
+        let most = refining.iter().enumerate();
+        let Some((index, _)) = most.max_by_key(|(_, one)| covered(one)) else {
+            break;
+        };
+        let others = refining.swap_remove(index);
+        alone.retain(|tag, _| !others.contains_key(tag));
+    }
+    alone
+}
+
+/// Counts the requests with a part, summed over its crashes.
+fn holders(crashes: &PartCrashes<'_>) -> usize {
+    crashes.values().map(|one| one.holders.len()).sum()
+}
+
+/// Returns whether, at each crash of one part, a request held both parts.
+fn are_always_beside(one: &PartCrashes<'_>, other: &PartCrashes<'_>) -> bool {
+    one.iter().all(|(tag, own)| {
+        other.get(tag).is_some_and(|other| {
+            own.holders.iter().any(|one| other.holders.contains(one))
+        })
+    })
+}
+
 impl<'a> PartSuspect<'a> {
     /// Returns the suspect, or `None` if the crashes do not suffice.
     fn find(
         unexplained: &Unexplained<'_>,
         evidence: Evidence<'_>,
         part: PartId,
-        crashes: &PartCrashes<'a>,
+        crashes: PartCrashes<'a>,
     ) -> Option<Self> {
         if crashes.len() < PART_REFUSED_AFTER_CRASHES
-            || is_explained_by_one_request(crashes)
+            || is_explained_by_one_request(&crashes)
         {
             return None;
         }
@@ -171,22 +248,44 @@
                 evidence.parts.parts_of(content).any(|one| one == part)
             })
         };
-        let independent =
-            count(unexplained, &holds_part, &involved).independent;
-        let holders = crashes.values().map(|one| one.holders.len()).sum();
+        let counted = count(unexplained, &holds_part, &involved);
+        let halves = 2 * counted.independent - counted.with_others;
+        let holders = holders(&crashes);
+        if halves < 2 * MIN_INDEPENDENT {
+            return None;
+        }
+        let crash = |index: usize| involved[index].crash;
+        let (first, last) = (crash(0), crash(involved.len() - 1));
         let is_rare = 2 * holders <= RARE_HOLDERS_TWICE * crashes.len();
-        let decisive = involved[PART_REFUSED_AFTER_CRASHES - 1].crash;
+        let decisive = crash(PART_REFUSED_AFTER_CRASHES - 1);
         let had_time = evidence.age_ms(decisive) >= CLEARING_MS;
-        (independent >= MIN_INDEPENDENT && (is_rare || had_time))
-            .then(|| Self { part, crashes: crashes.clone(), holders })
+        let are_others_cleared =
+            evidence.parts.is_any_cleared(|one| crashes.contains_key(one));
+        let until = if are_others_cleared && (is_rare || had_time) {
+            crash(involved.len() - PART_REFUSED_AFTER_CRASHES).until
+        } else if last.until.since(first.until) >= PERSISTENT_MS {
+            let age_ms = evidence.age_ms(last);
+            evidence.now + UNCONFIRMED_REFUSAL_MS.saturating_sub(age_ms)
+        } else {
+            return None;
+        };
+        (evidence.now < until).then_some(Self {
+            part,
+            crashes,
+            holders,
+            until,
+        })
     }
 
     /// Compares how well two parts explain crashes: the more crashes, and the
     /// fewer requests in flight there held the part, the better. Nearly every
     /// request in flight holds a part with which all prompts of a route begin.
+    ///
+    /// Crashes count cubed: harmless requests that are sent again after each
+    /// crash are in flight at many of the crashes, one at a time.
     fn compare(&self, other: &Self) -> std::cmp::Ordering {
         let weight = |of: &Self, against: &Self| {
-            of.crashes.len() * of.crashes.len() * against.holders
+            of.crashes.len().pow(3) * against.holders
         };
         let (own, others) = (weight(self, other), weight(other, self));
         let by_crashes = self.crashes.len().cmp(&other.crashes.len());
@@ -199,31 +298,16 @@
             && other.holders <= self.holders
     }
 
-    /// Returns whether a request held both parts at each of the crashes.
-    fn is_always_beside(&self, other: &PartCrashes<'_>) -> bool {
-        self.crashes.iter().all(|(tag, own)| {
-            other.get(tag).is_some_and(|other| {
-                own.holders.iter().any(|one| other.holders.contains(one))
-            })
-        })
-    }
-
     /// Returns the part, with those that always stand beside it in a prompt.
     fn found(
         &self,
         by_part: &BTreeMap<PartId, PartCrashes<'_>>,
     ) -> FoundGroup {
+        let all = &by_part[&self.part];
         let beside = by_part.iter().filter_map(|(part, crashes)| {
-            self.is_always_beside(crashes).then_some(*part)
+            are_always_beside(all, crashes).then_some(*part)
         });
-        let mut expiries: Vec<Millis> =
-            self.crashes.values().map(|one| one.crash.until).collect();
-        expiries.sort_unstable();
-        let first_needed = expiries.len() - PART_REFUSED_AFTER_CRASHES;
-        FoundGroup {
-            group: PartGroup::new(beside),
-            until: expiries[first_needed],
-        }
+        FoundGroup { group: PartGroup::new(beside), until: self.until }
     }
 }
 
--- a/crates/valehold-core/src/fleet/crashes/part_records.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_records.rs
@@ -28,6 +28,9 @@
     /// The crashes that do not speak against a part, with the expiry of the
     /// record.
     cleared: BTreeMap<(PartId, UpstreamTag), Millis>,
+    /// When upstreams last began an answer of this instance's with a part, and
+    /// went on. Only parts of `prompts` are recorded.
+    last_sound: BTreeMap<PartId, Millis>,
     /// Records of this instance's own that are not sent to others yet.
     pending_prompts: BTreeSet<RequestContent>,
     pending_cleared: BTreeSet<(PartId, UpstreamTag)>,
@@ -63,6 +66,21 @@
         is_new
     }
 
+    /// Records that an upstream began an answer with a part at `began`, and
+    /// went on. Does nothing for parts that were in flight at no crash.
+    pub(super) fn record_sound(&mut self, part: PartId, began: Millis) {
+        let mut prompts = self.prompts.values();
+        if prompts.any(|parts| parts.contains(&part)) {
+            let last = self.last_sound.entry(part).or_default();
+            *last = began.max(*last);
+        }
+    }
+
+    /// Returns when an upstream last began an answer with a part, and went on.
+    pub(super) fn last_sound(&self, part: PartId) -> Option<Millis> {
+        self.last_sound.get(&part).copied()
+    }
+
     /// Merges the records of another instance, which expire after
     /// `retention_ms` at the latest, and returns whether any was unknown.
     pub(super) fn receive(
@@ -136,6 +154,14 @@
         !self.cleared.contains_key(&(part, upstream))
     }
 
+    /// Returns whether any part was cleared of some crashes.
+    pub(super) fn is_any_cleared(
+        &self,
+        is_among: impl Fn(&UpstreamTag) -> bool,
+    ) -> bool {
+        self.cleared.keys().any(|(_, upstream)| is_among(upstream))
+    }
+
     /// Returns whether a request in flight at a crash held all of some parts.
     pub(super) fn is_group_at(
         &self,
@@ -155,6 +181,10 @@
         is_kept: impl Fn(&RequestContent) -> bool,
     ) {
         self.prompts.retain(|content, _| is_kept(content));
+        let prompts = self.prompts.values();
+        let kept: BTreeSet<PartId> =
+            prompts.flat_map(|parts| parts.iter().copied()).collect();
+        self.last_sound.retain(|part, _| kept.contains(part));
     }
 
     /// Removes the records for which `is_kept` returns `false` of their expiry.
--- a/crates/valehold-core/src/fleet/crashes/tracker/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/tracker/mod.rs
@@ -415,7 +415,8 @@
             exposures: &self.exposures,
             answered: &self.answered,
             parts: &self.parts,
-            expiry_now: now + self.retention_ms,
+            retention_ms: self.retention_ms,
+            now,
         }
     }
 
@@ -473,6 +474,11 @@
         self.revision += 1;
         self.judged = now;
         let crashes = self.unexpired_crashes(now);
+        self.suspected_parts = suspected_parts(self.evidence(&crashes, now));
+        if self.clear_sound_parts() {
+            self.suspected_parts =
+                suspected_parts(self.evidence(&crashes, now));
+        }
         let recorded = self.recorded.iter();
         let recorded: BTreeMap<Culprit, Millis> = recorded
             .filter(|(_, until)| now < **until)
@@ -482,13 +488,11 @@
             .collect();
         let evidence = self.evidence(&crashes, now);
         let mut refused = find_culprits(evidence, recorded.keys());
-        let suspected_parts = suspected_parts(evidence);
         refused.extend(recorded);
         if !refused.keys().eq(self.refused.keys()) {
             self.changes += 1;
         }
         self.refused = refused;
-        self.suspected_parts = suspected_parts;
     }
 }
 
--- a/crates/valehold-core/src/fleet/crashes/tracker/parts.rs
+++ b/crates/valehold-core/src/fleet/crashes/tracker/parts.rs
@@ -78,18 +78,29 @@
     /// parts at `began`, and went on. None of the parts crashed an upstream
     /// before.
     ///
-    /// Does nothing for parts that fewer than two crashes speak against.
+    /// Other instances are told only once two crashes or more speak against a
+    /// part: most parts at a crash are never suspected.
     pub fn record_sound_parts(
         &mut self,
         parts: &BTreeSet<PartId>,
         began: Millis,
         now: Millis,
     ) {
-        let mut is_changed = false;
         for part in parts {
-            let Some(crashes) = self.suspected_parts.get(part) else {
-                continue;
-            };
+            self.parts.record_sound(*part, began);
+        }
+        let mut parts = parts.iter();
+        if parts.any(|part| self.suspected_parts.contains_key(part)) {
+            self.update_refused(now);
+        }
+    }
+
+    /// Clears the suspected parts that upstreams answered after some of the
+    /// crashes, and returns whether there were any.
+    pub(super) fn clear_sound_parts(&mut self) -> bool {
+        let mut is_changed = false;
+        for (part, crashes) in &self.suspected_parts {
+            let Some(began) = self.parts.last_sound(*part) else { continue };
             let expiry = began + self.retention_ms;
             let before = crashes.iter().filter(|(_, until)| *until <= expiry);
             for (upstream, until) in before {
@@ -97,9 +108,7 @@
                     self.parts.add_own_cleared(*part, *upstream, *until);
             }
         }
-        if is_changed {
-            self.update_refused(now);
-        }
+        is_changed
     }
 
     /// Merges the reports of another instance about parts.
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod pace;
 mod paces;
+mod part_model;
 mod path_cost;
 mod peak_demand;
 mod reachability;
