--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+use futures::{StreamExt, stream::FuturesUnordered};
+use rand::seq::IteratorRandom;
 use tokio::time;
 use valehold_core::{
     Millis,
@@ -34,6 +36,10 @@
 /// not count as crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The number of other upstreams that are connected to, to find out whether
+/// this gateway's own links work: several may have crashed as well.
+const MAX_OTHERS: usize = 4;
+
 /// The time for which a request that an upstream has outlived stays there
 /// after it was refused. Other gateways report meanwhile which upstreams have
 /// outlived the request as well, and two of them end the refusal.
@@ -223,23 +229,58 @@
 ///
 /// The links of this gateway may refuse connections that the upstream would
 /// accept, so the upstream counts as crashed only if other gateways are refused
-/// as well. Without other gateways, this gateway's own links decide. Lost links
-/// may also say nothing at all, so then only the other gateways are asked.
+/// as well. Lost links may also say nothing at all, so then only the other
+/// gateways are asked.
+///
+/// While many upstreams refuse connections, all gateways may take their own
+/// links for lost and tell nothing. If no other gateway tells, this gateway's
+/// own links decide, once another upstream has shown that they work.
 async fn has_crashed(
     app: &App,
     bound: &RegionBound,
     upstream: &Upstream,
 ) -> bool {
-    let may_have_crashed = app.are_links_lost()
-        || refuses_connections(app, upstream.address).await;
-    if !may_have_crashed {
+    let refuses = refuses_connections(app, upstream.address).await;
+    if !refuses && !app.are_links_lost() {
         return false;
     }
     let is_reached = tunnel::is_reached_by_peers(app, bound, upstream).await;
-    if is_reached.is_none() && app.are_links_lost() {
+    if let Some(is_reached) = is_reached {
+        return !is_reached;
+    }
+    let have_links_failed =
+        app.are_links_lost() && !reaches_another(app, upstream).await;
+    if have_links_failed {
         Event::CrashUnconfirmed { upstream: upstream.id.clone() }.log();
     }
-    is_reached.map_or(!app.are_links_lost(), |is_reached| !is_reached)
+    refuses && !have_links_failed
+}
+
+/// Returns whether any of a few other upstreams accepts a connection over this
+/// gateway's own links.
+async fn reaches_another(app: &App, upstream: &Upstream) -> bool {
+    let others = {
+        let view = app.shared.view.load();
+        let crashes = app.shared.crashes();
+        let others = view.listing.upstreams.values().filter(|other| {
+            other.id != upstream.id
+                && !crashes.has_crashed(other.start().tag())
+        });
+        others.cloned().choose_multiple(&mut rand::rng(), MAX_OTHERS)
+    };
+    let mut connecting: FuturesUnordered<_> = others
+        .iter()
+        .map(|other| {
+            let start = other.start();
+            async move { app.connect_directly(&start, other.address).await }
+        })
+        .collect();
+    while let Some(connected) = connecting.next().await {
+        if connected.is_ok() {
+            return true;
+        }
+    }
+    false
 }
 
 /// Returns whether an address refuses connections.
