--- a/crates/valehold-core/src/fleet/crashes/part_culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -5,7 +5,7 @@
 //! one of them goes on. Sound requests share its other parts: these were in
 //! flight at the crashes too, and are cleared by the answers to such requests.
 
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 use super::{
     Crash, Evidence, PartGroup, PartId, RequestContent,
@@ -277,19 +277,12 @@
         })
     }
 
-    /// Compares how well two parts explain crashes: the more crashes, and the
-    /// fewer requests in flight there held the part, the better. Nearly every
-    /// request in flight holds a part with which all prompts of a route begin.
-    ///
-    /// Crashes count cubed: harmless requests that are sent again after each
-    /// crash are in flight at many of the crashes, one at a time.
-    fn compare(&self, other: &Self) -> std::cmp::Ordering {
-        let weight = |of: &Self, against: &Self| {
-            of.crashes.len().pow(3) * against.holders
-        };
-        let (own, others) = (weight(self, other), weight(other, self));
+    /// Compares how well two parts explain crashes: the more crashes the better,
+    /// and of as many crashes, the fewer requests in flight there held the part.
+    fn compare(&self, other: &Self) -> Ordering {
         let by_crashes = self.crashes.len().cmp(&other.crashes.len());
-        own.cmp(&others).then(by_crashes).then(self.part.cmp(&other.part))
+        let by_holders = other.holders.cmp(&self.holders);
+        by_crashes.then(by_holders).then(self.part.cmp(&other.part))
     }
 
     /// Returns whether another part explains the same crashes as well.
