Parts that were answered between crashes hardly crash upstreams

In the model with two crashing parts, 8 sound second parts and 60 requests a second, each sound part was in flight at nearly all crashes of the last second and took turns with the culprits: 7 requests with a culprit were sent three seconds after the fifth crash and later. A part that was cleared of any crash now comes after those that never were, and only once crashes go on for 2.5 s.

--- a/crates/valehold-core/src/fleet/crashes/part_culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -83,6 +83,8 @@
     crashes: PartCrashes<'a>,
     /// The number of requests with the part, summed over the crashes.
     holders: usize,
+    /// Whether the part was cleared of earlier crashes.
+    was_cleared: bool,
     /// The time from which the part is no longer refused.
     until: Millis,
 }
@@ -261,7 +263,10 @@
         let had_time = evidence.age_ms(decisive) >= CLEARING_MS;
         let are_others_cleared =
             evidence.parts.is_any_cleared(|one| crashes.contains_key(one));
-        let until = if are_others_cleared && (is_rare || had_time) {
+        let was_cleared = evidence.parts.was_cleared(part);
+        let is_confirmed =
+            are_others_cleared && !was_cleared && (is_rare || had_time);
+        let until = if is_confirmed {
             crash(involved.len() - PART_REFUSED_AFTER_CRASHES).until
         } else if last.until.since(first.until) >= PERSISTENT_MS {
             let age_ms = evidence.age_ms(last);
@@ -273,16 +278,23 @@
             part,
             crashes,
             holders,
+            was_cleared,
             until,
         })
     }
 
-    /// Compares how well two parts explain crashes: the more crashes the better,
-    /// and of as many crashes, the fewer requests in flight there held the part.
+    /// Compares how well two parts explain crashes. A part that upstreams have
+    /// answered between the crashes hardly does. Otherwise the more crashes the
+    /// better, and of as many crashes, the fewer requests in flight there held
+    /// the part.
     fn compare(&self, other: &Self) -> Ordering {
+        let by_cleared = other.was_cleared.cmp(&self.was_cleared);
         let by_crashes = self.crashes.len().cmp(&other.crashes.len());
         let by_holders = other.holders.cmp(&self.holders);
-        by_crashes.then(by_holders).then(self.part.cmp(&other.part))
+        by_cleared
+            .then(by_crashes)
+            .then(by_holders)
+            .then(self.part.cmp(&other.part))
     }
 
     /// Returns whether another part explains the same crashes as well.
--- a/crates/valehold-core/src/fleet/crashes/part_records.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_records.rs
@@ -154,6 +154,12 @@
         !self.cleared.contains_key(&(part, upstream))
     }
 
+    /// Returns whether a part was cleared of any crash.
+    pub(super) fn was_cleared(&self, part: PartId) -> bool {
+        let (first, last) = (UpstreamTag::new(0), UpstreamTag::new(u32::MAX));
+        self.cleared.range((part, first)..=(part, last)).next().is_some()
+    }
+
     /// Returns whether any part was cleared of some crashes.
     pub(super) fn is_any_cleared(
         &self,
