--- a/crates/valehold-core/src/fleet/crashes/culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/culprits.rs
@@ -120,6 +120,24 @@
     for culprit in found_before {
         explain(&mut unexplained, evidence, culprit);
     }
+    let mut found = find_part_culprits(unexplained.clone(), evidence);
+    for culprit in found.keys() {
+        explain(&mut unexplained, evidence, culprit);
+    }
+    while let Some((content, until)) = next_culprit(&unexplained, evidence) {
+        let culprit = Culprit::Request(content);
+        explain(&mut unexplained, evidence, &culprit);
+        found.insert(culprit, until);
+    }
+    found
+}
+
+/// Returns the parts of prompts that crash upstreams, with their expiry.
+fn find_part_culprits(
+    mut unexplained: Unexplained<'_>,
+    evidence: Evidence<'_>,
+) -> BTreeMap<Culprit, Millis> {
+    let all = unexplained.clone();
     let mut found = BTreeMap::new();
     loop {
         let groups = next_part_culprits(&unexplained, evidence);
@@ -132,14 +150,35 @@
             found.insert(culprit, one.until);
         }
     }
-    while let Some((content, until)) = next_culprit(&unexplained, evidence) {
-        let culprit = Culprit::Request(content);
-        explain(&mut unexplained, evidence, &culprit);
-        found.insert(culprit, until);
+    while let Some(redundant) = redundant_culprit(&all, evidence, &found) {
+        found.remove(&redundant);
     }
     found
 }
 
+/// Returns a culprit at whose crashes others were in flight, too. A harmless
+/// part may have been found first, by crashes that the culprits found after it
+/// caused.
+fn redundant_culprit(
+    crashes: &Unexplained<'_>,
+    evidence: Evidence<'_>,
+    found: &BTreeMap<Culprit, Millis>,
+) -> Option<Culprit> {
+    let is_needed = |culprit: &Culprit| {
+        crashes.values().any(|crash| {
+            let mut others = found.keys().filter(|other| *other != culprit);
+            evidence.is_at(culprit, crash)
+                && !others.any(|other| evidence.is_at(other, crash))
+        })
+    };
+    let number = |culprit: &Culprit| {
+        let crashes = crashes.values();
+        crashes.filter(|crash| evidence.is_at(culprit, crash)).count()
+    };
+    let redundant = found.keys().filter(|culprit| !is_needed(culprit));
+    redundant.min_by_key(|culprit| number(culprit)).cloned()
+}
+
 /// Removes the crashes that a culprit explains.
 fn explain(
     unexplained: &mut Unexplained<'_>,
