--- a/crates/valehold-core/examples/crash_book.rs
+++ b/crates/valehold-core/examples/crash_book.rs
@@ -4,11 +4,11 @@
 //!
 //! `cargo run --release -p valehold-core --example crash_book`
 
-use std::{hint::black_box, time::Instant};
+use std::{collections::BTreeSet, hint::black_box, time::Instant};
 
 use valehold_core::{
     Millis,
-    fleet::crashes::{CrashTracker, InFlight, RequestContent},
+    fleet::crashes::{CrashTracker, InFlight, PartId, RequestContent},
     id::UpstreamTag,
 };
 
@@ -40,6 +40,10 @@
         let look_up_us = mean_us(|| {
             black_box(tracker.refused_ms(&look_up, now));
         });
+        let parts: BTreeSet<PartId> = [0, 1].map(PartId::new).into();
+        let parts_us = mean_us(|| {
+            black_box(tracker.parts_refused_ms(&parts, now));
+        });
         let digest_us = mean_us(|| {
             black_box(tracker.digest(now));
         });
@@ -51,7 +55,7 @@
         });
         println!(
             "{crashes} crashes with {IN_FLIGHT} requests each: looked up in \
-             {look_up_us:.2} µs, compared in {digest_us:.0} µs, another crash \
+             {look_up_us:.2} µs, its parts in {parts_us:.2} µs, compared in {digest_us:.0} µs, another crash \
              recorded in {record_us:.0} µs",
         );
     }
@@ -68,6 +72,13 @@
         now = now + 500;
         let beside = (1..IN_FLIGHT).map(|one| of(&format!("{crash} {one}")));
         let in_flight = beside.chain([of("causes it")]).map(InFlight::from);
+        let in_flight: Vec<InFlight> = in_flight.collect();
+        for (number, one) in in_flight.iter().enumerate() {
+            // All prompts share the first part, and a few the second.
+            let second = number as u64 % 7 + 1;
+            let parts = [0, second].map(PartId::new);
+            tracker.record_prompt(one.content, parts, now);
+        }
         tracker.record_crash(UpstreamTag::new(crash), in_flight, now);
     }
     (tracker, now)
--- a/crates/valehold-core/src/fleet/crashes/part_culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -114,7 +114,7 @@
         let equals = suspects.iter().filter(|one| suspect.is_equal(one));
         let mut groups: Vec<FoundGroup> = Vec::new();
         for equal in equals {
-            let found = equal.found(&by_part);
+            let found = equal.found(&by_part, evidence);
             if !groups.contains(&found) {
                 groups.push(found);
             }
@@ -303,16 +303,26 @@
             && other.holders <= self.holders
     }
 
-    /// Returns the part, with those that always stand beside it in a prompt.
+    /// Returns the part, with those that always stand beside it in a prompt:
+    /// at each of its crashes, one request held the whole group.
     fn found(
         &self,
         by_part: &BTreeMap<PartId, PartCrashes<'_>>,
+        evidence: Evidence<'_>,
     ) -> FoundGroup {
         let all = &by_part[&self.part];
-        let beside = by_part.iter().filter_map(|(part, crashes)| {
-            are_always_beside(all, crashes).then_some(*part)
-        });
-        FoundGroup { group: PartGroup::new(beside), until: self.until }
+        let is_held = |group: &PartGroup| {
+            let mut crashes = all.values();
+            crashes.all(|one| evidence.parts.is_group_at(group, one.crash))
+        };
+        let mut group = PartGroup::new([self.part]);
+        for (part, crashes) in by_part {
+            let larger = PartGroup::new(group.iter().chain([*part]));
+            if are_always_beside(all, crashes) && is_held(&larger) {
+                group = larger;
+            }
+        }
+        FoundGroup { group, until: self.until }
     }
 }
 
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod crash_evidence;
 mod crashes;
+mod crashing_parts;
 mod evacuation;
 mod event;
 mod health;
