--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -139,7 +139,8 @@
 
     def child(self, name, words, env=None, log=None):
         out = open(os.path.join(self.folder, log or f"{name}.log"), "ab")
-        env = {"PATH": os.environ["PATH"], **(env or {})}
+        kept = {"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1"}
+        env = {**kept, **(env or {})}
         self.children[name] = subprocess.Popen(
             words, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=out,
             stderr=out)
