A silent upstream keeps its request until another one has begun to answer

Cause: after a pause of 1.5 s (a stream), or the objective (a request that had not begun), the gateway closed the connection to the silent upstream as soon as another one could be chosen, and only then asked the other one. Where that one rejected the request, failed or was silent as well, nothing was left: the stream was broken off, the request ended as failed, long before its deadline. The class: what a request has is given up before its replacement is there.

Now the send to the silent upstream goes on while others are tried (module exchange::silent), and a silent stream while another engine is asked to resume it. Whichever answers first is passed on, and the others are ended then, so that no two engines go on with one stream. If none takes over, the silent one is waited for until the deadline.

--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -149,6 +149,7 @@
             SendEnd::Busy => "it is full or busy with an order: not run",
             SendEnd::Broken => "the answer broke off or was none",
             SendEnd::Failed => "it answered that it failed",
+            SendEnd::Superseded => "another send was answered first",
         };
         let first = self.first_ms.map_or_else(
             || "none came".to_owned(),
--- a/crates/valehold-gateway/src/events/request.rs
+++ b/crates/valehold-gateway/src/events/request.rs
@@ -31,6 +31,8 @@
     Broken,
     /// The upstream answered with a failure.
     Failed,
+    /// The answer to another send came first.
+    Superseded,
 }
 
 /// One send of a request to an upstream, with the inputs of the decision.
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -45,6 +45,15 @@
     began: Instant,
     /// Events that were read and not passed on yet.
     held: Option<Bytes>,
+    /// How the body ended, once it has.
+    ended: Option<BodyEnd>,
+}
+
+/// How the body of an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    Regular,
+    BrokenOff,
 }
 
 /// The next item of a stream.
@@ -72,6 +81,7 @@
             variant: job.request.variant.clone(),
             began: Instant::now(),
             held: None,
+            ended: None,
         }
     }
 
@@ -112,25 +122,47 @@
             if !events.is_empty() {
                 return Ok(Next::Events(events));
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Some(bytes) = frame.data_ref() {
-                        self.splitter.push(bytes);
-                    }
-                }
-                Some(Err(error)) => {
-                    log::debug!(
-                        "{} ended the stream early: {error}",
-                        self.upstream.id
-                    );
+            match self.ended {
+                None => self.read_frame().await,
+                Some(BodyEnd::BrokenOff) => return Err(BrokenOff),
+                Some(BodyEnd::Regular) if self.splitter.has_pending() => {
                     return Err(BrokenOff);
                 }
-                None if self.splitter.has_pending() => return Err(BrokenOff),
-                None => return self.end(app, job).await,
+                Some(BodyEnd::Regular) => return self.end(app, job).await,
             }
         }
     }
 
+    /// Reads more of the body, or its end.
+    async fn read_frame(&mut self) {
+        match self.body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    self.splitter.push(bytes);
+                }
+            }
+            Some(Err(error)) => {
+                log::debug!(
+                    "{} ended the stream early: {error}",
+                    self.upstream.id
+                );
+                self.ended = Some(BodyEnd::BrokenOff);
+            }
+            None => self.ended = Some(BodyEnd::Regular),
+        }
+    }
+
+    /// Waits until the stream goes on or has come to its regular end. Never
+    /// completes if the stream breaks off.
+    async fn wait_until_it_goes_on(&mut self) {
+        if self.ended.is_none() {
+            self.read_frame().await;
+        }
+        if self.ended == Some(BodyEnd::BrokenOff) {
+            std::future::pending().await
+        }
+    }
+
     fn complete_events(
         &mut self,
         order: &mut EventOrder,
@@ -213,14 +245,19 @@
                     self.exchange.log_answered(StatusCode::OK);
                     return None;
                 }
-                Some(Err(BrokenOff)) if !self.is_outlived => {
-                    let sent = self.exchange.sent_at();
-                    let job = &self.exchange.job;
-                    crashes::on_break_off(&app, job, &upstream, sent);
+                Some(Err(BrokenOff)) => {
+                    if !self.is_outlived {
+                        let sent = self.exchange.sent_at();
+                        let job = &self.exchange.job;
+                        crashes::on_break_off(&app, job, &upstream, sent);
+                    }
+                    self.relay = self.resume(&upstream).await;
                 }
-                Some(Err(BrokenOff)) | None => {}
+                None if self.exchange.is_over() => self.relay = None,
+                None => self.take_over().await,
             }
-            if let Err(broken) = self.resume().await {
+            if self.relay.is_none() {
+                let broken = BrokenOff;
                 self.relay = None;
                 self.exchange.log_broken_off();
                 return Some(Err(broken));
@@ -251,15 +288,36 @@
     }
 
     /// Resumes the stream at another engine, if that is allowed.
-    async fn resume(&mut self) -> Result<(), BrokenOff> {
-        let relay = self.relay.take().ok_or(BrokenOff)?;
-        let upstream = relay.upstream.clone();
+    async fn resume(&mut self, broken: &Upstream) -> Option<Relay> {
         // The engine stops generating when its connection is closed.
-        drop(relay);
-        let resumed = self.exchange.resume(&upstream).await;
+        self.relay = None;
         self.is_outlived = false;
-        self.relay = Some(resumed.ok_or(BrokenOff)?);
-        Ok(())
+        self.exchange.resume(broken).await
+    }
+
+    /// Tries to resume a silent stream at another engine. The silent engine may
+    /// be sound, so its stream is given up only once another engine goes on
+    /// with it.
+    async fn take_over(&mut self) {
+        let Some(mut silent) = self.relay.take() else { return };
+        let position = self.exchange.record.position();
+        let upstream = silent.upstream.clone();
+        let sent = self.exchange.sent_at();
+        let resumed = tokio::select! {
+            biased;
+            () = silent.wait_until_it_goes_on() => None,
+            resumed = self.exchange.resume(&upstream) => resumed,
+        };
+        match resumed {
+            Some(relay) => {
+                self.is_outlived = false;
+                self.relay = Some(relay);
+            }
+            None => {
+                self.exchange.go_on_with(position, sent);
+                self.relay = Some(silent);
+            }
+        }
     }
 }
 
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -1,8 +1,14 @@
 //! Sends a request and receives the beginning of the answer.
 
+use std::{pin::Pin, rc::Rc};
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use valehold_core::fleet::{Upstream, cold::SendPermit, event::EventOrder};
+use tokio::time::Instant;
+use valehold_core::{
+    Millis,
+    fleet::{Upstream, cold::SendPermit, event::EventOrder},
+};
 
 use super::{
     super::{
@@ -19,9 +25,67 @@
 /// The maximum size in bytes of an answer that is not streamed.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// A send of a request whose answer has not begun.
+pub(super) struct PendingSend {
+    pub(super) chosen: Chosen,
+    /// The position of the send in the record of the request.
+    pub(super) position: usize,
+    pub(super) sent_at: Millis,
+    pub(super) sent: Instant,
+    /// Completes when the answer begins, the send fails, or the request is
+    /// refused because it crashes upstreams.
+    pub(super) beginning: Pin<Box<dyn Future<Output = Begun>>>,
+}
+
+/// The outcome of a send up to the point from which an answer can be relayed.
+pub(super) struct Begun {
+    /// The position in the event stream after the first events.
+    pub(super) order: EventOrder,
+    pub(super) result: Result<ReceivedAnswer, SendFailure>,
+}
+
+impl PendingSend {
+    /// Begins to send a request.
+    pub(super) fn new(
+        app: &Rc<App>,
+        job: &Rc<Job>,
+        chosen: &Chosen,
+        permit: Option<SendPermit>,
+        order: EventOrder,
+        position: usize,
+    ) -> Self {
+        let sent_at = app.now();
+        let (app, job) = (app.clone(), job.clone());
+        let owned = chosen.clone();
+        let beginning = async move {
+            let mut order = order;
+            let upstream = &owned.upstream;
+            let cancelled =
+                crashes::until_cancelled(&app, &job, upstream, sent_at);
+            let result = tokio::select! {
+                result = begin(&app, &job, &owned, permit, &mut order) => result,
+                () = cancelled => Err(SendFailure::broken()),
+            };
+            Begun { order, result }
+        };
+        Self {
+            chosen: chosen.clone(),
+            position,
+            sent_at,
+            sent: Instant::now(),
+            beginning: Box::pin(beginning),
+        }
+    }
+
+    /// Returns the time since the send, in ms.
+    pub(super) fn took_ms(&self) -> f64 {
+        self.sent.elapsed().as_secs_f64() * 1_000.0
+    }
+}
+
 /// Sends a request, and receives the whole answer or the first events of a
 /// stream.
-pub(super) async fn begin(
+async fn begin(
     app: &App,
     job: &Job,
     chosen: &Chosen,
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -1,12 +1,14 @@
 //! Processes a routed request until an answer or a refusal is available.
 //!
 //! `waiting` chooses the upstream for each send, `beginning` sends the request
-//! and receives the beginning of the answer, and `refusals` creates the
+//! and receives the beginning of the answer, `silent` keeps the sends whose
+//! upstreams are silent while others are tried, and `refusals` creates the
 //! refusal if no upstream answers. `work` reports the estimated work of the
 //! request to the control thread.
 
 mod beginning;
 mod refusals;
+mod silent;
 mod waiting;
 mod work;
 
@@ -14,7 +16,6 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use tokio::time::Instant;
 use valehold_core::{
     Millis, Verdict,
     fleet::{
@@ -25,7 +26,11 @@
     reason::{RefusalReason, RetryReason},
 };
 
-use self::{beginning::begin, work::record_work};
+use self::{
+    beginning::{Begun, PendingSend},
+    silent::SilentSends,
+    work::record_work,
+};
 use super::{
     Body,
     answer::{self, Relay},
@@ -56,7 +61,7 @@
 /// The state of one request on the way to its answer.
 pub(super) struct Exchange {
     pub(super) app: Rc<App>,
-    pub(super) job: Job,
+    pub(super) job: Rc<Job>,
     /// The position in the event stream up to which the caller has received
     /// events.
     pub(super) order: EventOrder,
@@ -64,8 +69,10 @@
     tried: Vec<UpstreamId>,
     /// The number of sends that may have reached an upstream.
     sends: u32,
-    /// When the request was last sent.
+    /// When the request was sent to the upstream that answers, or last.
     sent_at: Millis,
+    /// Sends whose upstreams are silent.
+    silent: SilentSends,
     /// Whether the request may have run, according to all sends so far.
     verdict: Verdict,
     /// The usage charged to the workspace.
@@ -81,6 +88,16 @@
     Stream { head: http::response::Parts, relay: Box<Relay> },
 }
 
+impl ReceivedAnswer {
+    /// Returns the stream, if the answer is one.
+    fn into_relay(self) -> Option<Relay> {
+        match self {
+            Self::Stream { relay, .. } => Some(*relay),
+            Self::Whole { .. } => None,
+        }
+    }
+}
+
 /// Processes a request and returns the answer or refusal for the caller.
 pub(super) async fn handle(app: Rc<App>, job: Job) -> Response<Body> {
     app.shared.metrics.requested();
@@ -88,11 +105,12 @@
     let after = job.request.after_event;
     let mut exchange = Exchange {
         app: app.clone(),
-        job,
+        job: Rc::new(job),
         order: EventOrder::after(after),
         tried: Vec::new(),
         sends: 0,
         sent_at: app.now(),
+        silent: SilentSends::default(),
         verdict: Verdict::NotRun,
         charge: None,
         record: Record::new(app.shared.clock),
@@ -115,6 +133,14 @@
         self.bind_to_origin().await?;
         self.charge = charge(&self.app, &self.job)?;
         record_work(&self.app, &self.job);
+        match self.try_upstreams().await {
+            Ok(received) => Ok(received),
+            Err(refusal) => self.wait_for_silent(refusal).await,
+        }
+    }
+
+    /// Sends the request to one upstream after the other.
+    async fn try_upstreams(&mut self) -> Result<ReceivedAnswer, Refusal> {
         let mut reason = RefusalReason::UpstreamFailed;
         for _ in 0..MAX_TRIES {
             let (chosen, permit) = self.choose_or_wait().await?;
@@ -150,7 +176,8 @@
     }
 
     /// Sends the request once, and receives the answer up to the point from
-    /// which the answer can be relayed.
+    /// which the answer can be relayed. An upstream that was silent before may
+    /// answer first.
     async fn attempt(
         &mut self,
         chosen: &Chosen,
@@ -160,25 +187,77 @@
         if self.sends == 0 {
             app.record_first_send(&self.job.service_name);
         }
-        let start = chosen.upstream.start();
         self.keep_charge(true);
-        self.record.record_send(chosen, self.order.last());
-        let mut order = self.order;
+        let position = self.record.record_send(chosen, self.order.last());
+        let (job, order) = (&self.job, self.order);
+        let mut send =
+            PendingSend::new(&app, job, chosen, permit, order, position);
+        self.sent_at = send.sent_at;
+        let start = chosen.upstream.start();
         let timeout = self.begin_timeout();
-        let sent = Instant::now();
-        self.sent_at = app.now();
-        let beginning = begin(&app, &self.job, chosen, permit, &mut order);
-        let upstream = &chosen.upstream;
-        let cancelled =
-            crashes::until_cancelled(&app, &self.job, upstream, self.sent_at);
-        let begun = tokio::select! {
-            begun = self.wait_for_upstream(&start, timeout, beginning) => begun,
-            () = cancelled => None,
-        };
-        let begun = begun.ok_or_else(SendFailure::broken)??;
-        let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
-        self.order = order;
-        match begun {
+        let mut silent = std::mem::take(&mut self.silent);
+        loop {
+            let beginning = send.beginning.as_mut();
+            let waiting = self.wait_for_upstream(&start, timeout, beginning);
+            let begun = tokio::select! {
+                begun = waiting => begun,
+                (other, begun) = silent.next() => {
+                    if let Some(received) = self.on_silent(&other, begun) {
+                        self.record.record_superseded(position);
+                        return Ok(received);
+                    }
+                    self.record.set_position(position);
+                    continue;
+                }
+            };
+            self.silent = silent;
+            let Some(begun) = begun else {
+                self.silent.push(send);
+                return Err(SendFailure::broken());
+            };
+            let received = self.on_begun(&send, begun)?;
+            self.silent.clear();
+            return Ok(received);
+        }
+    }
+
+    /// Handles the outcome of a send whose upstream was silent, and returns the
+    /// answer if the answer can be relayed.
+    fn on_silent(
+        &mut self,
+        send: &PendingSend,
+        begun: Begun,
+    ) -> Option<ReceivedAnswer> {
+        match self.on_begun(send, begun) {
+            Ok(received) => Some(received),
+            Err(failure) => {
+                self.on_cut_off(&send.chosen, failure, send.sent_at);
+                None
+            }
+        }
+    }
+
+    /// Has the upstream probed if the connection of a send was cut off.
+    fn on_cut_off(&self, chosen: &Chosen, failure: SendFailure, sent: Millis) {
+        if failure.cut_off {
+            let upstream = &chosen.upstream;
+            crashes::on_break_off(&self.app, &self.job, upstream, sent);
+        }
+    }
+
+    /// Handles the outcome of a send.
+    fn on_begun(
+        &mut self,
+        send: &PendingSend,
+        begun: Begun,
+    ) -> Result<ReceivedAnswer, SendFailure> {
+        let (app, chosen) = (self.app.clone(), &send.chosen);
+        let received = begun.result?;
+        let took_ms = send.took_ms();
+        self.order = begun.order;
+        self.sent_at = send.sent_at;
+        self.record.set_position(send.position);
+        match received {
             ReceivedAnswer::Whole { head, body } => {
                 let end = match head.status.is_server_error() {
                     true => SendEnd::Failed,
@@ -193,7 +272,8 @@
             ReceivedAnswer::Stream { head, relay } => {
                 self.record.record_answer(took_ms, SendEnd::Answered);
                 // From now on the caller may have events of this version.
-                self.job.software = SoftwareBound::of(&chosen.upstream);
+                let software = SoftwareBound::of(&chosen.upstream);
+                Rc::make_mut(&mut self.job).software = software;
                 origins::record(&app, &self.job, &chosen.upstream);
                 let start = &chosen.upstream.start();
                 app.update_health(start, |h, now| h.record_success(now));
@@ -210,7 +290,7 @@
         }
     }
 
-    /// Returns when the request was last sent.
+    /// Returns when the request was sent to the upstream that answers.
     pub(super) const fn sent_at(&self) -> Millis {
         self.sent_at
     }
@@ -331,11 +411,7 @@
         }
         self.verdict = self.verdict.worst(failure.verdict);
         self.keep_charge(self.verdict != Verdict::NotRun);
-        if failure.cut_off {
-            let upstream = &chosen.upstream;
-            let sent = self.sent_at;
-            crashes::on_break_off(&self.app, &self.job, upstream, sent);
-        }
+        self.on_cut_off(chosen, failure, self.sent_at);
         self.refuse_if_it_crashes()?;
         let is_free = !failure.arrived && self.sends == 0;
         if is_free || self.try_take_retry(failure.verdict) {
@@ -391,37 +467,38 @@
             && self.app.try_take_retry(&self.job.service_name)
     }
 
-    /// Resumes a broken stream: sends the request to other upstreams until one
-    /// continues the stream after the last relayed event.
+    /// Resumes a stream that broke off or is silent: sends the request to other
+    /// upstreams until one continues the stream after the last relayed event.
     pub(super) async fn resume(&mut self, broken: &Upstream) -> Option<Relay> {
+        let resumed = self.try_to_resume(broken).await;
+        self.silent.clear();
+        resumed
+    }
+
+    async fn try_to_resume(&mut self, broken: &Upstream) -> Option<Relay> {
         let start = &broken.start();
         self.app.update_health(start, |h, now| h.record_failure(now));
         self.record.record_break_off();
-        self.exclude(&start.id, true);
+        if !self.tried.contains(&start.id) {
+            self.exclude(&start.id, true);
+        }
         crashes::wait_for_probe(&self.app, &self.job, broken).await;
         for _ in 0..MAX_TRIES {
             if crashes::is_refused(&self.app, &self.job)
                 || !self.try_take_retry(Verdict::MayHaveRun)
             {
-                return None;
+                break;
             }
             let choosing =
                 choose_with_permit(&self.app, &self.job, &self.tried);
-            let (chosen, permit) = choosing.await.ok()?;
+            let Ok((chosen, permit)) = choosing.await else { break };
             self.app.shared.metrics.retried(RetryReason::StreamResumed);
             match self.attempt(&chosen, permit).await {
-                Ok(ReceivedAnswer::Stream { relay, .. }) => {
-                    return Some(*relay);
-                }
-                Ok(ReceivedAnswer::Whole { .. }) => return None,
+                Ok(received) => return received.into_relay(),
                 Err(failure) => {
                     self.record.record_failure(&failure);
                     let start = chosen.upstream.start();
-                    if failure.cut_off {
-                        let upstream = &chosen.upstream;
-                        let (job, sent) = (&self.job, self.sent_at);
-                        crashes::on_break_off(&self.app, job, upstream, sent);
-                    }
+                    self.on_cut_off(&chosen, failure, self.sent_at);
                     self.record_rejection(&start, failure);
                     self.exclude(&start.id, failure.arrived);
                     let upstream = &chosen.upstream;
@@ -430,6 +507,21 @@
                 }
             }
         }
-        None
+        let refusal = self.refuse_as_failed(None);
+        let received = self.wait_for_silent(refusal).await;
+        received.ok()?.into_relay()
+    }
+
+    /// Goes on with the upstream of the send at a position in the record, which
+    /// was sent at `sent`, in place of the one that was tried last.
+    pub(super) fn go_on_with(&mut self, position: usize, sent: Millis) {
+        self.silent.clear();
+        self.record.record_going_on(position);
+        self.sent_at = sent;
+    }
+
+    /// Returns whether the deadline of the request has passed.
+    pub(super) fn is_over(&self) -> bool {
+        self.left().is_zero()
     }
 }
--- /dev/null
+++ b/crates/valehold-gateway/src/traffic/exchange/silent.rs
@@ -0,0 +1,66 @@
+//! Sends whose upstream is silent, while another upstream is tried.
+//!
+//! A silent upstream may be sound and go on. The request stays with it until
+//! another one has begun to answer: the other one may reject the request, fail,
+//! or be silent as well.
+
+use std::task::Poll;
+
+use super::{
+    super::refusal::Refusal,
+    Exchange, ReceivedAnswer,
+    beginning::{Begun, PendingSend},
+};
+
+/// The silent sends of one request.
+#[derive(Default)]
+pub(super) struct SilentSends(Vec<PendingSend>);
+
+impl SilentSends {
+    pub(super) fn push(&mut self, send: PendingSend) {
+        self.0.push(send);
+    }
+
+    /// Ends all silent sends.
+    pub(super) fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    /// Removes and returns the first send whose outcome is known. Never
+    /// completes if there is none.
+    pub(super) async fn next(&mut self) -> (PendingSend, Begun) {
+        std::future::poll_fn(|cx| {
+            for index in 0..self.0.len() {
+                let beginning = self.0[index].beginning.as_mut();
+                if let Poll::Ready(begun) = beginning.poll(cx) {
+                    return Poll::Ready((self.0.swap_remove(index), begun));
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl Exchange {
+    /// Waits until an upstream that was silent has begun to answer. Returns
+    /// `refusal` if none does by the deadline.
+    pub(super) async fn wait_for_silent(
+        &mut self,
+        refusal: Refusal,
+    ) -> Result<ReceivedAnswer, Refusal> {
+        let clock = self.app.shared.clock;
+        while !self.silent.0.is_empty() {
+            let deadline = self.job.deadline;
+            let next = clock.wait_until(deadline, self.silent.next()).await;
+            let Some((send, begun)) = next else {
+                return Err(self.refuse_as_failed(None));
+            };
+            if let Some(received) = self.on_silent(&send, begun) {
+                self.silent.clear();
+                return Ok(received);
+            }
+        }
+        Err(refusal)
+    }
+}
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream for a send, and waits briefly if none is available.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use valehold_core::{
     Millis,
@@ -90,7 +90,7 @@
                 self.give_up(RefusalReason::UnknownOrigin, retry_after)
             );
         };
-        match self.job.bind_to(origin) {
+        match Rc::make_mut(&mut self.job).bind_to(origin) {
             true => Ok(()),
             false => Err(self.refuse_for_version()),
         }
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -33,6 +33,8 @@
     longest_pause_ms: Option<u64>,
     predicted_ms: Option<f64>,
     sends: Vec<SendRecord>,
+    /// The position of the send whose answer is relayed, or of the last one.
+    position: usize,
     is_logged: bool,
 }
 
@@ -47,6 +49,7 @@
             longest_pause_ms: None,
             predicted_ms: None,
             sends: Vec::new(),
+            position: 0,
             is_logged: false,
         }
     }
@@ -57,12 +60,12 @@
         self.predicted_ms = Some(predicted_ms);
     }
 
-    /// Records a send of the request.
+    /// Records a send of the request, and returns its position.
     pub(super) fn record_send(
         &mut self,
         chosen: &Chosen,
         after_event: Option<u64>,
-    ) {
+    ) -> usize {
         self.predicted_ms = Some(chosen.predicted_ms);
         self.sends.push(SendRecord {
             upstream: chosen.upstream.id.clone(),
@@ -78,19 +81,52 @@
             connect_error: None,
             rest_ms: None,
         });
+        self.position = self.sends.len() - 1;
+        self.position
     }
 
-    /// Records that the last send led to an answer that can be relayed.
+    /// Returns the position of the send whose answer is relayed, or of the
+    /// last one.
+    pub(super) const fn position(&self) -> usize {
+        self.position
+    }
+
+    /// Records that the outcome of the send at `position` counts from now on.
+    pub(super) fn set_position(&mut self, position: usize) {
+        self.position = position;
+    }
+
+    /// Records that another send led to an answer before the one at
+    /// `position`, unless that one had failed already.
+    pub(super) fn record_superseded(&mut self, position: usize) {
+        if let Some(send) = self.sends.get_mut(position)
+            && send.end == SendEnd::UnderWay
+        {
+            send.end = SendEnd::Superseded;
+        }
+    }
+
+    /// Records that the answer to the send at `position` goes on, in place of
+    /// that to the current send.
+    pub(super) fn record_going_on(&mut self, position: usize) {
+        self.record_superseded(self.position);
+        self.position = position;
+        if let Some(send) = self.sends.get_mut(position) {
+            send.end = SendEnd::Answered;
+        }
+    }
+
+    /// Records that the current send led to an answer that can be relayed.
     pub(super) fn record_answer(&mut self, took_ms: f64, end: SendEnd) {
-        if let Some(send) = self.sends.last_mut() {
+        if let Some(send) = self.sends.get_mut(self.position) {
             send.first_ms = Some(round_ms(took_ms));
             send.end = end;
         }
     }
 
-    /// Records that the last send failed.
+    /// Records that the current send failed.
     pub(super) fn record_failure(&mut self, failure: &SendFailure) {
-        if let Some(send) = self.sends.last_mut() {
+        if let Some(send) = self.sends.get_mut(self.position) {
             send.connect_error =
                 failure.connect_error.map(|kind| kind.to_string());
             send.rest_ms =
@@ -105,9 +141,10 @@
         }
     }
 
-    /// Records that the answer to the last send broke off after it had begun.
+    /// Records that the answer to the current send broke off after it had
+    /// begun.
     pub(super) fn record_break_off(&mut self) {
-        if let Some(send) = self.sends.last_mut() {
+        if let Some(send) = self.sends.get_mut(self.position) {
             send.end = SendEnd::Broken;
         }
     }
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -52,6 +52,7 @@
 const ROUTE_RANKS: u8 = 3;
 
 /// A request that was read completely and assigned to a route.
+#[derive(Clone)]
 pub(super) struct Job {
     /// The head of the request, without the headers that only a gateway may
     /// set.
