A reload during the start of a gateway no longer ends it

Callers of a gateway that had just started lost their requests: a SIGHUP or a SIGTERM right after the start ended the process at once, by the default action of the signal, without an answer to any request on it and with no orderly stop.

Cause: the handlers were registered only after Gateway::start had returned, when the gateway's threads served already. The same held for SIGTERM and SIGINT of an entry instance. The class: what the operator may do at any moment is prepared for only once the process is up.

Now the process receives signals (module signals) before it reads its settings and binds an address; a signal that comes meanwhile is kept and handled once the gateway has started. Further signals during a stop change nothing, as before. An entry instance logs a SIGHUP, which it cannot follow, and lives.

--- a/crates/valehold-instance/src/gateway.rs
+++ b/crates/valehold-instance/src/gateway.rs
@@ -1,11 +1,13 @@
 //! `valehold-instance gateway`: a gateway before the users' platform.
 
 use std::{
-    collections::BTreeMap, path::PathBuf, process::ExitCode, sync::Arc,
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
 };
 
 use platform::{PlatformDialect, PlatformEngines, PlatformStore};
-use tokio::signal::unix::{SignalKind, signal};
 use valehold_gateway::{
     FileSettings, Gateway, Ports, Settings, events::Event,
     traffic::TcpConnector,
@@ -15,17 +17,14 @@
     logging::{self, LogGuard},
 };
 
+use super::signals::{Request, Signals};
+
 /// The variable that names the settings file.
 const SETTINGS_VARIABLE: &str = "VALEHOLD_CONFIG";
 
 /// Runs a gateway until it has stopped.
 pub(crate) fn main(arguments: pico_args::Arguments) -> ExitCode {
-    let ended = start(arguments).and_then(|(path, gateway, _log)| {
-        run(&path, gateway)?;
-        Event::Stopped.log();
-        Ok(())
-    });
-    match ended {
+    match serve(arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
@@ -34,6 +33,14 @@
     }
 }
 
+fn serve(arguments: pico_args::Arguments) -> miette::Result<()> {
+    let signals = Signals::receive()?;
+    let (path, gateway, _log) = start(arguments)?;
+    run(&path, gateway, signals)?;
+    Event::Stopped.log();
+    Ok(())
+}
+
 fn start(
     mut arguments: pico_args::Arguments,
 ) -> miette::Result<(PathBuf, Gateway, LogGuard)> {
@@ -77,30 +84,22 @@
     Ok((path, gateway, log))
 }
 
-fn run(path: &std::path::Path, gateway: Gateway) -> Result<(), Error> {
-    super::block_on(follow_signals(path, &gateway))?;
+/// Takes in changed settings until told to stop, and stops.
+fn run(
+    path: &Path,
+    gateway: Gateway,
+    mut signals: Signals,
+) -> Result<(), Error> {
+    while signals.next() == Request::Reload {
+        read_again(path, &gateway);
+    }
     Event::Stopping.log();
     gateway.stop();
     gateway.join().map_err(|e| Error::new("running", e))
 }
 
-/// Takes in changed settings until it is told to stop.
-async fn follow_signals(
-    path: &std::path::Path,
-    gateway: &Gateway,
-) -> std::io::Result<()> {
-    let mut changed = signal(SignalKind::hangup())?;
-    let mut stop = std::pin::pin!(super::stop_signal());
-    loop {
-        tokio::select! {
-            stopped = stop.as_mut() => return stopped,
-            _ = changed.recv() => read_again(path, gateway),
-        }
-    }
-}
-
 /// Reads the settings again. Only seeds may change while a gateway runs.
-fn read_again(path: &std::path::Path, gateway: &Gateway) {
+fn read_again(path: &Path, gateway: &Gateway) {
     match Settings::from_file(path) {
         Ok(settings) => {
             Event::SettingsRead.log();
--- a/crates/valehold-instance/src/main.rs
+++ b/crates/valehold-instance/src/main.rs
@@ -1,15 +1,17 @@
 //! `valehold-instance`: runs one entry instance until it is told to stop.
 
 mod gateway;
+mod signals;
 
 use std::{path::PathBuf, process::ExitCode};
 
-use tokio::signal::unix::{SignalKind, signal};
 use valehold_instance::{
     Error, FileSettings, Instance, Settings,
     logging::{self, Form},
 };
 
+use self::signals::{Request, Signals};
+
 const HELP: &str = "\
 Runs one entry instance of valehold.
 
@@ -89,34 +91,15 @@
     let log = &settings.log;
     let form = if log.json { Form::Json } else { Form::Text };
     let _log = logging::start(&log.level, form, &log.modules)?;
+    let mut signals = Signals::receive()?;
     let instance = Instance::start(settings)?;
     let addresses = instance.addresses();
     println!("callers = {}", addresses.callers);
     println!("operators = {}", addresses.operators);
     println!("peers = {}", addresses.peers);
-    block_on(stop_signal())?;
+    while signals.next() != Request::Stop {
+        log::warn!("the settings of an entry instance cannot be reloaded");
+    }
     instance.stop();
     instance.join()
 }
-
-/// Waits for signals on a runtime of this thread.
-fn block_on(
-    signals: impl Future<Output = std::io::Result<()>>,
-) -> Result<(), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|e| Error::new("waiting for signals", e))?;
-    runtime.block_on(signals).map_err(|e| Error::new("waiting for signals", e))
-}
-
-/// Waits until the process is told to stop.
-async fn stop_signal() -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
