A stop answers the requests that its end would cut off

Callers whose request hung at its engine, waited for one, or had its body still on its way when the time of a gateway's stop was over got no answer at all: the process ended with the request on it, their connection was reset.

Cause: nothing but the deadline of the caller ended a request; a stop ended the process 0.93 of stop_s after its beginning, whatever was under way. The class: a wait whose limit is computed once does not see a limit that comes up while it lasts.

While a gateway stops, each request's time is also over 0.1 s before the gateway ends, though not in the first five sixths of the stop (module stop). All waits of a request ask for that moment several times a second (Clock:: wait_until_latest, App::wait_for_request): for the body, for an upstream, for its answer, for the next event, and for silent upstreams. Upstreams are told the shorter time. A delay for a retry still goes by the caller's deadline.

--- a/crates/valehold-gateway/src/clock.rs
+++ b/crates/valehold-gateway/src/clock.rs
@@ -68,10 +68,21 @@
         &self,
         moment: Millis,
         future: F,
+    ) -> Option<F::Output> {
+        self.wait_until_latest(|| moment, future).await
+    }
+
+    /// Waits for a future as [`Self::wait_until`] does, until a moment that may
+    /// become earlier meanwhile. The moment is asked for several times a
+    /// second.
+    pub async fn wait_until_latest<F: Future>(
+        &self,
+        moment: impl Fn() -> Millis,
+        future: F,
     ) -> Option<F::Output> {
         let mut future = std::pin::pin!(future);
         loop {
-            let left = self.until(moment);
+            let left = self.until(moment());
             let timeout = left.min(RECHECK_INTERVAL);
             let result = tokio::time::timeout(timeout, future.as_mut()).await;
             match result {
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -295,8 +295,16 @@
         self.sent_at
     }
 
-    /// Returns the time left until the deadline of the request.
+    /// Returns the time that the request has left: until its deadline, or until
+    /// a stop of the gateway ends it.
     fn left(&self) -> Duration {
+        let end = self.app.request_end(self.job.deadline);
+        self.app.shared.clock.until(end)
+    }
+
+    /// Returns the time left until the deadline, after which the caller does
+    /// not make the request again at any gateway.
+    fn left_for_retries(&self) -> Duration {
         self.app.shared.clock.until(self.job.deadline)
     }
 
@@ -314,7 +322,7 @@
     /// should be abandoned.
     ///
     /// A timeout alone does not end the wait. An upstream is abandoned only if
-    /// another upstream can take over the request, or at the deadline.
+    /// another upstream can take over the request, or if its time is over.
     pub(super) async fn wait_for_upstream<F: Future>(
         &self,
         upstream: &UpstreamStart,
@@ -326,8 +334,8 @@
         loop {
             let until = self.app.now() + Millis::from(timeout).get();
             let until = until.min(self.job.deadline);
-            let clock = &self.app.shared.clock;
-            let result = clock.wait_until(until, waiting.as_mut()).await;
+            let waiting = waiting.as_mut();
+            let result = self.app.wait_for_request(until, waiting).await;
             if result.is_some() {
                 return result;
             }
@@ -520,7 +528,7 @@
         self.sent_at = sent;
     }
 
-    /// Returns whether the deadline of the request has passed.
+    /// Returns whether the time of the request is over.
     pub(super) fn is_over(&self) -> bool {
         self.left().is_zero()
     }
--- a/crates/valehold-gateway/src/traffic/exchange/refusals.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/refusals.rs
@@ -27,7 +27,8 @@
     /// Returns the maximum delay before a retry that the caller can be given,
     /// in ms.
     fn max_retry_delay_ms(&self) -> u64 {
-        let max_delay = self.left().mul_f64(MAX_RETRY_DELAY_FRACTION);
+        let left = self.left_for_retries();
+        let max_delay = left.mul_f64(MAX_RETRY_DELAY_FRACTION);
         Millis::from(max_delay).get().max(1)
     }
 
--- a/crates/valehold-gateway/src/traffic/exchange/silent.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/silent.rs
@@ -44,15 +44,15 @@
 
 impl Exchange {
     /// Waits until an upstream that was silent has begun to answer. Returns
-    /// `refusal` if none does by the deadline.
+    /// `refusal` if none does in time.
     pub(super) async fn wait_for_silent(
         &mut self,
         refusal: Refusal,
     ) -> Result<ReceivedAnswer, Refusal> {
-        let clock = self.app.shared.clock;
+        let (app, deadline) = (self.app.clone(), self.job.deadline);
         while !self.silent.0.is_empty() {
-            let deadline = self.job.deadline;
-            let next = clock.wait_until(deadline, self.silent.next()).await;
+            let next = self.silent.next();
+            let next = app.wait_for_request(deadline, next).await;
             let Some((send, begun)) = next else {
                 return Err(self.refuse_as_failed(None));
             };
--- a/crates/valehold-gateway/src/traffic/exchange/waiting.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/waiting.rs
@@ -116,10 +116,12 @@
     ) -> Result<(Chosen, Option<SendPermit>), Refusal> {
         let objective = Duration::from_millis(self.job.route.begin_within_ms);
         let wait = Millis::from(objective.mul_f64(MAX_WAIT_FRACTION)).get();
-        let until = (self.app.now() + wait).min(self.job.deadline);
+        let waits_until = (self.app.now() + wait).min(self.job.deadline);
         let mut polls: u32 = 0;
         let mut is_loading = false;
         loop {
+            // The gateway may begin to stop while the request waits.
+            let until = self.app.request_end(waits_until);
             let choosing =
                 choose_with_permit(&self.app, &self.job, &self.tried);
             let no_choice = match choosing.await {
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -42,6 +42,7 @@
 mod server;
 mod signals;
 mod state;
+mod stop;
 mod tunnel;
 
 use std::{convert::Infallible, pin::Pin};
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -310,7 +310,7 @@
 }
 
 /// Reads the body of a request. Refuses the request if the body exceeds
-/// `limit` or is not complete at the deadline.
+/// `limit` or is not complete in time.
 async fn read_body(
     app: &App,
     body: Incoming,
@@ -318,7 +318,7 @@
     deadline: Millis,
 ) -> Result<Bytes, Refusal> {
     let reading = Limited::new(body, limit).collect();
-    let read = app.shared.clock.wait_until(deadline, reading).await;
+    let read = app.wait_for_request(deadline, reading).await;
     let Some(read) = read else {
         return Err(Refusal::not_run(RefusalReason::SlowCaller, 0));
     };
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -160,7 +160,7 @@
     let clock = &app.shared.clock;
     let mut sending = Sending {
         upstream: upstream.id.clone(),
-        left: clock.until(job.deadline),
+        left: clock.until(app.request_end(job.deadline)),
         workspace: job.workspace.as_ref().map(|one| one.name.clone()),
         urgency: job.engine_spec().map(|_| job.urgency().min(LEAST_URGENT)),
         after_event,
@@ -178,7 +178,7 @@
         }
         // Connecting takes time, and the machine may have been suspended
         // meanwhile, so the remaining time is computed again.
-        sending.left = clock.until(job.deadline);
+        sending.left = clock.until(app.request_end(job.deadline));
         if sending.left.is_zero() {
             return Err(SendFailure::not_sent());
         }
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -9,13 +9,13 @@
     sync::watch,
 };
 
-use valehold_core::Millis;
-
 use super::{
     App,
     connection::{self, is_finishing},
     dispatch::Listener,
-    links, tunnel,
+    links,
+    stop::StopTimes,
+    tunnel,
 };
 use crate::view::Life;
 
@@ -25,22 +25,6 @@
 /// How often expired state, such as idle connections to upstreams, is pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Some callers keep an address for up to this multiple of the advertised
-/// time.
-const ADDRESS_KEEP_FACTOR: u32 = 3;
-
-/// How much earlier than the end of that multiple the gateway stops accepting
-/// requests, so that the last requests have the time that a stop allows.
-const LINGER_MARGIN: Duration = Duration::from_millis(100);
-
-/// The largest fraction of the time for a stop in which requests are still
-/// accepted.
-const MAX_LINGER_FRACTION: f64 = 0.6;
-
-/// The fraction of the time for a stop after which the gateway no longer waits
-/// for open connections.
-const DRAIN_FRACTION: f64 = 0.93;
-
 /// The listening sockets of a gateway.
 pub struct Listeners {
     /// For callers' requests.
@@ -126,20 +110,14 @@
         // The platform ends the process when the time for a stop is over. That
         // time includes suspensions of the machine, so this clock does too.
         let shared = &self.app.shared;
-        let (clock, began) = (shared.clock, shared.clock.now());
-        let callers = &shared.settings.callers;
-        let stop = Duration::from_secs_f64(callers.stop_s);
-        let keep = Duration::from_secs(callers.address_keep_s);
-        let linger = (keep * ADDRESS_KEEP_FACTOR)
-            .saturating_sub(LINGER_MARGIN)
-            .min(stop.mul_f64(MAX_LINGER_FRACTION));
-        let lingers_until = began + Millis::from(linger).get();
+        let clock = shared.clock;
+        let times = StopTimes::new(clock.now(), &shared.settings.callers);
+        self.app.end_requests_at(times.requests_end);
         let pending = std::future::pending::<()>();
-        clock.wait_until(lingers_until, pending).await;
+        clock.wait_until(times.accepts_until, pending).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
-        let end = began + Millis::from(stop.mul_f64(DRAIN_FRACTION)).get();
-        while self.open.0.get() > 0 && clock.now() < end {
+        while self.open.0.get() > 0 && clock.now() < times.end {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -1,7 +1,7 @@
 //! The state of the traffic thread.
 
 use std::{
-    cell::{RefCell, RefMut},
+    cell::{Cell, RefCell, RefMut},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -73,6 +73,8 @@
     path_latencies: RefCell<PathLatencies>,
     pub(super) reachability: RefCell<Reachability>,
     keep_alive: RefCell<KeepAlive>,
+    /// When requests have to end because the gateway stops.
+    requests_end: Cell<Option<Millis>>,
 }
 
 impl App {
@@ -103,6 +105,7 @@
             path_latencies: RefCell::default(),
             reachability: RefCell::default(),
             keep_alive: RefCell::new(KeepAlive::new(DEFAULT_REST_MS)),
+            requests_end: Cell::new(None),
         }
     }
 
@@ -120,6 +123,30 @@
         keep_alive.rests_until(since)
     }
 
+    /// Sets when requests have to end because the gateway stops.
+    pub(super) fn end_requests_at(&self, end: Millis) {
+        self.requests_end.set(Some(end));
+    }
+
+    /// Returns when a request with a deadline has to be answered or refused: by
+    /// the deadline and, while the gateway stops, before the gateway ends.
+    pub(super) fn request_end(&self, deadline: Millis) -> Millis {
+        let end = self.requests_end.get();
+        end.map_or(deadline, |end| end.min(deadline))
+    }
+
+    /// Waits for a future as long as a request with a deadline has time, also
+    /// if the gateway begins to stop meanwhile. Returns `None` if the time is
+    /// over.
+    pub(super) async fn wait_for_request<F: Future>(
+        &self,
+        deadline: Millis,
+        future: F,
+    ) -> Option<F::Output> {
+        let end = || self.request_end(deadline);
+        self.shared.clock.wait_until_latest(end, future).await
+    }
+
     /// Returns the settings that switch single mechanisms on and off.
     pub(super) fn mechanisms(&self) -> MechanismSettings {
         self.shared.settings.mechanisms
