Requests that arrive as a stop closes their connections are answered

Callers that sent a request as a stopping gateway ceased to accept got a reset and no answer, where the head of the request had arrived in part, where their connection was new, and where it lay in the listener's backlog, as behind a suspension of the machine.

Cause: the accept loop ended with connections in the backlog, which closing the listener resets; and a connection without a whole head counted as idle (hyper closes one whose next head has arrived in part). The class: what the kernel has taken for the gateway counts as not arrived.

Now the backlog is accepted before a listener closes, for 0.3 s at most. A connection whose next head has begun to arrive waits for the rest of it, as long as a head may take, and one that has just opened a second for its first request. Both are closed after that answer. Idle connections close at once, as before.

Left: a request that is sent after the last look at an idle connection, which is not read.

--- a/crates/valehold-gateway/src/traffic/connection.rs
+++ b/crates/valehold-gateway/src/traffic/connection.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     convert::Infallible,
+    io,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -14,7 +15,11 @@
 use http_body::{Frame, SizeHint};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, sync::watch};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    sync::watch,
+};
 use valehold_core::Millis;
 
 use super::{App, Body, BrokenOff, dispatch, dispatch::Listener};
@@ -27,17 +32,27 @@
 /// link, and for a gateway that is behind on its work.
 const CLOSE_DELAY_MS: u64 = 1_000;
 
+/// How long a connection that has just opened may take for its first request
+/// to begin when the gateway finishes, in ms.
+const FIRST_REQUEST_MS: u64 = 1_000;
+
+/// How often a connection whose next request is arriving looks for its end.
+const ARRIVAL_POLL: Duration = Duration::from_millis(20);
+
 /// Serves a connection to its end.
 ///
 /// A connection at rest is closed once it has rested for too long or the
-/// gateway finishes. Requests that have arrived by then are answered first.
+/// gateway finishes. Requests that have begun to arrive by then are answered
+/// first.
 pub(super) async fn serve(
     app: Rc<App>,
     listener: Listener,
-    stream: TokioIo<TcpStream>,
+    stream: TcpStream,
     mut life: watch::Receiver<Life>,
 ) {
     let state = ConnectionState::new(app, listener);
+    let stream = TrackedStream { stream, connection: state.clone() };
+    let stream = TokioIo::new(stream);
     let of_requests = state.clone();
     let service =
         service_fn(move |request| of_requests.clone().answer(request));
@@ -61,6 +76,13 @@
         if cause == ConnectionEnd::Rested && state.rest_left().is_some() {
             continue;
         }
+        if cause == ConnectionEnd::Stopping {
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => break (ended, None),
+                () = state.next_request_arrived() => {}
+            }
+        }
         connection.as_mut().graceful_shutdown();
         break (connection.await, Some(cause));
     };
@@ -82,6 +104,10 @@
     configuration: u64,
     /// The number of requests without a complete answer.
     unanswered: Cell<u32>,
+    /// Whether bytes arrived that belong to no request yet.
+    is_arriving: Cell<bool>,
+    /// The number of requests that arrived.
+    requests: Cell<u64>,
     /// The identifier of the last request.
     last_request: RefCell<Option<Bytes>>,
     /// When the connection opened, or its last answer ended.
@@ -100,6 +126,8 @@
             opened: now,
             configuration: catalog.map_or(0, |catalog| catalog.version),
             unanswered: Cell::new(0),
+            is_arriving: Cell::new(false),
+            requests: Cell::new(0),
             last_request: RefCell::default(),
             resting_since: Cell::new(now),
             is_logged: Cell::new(false),
@@ -114,6 +142,8 @@
     ) -> Result<Response<Body>, Infallible> {
         let app = self.app.clone();
         self.unanswered.set(self.unanswered.get() + 1);
+        self.requests.set(self.requests.get() + 1);
+        self.is_arriving.set(false);
         let answer =
             dispatch::answer(app, self.listener, request, &self).await?;
         Ok(answer.map(|body| Box::pin(TrackedBody::new(body, self)) as _))
@@ -127,6 +157,7 @@
     /// Records that an answer was passed on to its end.
     fn record_answered(&self) {
         self.unanswered.set(self.unanswered.get().saturating_sub(1));
+        self.is_arriving.set(false);
         self.resting_since.set(self.app.now());
     }
 
@@ -149,6 +180,39 @@
         }
     }
 
+    /// Records that bytes arrived: of the next request, unless one is being
+    /// read or answered.
+    fn record_bytes(&self) {
+        self.is_arriving.set(self.unanswered.get() == 0);
+    }
+
+    /// Waits until no request is on its way: for the rest of a head that has
+    /// begun to arrive, as long as a head may take, and shortly for the first
+    /// request of a new connection.
+    async fn next_request_arrived(&self) {
+        let began = self.app.now();
+        let head_until = began + self.head_timeout_ms();
+        let first_until = self.opened + FIRST_REQUEST_MS;
+        while self.unanswered.get() == 0 {
+            let until = match (self.is_arriving.get(), self.requests.get()) {
+                (true, _) => head_until,
+                (false, 0) => first_until,
+                (false, _) => return,
+            };
+            if self.app.now() >= until {
+                return;
+            }
+            tokio::time::sleep(ARRIVAL_POLL).await;
+        }
+    }
+
+    /// Returns how long the head of a request may take, in ms.
+    fn head_timeout_ms(&self) -> u64 {
+        let view = self.app.shared.view.load();
+        let limits = view.catalog.as_ref().map(|one| &one.limits);
+        limits.map_or(0, |limits| limits.header_read_timeout_ms)
+    }
+
     /// Logs how the connection ended, by what serving it returned and why the
     /// gateway closed it, if it did.
     fn log_ended(
@@ -196,6 +260,63 @@
     }
 }
 
+/// The stream of a connection, which records that bytes arrive.
+struct TrackedStream {
+    stream: TcpStream,
+    connection: Rc<ConnectionState>,
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.connection.record_bytes();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+}
+
 /// The body of an answer. Once it was passed on to its end, the request no
 /// longer counts as unanswered.
 struct TrackedBody {
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -7,6 +7,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::Instant,
 };
 
 use super::{
@@ -25,6 +26,13 @@
 /// How often expired state, such as idle connections to upstreams, is pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// For how long a listener accepts connections that were made before it is
+/// closed: each one is reset then, with the request on it.
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(300);
+
+/// The time without a new connection after which none is left.
+const BACKLOG_QUIET: Duration = Duration::from_millis(20);
+
 /// The listening sockets of a gateway.
 pub struct Listeners {
     /// For callers' requests.
@@ -126,7 +134,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = socket.accept() => accepted,
-                _ = self.life.wait_for(is_finishing) => return,
+                _ = self.life.wait_for(is_finishing) => break,
             };
             match accepted {
                 Ok((stream, _)) => self.serve(stream, listener),
@@ -136,14 +144,30 @@
                 }
             }
         }
+        self.accept_backlog(&socket, listener).await;
+    }
+
+    /// Accepts the connections that were made before the listener is closed.
+    async fn accept_backlog(&self, socket: &TcpListener, listener: Listener) {
+        let began = Instant::now();
+        while began.elapsed() < MAX_BACKLOG_TIME {
+            let accepting = socket.accept();
+            match tokio::time::timeout(BACKLOG_QUIET, accepting).await {
+                Ok(Ok((stream, _))) => self.serve(stream, listener),
+                Ok(Err(error)) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
     }
 
     fn serve(&self, stream: TcpStream, listener: Listener) {
         // Sends each event of a stream without delay (no Nagle batching).
         let _ = stream.set_nodelay(true);
-        let stream = TokioIo::new(stream);
         if listener == Listener::Tunnels {
-            self.serve_tunnel(stream);
+            self.serve_tunnel(TokioIo::new(stream));
             return;
         }
         let (app, life) = (self.app.clone(), self.life.clone());
