A refusal is readable while the body of its request is still coming

Callers whose request was refused before its body was in (an unknown route, as after a change of the configuration, a bad key, a body that is too large or too slow) found their connection reset: they could write no further, and the refusal was gone before they read it.

Cause: the rest of the body was read for 0.2 s and 1 MiB at most, or not at all where it was too large or late; then the connection was closed with data on the way, which resets it. The class: a close that does not wait for what the other side still sends.

The refusal says Connection: close unless the body ended within 0.2 s, so that nobody takes the rest of a body for a request.

--- a/crates/valehold-gateway/src/traffic/dispatch.rs
+++ b/crates/valehold-gateway/src/traffic/dispatch.rs
@@ -15,10 +15,11 @@
     Body,
     addresses::{AddressRequest, addresses_for},
     connection::ConnectionState,
+    discard::BodyState,
     exchange,
     record::log_unrouted,
     refusal::plain,
-    route,
+    route::{self, Refused},
     state::App,
 };
 use crate::view::Life;
@@ -60,13 +61,23 @@
 ) -> Response<Body> {
     match route::accept(&app, request, connection).await {
         Ok(job) => exchange::handle(app, job).await,
-        Err((id, refusal)) => {
-            log_unrouted(id.as_deref(), &refusal);
-            refusal.into_answer(&app, id.as_ref())
-        }
+        Err(refused) => refuse(&app, &refused),
     }
 }
 
+/// Refuses a request. A connection on which the rest of a body may follow
+/// serves no other request.
+fn refuse(app: &App, refused: &Refused) -> Response<Body> {
+    let Refused { id, refusal, body } = refused;
+    log_unrouted(id.as_deref(), refusal);
+    let mut answer = refusal.into_answer(app, id.as_ref());
+    if *body == BodyState::Arriving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
 fn answer_own_call(app: &App, request: &Request<Incoming>) -> Response<Body> {
     match app.dialect.own_call(request.uri()) {
         OwnCall::Ready => ready(app),
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 mod connection;
 mod connector;
 mod crashes;
+mod discard;
 mod dispatch;
 mod exchange;
 mod links;
--- a/crates/valehold-gateway/src/traffic/route.rs
+++ b/crates/valehold-gateway/src/traffic/route.rs
@@ -2,7 +2,7 @@
 //! in the catalog.
 
 use std::{
-    borrow::Cow, cell::OnceCell, collections::BTreeSet, sync::Arc,
+    borrow::Cow, cell::OnceCell, collections::BTreeSet, rc::Rc, sync::Arc,
     time::Duration,
 };
 
@@ -25,7 +25,10 @@
 use valehold_ports::port::fleet::CallerRequest;
 
 use super::{
-    connection::ConnectionState, origins::SoftwareBound, refusal::Refusal,
+    connection::ConnectionState,
+    discard::{BodyState, MAX_WAIT, discard},
+    origins::SoftwareBound,
+    refusal::Refusal,
     state::App,
 };
 use crate::view::Life;
@@ -40,17 +43,19 @@
 /// The assumed deadline of a request that states none, in ms.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 
-/// The maximum number of body bytes that are read and discarded after a
-/// request was refused because of its head.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-
-/// The maximum time for which the body of such a request is read.
-const MAX_DISCARD_TIME: Duration = Duration::from_millis(200);
-
 /// The number of route ranks that are distinguished within each workspace
 /// rank. Engines have ten levels of urgency for both kinds of rank together.
 const ROUTE_RANKS: u8 = 3;
 
+/// A request that is refused before it was assigned to a route.
+pub(super) struct Refused {
+    /// The identifier of the request.
+    pub(super) id: Option<Bytes>,
+    pub(super) refusal: Refusal,
+    /// How much of the request's body was read.
+    pub(super) body: BodyState,
+}
+
 /// A request that was read completely and assigned to a route.
 #[derive(Clone)]
 pub(super) struct Job {
@@ -171,12 +176,13 @@
 
 /// Finds the route of a request and reads the body of the request.
 ///
-/// If this fails, returns the identifier of the request and the refusal.
+/// If the request is refused, its body is read as far as the caller needs to
+/// read the refusal.
 pub(super) async fn accept(
-    app: &App,
+    app: &Rc<App>,
     request: Request<Incoming>,
     connection: &ConnectionState,
-) -> Result<Job, (Option<Bytes>, Refusal)> {
+) -> Result<Job, Refused> {
     let arrived = app.now();
     let (mut head, body) = request.into_parts();
     let stated = app.dialect.read_request(&head.headers);
@@ -185,7 +191,9 @@
     remove_reserved(app, &mut head);
     let Some(catalog) = wait_for_catalog(app).await else {
         let reason = RefusalReason::NotReady;
-        return Err((id, Refusal::not_run(reason, NOT_READY_RETRY_AFTER_MS)));
+        let refusal = Refusal::not_run(reason, NOT_READY_RETRY_AFTER_MS);
+        let body = discard(app, body, MAX_WAIT).await;
+        return Err(Refused { id, refusal, body });
     };
     let found = find_route(&catalog, &head).and_then(|(route, service)| {
         let workspace = workspace_of(&catalog, route, &stated)?;
@@ -194,8 +202,8 @@
     let (route, service_name, workspace) = match found {
         Ok(found) => found,
         Err(refusal) => {
-            discard_body(body).await;
-            return Err((id, refusal));
+            let body = discard(app, body, MAX_WAIT).await;
+            return Err(Refused { id, refusal, body });
         }
     };
     let deadline_ms = stated.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
@@ -205,9 +213,10 @@
     };
     let deadline = arrived + allowed_ms;
     let limit = catalog.limits.body_limit_bytes;
-    let body = read_body(app, body, limit, deadline)
-        .await
-        .map_err(|refusal| (id, refusal))?;
+    let body = match read_body(app, body, limit, deadline).await {
+        Ok(body) => body,
+        Err((refusal, body)) => return Err(Refused { id, refusal, body }),
+    };
     let bound = match &workspace {
         Some(workspace) => route.bound.intersection(&workspace.bound),
         None => route.bound.clone(),
@@ -293,14 +302,6 @@
     }
 }
 
-/// Reads and discards the body of a refused request. Closing a connection with
-/// unread data resets the connection, and the refusal could be lost.
-async fn discard_body(body: Incoming) {
-    let reading = Limited::new(body, MAX_DISCARDED_BYTES).collect();
-    // The refusal is sent regardless of the result.
-    let _ = tokio::time::timeout(MAX_DISCARD_TIME, reading).await;
-}
-
 /// Returns the host that a request names, without the port.
 fn host(head: &Parts) -> Option<&str> {
     let named = head.headers.get(header::HOST);
@@ -312,21 +313,21 @@
 /// Reads the body of a request. Refuses the request if the body exceeds
 /// `limit` or is not complete in time.
 async fn read_body(
-    app: &App,
-    body: Incoming,
+    app: &Rc<App>,
+    mut body: Incoming,
     limit: usize,
     deadline: Millis,
-) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
+) -> Result<Bytes, (Refusal, BodyState)> {
+    let reading = Limited::new(&mut body, limit).collect();
     let read = app.wait_for_request(deadline, reading).await;
-    let Some(read) = read else {
-        return Err(Refusal::not_run(RefusalReason::SlowCaller, 0));
-    };
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(Refusal::not_run(RefusalReason::BodyTooLarge, 0))
+    let (reason, wait) = match read {
+        Some(Ok(collected)) => return Ok(collected.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            (RefusalReason::BodyTooLarge, MAX_WAIT)
         }
-        Err(_) => Err(Refusal::not_run(RefusalReason::BadRequest, 0)),
-    }
+        Some(Err(_)) => (RefusalReason::BadRequest, Duration::ZERO),
+        None => (RefusalReason::SlowCaller, Duration::ZERO),
+    };
+    let body = discard(app, body, wait).await;
+    Err((Refusal::not_run(reason, 0), body))
 }
