--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 mod connection;
 mod connector;
 mod crashes;
+mod discard;
 mod dispatch;
 mod exchange;
 mod links;
@@ -42,6 +43,7 @@
 mod server;
 mod signals;
 mod state;
+mod stop;
 mod tunnel;
 
 use std::{convert::Infallible, pin::Pin};
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -7,15 +7,16 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::Instant,
 };
 
-use valehold_core::Millis;
-
 use super::{
     App,
     connection::{self, is_finishing},
     dispatch::Listener,
-    links, tunnel,
+    links,
+    stop::StopTimes,
+    tunnel,
 };
 use crate::view::Life;
 
@@ -25,21 +26,12 @@
 /// How often expired state, such as idle connections to upstreams, is pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Some callers keep an address for up to this multiple of the advertised
-/// time.
-const ADDRESS_KEEP_FACTOR: u32 = 3;
-
-/// How much earlier than the end of that multiple the gateway stops accepting
-/// requests, so that the last requests have the time that a stop allows.
-const LINGER_MARGIN: Duration = Duration::from_millis(100);
-
-/// The largest fraction of the time for a stop in which requests are still
-/// accepted.
-const MAX_LINGER_FRACTION: f64 = 0.6;
+/// For how long a listener accepts connections that were made before it is
+/// closed: each one is reset then, with the request on it.
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(300);
 
-/// The fraction of the time for a stop after which the gateway no longer waits
-/// for open connections.
-const DRAIN_FRACTION: f64 = 0.93;
+/// The time without a new connection after which none is left.
+const BACKLOG_QUIET: Duration = Duration::from_millis(20);
 
 /// The listening sockets of a gateway.
 pub struct Listeners {
@@ -126,20 +118,14 @@
         // The platform ends the process when the time for a stop is over. That
         // time includes suspensions of the machine, so this clock does too.
         let shared = &self.app.shared;
-        let (clock, began) = (shared.clock, shared.clock.now());
-        let callers = &shared.settings.callers;
-        let stop = Duration::from_secs_f64(callers.stop_s);
-        let keep = Duration::from_secs(callers.address_keep_s);
-        let linger = (keep * ADDRESS_KEEP_FACTOR)
-            .saturating_sub(LINGER_MARGIN)
-            .min(stop.mul_f64(MAX_LINGER_FRACTION));
-        let lingers_until = began + Millis::from(linger).get();
+        let clock = shared.clock;
+        let times = StopTimes::new(clock.now(), &shared.settings.callers);
+        self.app.end_requests_at(times.requests_end);
         let pending = std::future::pending::<()>();
-        clock.wait_until(lingers_until, pending).await;
+        clock.wait_until(times.accepts_until, pending).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
-        let end = began + Millis::from(stop.mul_f64(DRAIN_FRACTION)).get();
-        while self.open.0.get() > 0 && clock.now() < end {
+        while self.open.0.get() > 0 && clock.now() < times.end {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
@@ -148,7 +134,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = socket.accept() => accepted,
-                _ = self.life.wait_for(is_finishing) => return,
+                _ = self.life.wait_for(is_finishing) => break,
             };
             match accepted {
                 Ok((stream, _)) => self.serve(stream, listener),
@@ -158,14 +144,30 @@
                 }
             }
         }
+        self.accept_backlog(&socket, listener).await;
+    }
+
+    /// Accepts the connections that were made before the listener is closed.
+    async fn accept_backlog(&self, socket: &TcpListener, listener: Listener) {
+        let began = Instant::now();
+        while began.elapsed() < MAX_BACKLOG_TIME {
+            let accepting = socket.accept();
+            match tokio::time::timeout(BACKLOG_QUIET, accepting).await {
+                Ok(Ok((stream, _))) => self.serve(stream, listener),
+                Ok(Err(error)) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    return;
+                }
+                Err(_) => return,
+            }
+        }
     }
 
     fn serve(&self, stream: TcpStream, listener: Listener) {
         // Sends each event of a stream without delay (no Nagle batching).
         let _ = stream.set_nodelay(true);
-        let stream = TokioIo::new(stream);
         if listener == Listener::Tunnels {
-            self.serve_tunnel(stream);
+            self.serve_tunnel(TokioIo::new(stream));
             return;
         }
         let (app, life) = (self.app.clone(), self.life.clone());
