An answer without a length is whole only if the start that gave it shows itself

Cause: after the end of such an answer the gateway connected to the address. A refused connection of an engine that was leaving or not listed counted as "unknown", which was taken for whole; an accepted one counted as "alive", whichever process accepted it.

Change: traffic/after_close.rs. The answer is whole only if its start is listed, is not leaving, has not crashed, and afterwards answers a health check that is meant for it (its name, or a rejection for want of room), and its report where it states its birth. Anything else is a broken-off stream, or a failed send that may have run. Crashes are found out apart from this, so that no request is blamed for a planned end.

Why it holds: every other start answers the question with 421 or its own name, and a process that has closed the answer's connection by ending answers nothing.

--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -18,8 +18,7 @@
 };
 
 use super::{
-    Body, BrokenOff,
-    crashes::{self, AfterClose},
+    Body, BrokenOff, after_close, crashes,
     exchange::{Exchange, ReceivedAnswer},
     pool::Reuse,
     route::Job,
@@ -40,7 +39,11 @@
     reuse: Option<Reuse>,
     splitter: EventSplitter,
     in_flight: InFlightGuard,
+    /// Whether only the end of the connection ends the body, and the answer is
+    /// not shown to be whole yet.
     ends_with_connection: bool,
+    /// When the end of the body was read.
+    ended_at: Option<Millis>,
     variant: Option<Variant>,
     began: Instant,
     /// Events that were read and not passed on yet.
@@ -59,8 +62,8 @@
 /// The next item of a stream.
 enum Next {
     Events(Bytes),
-    /// The end, and what is known of the upstream after it.
-    End(AfterClose),
+    /// The end of a whole answer.
+    End,
 }
 
 impl Relay {
@@ -76,6 +79,7 @@
             sender: Some(begun.sender),
             reuse: begun.reuse,
             ends_with_connection: begun.ends_with_connection,
+            ended_at: None,
             splitter: EventSplitter::default(),
             in_flight,
             variant: job.request.variant.clone(),
@@ -99,7 +103,7 @@
         match next {
             Next::Events(bytes) => Ok(bytes),
             // A complete stream without events is also an answer.
-            Next::End(_) => Ok(Bytes::new()),
+            Next::End => Ok(Bytes::new()),
         }
     }
 
@@ -179,17 +183,19 @@
         }
     }
 
-    /// Handles the end of the body, unless a crash of the upstream ended it.
+    /// Handles the end of the body, which is an error if the answer is not
+    /// shown to be whole.
     async fn end(&mut self, app: &App, job: &Job) -> Result<Next, BrokenOff> {
-        let after_close = match self.ends_with_connection {
-            true => crashes::after_close(app, job, &self.upstream).await,
-            false => AfterClose::Alive,
-        };
-        if after_close == AfterClose::Crashed {
-            return Err(BrokenOff);
+        if self.ends_with_connection {
+            // The caller may give this call up and repeat it.
+            let ended = *self.ended_at.get_or_insert_with(|| app.now());
+            if !after_close::is_whole(app, job, &self.upstream, ended).await {
+                return Err(BrokenOff);
+            }
+            self.ends_with_connection = false;
         }
         self.finish(app);
-        Ok(Next::End(after_close))
+        Ok(Next::End)
     }
 
     fn finish(&mut self, app: &App) {
@@ -237,10 +243,8 @@
                     self.record_if_outlived();
                     return Some(Ok(events));
                 }
-                Some(Ok(Next::End(after_close))) => {
-                    if after_close == AfterClose::Alive {
-                        self.record_outlived();
-                    }
+                Some(Ok(Next::End)) => {
+                    self.record_outlived();
                     self.relay = None;
                     self.exchange.log_answered(StatusCode::OK);
                     return None;
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -194,38 +194,6 @@
         || crashes.are_parts_near_refusal(job.shared_parts())
 }
 
-/// What the end of a connection that ended an answer says of the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum AfterClose {
-    /// The upstream accepts connections: the answer is whole.
-    Alive,
-    /// The upstream crashed: the answer may have been cut off.
-    Crashed,
-    /// Nothing is known of the upstream.
-    Unknown,
-}
-
-/// Returns whether an upstream crashed when it closed a connection. An answer
-/// without a length that a crash cuts off looks like a whole one.
-pub(super) async fn after_close(
-    app: &App,
-    job: &Job,
-    upstream: &Upstream,
-) -> AfterClose {
-    time::sleep(PROBE_DELAY).await;
-    let bound = current_bound(&app.shared.view.load(), job).into_owned();
-    let connecting = app.connector.connect(upstream.address);
-    if let Ok(Ok(_)) = time::timeout(PROBE_TIMEOUT, connecting).await {
-        return AfterClose::Alive;
-    }
-    let is_crash = has_crashed(app, &bound, upstream).await
-        && !is_planned_shutdown(app, &upstream.id);
-    match is_crash {
-        true => AfterClose::Crashed,
-        false => AfterClose::Unknown,
-    }
-}
-
 /// Returns whether an upstream accepts no connections.
 ///
 /// The links of this gateway may refuse connections that the upstream would
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -12,9 +12,10 @@
 
 use super::{
     super::{
+        after_close,
         answer::Relay,
         choose::Chosen,
-        crashes::{self, AfterClose},
+        crashes,
         route::Job,
         send::{BegunAnswer, SendFailure, send},
         state::App,
@@ -100,9 +101,8 @@
     let begun = send(app, job, upstream, permit, order.last()).await?;
     let head = begun.head.clone();
     if !(job.route.streaming && head.status.is_success()) {
-        let (body, after_close) =
-            read_whole(app, job, upstream, begun).await?;
-        if head.status.is_success() && after_close == AfterClose::Alive {
+        let body = read_whole(app, job, upstream, begun).await?;
+        if head.status.is_success() {
             crashes::record_answer(app, job, sent);
         }
         return Ok(ReceivedAnswer::Whole { head, body });
@@ -116,24 +116,24 @@
 /// Reads the body of an answer that is not streamed. Returns the connection to
 /// the pool if the connection can be reused.
 ///
-/// Returns the body, and what is known of the upstream after its end.
+/// # Errors
+///
+/// If the answer broke off, or is not shown to be whole.
 async fn read_whole(
     app: &App,
     job: &Job,
     upstream: &Upstream,
     begun: BegunAnswer,
-) -> Result<(Bytes, AfterClose), SendFailure> {
+) -> Result<Bytes, SendFailure> {
     let reading = Limited::new(begun.body, MAX_ANSWER_BYTES).collect();
     let collected = reading.await.map_err(|_| SendFailure::cut_off())?;
     if let Some(reuse) = begun.reuse {
         app.pool.put_back(&upstream.start(), begun.sender, reuse);
     }
-    let after_close = match begun.ends_with_connection {
-        true => crashes::after_close(app, job, upstream).await,
-        false => AfterClose::Alive,
-    };
-    match after_close {
-        AfterClose::Crashed => Err(SendFailure::cut_off()),
-        state => Ok((collected.to_bytes(), state)),
+    let is_whole = !begun.ends_with_connection
+        || after_close::is_whole(app, job, upstream, app.now()).await;
+    match is_whole {
+        true => Ok(collected.to_bytes()),
+        false => Err(SendFailure::cut_off()),
     }
 }
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -14,12 +14,15 @@
 //! - `send` sends the request to the upstream.
 //! - `signals` records what the answer states about the upstream: a shutdown, a
 //!   backoff or a request limit.
+//! - `after_close` decides whether an answer that ended with its connection is
+//!   whole.
 //! - `answer` relays the answer to the caller, event by event if the answer is
 //!   a stream.
 //!
 //! `exchange` calls these modules for a request, and repeats sends that fail.
 
 pub mod addresses;
+mod after_close;
 mod answer;
 mod brittle;
 mod charge;
--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -353,16 +353,9 @@
     if !may_request_backoff(head.status) {
         app.shared.backoffs().record_accepted(&upstream.start(), app.now());
     }
-    let closes = head
-        .headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    let reuse = reuse_after(&head.headers, stated.rest, answered.via);
     strip(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let (stated, via) = (stated.rest, answered.via);
-    let reuse = (!closes).then_some(Reuse { stated, via });
-    let reuse = reuse.filter(|_| !ends_with_connection);
     Ok(BegunAnswer { head, body, sender, reuse, ends_with_connection })
 }
 
@@ -372,6 +365,21 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Returns how a connection may be reused after an answer with some headers;
+/// `None` if the connection is closed.
+pub(super) fn reuse_after(
+    headers: &HeaderMap,
+    stated: Option<Duration>,
+    via: Option<SocketAddr>,
+) -> Option<Reuse> {
+    let closes = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    let stays_open = !closes && !ends_with_connection(headers);
+    stays_open.then_some(Reuse { stated, via })
+}
+
 /// Returns whether an answer with a status may request a backoff.
 fn may_request_backoff(status: StatusCode) -> bool {
     matches!(
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -345,6 +345,9 @@
 pub struct UpstreamAnswer {
     /// The identifier of the request that it answers.
     pub id: Option<Bytes>,
+    /// The start of the upstream that answers, if it says so: answers to a
+    /// question about its health do.
+    pub instance: Option<UpstreamId>,
     /// Whether it carries the upstream's signature.
     pub signed: bool,
     /// Whether the upstream says that it did not run the request.
@@ -399,6 +402,16 @@
         headers: &HeaderMap,
     ) -> UpstreamAnswer;
 
+    /// Returns the path at which an upstream is asked about its health. Its
+    /// answer says which start of it answers.
+    fn health_path(&self) -> &'static str;
+
+    /// Returns the path at which an upstream is asked for a report.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads from an upstream's report when it started, in ms, if it says so.
+    fn read_birth(&self, report: &[u8]) -> Option<u64>;
+
     /// Takes an upstream's signature off an answer that is not its own.
     fn unsign(&self, headers: &mut HeaderMap);
 
