What an engine holds counts, declared or not

What callers saw: a configuration dropped a model that an engine held and declared another one.

Cause: memory was reckoned by the newest declaration. `used_mb` counted an undeclared model as 0, `index_engine` left it out, and the last check before the order (`fits`) reckoned in the same way. A smaller declared size gave back memory in the same way, and an adapter was placed by the same sum.

Change: `fleet::model_sizes` keeps the largest size that a configuration declared for a model, while engines hold it and 60 s longer, at most 4,096 beyond that. Every gateway records each configuration, so that the next holder knows the sizes too. A model of unknown size leaves no memory free. A dropped model is unloaded where a declared one finds no room elsewhere (at once if its size is unknown), once the holder has seen it undeclared for 10 s of its epoch.

Property `no_order_loads_beyond_what_an_engine_really_holds`: random configurations, plans, adapters, late orders and new holders.

Changed tests: `used_mb(holding, spec)` in the properties of plans is now `declared_mb`, which fails on an undeclared model in place of counting 0; tests of adapters and of the placer pass or record the declared sizes. No bound moved.

Why it holds: an order is carried out only after exactly the orders that its decision knew of, so the holding of the decision is the engine's; the size of each model in it is no smaller than when it was loaded, or unknown, and then nothing is loaded.

--- a/crates/valehold-core/examples/plan_time.rs
+++ b/crates/valehold-core/examples/plan_time.rs
@@ -11,8 +11,10 @@
     fleet::{
         Holding, ModelSpec, RegionBound,
         catalog::EngineSpec,
+        model_sizes::ModelSizes,
         replicas::{
-            EngineState, ModelNeed, ModelNeeds, Needs, plan_with_bounds,
+            EngineState, KnownModels, ModelNeed, ModelNeeds, Needs,
+            plan_with_bounds,
         },
         topology::Topology,
     },
@@ -21,8 +23,8 @@
 
 /// The numbers of engines and models: the sizes of the users' deployments, and
 /// the target size.
-const SIZES: [(usize, usize); 4] =
-    [(18, 39), (140, 305), (240, 399), (1_500, 560)];
+const SIZES: [(usize, usize); 5] =
+    [(18, 39), (140, 305), (240, 399), (1_500, 560), (4_000, 560)];
 
 /// The number of times that each plan is made; the shortest time is printed.
 const ROUNDS: usize = 9;
@@ -111,11 +113,15 @@
     engines: &[EngineState],
 ) -> (usize, f64) {
     let topology = topology();
+    let sizes = ModelSizes::declared_by(spec);
+    let removable = BTreeSet::new();
+    let known = KnownModels { sizes: &sizes, removable: &removable };
     let mut shortest_ms = f64::MAX;
     let mut steps = 0;
     for _ in 0..ROUNDS {
         let began = Instant::now();
-        let plan = plan_with_bounds(spec, needs, engines, Some(&topology), 60);
+        let topology = Some(&topology);
+        let plan = plan_with_bounds(spec, known, needs, engines, topology, 60);
         let took_ms = began.elapsed().as_secs_f64() * 1_000.0;
         shortest_ms = shortest_ms.min(took_ms);
         steps = plan.len();
--- a/crates/valehold-core/src/fleet/adapters.rs
+++ b/crates/valehold-core/src/fleet/adapters.rs
@@ -1,14 +1,15 @@
 //! Chooses the engine that loads an adapter, and the adapter that is unloaded
 //! to make room for it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::{
     catalog::EngineSpec,
     listing::{Holding, Variant},
+    model_sizes::ModelSizes,
 };
 use crate::{
-    id::{AdapterName, ModelName, UpstreamId},
+    id::{ModelName, UpstreamId},
     rendezvous,
     time::Millis,
 };
@@ -57,10 +58,14 @@
 /// room, the adapter with the fewest requests is unloaded first. Ties are
 /// broken by rendezvous hashing, so that an adapter returns to the engine that
 /// held it before.
+///
+/// No adapter is unloaded from an engine that holds a model of unknown size:
+/// the engine would get no load afterwards.
 pub fn place_adapter(
     variant: &Variant,
     hosts: &[AdapterHost<'_>],
     spec: &EngineSpec,
+    sizes: &ModelSizes,
     usage_of: impl Fn(&Variant) -> AdapterUsage,
 ) -> Option<AdapterStep> {
     let key = variant.to_string();
@@ -74,12 +79,14 @@
     });
     let free = candidates
         .iter()
-        .filter(|host| has_room(host.holding, &variant.model, spec))
+        .filter(|host| has_room(host.holding, &variant.model, spec, sizes))
         .min_by_key(|host| host.holding.adapter_count());
     if let Some(host) = free {
         return Some(AdapterStep::Load(host.engine.clone()));
     }
-    let victims = candidates.iter().filter_map(|host| {
+    let known =
+        candidates.iter().filter(|host| sizes.used_mb(host.holding).is_some());
+    let victims = known.filter_map(|host| {
         let (victim, requests) = least_used(host, &usage_of)?;
         Some((host, victim, requests))
     });
@@ -94,34 +101,26 @@
     hosts: &[AdapterHost<'a>],
     model: &ModelName,
     spec: &EngineSpec,
+    sizes: &ModelSizes,
 ) -> Option<&'a UpstreamId> {
     let holders =
         hosts.iter().filter(|host| host.holding.models.contains_key(model));
-    let with_room = holders.filter(|host| has_room(host.holding, model, spec));
+    let with_room =
+        holders.filter(|host| has_room(host.holding, model, spec, sizes));
     let best = with_room.min_by_key(|host| host.holding.adapter_count());
     best.map(|host| host.engine)
 }
 
 /// Returns whether an engine has a free adapter place, and enough memory for
 /// an adapter of a model.
-fn has_room(holding: &Holding, model: &ModelName, spec: &EngineSpec) -> bool {
-    if holding.adapter_count() >= spec.adapter_places {
-        return false;
-    }
-    let size = spec.model(model).map_or(0, |model| model.adapter_size_mb);
-    used_mb(holding, spec) + size <= spec.memory_mb
-}
-
-/// Returns the memory that an engine's models and adapters use, in MB.
-///
-/// Models that `spec` does not declare count as 0.
-pub fn used_mb(holding: &Holding, spec: &EngineSpec) -> u64 {
-    let size_of = |(name, adapters): (&ModelName, &BTreeSet<AdapterName>)| {
-        spec.model(name).map_or(0, |model| {
-            model.size_mb + model.adapter_size_mb * adapters.len() as u64
-        })
-    };
-    holding.models.iter().map(size_of).sum()
+fn has_room(
+    holding: &Holding,
+    model: &ModelName,
+    spec: &EngineSpec,
+    sizes: &ModelSizes,
+) -> bool {
+    holding.adapter_count() < spec.adapter_places
+        && sizes.fits_adapter(holding, model, spec.memory_mb)
 }
 
 /// Returns the adapter with the fewest requests among the adapters that may be
--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod lapsed;
 pub mod leaving;
 pub mod listing;
+pub mod model_sizes;
 pub mod pace;
 pub mod paces;
 pub mod path_cost;
--- a/crates/valehold-core/src/fleet/replicas/mod.rs
+++ b/crates/valehold-core/src/fleet/replicas/mod.rs
@@ -26,8 +26,13 @@
 //! If more models are declared than the engines have places for, models
 //! without demand lose the guarantee of one replica. The last replica of an
 //! idle model may then be unloaded for a model with demand. A missing
-//! idle model is loaded if memory is free, but no other model is unloaded to
-//! make room.
+//! idle model is loaded if memory is free, but no other declared model is
+//! unloaded to make room.
+//!
+//! What an engine holds counts with the largest size known, whether or not the
+//! configuration declares it. A model that is no longer declared is unloaded
+//! when its place is wanted, and at once if its size is unknown, as nothing can
+//! be loaded beside it.
 //!
 //! - `need` defines the demand for models, overall and inside bounds.
 //! - `claim` counts the holders of a model inside a bound, and computes the
@@ -36,10 +41,12 @@
 //! - `targets` distributes the places on engines among the claims.
 //! - `shortfall` finds the claims with too few engines, and orders loads.
 //! - `room` chooses the engine for a load and the model to unload.
+//! - `dropped` unloads models that the configuration no longer declares.
 //! - `relocation` makes room inside a bound in which no model can be unloaded,
 //!   by first loading one of the models on an engine outside.
 
 mod claim;
+mod dropped;
 mod need;
 mod planner;
 mod relocation;
@@ -53,7 +60,10 @@
 
 pub use self::need::{ModelNeed, ModelNeeds, Needs};
 use self::planner::Planner;
-use super::{catalog::EngineSpec, listing::Holding, topology::Topology};
+use super::{
+    catalog::EngineSpec, listing::Holding, model_sizes::ModelSizes,
+    topology::Topology,
+};
 use crate::id::{DataCentreId, ModelName, SoftwareVersion, UpstreamId};
 
 /// The state of one engine, as input for a plan.
@@ -95,6 +105,15 @@
     WeightStore,
 }
 
+/// What is known of the models that engines may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownModels<'a> {
+    /// The sizes of the models, whether or not they are declared.
+    pub sizes: &'a ModelSizes,
+    /// The models that are not declared and that may be unloaded by now.
+    pub removable: &'a BTreeSet<ModelName>,
+}
+
 /// A step of a plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReplicaStep {
@@ -121,7 +140,7 @@
 pub const MIN_PRESSURE_FOR_REPLICA: f64 = 0.06;
 
 /// Returns the next steps, at most one for each engine, if no request has a
-/// region bound.
+/// region bound and all models have the size that `spec` declares.
 ///
 /// `loads` is the number of loads that the weight store allows now.
 pub fn plan(
@@ -131,7 +150,10 @@
     loads: usize,
 ) -> Vec<ReplicaStep> {
     let needs = Needs::from(demand.clone());
-    plan_with_bounds(spec, &needs, engines, None, loads)
+    let sizes = ModelSizes::declared_by(spec);
+    let removable = BTreeSet::new();
+    let known = KnownModels { sizes: &sizes, removable: &removable };
+    plan_with_bounds(spec, known, &needs, engines, None, loads)
 }
 
 /// Returns the next steps, at most one for each engine.
@@ -141,12 +163,14 @@
 /// allows now.
 pub fn plan_with_bounds(
     spec: &EngineSpec,
+    known: KnownModels<'_>,
     needs: &Needs,
     engines: &[EngineState],
     topology: Option<&Topology>,
     loads: usize,
 ) -> Vec<ReplicaStep> {
-    let mut planner = Planner::new(spec, needs, engines, topology, loads);
+    let mut planner =
+        Planner::new(spec, known, needs, engines, topology, loads);
     planner.set_targets();
     let missing = planner.missing_claims();
     let below_target = planner.claims_below_target();
@@ -157,5 +181,6 @@
     let idle = planner.idle_missing_claims();
     planner.load_copies(&idle);
     planner.load_into_free_memory(&idle);
+    planner.unload_models_of_unknown_size();
     planner.into_steps()
 }
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -1,16 +1,17 @@
 //! The state of a plan in the making: the engines, the models, the bounds, the
 //! counts of replicas, and the steps so far.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    EngineState, LoadSource, ReplicaStep,
+    EngineState, KnownModels, LoadSource, ReplicaStep,
     claim::Claim,
     need::{ModelNeed, Needs},
 };
 use crate::{
     fleet::{
         catalog::{EngineSpec, ModelSpec},
+        model_sizes::ModelSize,
         topology::Topology,
     },
     id::ModelName,
@@ -30,8 +31,11 @@
     /// Whether an order is or may be pending, or this plan already has a step
     /// for the engine. No further order may be given then.
     pub(super) has_pending_order: bool,
-    /// The memory that the models and adapters use, in MB.
-    pub(super) used_mb: u64,
+    /// The memory that all models and adapters use, undeclared ones among
+    /// them, in MB; `None` if the size of one is unknown.
+    pub(super) used_mb: Option<u64>,
+    /// The undeclared models that may be unloaded.
+    pub(super) removable: Vec<&'a ModelName>,
 }
 
 impl Engine<'_> {
@@ -44,6 +48,20 @@
     pub(super) fn accepts_order(&self) -> bool {
         self.state.is_available && !self.has_pending_order
     }
+
+    /// Returns whether a model fits into the memory that is free after
+    /// `freed_mb` are unloaded.
+    pub(super) fn fits(
+        &self,
+        size_mb: u64,
+        freed_mb: u64,
+        memory_mb: u64,
+    ) -> bool {
+        self.used_mb.is_some_and(|used_mb| {
+            used_mb.saturating_sub(freed_mb).saturating_add(size_mb)
+                <= memory_mb
+        })
+    }
 }
 
 /// A plan in the making.
@@ -54,6 +72,9 @@
 /// names, a plan for 1,500 engines and 560 models takes about 150 ms.
 pub(super) struct Planner<'a> {
     pub(super) spec: &'a EngineSpec,
+    pub(super) known: KnownModels<'a>,
+    /// The size of each declared model.
+    pub(super) sizes: Vec<ModelSize>,
     pub(super) engines: Vec<Engine<'a>>,
     /// For each bound and each engine, whether the engine is inside the bound.
     pub(super) inside: Vec<Vec<bool>>,
@@ -75,6 +96,7 @@
 impl<'a> Planner<'a> {
     pub(super) fn new(
         spec: &'a EngineSpec,
+        known: KnownModels<'a>,
         needs: &Needs,
         engines: &'a [EngineState],
         topology: Option<&Topology>,
@@ -83,9 +105,12 @@
         let models = spec.models.iter().map(|model| &model.name);
         let indexes = models.enumerate().map(|(index, name)| (name, index));
         let indexes: BTreeMap<&ModelName, usize> = indexes.collect();
-        let engine = |state| index_engine(state, spec, &indexes);
+        let engine = |state| index_engine(state, known, &indexes);
+        let size = |model| largest_size(model, known);
         let mut planner = Self {
             spec,
+            known,
+            sizes: spec.models.iter().map(size).collect(),
             engines: engines.iter().map(engine).collect(),
             inside: vec![vec![true; engines.len()]],
             claims: Vec::new(),
@@ -150,7 +175,7 @@
     /// Returns the number of models that fit an engine, whichever models these
     /// are; at least 1.
     pub(super) fn models_per_engine(&self) -> usize {
-        let largest = self.spec.models.iter().map(|m| m.size_mb).max();
+        let largest = self.sizes.iter().map(|size| size.weights_mb).max();
         let models = self.spec.memory_mb / largest.unwrap_or(1).max(1);
         usize::try_from(models).unwrap_or(usize::MAX).max(1)
     }
@@ -283,37 +308,51 @@
         });
     }
 
+    /// Adds an unload of an undeclared model to the plan.
+    pub(super) fn add_removal_step(&mut self, index: usize, name: &ModelName) {
+        let engine = &mut self.engines[index];
+        engine.has_pending_order = true;
+        engine.removable.retain(|held| *held != name);
+        self.steps.push(ReplicaStep::Unload {
+            engine: engine.state.id.clone(),
+            model: name.clone(),
+        });
+    }
+
     /// Returns the memory that a model and its adapters use on an engine, in
     /// MB.
     pub(super) fn held_mb(&self, engine: &Engine<'_>, model: usize) -> u64 {
-        held_mb(engine.state, &self.spec.models[model])
+        let name = &self.spec.models[model].name;
+        let adapters = engine.state.holding.models.get(name);
+        let adapters = adapters.map_or(0, BTreeSet::len);
+        self.sizes[model].with_adapters(adapters)
     }
 }
 
-/// Returns the memory that a model and its adapters use on an engine, in MB.
-fn held_mb(state: &EngineState, model: &ModelSpec) -> u64 {
-    let adapters = state.holding.models.get(&model.name);
-    let adapters = adapters.map_or(0, |adapters| adapters.len() as u64);
-    model.size_mb + model.adapter_size_mb * adapters
+/// Returns the largest size known of a declared model.
+fn largest_size(model: &ModelSpec, known: KnownModels<'_>) -> ModelSize {
+    let declared = ModelSize::from(model);
+    known.sizes.get(&model.name).map_or(declared, |size| size.max(declared))
 }
 
 /// Translates the state of an engine from model names to indexes.
 fn index_engine<'a>(
     state: &'a EngineState,
-    spec: &EngineSpec,
+    known: KnownModels<'_>,
     indexes: &BTreeMap<&ModelName, usize>,
 ) -> Engine<'a> {
     let index = |name: &ModelName| indexes.get(name).copied();
-    let models: Vec<usize> =
-        state.holding.models.keys().filter_map(index).collect();
-    let used_mb =
-        models.iter().map(|m| held_mb(state, &spec.models[*m])).sum();
+    let names = state.holding.models.keys();
+    let removable = names.clone().filter(|name| {
+        !indexes.contains_key(name) && known.removable.contains(*name)
+    });
     Engine {
         copies: state.copies.iter().filter_map(index).collect(),
         loading: state.loading.as_ref().and_then(index),
         has_pending_order: state.has_pending_order,
-        models,
-        used_mb,
+        models: names.clone().filter_map(index).collect(),
+        used_mb: known.sizes.used_mb(&state.holding),
+        removable: removable.collect(),
         state,
     }
 }
--- a/crates/valehold-core/src/fleet/replicas/relocation.rs
+++ b/crates/valehold-core/src/fleet/replicas/relocation.rs
@@ -120,15 +120,14 @@
             let engine = &self.engines[*engine];
             engine.accepts_order() && !engine.will_hold(missing_model)
         });
-        let size_mb = self.spec.models[missing_model].size_mb;
+        let size_mb = self.sizes[missing_model].weights_mb;
         candidates.flat_map(move |(index, _)| {
             let engine = &self.engines[index];
             let held = engine.models.iter().copied();
             let enough = held.filter(move |model| {
                 let freed_mb = self.held_mb(engine, *model);
                 !self.relocating.contains(model)
-                    && engine.used_mb - freed_mb + size_mb
-                        <= self.spec.memory_mb
+                    && engine.fits(size_mb, freed_mb, self.spec.memory_mb)
             });
             enough.map(move |model| (index, model))
         })
--- a/crates/valehold-core/src/fleet/replicas/room.rs
+++ b/crates/valehold-core/src/fleet/replicas/room.rs
@@ -66,13 +66,13 @@
         model: usize,
         is_allowed: impl Fn(usize) -> bool,
     ) -> Option<usize> {
-        let size_mb = self.spec.models[model].size_mb;
+        let size_mb = self.sizes[model].weights_mb;
         let candidates = (0..self.engines.len()).filter(|index| {
             let engine = &self.engines[*index];
             is_allowed(*index)
                 && engine.accepts_order()
                 && !engine.will_hold(model)
-                && engine.used_mb + size_mb <= self.spec.memory_mb
+                && engine.fits(size_mb, 0, self.spec.memory_mb)
         });
         let data_centres = self.data_centres_holding(model);
         let lone = self.versions_with_one_holder(model);
@@ -158,7 +158,7 @@
         requester: Requester,
         is_allowed: impl Fn(usize) -> bool,
     ) -> Option<Victim> {
-        let size_mb = self.spec.models[model].size_mb;
+        let size_mb = self.sizes[model].weights_mb;
         let mut best: Option<Victim> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !is_allowed(index)
@@ -174,8 +174,7 @@
                 let pressure_after = self.pressure_without(index, *held);
                 let freed_mb = self.held_mb(engine, *held);
                 if pressure < pressure_after * MIN_PRESSURE_RATIO
-                    || engine.used_mb - freed_mb + size_mb
-                        > self.spec.memory_mb
+                    || !engine.fits(size_mb, freed_mb, self.spec.memory_mb)
                 {
                     continue;
                 }
@@ -228,7 +227,11 @@
     /// Returns the cost of loading `model` on an engine that first has to
     /// unload another model; negative if the engine has a local copy and is
     /// not busy.
-    fn eviction_cost(&self, engine: &Engine<'_>, model: usize) -> f64 {
+    pub(super) fn eviction_cost(
+        &self,
+        engine: &Engine<'_>,
+        model: usize,
+    ) -> f64 {
         let slots = f64::from(self.spec.slots.max(1));
         let busy = engine.state.running_requests / slots * BUSY_ENGINE_COST;
         let has_copy = engine.copies.contains(&model);
--- a/crates/valehold-core/src/fleet/replicas/shortfall.rs
+++ b/crates/valehold-core/src/fleet/replicas/shortfall.rs
@@ -140,6 +140,8 @@
                 self.claims[shortfall.claim];
             if let Some(engine) = self.engine_with_room(shortfall.claim) {
                 self.add_load_step(engine, model);
+            } else if self.remove_dropped_model(shortfall.claim) {
+                making_room.insert(model);
             } else if bound == EVERYWHERE && making_room.contains(&model) {
                 continue;
             } else if self.make_room(shortfall.claim, shortfall.pressure) {
@@ -150,7 +152,8 @@
         }
     }
 
-    /// Loads models that still have too few engines where memory is free.
+    /// Loads models that still have too few engines where memory is free, or
+    /// takes the place of models that are no longer declared.
     pub(super) fn load_into_free_memory(&mut self, shortfalls: &[Shortfall]) {
         for shortfall in shortfalls {
             if self.is_met(shortfall) {
@@ -158,6 +161,8 @@
             }
             if let Some(engine) = self.engine_with_room(shortfall.claim) {
                 self.add_load_step(engine, self.claims[shortfall.claim].model);
+            } else {
+                self.remove_dropped_model(shortfall.claim);
             }
         }
     }
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -17,6 +17,7 @@
 mod keep_alive;
 mod lapsed;
 mod leaving;
+mod model_sizes;
 mod pace;
 mod paces;
 mod part_model;
--- a/crates/valehold-core/src/fleet/tests/adapters.rs
+++ b/crates/valehold-core/src/fleet/tests/adapters.rs
@@ -13,6 +13,7 @@
             AdapterHost, AdapterStep, AdapterUsage, host_with_fewest_adapters,
             place_adapter,
         },
+        model_sizes::ModelSizes,
     },
     id::{ModelName, UpstreamId},
 };
@@ -21,6 +22,11 @@
     Variant::adapted("m0", adapter)
 }
 
+/// Returns the sizes that the specification declares.
+fn sizes() -> ModelSizes {
+    ModelSizes::declared_by(&spec(3))
+}
+
 fn no_usage(_: &Variant) -> AdapterUsage {
     AdapterUsage::default()
 }
@@ -35,7 +41,8 @@
         AdapterHost { engine: &one, holding: &full, recent: &recent },
         AdapterHost { engine: &two, holding: &free, recent: &recent },
     ];
-    let step = place_adapter(&adapted("a4"), &hosts, &spec(3), no_usage);
+    let step =
+        place_adapter(&adapted("a4"), &hosts, &spec(3), &sizes(), no_usage);
     expect_that!(step, some(eq(&AdapterStep::Load(two.clone()))));
 }
 
@@ -56,8 +63,13 @@
             }
         }
     };
-    let step =
-        place_adapter(&adapted("a4"), &hosts, &spec(3), usage_of(&["a1"]));
+    let step = place_adapter(
+        &adapted("a4"),
+        &hosts,
+        &spec(3),
+        &sizes(),
+        usage_of(&["a1"]),
+    );
     let expected =
         AdapterStep::MakeRoom { engine: one.clone(), victim: adapted("a2") };
     expect_that!(step, some(eq(&expected)));
@@ -65,6 +77,7 @@
         &adapted("a4"),
         &hosts,
         &spec(3),
+        &sizes(),
         usage_of(&["a1", "a2"]),
     );
     expect_that!(step, none());
@@ -72,8 +85,13 @@
     let recent = BTreeMap::from([(adapted("a2"), Millis::new(1))]);
     let hosts =
         [AdapterHost { engine: &one, holding: &full, recent: &recent }];
-    let step =
-        place_adapter(&adapted("a4"), &hosts, &spec(3), usage_of(&["a1"]));
+    let step = place_adapter(
+        &adapted("a4"),
+        &hosts,
+        &spec(3),
+        &sizes(),
+        usage_of(&["a1"]),
+    );
     expect_that!(step, none());
 }
 
@@ -84,7 +102,8 @@
     let recent = BTreeMap::new();
     let hosts =
         [AdapterHost { engine: &one, holding: &other, recent: &recent }];
-    let step = place_adapter(&adapted("a1"), &hosts, &spec(3), no_usage);
+    let step =
+        place_adapter(&adapted("a1"), &hosts, &spec(3), &sizes(), no_usage);
     expect_that!(step, none());
 }
 
@@ -104,19 +123,22 @@
         [host(&one, &one_adapter), host(&two, &fewer), host(&three, &full)];
     let spec = spec(3);
     expect_that!(
-        host_with_fewest_adapters(&hosts, &model, &spec),
+        host_with_fewest_adapters(&hosts, &model, &spec, &sizes()),
         some(eq(&two))
     );
     expect_that!(
-        host_with_fewest_adapters(&hosts[..1], &model, &spec),
+        host_with_fewest_adapters(&hosts[..1], &model, &spec, &sizes()),
         some(eq(&one))
     );
     // An engine without a free place is not chosen, nor is an engine without
     // the model.
     expect_that!(
-        host_with_fewest_adapters(&hosts[2..], &model, &spec),
+        host_with_fewest_adapters(&hosts[2..], &model, &spec, &sizes()),
         none()
     );
     let hosts = [host(&one, &other)];
-    expect_that!(host_with_fewest_adapters(&hosts, &model, &spec), none());
+    expect_that!(
+        host_with_fewest_adapters(&hosts, &model, &spec, &sizes()),
+        none()
+    );
 }
--- a/crates/valehold-core/src/fleet/tests/replicas.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas.rs
@@ -9,8 +9,8 @@
 use crate::{
     fleet::{
         Holding, ModelSpec,
-        adapters::used_mb,
         catalog::EngineSpec,
+        model_sizes::ModelSizes,
         replicas::{EngineState, LoadSource, ModelNeed, ReplicaStep, plan},
     },
     id::{AdapterName, DataCentreId, ModelName, SoftwareVersion, UpstreamId},
@@ -46,6 +46,13 @@
     Holding { sequence: 0, models: models.iter().map(entry).collect() }
 }
 
+/// Returns the memory that an engine uses, in MB, if its models have the sizes
+/// that `spec` declares.
+pub(super) fn declared_mb(holding: &Holding, spec: &EngineSpec) -> u64 {
+    let used_mb = ModelSizes::declared_by(spec).used_mb(holding);
+    used_mb.expect("all models are declared")
+}
+
 fn engine(number: usize, models: &BTreeSet<usize>) -> EngineState {
     let name =
         |model: &usize| (ModelName::new(format!("m{model}")), BTreeSet::new());
@@ -146,7 +153,7 @@
                 );
             }
             for engine in &engines {
-                prop_assert!(used_mb(&engine.holding, &spec) <= 220);
+                prop_assert!(declared_mb(&engine.holding, &spec) <= 220);
             }
         }
     }
@@ -445,7 +452,7 @@
                 apply(&mut engines, step);
             }
             for engine in &engines {
-                prop_assert!(used_mb(&engine.holding, &spec) <= 220);
+                prop_assert!(declared_mb(&engine.holding, &spec) <= 220);
             }
         }
         for model in requested.keys() {
--- a/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
+++ b/crates/valehold-core/src/fleet/tests/replicas_in_bounds.rs
@@ -6,15 +6,15 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use super::replicas::spec;
+use super::replicas::{declared_mb, spec};
 use crate::{
     fleet::{
         Holding, RegionBound,
-        adapters::used_mb,
         catalog::EngineSpec,
+        model_sizes::ModelSizes,
         replicas::{
-            EngineState, LoadSource, ModelNeed, ModelNeeds, Needs,
-            ReplicaStep, plan_with_bounds,
+            EngineState, KnownModels, LoadSource, ModelNeed, ModelNeeds,
+            Needs, ReplicaStep, plan_with_bounds,
         },
         topology::Topology,
     },
@@ -136,13 +136,27 @@
     }
 }
 
+/// Plans with the sizes that the specification declares.
+fn plan_with(
+    spec: &EngineSpec,
+    needs: &Needs,
+    engines: &[EngineState],
+    topology: Option<&Topology>,
+    loads: usize,
+) -> Vec<ReplicaStep> {
+    let sizes = ModelSizes::declared_by(spec);
+    let removable = BTreeSet::new();
+    let known = KnownModels { sizes: &sizes, removable: &removable };
+    plan_with_bounds(spec, known, needs, engines, topology, loads)
+}
+
 /// Plans once, applies all steps, and returns the steps.
 fn plan_and_apply(
     spec: &EngineSpec,
     needs: &Needs,
     engines: &mut [EngineState],
 ) -> Vec<ReplicaStep> {
-    let steps = plan_with_bounds(spec, needs, engines, Some(&topology()), 4);
+    let steps = plan_with(spec, needs, engines, Some(&topology()), 4);
     for step in &steps {
         apply(engines, step);
     }
@@ -203,7 +217,7 @@
                     engine.is_available
                         && is_inside(bound, engine)
                         && !steps.iter().any(|s| *engine_of(s) == engine.id)
-                        && used_mb(&engine.holding, &spec) + 70 <= 220
+                        && declared_mb(&engine.holding, &spec) + 70 <= 220
                 };
                 let loads = steps.len();
                 prop_assert!(
@@ -214,7 +228,7 @@
                 );
             }
             for engine in &engines {
-                prop_assert!(used_mb(&engine.holding, &spec) <= 220);
+                prop_assert!(declared_mb(&engine.holding, &spec) <= 220);
             }
         }
     }
@@ -279,8 +293,7 @@
         (0..4).map(|number| engine(number, &BTreeSet::from([0]))).collect();
     engines[0] = engine(0, &BTreeSet::from([0, 1]));
     let needs = used_in_the_south(1, 0);
-    let steps =
-        plan_with_bounds(&spec, &needs, &engines, Some(&topology()), 2);
+    let steps = plan_with(&spec, &needs, &engines, Some(&topology()), 2);
     let expected = ReplicaStep::Load {
         engine: UpstreamId::new("e2"),
         model: name(1),
@@ -295,8 +308,7 @@
     let engines: Vec<EngineState> =
         (0..4).map(|number| engine(number, &BTreeSet::from([0]))).collect();
     let needs = used_in_the_south(1, 0);
-    let steps =
-        plan_with_bounds(&spec, &needs, &engines, Some(&topology()), 2);
+    let steps = plan_with(&spec, &needs, &engines, Some(&topology()), 2);
     let expected = ReplicaStep::Load {
         engine: UpstreamId::new("e2"),
         model: name(1),
@@ -338,6 +350,6 @@
     let engines: Vec<EngineState> =
         (0..3).map(|number| engine(number, &full)).collect();
     let needs = used_in_the_south(1, LONG_MISSING_MS);
-    let steps = plan_with_bounds(&spec, &needs, &engines, None, 2);
+    let steps = plan_with(&spec, &needs, &engines, None, 2);
     expect_that!(steps, elements_are![]);
 }
--- a/crates/valehold-gateway/src/control/configuring.rs
+++ b/crates/valehold-gateway/src/control/configuring.rs
@@ -53,6 +53,8 @@
             .log();
         log_empty_bounds(&catalog);
         self.shared.metrics.catalog(catalog.version);
+        let listing = self.upstreams.listing();
+        self.placer.record_catalog(&catalog, listing, now);
         self.catalog = Some(Arc::new(catalog));
         self.serve_if_ready();
         if !self.roster.has_hubs() || self.store == StoreStatus::Reachable {
--- a/crates/valehold-gateway/src/control/placer/adapters.rs
+++ b/crates/valehold-gateway/src/control/placer/adapters.rs
@@ -148,7 +148,8 @@
         }
         let hosts = self.hosts(now, service, bound, &variant.model);
         let usage_of = |variant: &Variant| usage_of(demand, variant);
-        match place_adapter(variant, &hosts, spec, usage_of) {
+        let sizes = self.models.sizes_of(service);
+        match place_adapter(variant, &hosts, spec, sizes, usage_of) {
             Some(AdapterStep::Load(engine)) => {
                 self.pending_adapter_orders.insert(variant.clone());
                 let action = OrderWish::Load(variant.clone());
@@ -209,8 +210,9 @@
         });
         let Some(variant) = missing.next() else { return false };
         let hosts = self.hosts(now, service, &anywhere, &model.name);
+        let sizes = self.models.sizes_of(service);
         let Some(engine) =
-            host_with_fewest_adapters(&hosts, &model.name, spec)
+            host_with_fewest_adapters(&hosts, &model.name, spec, sizes)
         else {
             return false;
         };
--- a/crates/valehold-gateway/src/control/placer/mod.rs
+++ b/crates/valehold-gateway/src/control/placer/mod.rs
@@ -9,10 +9,13 @@
 //! - `models` plans which engine loads and unloads which model.
 //! - `adapters` places adapters.
 //! - `holders` finds the engines that hold a model.
+//! - `known_models` keeps the sizes of models, and finds those that engines
+//!   hold although they are no longer declared.
 //! - `orders` sends the orders and processes their results.
 
 mod adapters;
 mod holders;
+mod known_models;
 mod models;
 mod orders;
 #[cfg(test)]
@@ -49,6 +52,7 @@
 use self::{
     adapters::{LoadRequest, PreloadScan},
     holders::ModelHolders,
+    known_models::ModelRecords,
 };
 use super::{
     entry::{EngineEntry, POLL_INTERVAL_MS},
@@ -106,6 +110,8 @@
     authority: Authority,
     entries: BTreeMap<UpstreamId, EngineEntry>,
     holders: ModelHolders,
+    /// The sizes of models, and the models that are no longer declared.
+    models: ModelRecords,
     /// The number of engines that are being polled.
     polls_in_flight: usize,
     /// Data centres that operators evacuate.
@@ -151,6 +157,7 @@
             authority,
             entries: BTreeMap::new(),
             holders: ModelHolders::default(),
+            models: ModelRecords::default(),
             polls_in_flight: 0,
             evacuated: BTreeSet::new(),
             load_requests: BTreeMap::new(),
@@ -170,6 +177,28 @@
         }
     }
 
+    /// Records the models that a new configuration declares. `listing` is the
+    /// list of upstreams, as this gateway may not hold the lease.
+    pub(super) fn record_catalog(
+        &mut self,
+        catalog: &Catalog,
+        listing: &Listing,
+        now: Millis,
+    ) {
+        let mut held: BTreeMap<&ServiceName, BTreeSet<&ModelName>> =
+            BTreeMap::new();
+        for entry in self.entries.values() {
+            let models = held.entry(&entry.service).or_default();
+            models.extend(entry.holding.models.keys());
+            models.extend(&entry.loading);
+        }
+        for upstream in listing.upstreams.values() {
+            let models = held.entry(&upstream.service).or_default();
+            models.extend(upstream.holding.models.keys());
+        }
+        self.models.record_catalog(catalog, &held, now);
+    }
+
     /// Updates the evacuated data centres. Engines in an evacuated data centre
     /// count as unavailable, so that their models are loaded elsewhere.
     pub(super) fn evacuate(&mut self, evacuations: &EvacuationState) {
@@ -251,6 +280,7 @@
             self.weight_loads.inherit(inherited);
         }
         self.missing.clear();
+        self.models.begin_epoch();
         self.peaks.clear();
         for entry in self.entries.values_mut() {
             entry.needs_report = true;
--- a/crates/valehold-gateway/src/control/placer/models.rs
+++ b/crates/valehold-gateway/src/control/placer/models.rs
@@ -8,7 +8,8 @@
         Catalog, RegionBound, UpstreamStart, Variant,
         catalog::EngineSpec,
         replicas::{
-            self, EngineState, ModelNeed, ModelNeeds, Needs, ReplicaStep,
+            self, EngineState, KnownModels, ModelNeed, ModelNeeds, Needs,
+            ReplicaStep,
         },
         topology::Topology,
         weight_loads::LoadRate,
@@ -104,7 +105,7 @@
 
     /// Plans the models of one service and sends the resulting orders, with at
     /// most `allowed` loads from the weight store.
-    fn place_models(
+    pub(super) fn place_models(
         &mut self,
         now: Millis,
         service: &ServiceName,
@@ -141,8 +142,13 @@
             log_needs(&needs.everywhere, &states);
         }
         let topology = Some(&self.topology);
+        let removable = self.models.removable(service, spec, &states, now);
+        let known = KnownModels {
+            sizes: self.models.sizes_of(service),
+            removable: &removable,
+        };
         let steps = replicas::plan_with_bounds(
-            spec, &needs, &states, topology, allowed,
+            spec, known, &needs, &states, topology, allowed,
         );
         for step in steps {
             match step {
@@ -151,14 +157,14 @@
                     let action = OrderWish::Load(variant);
                     let source = Some(source);
                     self.verify_and_send_order(
-                        &engine, action, source, spec, now,
+                        &engine, action, source, service, spec, now,
                     );
                 }
                 ReplicaStep::Unload { engine, model } => {
                     let variant = Variant { model, adapter: None };
                     let action = OrderWish::Unload(variant);
                     self.verify_and_send_order(
-                        &engine, action, None, spec, now,
+                        &engine, action, None, service, spec, now,
                     );
                 }
             }
--- a/crates/valehold-gateway/src/control/placer/orders.rs
+++ b/crates/valehold-gateway/src/control/placer/orders.rs
@@ -5,9 +5,10 @@
 use valehold_core::{
     Millis,
     fleet::{
-        Holding, adapters::used_mb, catalog::EngineSpec, replicas::LoadSource,
+        Holding, catalog::EngineSpec, model_sizes::ModelSizes,
+        replicas::LoadSource,
     },
-    id::UpstreamId,
+    id::{ServiceName, UpstreamId},
 };
 use valehold_ports::port::fleet::{
     EngineOrder, EngineReport, FleetEngines, OrderAnswer, OrderOutcome,
@@ -65,6 +66,7 @@
         engine: &UpstreamId,
         action: OrderWish,
         source: Option<LoadSource>,
+        service: &ServiceName,
         spec: &EngineSpec,
         now: Millis,
     ) {
@@ -87,7 +89,8 @@
         }
         let (engines, inputs) = (self.engines.clone(), self.inputs.clone());
         let authority = self.authority.clone();
-        let spec = spec.clone();
+        let sizes = self.models.sizes_of(service).clone();
+        let memory_mb = spec.memory_mb;
         tokio::task::spawn_local(async move {
             if matches!(order.action, OrderWish::Unload(_)) {
                 tokio::time::sleep(UNLOAD_DELAY).await;
@@ -99,7 +102,7 @@
                         || report.birth == order.engine.started_at_ms)
                     && report.holding == known_holding
                     && has_required_copy(&report, &order)
-                    && fits(&report.holding, &order.action, &spec)
+                    && fits(&report.holding, &order.action, &sizes, memory_mb)
             });
             let result = match is_unchanged {
                 true => send_if_permitted(&*engines, &authority, &order).await,
@@ -247,13 +250,16 @@
 }
 
 /// Returns whether the engine has enough free memory for the ordered model.
-fn fits(holding: &Holding, action: &OrderWish, spec: &EngineSpec) -> bool {
+fn fits(
+    holding: &Holding,
+    action: &OrderWish,
+    sizes: &ModelSizes,
+    memory_mb: u64,
+) -> bool {
     match action {
         OrderWish::Unload(_) => true,
         OrderWish::Load(variant) => {
-            let size = spec.model(&variant.model).map(|model| model.size_mb);
-            let used = used_mb(holding, spec);
-            size.is_some_and(|size| used + size <= spec.memory_mb)
+            sizes.fits_model(holding, &variant.model, memory_mb)
         }
     }
 }
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of restarted engines, of polls, and of the placement of adapters.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     sync::{
@@ -17,9 +17,9 @@
 use valehold_core::{
     Millis,
     fleet::{
-        BoundVariant, EngineHolding, Holding, Listing, ModelSpec, RegionBound,
-        Upstream, UpstreamStart, Variant, catalog::EngineSpec,
-        topology::Topology,
+        BoundVariant, CallerLimits, Catalog, EngineHolding, Holding, Listing,
+        ModelSpec, RegionBound, Service, Upstream, UpstreamStart, Variant,
+        catalog::EngineSpec, topology::Topology,
     },
     id::{
         AdapterName, DataCentreId, InstanceId, ModelName, ServiceName,
@@ -41,7 +41,10 @@
 use crate::{
     control::input::{Input, OrderResult, PendingOrder},
     mechanisms::MechanismSettings,
-    peers::{message::VariantDemand, roster::sums::DemandSum},
+    peers::{
+        message::VariantDemand,
+        roster::sums::{DemandSum, Loads},
+    },
 };
 
 /// Engines that answer no call.
@@ -324,6 +327,26 @@
     }
 }
 
+/// Creates a configuration of some services.
+fn catalog_of(services: BTreeMap<ServiceName, Service>) -> Catalog {
+    let limits = CallerLimits {
+        header_limit_bytes: 1,
+        body_limit_bytes: 1,
+        header_read_timeout_ms: 1,
+        keep_alive_timeout_ms: 1,
+    };
+    let (routes, workspaces) = (Vec::new(), None);
+    Catalog { version: 1, routes, services, limits, workspaces }
+}
+
+/// Records that a configuration declares some models.
+fn declare(placer: &mut Placer, spec: &EngineSpec, now: Millis) {
+    let service = Service { engine: Some(spec.clone()), cold: None };
+    let services = [(ServiceName::new("engines"), service)];
+    let catalog = catalog_of(services.into());
+    placer.record_catalog(&catalog, &Listing::default(), now);
+}
+
 /// Creates demand for some models, each with its requests per second.
 fn demand_for(models: &[(&str, f32)]) -> DemandSum {
     let demand_of = |(model, requests): &(&str, f32)| {
@@ -379,6 +402,7 @@
             ];
             let mut placer = placer_with_engines(holdings);
             let spec = spec_of(&["alpha", "beta"]);
+            declare(&mut placer, &spec, at(0));
             let service = ServiceName::new("engines");
             let demand = demand_for(&[("alpha", 0.5), ("beta", 3.0)]);
             placer.preload_adapters(at(1_000), &service, &spec, &demand);
@@ -400,6 +424,7 @@
                 &[&[("alpha", &["a1"])], &[("beta", &[])], &[("alpha", &[])]];
             let mut placer = placer_with_engines(holdings);
             let spec = spec_of(&["alpha", "beta"]);
+            declare(&mut placer, &spec, at(0));
             let service = ServiceName::new("engines");
             let demand = DemandSum::new();
             let bound = RegionBound::Anywhere;
@@ -470,3 +495,58 @@
         eq(1)
     );
 }
+
+/// Plans the models of the service, and returns whether the engine's place was
+/// taken from a model.
+fn unloads(placer: &mut Placer, spec: &EngineSpec, now: Millis) -> bool {
+    let service = ServiceName::new("engines");
+    let (demand, loads) = (DemandSum::new(), Loads::new());
+    placer.place_models(now, &service, spec, &demand, &loads, 4);
+    placer.entries[&start(1).id].unloading.is_some()
+}
+
+// The holder of the lease may lag behind the newest configuration, and so may
+// gateways that still send requests for a model that it drops.
+#[gtest]
+#[tokio::test]
+async fn a_dropped_model_makes_way_after_ten_seconds_of_one_epoch() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let mut placer = placer();
+            let before = spec_of(&["alpha", "beta", "gamma"]);
+            declare(&mut placer, &before, at(0));
+            let models = ["alpha", "beta", "gamma"];
+            placer.replace_listing(&listing_of_one(1, &models));
+            let after = spec_of(&["alpha", "beta", "delta"]);
+            declare(&mut placer, &after, at(0));
+            placer.begin_epoch(1, None);
+            placer.on_report(&start(1), report(1, 7, &models), at(0));
+            expect_false!(unloads(&mut placer, &after, at(1_000)));
+            expect_false!(unloads(&mut placer, &after, at(10_000)));
+            placer.begin_epoch(2, None);
+            placer.on_report(&start(1), report(1, 7, &models), at(11_000));
+            expect_false!(unloads(&mut placer, &after, at(11_000)));
+            expect_false!(unloads(&mut placer, &after, at(20_900)));
+            expect_true!(unloads(&mut placer, &after, at(21_000)));
+        })
+        .await;
+}
+
+// A gateway that never held the lease learns the sizes as well.
+#[gtest]
+fn sizes_of_dropped_models_are_kept_while_listed_engines_hold_them() {
+    let mut placer = placer();
+    let service = ServiceName::new("engines");
+    let listing = listing_of_one(1, &["gamma"]);
+    declare(&mut placer, &spec_of(&["gamma"]), at(0));
+    let catalog = catalog_of(BTreeMap::new());
+    let gamma = ModelName::new("gamma");
+    for now in [50_000, 200_000, 900_000] {
+        placer.record_catalog(&catalog, &listing, at(now));
+        let size = placer.models.sizes_of(&service).get(&gamma);
+        expect_that!(size.map(|size| size.weights_mb), some(eq(70)));
+    }
+    placer.record_catalog(&catalog, &Listing::default(), at(960_000));
+    expect_that!(placer.models.sizes_of(&service).get(&gamma), none());
+}
