--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 //! - `dispatch` accepts the request from the connection, and answers calls to the
 //!   gateway itself.
 //! - `route` finds the route, the service and the workspace of the request.
+//!   `discard` discards the bodies of requests that are refused there.
 //! - `charge` charges the request against the limit of its workspace.
 //! - `choose` chooses an upstream.
 //! - `permits` acquires a send permit if the upstream requires one.
@@ -18,6 +19,7 @@
 //!   a stream.
 //!
 //! `exchange` calls these modules for a request, and repeats sends that fail.
+//! `stop` has the times of a planned stop.
 
 pub mod addresses;
 mod answer;
