A stop that a suspension outlasted still refuses what is under way

A caller whose request was under way when a gateway went on after its stop's time had passed in a suspension got no answer, or a 504, as it happened: the process ended within some 20 ms, while requests look for their end four times a second.

The gateway now waits for open connections for at least 0.3 s after it ceased to accept. Without a suspension that moment lies well before the end of a stop, and nothing changes.

--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -26,6 +26,11 @@
 /// How often expired state, such as idle connections to upstreams, is pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The least time that requests under way have to be refused, in ms, also if
+/// the time of the stop is over after a suspension: they look for their end
+/// four times a second.
+const MIN_FINISH_MS: u64 = 300;
+
 /// For how long a listener accepts connections that were made before it is
 /// closed: each one is reset then, with the request on it.
 const MAX_BACKLOG_TIME: Duration = Duration::from_millis(300);
@@ -125,7 +130,8 @@
         clock.wait_until(times.accepts_until, pending).await;
         shared.set_life(Life::Finishing);
         let _ = requests.await;
-        while self.open.0.get() > 0 && clock.now() < times.end {
+        let end = times.end.max(clock.now() + MIN_FINISH_MS);
+        while self.open.0.get() > 0 && clock.now() < end {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
