Bound the waits of the tests, with messages

Callers of the stand-ins, raw reads, joins of gateways and two receives in unit tests had no bound either.

Cause: only `eventually` had a bound.

No check is changed.

--- a/crates/valehold-cli/tests/answers.rs
+++ b/crates/valehold-cli/tests/answers.rs
@@ -12,7 +12,7 @@
 use valehold_standin::EngineStandin;
 
 use crate::support::{
-    Caller, Deployment, eventually, expected_answer, streamed_answer,
+    Caller, Deployment, eventually, expected_answer, in_time, streamed_answer,
 };
 
 /// Turns on a fault of an engine.
@@ -177,7 +177,8 @@
                 Bearer example-key-one\r\ncontent-length: 100\r\n\r\n{";
     stream.write_all(head.as_bytes()).await.unwrap();
     let mut answer = vec![0; 4_096];
-    let length = stream.read(&mut answer).await.unwrap();
+    let reading = stream.read(&mut answer);
+    let length = in_time("a refusal", reading).await.unwrap();
     let answer = String::from_utf8_lossy(&answer[..length]);
     expect_that!(answer, starts_with("HTTP/1.1 408"));
     expect_that!(answer, contains_substring("slow_caller"));
--- a/crates/valehold-cli/tests/support/mod.rs
+++ b/crates/valehold-cli/tests/support/mod.rs
@@ -49,6 +49,13 @@
     panic!("this did not come about: {what}");
 }
 
+/// Waits for a future that has to complete.
+pub async fn in_time<F: Future>(what: &str, future: F) -> F::Output {
+    let patience = BETWEEN_TRIES * TRIES as u32;
+    let waited = tokio::time::timeout(patience, future).await;
+    waited.unwrap_or_else(|_| panic!("this did not come about: {what}"))
+}
+
 /// A running `valehold-instance`; dropping it kills it.
 pub struct Process {
     pub name: String,
@@ -334,6 +341,14 @@
             request = request.header(*name, *value);
         }
         let request = request.body(Full::from(body)).unwrap();
+        let what = format!("the whole answer to {method} {path}");
+        in_time(&what, self.answer(request)).await
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, String> {
         let response = self.client.request(request).await;
         let (parts, body) =
             response.map_err(|e| format!("{e:?}"))?.into_parts();
--- a/crates/valehold-gateway/src/control/feeds/tests.rs
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -37,6 +37,10 @@
 /// propagation to other gateways takes up to half a second.
 const RECEIVED_WITHIN_MS: u64 = 2_500;
 
+/// How long a change is waited for by the clock of the runtime: longer than any
+/// outage.
+const GIVE_UP: Duration = Duration::from_secs(3_600);
+
 /// The time that the adapter adds to the wait of a watch before timing out, in
 /// ms.
 const ADAPTER_SLACK_MS: u64 = 1_000;
@@ -243,7 +247,10 @@
             () = follow => unreachable!("it follows while inputs are taken"),
         }
     };
-    runtime().block_on(run).saturating_sub(back)
+    // The clock of the runtime goes on by itself, so this takes no time.
+    let run = async { tokio::time::timeout(GIVE_UP, run).await };
+    let at = runtime().block_on(run).expect("the change is received");
+    at.saturating_sub(back)
 }
 
 /// Returns a runtime whose clock advances by itself while idle.
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -13,7 +13,7 @@
 
 use futures::FutureExt;
 use googletest::prelude::*;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 use valehold_core::{
     Millis,
     fleet::{
@@ -44,6 +44,9 @@
     peers::{message::VariantDemand, roster::sums::DemandSum},
 };
 
+/// How long a report of an engine that answers within some ms is waited for.
+const REPORT_WITHIN: Duration = Duration::from_secs(60);
+
 /// Engines that answer no call.
 struct SilentEngines;
 
@@ -237,7 +240,9 @@
     placer.poll_due_engines(&service, at(now));
     while placer.polls_in_flight > 0 {
         let Some(Input::EngineReported { start, report }) =
-            reports.recv().await
+            timeout(REPORT_WITHIN, reports.recv())
+                .await
+                .expect("a report of an engine")
         else {
             break;
         };
