End accepted connections whose other side takes nothing

What callers saw: nothing at first; a gateway kept each connection of a caller that read nothing of its answer, with up to 16 MB of it, for as long as that caller liked. A gateway that read nothing kept its place among the readers of another one's state, of which there are few, or a tunnel and the connection to an upstream behind it.

Cause: accepted sockets had no limit. The deadline of a request does not help: nothing of an answer is asked for while the socket takes nothing.

Change: TCP_USER_TIMEOUT on accepted connections, 30 s for callers (the deadline of a request that states none) and 15 s for gateways; keepalive probes for gateways, whose tunnels may be idle.

Why it holds: the kernel ends a connection whose window stays closed, or whose bytes stay unconfirmed, for that long. A side that takes any byte begins anew.

--- a/crates/valehold-gateway/src/lib.rs
+++ b/crates/valehold-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 pub mod settings_file;
 pub mod shared;
+mod silence;
 pub mod traffic;
 pub mod view;
 
--- a/crates/valehold-gateway/src/peers/state.rs
+++ b/crates/valehold-gateway/src/peers/state.rs
@@ -33,7 +33,7 @@
 };
 
 use super::message::{FORMAT, check_format};
-use crate::shared::Shared;
+use crate::{shared::Shared, silence};
 
 /// The path at which peers read a gateway's state.
 const STATE_PATH: &str = "/state";
@@ -189,6 +189,7 @@
     let server = Rc::new(StateServer::new(shared));
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
+        silence::limit_gateway(&stream);
         let reader = Reader::new(server.clone());
         let answering = service_fn(move |request: Request<Incoming>| {
             let answer = reader.answer(&request);
--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -17,7 +17,7 @@
     dispatch::Listener,
     links, tunnel,
 };
-use crate::view::Life;
+use crate::{silence, view::Life};
 
 /// How long another gateway may take to ask for a tunnel over its connection.
 const TUNNEL_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -163,11 +163,13 @@
     fn serve(&self, stream: TcpStream, listener: Listener) {
         // Sends each event of a stream without delay (no Nagle batching).
         let _ = stream.set_nodelay(true);
-        let stream = TokioIo::new(stream);
         if listener == Listener::Tunnels {
-            self.serve_tunnel(stream);
+            silence::limit_gateway(&stream);
+            self.serve_tunnel(TokioIo::new(stream));
             return;
         }
+        silence::limit_caller(&stream);
+        let stream = TokioIo::new(stream);
         let (app, life) = (self.app.clone(), self.life.clone());
         let open = self.open.enter();
         tokio::task::spawn_local(async move {
