--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -18,7 +18,7 @@
     stop::StopTimes,
     tunnel,
 };
-use crate::view::Life;
+use crate::{silence, view::Life};
 
 /// How long another gateway may take to ask for a tunnel over its connection.
 const TUNNEL_HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -173,9 +173,12 @@
         // Sends each event of a stream without delay (no Nagle batching).
         let _ = stream.set_nodelay(true);
         if listener == Listener::Tunnels {
+            silence::limit_gateway(&stream);
             self.serve_tunnel(TokioIo::new(stream));
             return;
         }
+        silence::limit_caller(&stream);
+        let stream = TokioIo::new(stream);
         let (app, life) = (self.app.clone(), self.life.clone());
         let open = self.open.enter();
         tokio::task::spawn_local(async move {
