--- a/crates/valehold-gateway/src/traffic/server.rs
+++ b/crates/valehold-gateway/src/traffic/server.rs
@@ -178,7 +178,6 @@
             return;
         }
         silence::limit_caller(&stream);
-        let stream = TokioIo::new(stream);
         let (app, life) = (self.app.clone(), self.life.clone());
         let open = self.open.enter();
         tokio::task::spawn_local(async move {
