A crash is noticed although another start already has the engine's address

A request that crashes its engines went on to others: where the address of an ended engine accepted connections again by the time of the gateway's probe (a gateway that stood still, an engine or another service's server that took the address), the crash was not recorded.

Cause: `has_crashed` takes an accepted connection for the engine.

Only the word of another start (421, another name, another birth) counts as a crash; silence, a failed health check and a planned end do not.

Why it holds: a start that answers under its own name has the address only after the other one has ended; an entry that is leaving or off the list blames no request, as before.

--- a/crates/valehold-gateway/src/traffic/after_close.rs
+++ b/crates/valehold-gateway/src/traffic/after_close.rs
@@ -43,6 +43,18 @@
 /// The maximum size in bytes of what an upstream says about itself.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
+/// Which start of which upstream answers at an address, compared with the one
+/// that is meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Identity {
+    Same,
+    /// The same start, which says that it is leaving.
+    Leaving,
+    Another,
+    /// The answer does not tell.
+    Untold,
+}
+
 /// Why a question to an upstream got no answer.
 #[derive(Debug, thiserror::Error)]
 enum QuestionError {
@@ -110,11 +122,11 @@
         while brittle::is_held_back(app, upstream) {
             time::sleep(REPEAT_DELAY).await;
         }
-        match is_same_start(app, job, upstream).await {
-            Ok(true) => return true,
-            Ok(false) => {
-                let why = "another start has its address, or it is leaving";
-                log_not_shown(upstream, why);
+        match identify(app, job, upstream).await {
+            Ok(Identity::Same) => return true,
+            Ok(identity) => {
+                let why = format!("the start at its address: {identity:?}");
+                log_not_shown(upstream, &why);
                 return false;
             }
             Err(error) if error.is_final() => {
@@ -129,52 +141,82 @@
     }
 }
 
-/// Returns whether the process at an upstream's address is the same start of
-/// the same upstream.
-async fn is_same_start(
+/// Returns whether another start of any upstream has the address of an upstream
+/// within a time: the upstream has ended then, although its address accepts
+/// connections.
+pub(super) async fn is_replaced(
     app: &App,
     job: &Job,
     upstream: &Upstream,
-) -> Result<bool, QuestionError> {
+    within: Duration,
+) -> bool {
+    if brittle::is_held_back(app, upstream) {
+        return false;
+    }
+    let identifying = time::timeout(within, identify(app, job, upstream));
+    match identifying.await {
+        Ok(Ok(identity)) => identity == Identity::Another,
+        Ok(Err(error)) => {
+            log::debug!("{} did not say who it is: {error}", upstream.id);
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+/// Asks the process at an upstream's address which start of which upstream it
+/// is.
+async fn identify(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+) -> Result<Identity, QuestionError> {
     let path = app.dialect.health_path();
     let answer = ask(app, job, upstream, path).await?;
-    if !is_same_upstream(app, upstream, &answer) {
-        return Ok(false);
-    }
+    let identity = identity_in(app, upstream, &answer);
     let Some(started_at_ms) = upstream.started_at_ms else {
-        return Ok(true);
+        return Ok(identity);
     };
+    if identity != Identity::Same {
+        return Ok(identity);
+    }
     let path = app.dialect.report_path();
     let report = ask(app, job, upstream, path).await?;
-    let stated = app.dialect.read_birth(report.body());
-    Ok(stated == Some(started_at_ms))
+    Ok(match app.dialect.read_birth(report.body()) {
+        Some(stated) if stated == started_at_ms => Identity::Same,
+        Some(_) => Identity::Another,
+        None => Identity::Untold,
+    })
 }
 
-/// Returns whether the answer to a question that was meant for an upstream
-/// comes from that upstream, and does not say that it is leaving. An upstream
-/// that has no room rejects the question without its name, but any other one
-/// would say that it is not the one meant.
-fn is_same_upstream(
+/// Returns which upstream gave the answer to a question that was meant for an
+/// upstream. An upstream that has no room rejects the question without its
+/// name, but any other one would say that it is not the one meant.
+fn identity_in(
     app: &App,
     upstream: &Upstream,
     answer: &Response<Bytes>,
-) -> bool {
+) -> Identity {
     let stated = app.dialect.read_answer(answer.status(), answer.headers());
     let is_other = answer.status() == StatusCode::MISDIRECTED_REQUEST;
     let is_rejection = stated.not_run && !is_other;
-    let is_same = match stated.instance {
-        Some(id) => id == upstream.id,
-        None => is_rejection,
+    let identity = match stated.instance {
+        Some(id) if id == upstream.id => Identity::Same,
+        Some(_) => Identity::Another,
+        None if is_other => Identity::Another,
+        None if is_rejection => Identity::Same,
+        None => Identity::Untold,
     };
-    if is_same && is_rejection {
+    if identity == Identity::Same && is_rejection {
         let capacity = stated.rejections.map(RejectionCapacity);
         let answer = BrittleAnswer { capacity, is_rejection };
         brittle::record(app, upstream, answer);
     }
-    if is_same && stated.leaving {
+    if identity == Identity::Same && stated.leaving {
         app.shared.report_leaving(upstream.start());
+        return Identity::Leaving;
     }
-    is_same && !stated.leaving
+    identity
 }
 
 /// Sends a question that only one upstream answers, over an idle connection
--- a/crates/valehold-gateway/src/traffic/crashes.rs
+++ b/crates/valehold-gateway/src/traffic/crashes.rs
@@ -22,7 +22,10 @@
     reason::RefusalReason,
 };
 
-use super::{choose::current_bound, route::Job, state::App, tunnel};
+use super::{
+    after_close::is_replaced, choose::current_bound, route::Job, state::App,
+    tunnel,
+};
 use crate::events::Event;
 
 /// The delay between a broken connection and the probe of the upstream's
@@ -137,7 +140,9 @@
 /// Connections break for many reasons. After a crash, the address of the
 /// upstream refuses connections: within 1 ms of the crash, and seconds before
 /// the entry of the upstream leaves the listing. A probe of the address
-/// therefore distinguishes crashes from other failures.
+/// therefore distinguishes crashes from other failures. A gateway that was
+/// suspended probes late, when another start may have the address: so that
+/// start is asked which one it is.
 pub(super) fn on_break_off(
     app: &Rc<App>,
     job: &Job,
@@ -155,9 +160,11 @@
     if pending.add(start.clone(), job, sent, at) {
         let bound = current_bound(&app.shared.view.load(), job).into_owned();
         let (app, upstream) = (app.clone(), upstream.clone());
+        let job = job.clone();
         tokio::task::spawn_local(async move {
             time::sleep(PROBE_DELAY).await;
-            let has_crashed = has_crashed(&app, &bound, &upstream).await;
+            let has_crashed = has_crashed(&app, &bound, &upstream).await
+                || is_replaced(&app, &job, &upstream, PROBE_TIMEOUT).await;
             let break_offs = app.pending_break_offs.take(&start);
             let is_crash =
                 has_crashed && !is_planned_shutdown(&app, &start.id);
