Memory freed by dropped models is looked up once a plan, not once a claim

What callers would see: slow plans. For each missing model, the sizes of all dropped models on all engines were looked up anew: with 4,000 engines that each hold one and 560 missing models some million look-ups a plan, by reckoning (not measured). Now each engine's are looked up when the plan begins.

Evidence: the 32 tests of sizes, replicas and adapters pass. Why it holds: a plan's holdings do not change.

--- a/crates/valehold-core/src/fleet/replicas/dropped.rs
+++ b/crates/valehold-core/src/fleet/replicas/dropped.rs
@@ -56,20 +56,15 @@
         let engine = &self.engines[index];
         let size_mb = self.sizes[model].weights_mb;
         let memory_mb = self.spec.memory_mb;
-        let holding = &engine.state.holding;
-        let freed_by = |name: &ModelName| {
-            self.known.sizes.held_mb(holding, name).unwrap_or(0)
-        };
-        let all = engine.removable.iter().copied();
-        let freed_by_all = all.clone().map(freed_by).sum();
-        if !engine.fits(size_mb, freed_by_all, memory_mb) {
+        let freed = engine.removable.iter().map(|(_, freed_mb)| *freed_mb);
+        if !engine.fits(size_mb, freed.sum(), memory_mb) {
             return None;
         }
-        let largest = all.max_by_key(|name| freed_by(name))?;
+        let (name, freed_mb) = *engine.removable.first()?;
         Some(DroppedModel {
             engine: index,
-            name: largest,
-            needs_more: !engine.fits(size_mb, freed_by(largest), memory_mb),
+            name,
+            needs_more: !engine.fits(size_mb, freed_mb, memory_mb),
             cost: self.eviction_cost(engine, model),
         })
     }
@@ -82,10 +77,11 @@
             if engine.used_mb.is_some() || !engine.accepts_order() {
                 continue;
             }
-            let mut removable = engine.removable.iter().copied();
+            let mut removable = engine.removable.iter();
             let sizes = self.known.sizes;
-            let unknown = removable.find(|name| sizes.get(name).is_none());
-            if let Some(name) = unknown {
+            let unknown =
+                removable.find(|(name, _)| sizes.get(name).is_none());
+            if let Some((name, _)) = unknown.copied() {
                 self.add_removal_step(index, name);
             }
         }
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -34,8 +34,9 @@
     /// The memory that all models and adapters use, undeclared ones among
     /// them, in MB; `None` if the size of one is unknown.
     pub(super) used_mb: Option<u64>,
-    /// The undeclared models that may be unloaded.
-    pub(super) removable: Vec<&'a ModelName>,
+    /// The undeclared models that may be unloaded, the largest first, each
+    /// with the memory that its unload frees, in MB.
+    pub(super) removable: Vec<(&'a ModelName, u64)>,
 }
 
 impl Engine<'_> {
@@ -312,7 +313,7 @@
     pub(super) fn add_removal_step(&mut self, index: usize, name: &ModelName) {
         let engine = &mut self.engines[index];
         engine.has_pending_order = true;
-        engine.removable.retain(|held| *held != name);
+        engine.removable.retain(|(held, _)| *held != name);
         self.steps.push(ReplicaStep::Unload {
             engine: engine.state.id.clone(),
             model: name.clone(),
@@ -346,13 +347,18 @@
     let removable = names.clone().filter(|name| {
         !indexes.contains_key(name) && known.removable.contains(*name)
     });
+    let freed_by =
+        |name| known.sizes.held_mb(&state.holding, name).unwrap_or(0);
+    let mut removable: Vec<(&ModelName, u64)> =
+        removable.map(|name| (name, freed_by(name))).collect();
+    removable.sort_by_key(|(_, freed_mb)| std::cmp::Reverse(*freed_mb));
     Engine {
         copies: state.copies.iter().filter_map(index).collect(),
         loading: state.loading.as_ref().and_then(index),
         has_pending_order: state.has_pending_order,
         models: names.clone().filter_map(index).collect(),
         used_mb: known.sizes.used_mb(&state.holding),
-        removable: removable.collect(),
+        removable,
         state,
     }
 }
