--- a/crates/valehold-core/src/fleet/crashes/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -13,6 +13,7 @@
 mod content;
 mod culprit;
 mod culprits;
+mod explanation;
 mod exposures;
 mod independence;
 mod part;
--- a/crates/valehold-core/src/fleet/tests/part_model/kept.rs
+++ b/crates/valehold-core/src/fleet/tests/part_model/kept.rs
@@ -99,3 +99,17 @@
         has_output: false,
     });
 }
+
+#[test]
+fn two_frequent_culprits_stop_beside_little_traffic() {
+    assert_crashing_parts_stop(Scenario {
+        seed: 3_604_121_129_860_609_327,
+        culprits: 2,
+        culprits_per_s: 4.853482560250959,
+        sound_per_s: 7.498404607344171,
+        sound_parts: 16,
+        max_wait_ms: 494,
+        waves: vec![4_748, 1_842, 14_204],
+        has_output: false,
+    });
+}
