--- a/crates/valehold-core/src/fleet/crashes/independence.rs
+++ b/crates/valehold-core/src/fleet/crashes/independence.rs
@@ -49,24 +49,6 @@
     }
 }
 
-/// Returns the first of each series of crashes that happened at about the same
-/// time. A request that fails in a series is sent again at once, so that it
-/// may be in flight at a later crash of the same series.
-pub(super) fn separate<'a>(
-    sorted: &[Involvement<'a>],
-) -> Vec<Involvement<'a>> {
-    let mut separate: Vec<Involvement<'a>> = Vec::new();
-    for one in sorted {
-        let is_in_series = separate
-            .last()
-            .is_some_and(|first| is_simultaneous(one.crash, first.crash));
-        if !is_in_series {
-            separate.push(*one);
-        }
-    }
-    separate
-}
-
 /// What the crashes at which a request was in flight say of the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Count {
--- a/crates/valehold-core/src/fleet/crashes/mod.rs
+++ b/crates/valehold-core/src/fleet/crashes/mod.rs
@@ -13,7 +13,6 @@
 mod content;
 mod culprit;
 mod culprits;
-mod explanation;
 mod exposures;
 mod independence;
 mod part;
--- a/crates/valehold-core/src/fleet/crashes/part_culprits.rs
+++ b/crates/valehold-core/src/fleet/crashes/part_culprits.rs
@@ -10,8 +10,7 @@
 use super::{
     Crash, Evidence, PartGroup, PartId, RequestContent,
     culprits::Unexplained,
-    explanation::best_explanation,
-    independence::{Involvement, count, separate},
+    independence::{Involvement, count},
 };
 use crate::{id::UpstreamTag, time::Millis};
 
@@ -22,29 +21,20 @@
 /// time other upstreams crashed without the part counts half.
 const MIN_INDEPENDENT: usize = 3;
 
-/// Number of independent crashes, counted in the same way, from which a part
-/// that few requests hold is refused without further time for answers.
-const CLEAR_INDEPENDENT: usize = 4;
-
 /// Number of crashes at which a request with the part was in flight, other
 /// than those of the one request that was in flight at most of them. Fewer are
 /// explained by that request.
 const MIN_BESIDE_ONE_REQUEST: usize = 2;
 
-/// Number of crashes without the other part at which the second of two parts
-/// that explain the crashes together was in flight. Where requests with both
-/// often meet at one upstream, the rest alone would be too few for a refusal.
-const MIN_BESIDE_OTHER_PART: usize = 2;
-
 /// Number of crashes from which parts of different requests that were in
 /// flight at the same crashes are all refused: waiting for a crash or an
 /// answer that tells them apart would cost further upstreams.
 const UNDECIDED_UNTIL_CRASHES: usize = 6;
 
 /// Mean number of requests with a part that were in flight at its crashes,
-/// times two, up to which the part may be refused as soon as other parts at
-/// the crashes are cleared. Where more requests hold a part, answers to some
-/// of them get time to clear it.
+/// times two, up to which the part is refused as soon as other parts at the
+/// crashes are cleared. Where more requests hold a part, answers to some of
+/// them get time to clear it.
 const RARE_HOLDERS_TWICE: usize = 3;
 
 /// The time that upstreams get to begin an answer with a part that many
@@ -73,8 +63,8 @@
 
 /// A crash that speaks against a part.
 #[derive(Debug, Clone)]
-pub(super) struct PartCrash<'a> {
-    pub(super) crash: &'a Crash,
+struct PartCrash<'a> {
+    crash: &'a Crash,
     /// When the first request with the part was sent to the upstream, as the
     /// expiry of a crash at that moment.
     sent_expiry: Millis,
@@ -83,7 +73,7 @@
 }
 
 /// The crashes that speak against a part.
-pub(super) type PartCrashes<'a> = BTreeMap<UpstreamTag, PartCrash<'a>>;
+type PartCrashes<'a> = BTreeMap<UpstreamTag, PartCrash<'a>>;
 
 /// A part against which enough crashes speak.
 #[derive(Debug, Clone)]
@@ -114,51 +104,27 @@
     evidence: Evidence<'_>,
 ) -> Vec<FoundGroup> {
     let by_part = crashes_by_part(unexplained, evidence);
-    let alone = by_part.iter().map(|(part, crashes)| {
-        (*part, crashes_alone(&by_part, *part, crashes))
-    });
-    let alone: BTreeMap<PartId, PartCrashes<'_>> = alone.collect();
-    let best = best_explanation(evidence, &alone);
-    let suspects = alone.into_iter().filter_map(|(part, crashes)| {
-        PartSuspect::find(unexplained, evidence, part, crashes)
+    let suspects = by_part.iter().filter_map(|(part, crashes)| {
+        let alone = crashes_alone(&by_part, *part, crashes);
+        PartSuspect::find(unexplained, evidence, *part, alone)
     });
     let mut suspects: Vec<PartSuspect<'_>> = suspects.collect();
     suspects.sort_by(|one, other| other.compare(one));
-    let explaining =
-        suspects.iter().filter(|suspect| best.contains(&suspect.part));
-    let mut decided = explaining.filter_map(|suspect| {
-        let groups = groups_equal_to(suspect, &suspects, &by_part, evidence);
-        let is_decided = groups.len() == 1
-            || suspect.crashes.len() >= UNDECIDED_UNTIL_CRASHES;
-        is_decided.then_some((suspect, groups))
-    });
-    let Some((first, mut found)) = decided.next() else { return Vec::new() };
-    for (second, groups) in decided {
-        if second.crashes_without(first) >= MIN_BESIDE_OTHER_PART {
-            let new = groups.into_iter().filter(|one| !found.contains(one));
-            let new: Vec<FoundGroup> = new.collect();
-            found.extend(new);
-        }
-    }
-    found
-}
-
-/// Returns the group of a suspect, and those of the suspects that explain the
-/// same crashes as well.
-fn groups_equal_to(
-    suspect: &PartSuspect<'_>,
-    suspects: &[PartSuspect<'_>],
-    by_part: &BTreeMap<PartId, PartCrashes<'_>>,
-    evidence: Evidence<'_>,
-) -> Vec<FoundGroup> {
-    let mut groups: Vec<FoundGroup> = Vec::new();
-    for equal in suspects.iter().filter(|one| suspect.is_equal(one)) {
-        let found = equal.found(by_part, evidence);
-        if !groups.contains(&found) {
-            groups.push(found);
+    let mut decided = suspects.iter().map(|suspect| {
+        let equals = suspects.iter().filter(|one| suspect.is_equal(one));
+        let mut groups: Vec<FoundGroup> = Vec::new();
+        for equal in equals {
+            let found = equal.found(&by_part, evidence);
+            if !groups.contains(&found) {
+                groups.push(found);
+            }
         }
-    }
-    groups
+        (suspect, groups)
+    });
+    let decided = decided.find(|(suspect, groups)| {
+        groups.len() == 1 || suspect.crashes.len() >= UNDECIDED_UNTIL_CRASHES
+    });
+    decided.map_or_else(Vec::new, |(_, groups)| groups)
 }
 
 /// Returns the parts that at least two crashes speak against, with when these
@@ -244,7 +210,7 @@
 }
 
 /// Counts the requests with a part, summed over its crashes.
-pub(super) fn holders(crashes: &PartCrashes<'_>) -> usize {
+fn holders(crashes: &PartCrashes<'_>) -> usize {
     crashes.values().map(|one| one.holders.len()).sum()
 }
 
@@ -284,7 +250,7 @@
                 evidence.parts.parts_of(content).any(|one| one == part)
             })
         };
-        let counted = count(unexplained, &holds_part, &separate(&involved));
+        let counted = count(unexplained, &holds_part, &involved);
         let halves = 2 * counted.independent - counted.with_others;
         let holders = holders(&crashes);
         if halves < 2 * MIN_INDEPENDENT {
@@ -298,14 +264,11 @@
         let are_others_cleared =
             evidence.parts.is_any_cleared(|one| crashes.contains_key(one));
         let was_cleared = evidence.parts.was_cleared(part);
-        let is_clear = is_rare && halves >= 2 * CLEAR_INDEPENDENT;
         let is_confirmed =
-            are_others_cleared && !was_cleared && (is_clear || had_time);
-        let is_persistent = last.until.since(first.until) >= PERSISTENT_MS
-            && (had_time || !are_others_cleared);
+            are_others_cleared && !was_cleared && (is_rare || had_time);
         let until = if is_confirmed {
             crash(involved.len() - PART_REFUSED_AFTER_CRASHES).until
-        } else if is_persistent {
+        } else if last.until.since(first.until) >= PERSISTENT_MS {
             let age_ms = evidence.age_ms(last);
             evidence.now + UNCONFIRMED_REFUSAL_MS.saturating_sub(age_ms)
         } else {
@@ -334,12 +297,6 @@
             .then(self.part.cmp(&other.part))
     }
 
-    /// Counts the crashes at which the part was in flight, but not another one.
-    fn crashes_without(&self, other: &Self) -> usize {
-        let own = self.crashes.keys();
-        own.filter(|tag| !other.crashes.contains_key(*tag)).count()
-    }
-
     /// Returns whether another part explains the same crashes as well.
     fn is_equal(&self, other: &Self) -> bool {
         self.crashes.keys().eq(other.crashes.keys())
@@ -370,7 +327,7 @@
 }
 
 /// Returns whether all crashes but a few have one request in common.
-pub(super) fn is_explained_by_one_request(crashes: &PartCrashes<'_>) -> bool {
+fn is_explained_by_one_request(crashes: &PartCrashes<'_>) -> bool {
     let mut by_holder: BTreeMap<RequestContent, usize> = BTreeMap::new();
     for one in crashes.values() {
         for holder in &one.holders {
