Mends after the review: failures replace no silent upstream, superseded sends count, half a head is closed

Callers of a silent process got its neighbour's 500 though the process went on: an answer that states a failure ended the wait for it. Such an answer is now kept for want of a better one. A send that was superseded counted neither as tried nor as a send, so that a stream whose engine went on and broke off later could reach one engine more than its route allows. A connection on which a head began and did not go on was never closed, since the library takes it for busy. An answer without a body on the wire (HEAD) left its connection unanswered for ever. A silent engine that broke off while another one was asked was not probed for a crash.

--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -156,13 +156,18 @@
         }
     }
 
+    /// Returns whether the stream is known to have broken off.
+    fn has_broken_off(&self) -> bool {
+        self.ended == Some(BodyEnd::BrokenOff)
+    }
+
     /// Waits until the stream goes on or has come to its regular end. Never
     /// completes if the stream breaks off.
     async fn wait_until_it_goes_on(&mut self) {
         if self.ended.is_none() {
             self.read_frame().await;
         }
-        if self.ended == Some(BodyEnd::BrokenOff) {
+        if self.has_broken_off() {
             std::future::pending().await
         }
     }
@@ -314,6 +319,10 @@
         };
         match resumed {
             Some(relay) => {
+                if silent.has_broken_off() && !self.is_outlived {
+                    let Exchange { app, job, .. } = &self.exchange;
+                    crashes::on_break_off(app, job, &upstream, sent);
+                }
                 self.is_outlived = false;
                 self.relay = Some(relay);
             }
--- a/crates/valehold-gateway/src/traffic/connection.rs
+++ b/crates/valehold-gateway/src/traffic/connection.rs
@@ -32,6 +32,10 @@
 /// link, and for a gateway that is behind on its work.
 const CLOSE_DELAY_MS: u64 = 1_000;
 
+/// How long a connection that is closed may take to complete the head of a
+/// request that has begun to arrive.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
 /// How long a connection that has just opened may take for its first request
 /// to begin when the gateway finishes, in ms.
 const FIRST_REQUEST_MS: u64 = 1_000;
@@ -84,7 +88,14 @@
             }
         }
         connection.as_mut().graceful_shutdown();
-        break (connection.await, Some(cause));
+        let closing = connection.as_mut();
+        let ended = match tokio::time::timeout(CLOSE_TIME, closing).await {
+            Ok(ended) => ended,
+            // The head of a request that does not go on to arrive.
+            Err(_) if state.unanswered.get() == 0 => Ok(()),
+            Err(_) => connection.await,
+        };
+        break (ended, Some(cause));
     };
     if let Err(error) = &ended {
         log::debug!("a caller's connection ended with an error: {error}");
@@ -323,11 +334,13 @@
     body: Body,
     /// The connection, until the answer ends.
     connection: Option<Rc<ConnectionState>>,
+    is_polled: bool,
 }
 
 impl TrackedBody {
     fn new(body: Body, connection: Rc<ConnectionState>) -> Self {
-        let mut tracked = Self { body, connection: Some(connection) };
+        let connection = Some(connection);
+        let mut tracked = Self { body, connection, is_polled: false };
         tracked.check_end();
         tracked
     }
@@ -345,6 +358,16 @@
     }
 }
 
+impl Drop for TrackedBody {
+    /// Counts the request as answered if its answer has no body on the wire,
+    /// as for the method HEAD: such a body is never polled.
+    fn drop(&mut self) {
+        if !self.is_polled {
+            self.record_end();
+        }
+    }
+}
+
 impl http_body::Body for TrackedBody {
     type Data = Bytes;
     type Error = BrokenOff;
@@ -353,6 +376,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        self.is_polled = true;
         let frame = std::task::ready!(self.body.as_mut().poll_frame(cx));
         match &frame {
             None => self.record_end(),
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -73,6 +73,9 @@
     sent_at: Millis,
     /// Sends whose upstreams are silent.
     silent: SilentSends,
+    /// The last answer that states a failure of its upstream, for want of a
+    /// better one.
+    failure: Option<ReceivedAnswer>,
     /// Whether the request may have run, according to all sends so far.
     verdict: Verdict,
     /// The usage charged to the workspace.
@@ -111,6 +114,7 @@
         sends: 0,
         sent_at: app.now(),
         silent: SilentSends::default(),
+        failure: None,
         verdict: Verdict::NotRun,
         charge: None,
         record: Record::new(app.shared.clock),
@@ -133,10 +137,12 @@
         self.bind_to_origin().await?;
         self.charge = charge(&self.app, &self.job)?;
         record_work(&self.app, &self.job);
-        match self.try_upstreams().await {
-            Ok(received) => Ok(received),
-            Err(refusal) => self.wait_for_silent(refusal).await,
-        }
+        let refusal = match self.try_upstreams().await {
+            Ok(received) => return Ok(received),
+            Err(refusal) => refusal,
+        };
+        let received = self.wait_for_silent(refusal).await;
+        received.or_else(|refusal| self.failure.take().ok_or(refusal))
     }
 
     /// Sends the request to one upstream after the other.
@@ -203,10 +209,11 @@
                 begun = waiting => begun,
                 (other, begun) = silent.next() => {
                     if let Some(received) = self.on_silent(&other, begun) {
-                        self.record.record_superseded(position);
+                        self.supersede(position);
                         return Ok(received);
                     }
                     self.record.set_position(position);
+                    self.sent_at = send.sent_at;
                     continue;
                 }
             };
@@ -237,6 +244,14 @@
         }
     }
 
+    /// Ends the send at a position in the record, since another one is answered
+    /// first. It counts as one of the sends that the route allows.
+    fn supersede(&mut self, position: usize) {
+        if let Some(upstream) = self.record.record_superseded(position) {
+            self.exclude(&upstream, true);
+        }
+    }
+
     /// Has the upstream probed if the connection of a send was cut off.
     fn on_cut_off(&self, chosen: &Chosen, failure: SendFailure, sent: Millis) {
         if failure.cut_off {
@@ -361,7 +376,7 @@
     /// Records the result of a whole answer, and returns an error if the
     /// request can be sent to another upstream instead.
     fn check_whole_answer(
-        &self,
+        &mut self,
         upstream: &Upstream,
         mut head: http::response::Parts,
         body: Bytes,
@@ -372,12 +387,6 @@
             false => h.record_success(now),
         });
         let repeatable = self.job.route.repetition.allows_resend();
-        if failed && self.can_switch_from(&upstream.id) {
-            return Err(SendFailure {
-                reason: RetryReason::RepeatableCall,
-                ..SendFailure::broken()
-            });
-        }
         if guarantees_not_run(head.status) && !repeatable {
             // The status would promise the caller that the request did not
             // run. Only a statement of the upstream makes this certain, and
@@ -385,7 +394,17 @@
             head.status = StatusCode::BAD_GATEWAY;
             self.app.dialect.unsign(&mut head.headers);
         }
-        Ok(ReceivedAnswer::Whole { head, body })
+        let answer = ReceivedAnswer::Whole { head, body };
+        let may_improve =
+            !self.silent.is_empty() || self.can_switch_from(&upstream.id);
+        if failed && may_improve {
+            self.failure = Some(answer);
+            return Err(SendFailure {
+                reason: RetryReason::RepeatableCall,
+                ..SendFailure::broken()
+            });
+        }
+        Ok(answer)
     }
 
     /// Records a failed send. Returns an error if the failure ends the
@@ -454,6 +473,9 @@
     /// Excludes an upstream from further sends, and counts the send if the
     /// request may have arrived.
     fn exclude(&mut self, upstream: &UpstreamId, arrived: bool) {
+        if self.tried.contains(upstream) {
+            return;
+        }
         self.tried.push(upstream.clone());
         self.sends += u32::from(arrived);
     }
@@ -487,9 +509,7 @@
         let start = &broken.start();
         self.app.update_health(start, |h, now| h.record_failure(now));
         self.record.record_break_off();
-        if !self.tried.contains(&start.id) {
-            self.exclude(&start.id, true);
-        }
+        self.exclude(&start.id, true);
         crashes::wait_for_probe(&self.app, &self.job, broken).await;
         for _ in 0..MAX_TRIES {
             if crashes::is_refused(&self.app, &self.job)
@@ -502,7 +522,12 @@
             let Ok((chosen, permit)) = choosing.await else { break };
             self.app.shared.metrics.retried(RetryReason::StreamResumed);
             match self.attempt(&chosen, permit).await {
-                Ok(received) => return received.into_relay(),
+                Ok(ReceivedAnswer::Stream { relay, .. }) => {
+                    return Some(*relay);
+                }
+                Ok(ReceivedAnswer::Whole { .. }) => {
+                    self.exclude(&chosen.upstream.id, true);
+                }
                 Err(failure) => {
                     self.record.record_failure(&failure);
                     let start = chosen.upstream.start();
@@ -524,6 +549,7 @@
     /// was sent at `sent`, in place of the one that was tried last.
     pub(super) fn go_on_with(&mut self, position: usize, sent: Millis) {
         self.silent.clear();
+        self.supersede(self.record.position());
         self.record.record_going_on(position);
         self.sent_at = sent;
     }
--- a/crates/valehold-gateway/src/traffic/exchange/silent.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/silent.rs
@@ -21,6 +21,10 @@
         self.0.push(send);
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Ends all silent sends.
     pub(super) fn clear(&mut self) {
         self.0.clear();
@@ -50,7 +54,7 @@
         refusal: Refusal,
     ) -> Result<ReceivedAnswer, Refusal> {
         let (app, deadline) = (self.app.clone(), self.job.deadline);
-        while !self.silent.0.is_empty() {
+        while !self.silent.is_empty() {
             let next = self.silent.next();
             let next = app.wait_for_request(deadline, next).await;
             let Some((send, begun)) = next else {
--- a/crates/valehold-gateway/src/traffic/record.rs
+++ b/crates/valehold-gateway/src/traffic/record.rs
@@ -5,6 +5,7 @@
 use valehold_core::{
     Millis, Verdict,
     fleet::{RegionBound, rejections::Rejection},
+    id::UpstreamId,
     reason::RefusalReason,
 };
 
@@ -97,19 +98,22 @@
     }
 
     /// Records that another send led to an answer before the one at
-    /// `position`, unless that one had failed already.
-    pub(super) fn record_superseded(&mut self, position: usize) {
-        if let Some(send) = self.sends.get_mut(position)
-            && send.end == SendEnd::UnderWay
-        {
-            send.end = SendEnd::Superseded;
+    /// `position`, unless that one had failed already. Returns the upstream of
+    /// a send that this ends.
+    pub(super) fn record_superseded(
+        &mut self,
+        position: usize,
+    ) -> Option<UpstreamId> {
+        let send = self.sends.get_mut(position)?;
+        if send.end != SendEnd::UnderWay {
+            return None;
         }
+        send.end = SendEnd::Superseded;
+        Some(send.upstream.clone())
     }
 
-    /// Records that the answer to the send at `position` goes on, in place of
-    /// that to the current send.
+    /// Records that the answer to the send at `position` goes on.
     pub(super) fn record_going_on(&mut self, position: usize) {
-        self.record_superseded(self.position);
         self.position = position;
         if let Some(send) = self.sends.get_mut(position) {
             send.end = SendEnd::Answered;
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -116,11 +116,18 @@
     /// Returns until when a connection of a caller may rest that has rested
     /// since a moment.
     pub(super) fn rests_until(&self, since: Millis) -> Millis {
-        let mut keep_alive = self.keep_alive.borrow_mut();
+        self.update_keep_alive();
+        self.keep_alive.borrow().rests_until(since)
+    }
+
+    /// Applies the limits of the configuration in force to connections of
+    /// callers. Called periodically as well, so that no limit is missed that
+    /// is in force for a while.
+    fn update_keep_alive(&self) {
         if let Some(catalog) = &self.shared.view.load().catalog {
-            keep_alive.update(&catalog.limits, self.now());
+            let now = self.now();
+            self.keep_alive.borrow_mut().update(&catalog.limits, now);
         }
-        keep_alive.rests_until(since)
     }
 
     /// Sets when requests have to end because the gateway stops.
@@ -259,6 +266,7 @@
     /// Removes the state of upstream starts that are no longer listed, and the
     /// state that has expired.
     pub(super) fn prune(&self) {
+        self.update_keep_alive();
         let now = self.now();
         let view = self.shared.view.load();
         let listing = &view.listing;
