--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -266,10 +266,8 @@
                 None => self.take_over().await,
             }
             if self.relay.is_none() {
-                let broken = BrokenOff;
-                self.relay = None;
                 self.exchange.log_broken_off();
-                return Some(Err(broken));
+                return Some(Err(BrokenOff));
             }
         }
     }
