--- a/crates/valehold-core/src/fleet/model_sizes.rs
+++ b/crates/valehold-core/src/fleet/model_sizes.rs
@@ -34,30 +34,30 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ModelSize {
     /// The memory that the weights take, in MB.
-    pub weights_mb: u64,
+    pub size_mb: u64,
     /// The memory that one adapter takes, in MB.
-    pub adapter_mb: u64,
+    pub adapter_size_mb: u64,
 }
 
 impl ModelSize {
     /// Returns the memory of the model with a number of adapters, in MB.
     pub fn with_adapters(self, adapters: usize) -> u64 {
-        let adapters_mb = self.adapter_mb.saturating_mul(adapters as u64);
-        self.weights_mb.saturating_add(adapters_mb)
+        let adapters_mb = self.adapter_size_mb.saturating_mul(adapters as u64);
+        self.size_mb.saturating_add(adapters_mb)
     }
 
     /// Returns the larger of two sizes, in weights and adapters each.
     pub fn max(self, other: Self) -> Self {
         Self {
-            weights_mb: self.weights_mb.max(other.weights_mb),
-            adapter_mb: self.adapter_mb.max(other.adapter_mb),
+            size_mb: self.size_mb.max(other.size_mb),
+            adapter_size_mb: self.adapter_size_mb.max(other.adapter_size_mb),
         }
     }
 }
 
 impl From<&ModelSpec> for ModelSize {
     fn from(model: &ModelSpec) -> Self {
-        Self { weights_mb: model.size_mb, adapter_mb: model.adapter_size_mb }
+        Self { size_mb: model.size_mb, adapter_size_mb: model.adapter_size_mb }
     }
 }
 
@@ -188,7 +188,7 @@
         model: &ModelName,
         memory_mb: u64,
     ) -> bool {
-        let size_mb = self.get(model).map(|size| size.weights_mb);
+        let size_mb = self.get(model).map(|size| size.size_mb);
         self.fits(holding, size_mb, memory_mb)
     }
 
@@ -200,7 +200,7 @@
         model: &ModelName,
         memory_mb: u64,
     ) -> bool {
-        let size_mb = self.get(model).map(|size| size.adapter_mb);
+        let size_mb = self.get(model).map(|size| size.adapter_size_mb);
         self.fits(holding, size_mb, memory_mb)
     }
 
--- a/crates/valehold-core/src/fleet/replicas/dropped.rs
+++ b/crates/valehold-core/src/fleet/replicas/dropped.rs
@@ -54,7 +54,7 @@
         model: usize,
     ) -> Option<DroppedModel<'a>> {
         let engine = &self.engines[index];
-        let size_mb = self.sizes[model].weights_mb;
+        let size_mb = self.sizes[model].size_mb;
         let memory_mb = self.spec.memory_mb;
         let freed = engine.removable.iter().map(|(_, freed_mb)| *freed_mb);
         if !engine.fits(size_mb, freed.sum(), memory_mb) {
--- a/crates/valehold-core/src/fleet/replicas/planner.rs
+++ b/crates/valehold-core/src/fleet/replicas/planner.rs
@@ -176,7 +176,7 @@
     /// Returns the number of models that fit an engine, whichever models these
     /// are; at least 1.
     pub(super) fn models_per_engine(&self) -> usize {
-        let largest = self.sizes.iter().map(|size| size.weights_mb).max();
+        let largest = self.sizes.iter().map(|size| size.size_mb).max();
         let models = self.spec.memory_mb / largest.unwrap_or(1).max(1);
         usize::try_from(models).unwrap_or(usize::MAX).max(1)
     }
--- a/crates/valehold-core/src/fleet/replicas/relocation.rs
+++ b/crates/valehold-core/src/fleet/replicas/relocation.rs
@@ -120,7 +120,7 @@
             let engine = &self.engines[*engine];
             engine.accepts_order() && !engine.will_hold(missing_model)
         });
-        let size_mb = self.sizes[missing_model].weights_mb;
+        let size_mb = self.sizes[missing_model].size_mb;
         candidates.flat_map(move |(index, _)| {
             let engine = &self.engines[index];
             let held = engine.models.iter().copied();
--- a/crates/valehold-core/src/fleet/replicas/room.rs
+++ b/crates/valehold-core/src/fleet/replicas/room.rs
@@ -66,7 +66,7 @@
         model: usize,
         is_allowed: impl Fn(usize) -> bool,
     ) -> Option<usize> {
-        let size_mb = self.sizes[model].weights_mb;
+        let size_mb = self.sizes[model].size_mb;
         let candidates = (0..self.engines.len()).filter(|index| {
             let engine = &self.engines[*index];
             is_allowed(*index)
@@ -158,7 +158,7 @@
         requester: Requester,
         is_allowed: impl Fn(usize) -> bool,
     ) -> Option<Victim> {
-        let size_mb = self.sizes[model].weights_mb;
+        let size_mb = self.sizes[model].size_mb;
         let mut best: Option<Victim> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !is_allowed(index)
--- a/crates/valehold-core/src/fleet/tests/model_sizes.rs
+++ b/crates/valehold-core/src/fleet/tests/model_sizes.rs
@@ -118,12 +118,12 @@
             (true, Some(adapter)) => {
                 let adapters = models.get_mut(model).unwrap();
                 adapters.insert(adapter.clone());
-                let size_mb = order.size.unwrap().adapter_mb;
+                let size_mb = order.size.unwrap().adapter_size_mb;
                 self.memory.insert(order.variant.clone(), size_mb);
             }
             (true, None) => {
                 models.insert(model.clone(), BTreeSet::new());
-                let size_mb = order.size.unwrap().weights_mb;
+                let size_mb = order.size.unwrap().size_mb;
                 self.memory.insert(order.variant.clone(), size_mb);
             }
             (false, Some(adapter)) => {
@@ -431,7 +431,7 @@
 }
 
 fn size_of(sizes: &ModelSizes, model: usize) -> Option<u64> {
-    sizes.get(&name(model)).map(|size| size.weights_mb)
+    sizes.get(&name(model)).map(|size| size.size_mb)
 }
 
 #[gtest]
--- a/crates/valehold-gateway/src/control/placer/tests.rs
+++ b/crates/valehold-gateway/src/control/placer/tests.rs
@@ -550,7 +550,7 @@
     for now in [50_000, 200_000, 900_000] {
         placer.record_catalog(&catalog, &listing, at(now));
         let size = placer.models.sizes_of(&service).get(&gamma);
-        expect_that!(size.map(|size| size.weights_mb), some(eq(70)));
+        expect_that!(size.map(|size| size.size_mb), some(eq(70)));
     }
     placer.record_catalog(&catalog, &Listing::default(), at(960_000));
     expect_that!(placer.models.sizes_of(&service).get(&gamma), none());
