--- a/review/4/case.py
+++ b/review/4/case.py
@@ -80,9 +80,10 @@
     for engine in engines:
         await store.put("servers", engine.name, engine.row())
     seeds = [f"{net}.{100 + number}" for number in range(3)]
+    port = vh.free_ports(seeds, 6)
     for ip, name in zip(seeds, ("g1", "g2", "g3")):
         gateways.append(vh.Gateway(ip, name, "north", store.address, seeds,
-                                   work))
+                                   work, port))
         await gateways[-1].start()
     for gateway in gateways:
         await gateway.until_ready()
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -32,11 +32,12 @@
         await store.put("servers", process.name, process.row())
     ips = [f"{net}.{100 + number}" for number in range(GATEWAYS)]
     doors = []
+    port = vh.free_ports(ips, 6)
     for number, ip in enumerate(ips):
         doors.append(await vh.Door(f"{net}.{50 + number}", store).start())
         gateways.append(vh.Gateway(
             ip, f"edge-{number}", ("north", "south", "east")[number % 3],
-            doors[-1].address, ips[:3], work))
+            doors[-1].address, ips[:3], work, port))
         await gateways[-1].start()
     for gateway in gateways:
         await gateway.until_ready()
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -12,6 +12,7 @@
 import random
 import re
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -511,23 +512,47 @@
 }
 
 
+def free_ports(ips, count):
+    """Returns the first of some ports in a row that are free at all addresses.
+    All machines of a deployment use the same ports."""
+    for _ in range(50):
+        first = random.randrange(10240, 32000)
+        sockets = []
+        try:
+            for ip in ips:
+                for port in range(first, first + count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        one = socket.socket(socket.AF_INET, kind)
+                        sockets.append(one)
+                        one.bind((ip, port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for one in sockets:
+                one.close()
+    raise CannotRun("no free ports")
+
+
 class Gateway:
     """A gateway as a process of its own, as the deploy file runs it."""
 
-    def __init__(self, ip, name, zone, store, seeds, folder):
+    def __init__(self, ip, name, zone, store, seeds, folder, port):
         self.ip, self.name = ip, name
         self.process = None
-        self.front = (ip, 8149)
-        self.ready_at = (ip, 8141)
+        self.front = (ip, port)
+        self.ready_at = (ip, port + 1)
         self.folder = Path(folder) / name
         self.folder.mkdir()
         fields = {
             "node_name": name, "zone": zone, "region": "here", "ip": ip,
             "zones": {"north": "here", "south": "here", "east": "here"},
-            "listen": {"front": f"{ip}:8149", "readiness": f"{ip}:8141",
-                       "control": f"{ip}:8144", "directory": f"{ip}:8143"},
-            "port_range": [7380, 7395],
-            "seeds": [f"{seed}:8144" for seed in seeds],
+            "listen": {"front": f"{ip}:{port}",
+                       "readiness": f"{ip}:{port + 1}",
+                       "control": f"{ip}:{port + 2}",
+                       "directory": f"{ip}:{port + 3}"},
+            "port_range": [port + 4, port + 5],
+            "seeds": [f"{seed}:{port + 2}" for seed in seeds],
             "limits": {"cpu_share": 0.25, "link_mbps": 1000.0},
             "cloud_api": {"address": store}, "bounds": BOUNDS,
         }
