--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -319,6 +319,7 @@
         self.models, self.zone = list(models), zone
         self.sequence = 0
         self.beats = 0
+        self.leaves = False
         # The events of a stream, how many leave in one chunk, and the pause.
         self.events, self.per_chunk, self.pause_s = 24, 1, 0.02
         self.work_s = 0.015
@@ -343,7 +344,8 @@
             writer.write(whole("421 Misdirected Request",
                                {"Instance-Id": self.name, **named}))
         elif target == "/healthz":
-            writer.write(whole("200 OK", {"Instance-Id": self.name}))
+            status = "503 Service Unavailable" if self.leaves else "200 OK"
+            writer.write(whole(status, {"Instance-Id": self.name}))
         elif target == "/api/report":
             writer.write(json_answer({
                 "phase": "both", "models": self._models(), "busy": False,
