--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,10 +11,11 @@
 sys.path.insert(0, str(HERE.parent / "standins-2"))
 import standins as vh  # noqa: E402
 
-# The disruption: half of the engines spoil 5 of 100 answers for 5.5 s.
-ENGINES, GARBLING, SHARE = 4, 2, 0.05
-FROM_S, FOR_S, LENGTH_S = 6.0, 5.5, 16.0
-PER_SECOND = 56
+# The disruption: a third of the engines spoil 2 of 100 answers, twice for
+# 5.5 s.
+ENGINES, GARBLING, SHARE = 9, 3, 0.0224
+FROM_S, FOR_S, LENGTH_S = (4.0, 12.0), 5.5, 20.0
+PER_SECOND = 82
 
 
 class GarblingEngine(vh.Engine):
@@ -73,7 +74,7 @@
                       ["m0", "m1"])
         # A chunk holds several events, as of an engine that writes what it
         # has made since it wrote last.
-        engine.per_chunk, engine.pause_s = 4, 0.04
+        engine.per_chunk, engine.pause_s = 6, 0.06
         engines.append(await engine.start())
     routes = [vh.route("/diag/", "streaming", "llm", resumable=True)]
     await store.put("op", "config", vh.config(3, routes))
@@ -108,7 +109,8 @@
         due = began + number / PER_SECOND
         await asyncio.sleep(max(0, due - loop.time()))
         now = loop.time() - began
-        is_on = vh.TROUBLE and FROM_S <= now < FROM_S + FOR_S
+        is_on = vh.TROUBLE and any(
+            at <= now < at + FOR_S for at in FROM_S)
         for engine in engines[:GARBLING]:
             engine.is_garbling = is_on
         at = random.choice(gateways).front
@@ -120,4 +122,4 @@
     return broken
 
 
-vh.run_case(HERE, main)
+vh.run_case(HERE / "record.txt", main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -113,4 +113,4 @@
             for index in [sent_to[request]] if index not in watching]
 
 
-vh.run_case(HERE, main)
+vh.run_case(HERE / "record.txt", main)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -29,10 +29,10 @@
 
 
 class Record:
-    """Writes to record.txt what was sent, answered and run."""
+    """Writes to a file what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def now_ms(self):
@@ -668,10 +668,10 @@
     return f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
 
 
-def run_case(folder, main):
+def run_case(record_path, main):
     """Runs a case, and exits with 1 if the rule was broken, 0 if it held, and
     2 if the case could not run."""
-    record = Record(folder)
+    record = Record(record_path)
 
     async def guarded():
         with tempfile.TemporaryDirectory() as work:
