Events before a fault of the stream are passed on

Cause: collecting the events of a read recorded each one as passed on, and dropped all of them when a later one showed a gap; the recorded position stayed, so that the stream went on elsewhere after events that nobody had. The class: something counts as passed on before it has been.

Change: the events of a read, their recording and the fault after them are one decision in valehold-core (EventSplitter::next_events): exactly what is returned is recorded. The relay passes the events on, and breaks the stream off at its next step.

--- a/crates/valehold-core/src/fleet/event.rs
+++ b/crates/valehold-core/src/fleet/event.rs
@@ -11,9 +11,26 @@
 /// The maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// The error that an event exceeds the maximum size.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EventTooLong;
+/// Why the events of a stream do not go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StreamFault {
+    /// An event exceeds the maximum size.
+    #[error("an event exceeds the maximum size")]
+    EventTooLong,
+    /// At least one event is missing.
+    #[error("an event is missing")]
+    Gap,
+}
+
+/// Whole events to pass on, and what follows them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NextEvents {
+    /// The bytes of the events, in order. They count as passed on.
+    pub bytes: Bytes,
+    /// The fault that follows the events, if any. Nothing of the upstream's
+    /// stream is passed on after it.
+    pub fault: Option<StreamFault>,
+}
 
 /// A whole event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,6 +54,26 @@
         self.pending.extend_from_slice(bytes);
     }
 
+    /// Removes the whole events from the buffer, and returns those that follow
+    /// the last event that was passed on. Exactly the events that are returned
+    /// are recorded in `order`, also if a fault follows them.
+    pub fn next_events(&mut self, order: &mut EventOrder) -> NextEvents {
+        let mut bytes = BytesMut::new();
+        let fault = loop {
+            let event = match self.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break None,
+                Err(fault) => break Some(fault),
+            };
+            match order.advance(event.id) {
+                EventPosition::Next => bytes.extend_from_slice(&event.bytes),
+                EventPosition::Duplicate => {}
+                EventPosition::Gap => break Some(StreamFault::Gap),
+            }
+        };
+        NextEvents { bytes: bytes.freeze(), fault }
+    }
+
     /// Removes and returns the next whole event, or `None` if the buffer
     /// contains no whole event.
     ///
@@ -44,10 +81,10 @@
     ///
     /// If the buffer exceeds the maximum size of an event and contains no
     /// whole event.
-    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLong> {
+    pub fn next_event(&mut self) -> Result<Option<Event>, StreamFault> {
         let Some(length) = self.event_length() else {
             return match self.pending.len() > MAX_EVENT_BYTES {
-                true => Err(EventTooLong),
+                true => Err(StreamFault::EventTooLong),
                 false => Ok(None),
             };
         };
--- a/crates/valehold-core/src/fleet/tests/event.rs
+++ b/crates/valehold-core/src/fleet/tests/event.rs
@@ -45,6 +45,31 @@
         prop_assert_eq!(splitter.has_pending(), !half.is_empty());
     }
 
+    #[test]
+    fn exactly_the_events_that_are_returned_count_as_passed_on(
+        ids in prop::collection::vec(1_u64..9, 0..12),
+        sizes in prop::collection::vec(1_usize..60, 1..9),
+    ) {
+        let bytes: String = ids.iter().map(|id| event(*id)).collect();
+        let mut splitter = EventSplitter::default();
+        let mut order = EventOrder::after(Some(0));
+        let (mut passed, mut has_fault) = (String::new(), false);
+        let mut rest = bytes.as_bytes();
+        let mut sizes = sizes.iter().cycle();
+        while !rest.is_empty() && !has_fault {
+            let size = (*sizes.next().unwrap()).min(rest.len());
+            let (read, later) = rest.split_at(size);
+            rest = later;
+            splitter.push(read);
+            let events = splitter.next_events(&mut order);
+            passed.push_str(std::str::from_utf8(&events.bytes).unwrap());
+            has_fault = events.fault.is_some();
+        }
+        let last = order.last().unwrap();
+        let counted: String = (1..=last).map(event).collect();
+        prop_assert_eq!(passed, counted);
+    }
+
     #[test]
     fn each_event_is_passed_on_once_and_in_order(
         last in prop::option::of(0_u64..5),
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::Frame;
@@ -13,7 +13,7 @@
     Millis,
     fleet::{
         Upstream, Variant,
-        event::{EventOrder, EventPosition, EventSplitter},
+        event::{EventOrder, EventSplitter},
     },
 };
 
@@ -122,7 +122,7 @@
             return Ok(Next::Events(held));
         }
         loop {
-            let events = self.complete_events(order)?;
+            let events = self.complete_events(order);
             if !events.is_empty() {
                 return Ok(Next::Events(events));
             }
@@ -172,20 +172,16 @@
         }
     }
 
-    fn complete_events(
-        &mut self,
-        order: &mut EventOrder,
-    ) -> Result<Bytes, BrokenOff> {
-        let mut all = BytesMut::new();
-        loop {
-            let event = self.splitter.next_event().map_err(|_| BrokenOff)?;
-            let Some(event) = event else { return Ok(all.freeze()) };
-            match order.advance(event.id) {
-                EventPosition::Next => all.extend_from_slice(&event.bytes),
-                EventPosition::Duplicate => {}
-                EventPosition::Gap => return Err(BrokenOff),
-            }
+    /// Returns the events that can be passed on. A fault after them counts as a
+    /// break of the stream.
+    fn complete_events(&mut self, order: &mut EventOrder) -> Bytes {
+        let events = self.splitter.next_events(order);
+        if let Some(fault) = events.fault {
+            log::debug!("the stream of {}: {fault}", self.upstream.id);
+            self.splitter = EventSplitter::default();
+            self.ended = Some(BodyEnd::BrokenOff);
         }
+        events.bytes
     }
 
     /// Handles the end of the body, which is an error if the answer is not
