An event without a number is no event of a numbered stream

Cause: an event whose number cannot be read always counted as the next one.

Change: such an event is a fault of the stream, after which it goes on elsewhere or is broken off visibly. Comments, whose lines begin with a colon, may still stand between events.

--- a/crates/valehold-core/src/fleet/event.rs
+++ b/crates/valehold-core/src/fleet/event.rs
@@ -2,7 +2,8 @@
 //! events.
 //!
 //! A streamed answer is a series of events. Each event ends with an empty line
-//! and has a number in a line `id: N`; the numbers rise by one. Only whole
+//! and has a number in a line `id: N`; the numbers rise by one. Comments, whose
+//! lines begin with a colon, may stand between events. Only whole
 //! events are passed on to the caller, so that another upstream can continue
 //! the stream if one breaks off inside an event.
 
@@ -20,6 +21,9 @@
     /// At least one event is missing.
     #[error("an event is missing")]
     Gap,
+    /// An event has no valid number.
+    #[error("an event has no number")]
+    Unnumbered,
 }
 
 /// Whole events to pass on, and what follows them.
@@ -41,6 +45,15 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether all lines are comments, which may stand between events.
+    fn is_comment(&self) -> bool {
+        let lines = self.bytes.split(|byte| *byte == b'\n');
+        let mut written = lines.filter(|line| !matches!(line, [] | [b'\r']));
+        written.all(|line| line.starts_with(b":"))
+    }
+}
+
 /// Buffers received bytes and splits them into whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -69,6 +82,12 @@
                 EventPosition::Next => bytes.extend_from_slice(&event.bytes),
                 EventPosition::Duplicate => {}
                 EventPosition::Gap => break Some(StreamFault::Gap),
+                EventPosition::Unknown if event.is_comment() => {
+                    bytes.extend_from_slice(&event.bytes);
+                }
+                EventPosition::Unknown => {
+                    break Some(StreamFault::Unnumbered);
+                }
             }
         };
         NextEvents { bytes: bytes.freeze(), fault }
@@ -136,12 +155,14 @@
 /// The position of an event relative to the last event that was passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventPosition {
-    /// The event is the next one, or has no number.
+    /// The event is the next one.
     Next,
     /// The event was passed on before.
     Duplicate,
     /// At least one event before this event is missing.
     Gap,
+    /// The event has no number.
+    Unknown,
 }
 
 /// Tracks the order of a stream's events across several upstreams.
@@ -166,10 +187,9 @@
     /// Returns the position of an event by its number, and records the event
     /// as passed on if it is the next one.
     ///
-    /// The first event may have any number. An event without a number is
-    /// always the next one.
+    /// The first event may have any number.
     pub fn advance(&mut self, id: Option<u64>) -> EventPosition {
-        let Some(id) = id else { return EventPosition::Next };
+        let Some(id) = id else { return EventPosition::Unknown };
         match self.last {
             Some(last) if id <= last => return EventPosition::Duplicate,
             Some(last) if id > last + 1 => return EventPosition::Gap,
--- a/crates/valehold-core/src/fleet/tests/event.rs
+++ b/crates/valehold-core/src/fleet/tests/event.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 use crate::{
-    fleet::event::{EventOrder, EventPosition, EventSplitter},
+    fleet::event::{EventOrder, EventPosition, EventSplitter, StreamFault},
     testing::cases,
 };
 
@@ -86,6 +86,7 @@
                 EventPosition::Gap => {
                     prop_assert!(id > *passed.last().unwrap() + 1);
                 }
+                EventPosition::Unknown => prop_assert!(false),
             }
         }
         prop_assert!(passed.windows(2).all(|pair| pair[1] == pair[0] + 1));
@@ -109,3 +110,17 @@
     splitter.push(&vec![b'x'; 2 << 20]);
     expect_that!(splitter.next_event(), err(anything()));
 }
+
+/// Bytes that are no event passed for the next event.
+#[gtest]
+fn only_comments_may_stand_between_numbered_events() {
+    let mut splitter = EventSplitter::default();
+    let mut order = EventOrder::after(None);
+    let sound = ": still there\n\nid: 1\ndata: x\n\n:\r\n\r\n";
+    splitter.push(sound.as_bytes());
+    splitter.push(b"spoiled\n\nid: 2\ndata: y\n\n");
+    let events = splitter.next_events(&mut order);
+    expect_that!(events.bytes.as_ref(), eq(sound.as_bytes()));
+    expect_that!(events.fault, some(eq(StreamFault::Unnumbered)));
+    expect_that!(order.last(), some(eq(1)));
+}
