What a broken stream gave to the connection is written before it ends

Callers got a closed connection, without even a head, where head and sound events had come in one read with the fault that breaks the stream off.

Cause: the HTTP library writes what a body gave it only once the body waits; an error right after the events drops them with the connection. The class: what counts as passed on has not been.

Change: the body waits once before it reports the break.

The same stands in valehold-instance's traffic/handlers.rs (next_event), which is not changed.

--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -263,6 +263,9 @@
             }
             if self.relay.is_none() {
                 self.exchange.log_broken_off();
+                // The connection writes what it was given before it is closed
+                // only if the body waits in between.
+                tokio::task::yield_now().await;
                 return Some(Err(BrokenOff));
             }
         }
