The age of what observers say is weighed, and their watches end in turns

Cause: three gateways watch the list for all. A watch that a silent cut has swallowed looks like one with nothing to say until its patience ends (2.2 s), and until then the others believe the observers that the store answers. The class: a belief has no age.

Change: - Observers' watches end in turns by the store's clock, every 550 ms instead of all at once each 1.6 s; the period of one is 1.65 s, so that there are no more calls while nothing changes. - An observer tells all others after each answer which versions the store confirmed (a new message of some 10 bytes; the format is as before). - Each gateway keeps when what it has of the configuration and of the list was last confirmed. Beyond the longest gap of the turns and one lost message (1.2 s with three observers) it asks the store itself, in the order of rank, 80 ms apart, 24 at most where there are hubs. Observers do the same: a hung watch is given up for a new call. - Event state_outdated: age and position.

Properties: turns, bounds and sound turns (fleet/tests/freshness).

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 pub mod crashes;
 pub mod evacuation;
 pub mod event;
+pub mod freshness;
 pub mod health;
 pub mod identity;
 pub mod index;
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -13,6 +13,7 @@
 mod crashing_parts;
 mod evacuation;
 mod event;
+mod freshness;
 mod health;
 mod keep_alive;
 mod lapsed;
--- a/crates/valehold-gateway/src/control/feeds.rs
+++ b/crates/valehold-gateway/src/control/feeds.rs
@@ -55,13 +55,20 @@
                     // A long watch may hang, and other gateways now rely on
                     // this one.
                     () = state.activated.notified() => continue,
+                    () = state.outdated.notified() => continue,
                     () = state.resumed.notified() => continue,
                 }
             }
         };
         let input = match outcome {
-            Ok(CatalogNews::Heard { version, catalog, evacuations }) => {
+            Ok(CatalogNews::Heard {
+                version,
+                store_ms,
+                catalog,
+                evacuations,
+            }) => {
                 after = Some(version);
+                state.set_store_clock(store_ms);
                 Input::CatalogUpdated { version, catalog, evacuations }
             }
             Ok(CatalogNews::HistoryGone) => {
@@ -109,7 +116,7 @@
     let mut after = None;
     while !inputs.is_closed() {
         if !state.watches_listing() {
-            tokio::time::sleep(CHANGE_INTERVAL).await;
+            state.wait_to_watch_listing().await;
             continue;
         }
         if backoff.is_failing {
@@ -122,10 +129,11 @@
             after = read_all(&*store, &inputs, &mut backoff).await;
             continue;
         };
-        let span = backoff.span(WatchSpan::Brief);
+        let span = backoff.span(state.listing_span());
         let watch = store.await_listing(from, span);
         let outcome = tokio::select! {
             outcome = within_patience(span, watch) => outcome,
+            () = state.outdated.notified() => continue,
             () = state.resumed.notified() => continue,
         };
         match outcome {
@@ -139,8 +147,9 @@
             }
             Ok(outcome) => {
                 backoff.succeeded();
-                if let ListingNews::Changed { next, .. } = &outcome {
+                if let ListingNews::Changed { next, store_ms, .. } = &outcome {
                     after = Some(*next);
+                    state.set_store_clock(*store_ms);
                 }
                 let _ = inputs.send(Input::ListingChanged(outcome));
                 tokio::time::sleep(state.pause_after_change()).await;
--- a/crates/valehold-gateway/src/control/feeds/tests.rs
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -129,6 +129,7 @@
             let whole = Evacuations { version, ..Evacuations::default() };
             Ok(CatalogNews::Heard {
                 version,
+                store_ms: self.now(),
                 catalog: Some(catalog),
                 evacuations: EvacuationUpdate::Full(whole),
             })
@@ -146,6 +147,7 @@
             let is_new = version > after;
             Ok(CatalogNews::Heard {
                 version,
+                store_ms: self.now(),
                 catalog: is_new.then(|| Box::new(catalog(version))),
                 evacuations: EvacuationUpdate::Changes(Vec::new()),
             })
@@ -169,6 +171,7 @@
         async move {
             let version = self.watch(after, span).await?;
             Ok(ListingNews::Changed {
+                store_ms: self.now(),
                 next: version,
                 version: (version > after).then_some(version),
                 changed: Vec::new(),
--- a/crates/valehold-gateway/src/control/feeds/watch_state.rs
+++ b/crates/valehold-gateway/src/control/feeds/watch_state.rs
@@ -3,7 +3,8 @@
 
 use std::{cell::Cell, time::Duration};
 
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
+use valehold_core::{Millis, fleet::freshness::wait_for_turn};
 use valehold_ports::port::fleet::WatchSpan;
 
 use crate::peers::roster::ObserverRole;
@@ -20,6 +21,10 @@
 /// the primary observer first.
 const STANDBY_CHANGE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// By how much the watch of the configuration ends before that of the list, in
+/// ms: the answer of the second is passed on with the age of the first.
+const CATALOG_LEAD_MS: u64 = 60;
+
 /// State shared between control and the watches.
 #[derive(Debug)]
 pub(in crate::control) struct WatchState {
@@ -30,6 +35,16 @@
     pub(super) role: Cell<ObserverRole>,
     /// Whether enough other gateways probe the store while it is unreachable.
     pub(in crate::control) others_probe_store: Cell<bool>,
+    /// The turn of this gateway among the observers.
+    pub(in crate::control) turn: Cell<usize>,
+    /// The clock of the store in ms, when it was read.
+    store_clock: Cell<Option<(u64, Instant)>>,
+    /// Whether the next watch of the configuration has to return at once.
+    must_ask_catalog: Cell<bool>,
+    /// Whether the next watch of the list has to return at once.
+    must_ask_listing: Cell<bool>,
+    /// Notifies that both watches are to ask the store at once.
+    pub(super) outdated: Notify,
     /// Notifies that this gateway has just become an observer.
     pub(super) activated: Notify,
     /// Notifies that the machine was suspended: a watch may have missed its
@@ -48,6 +63,11 @@
             known_version: Cell::new(0),
             role: Cell::new(ObserverRole::Inactive),
             others_probe_store: Cell::new(false),
+            turn: Cell::new(0),
+            store_clock: Cell::new(None),
+            must_ask_catalog: Cell::new(false),
+            must_ask_listing: Cell::new(false),
+            outdated: Notify::new(),
             activated: Notify::new(),
             resumed: Notify::new(),
             is_catalog_failing: Cell::new(false),
@@ -76,9 +96,40 @@
 
     /// Restarts the watches after the machine was suspended.
     pub(in crate::control) fn resume(&self) {
+        self.store_clock.set(None);
         self.resumed.notify_waiters();
     }
 
+    /// Has both watches ask the store at once: one that is under way may have
+    /// been lost.
+    pub(in crate::control) fn ask_at_once(&self) {
+        self.must_ask_catalog.set(true);
+        self.must_ask_listing.set(true);
+        self.outdated.notify_waiters();
+    }
+
+    /// Records the clock of the store, in ms, from an answer.
+    pub(super) fn set_store_clock(&self, store_ms: u64) {
+        self.store_clock.set(Some((store_ms, Instant::now())));
+    }
+
+    /// Returns the span of an observer's watch, which ends `lead_ms` before its
+    /// next turn.
+    fn span_until_turn(&self, lead_ms: u64) -> WatchSpan {
+        let Some((store_ms, read)) = self.store_clock.get() else {
+            return WatchSpan::Brief;
+        };
+        let store_ms = store_ms + Millis::from(read.elapsed()).get();
+        WatchSpan::Turn(wait_for_turn(store_ms + lead_ms, self.turn.get()))
+    }
+
+    /// Waits until this gateway watches the list, for at most
+    /// `CHANGE_INTERVAL`.
+    pub(super) async fn wait_to_watch_listing(&self) {
+        let outdated = self.outdated.notified();
+        let _ = tokio::time::timeout(CHANGE_INTERVAL, outdated).await;
+    }
+
     /// Waits until this gateway becomes an observer, for at most
     /// `CHANGE_INTERVAL`.
     pub(super) async fn wait_for_activation(&self) {
@@ -108,10 +159,21 @@
     /// Returns the span of the next watch of the configuration.
     pub(super) fn catalog_span(&self) -> WatchSpan {
         match self.role.get() {
+            _ if self.must_ask_catalog.take() => WatchSpan::Now,
             ObserverRole::Inactive | ObserverRole::ConfigurationOnly => {
                 WatchSpan::Long
             }
-            ObserverRole::Standby | ObserverRole::Primary => WatchSpan::Brief,
+            ObserverRole::Standby | ObserverRole::Primary => {
+                self.span_until_turn(CATALOG_LEAD_MS)
+            }
+        }
+    }
+
+    /// Returns the span of the next watch of the list.
+    pub(super) fn listing_span(&self) -> WatchSpan {
+        match self.must_ask_listing.take() {
+            true => WatchSpan::Now,
+            false => self.span_until_turn(0),
         }
     }
 
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -6,7 +6,7 @@
 //! reads.
 //!
 //! - `feeds` watches the store, `store_status` tracks whether the store
-//!   answers, `behind` reads newer state from peers, `configuring` applies
+//!   answers, `freshness` when it last confirmed what is known, `behind` reads newer state from peers, `configuring` applies
 //!   configurations, and `evacuating` applies evacuation orders for data
 //!   centres.
 //! - `telling` exchanges messages with peers, `loads` sends the requests in
@@ -32,6 +32,7 @@
 mod entry;
 mod evacuating;
 mod feeds;
+mod freshness;
 mod input;
 mod lease;
 mod leaving;
@@ -75,6 +76,7 @@
     counted_store::CountedStore,
     demand::{Demand, Sums},
     feeds::WatchState,
+    freshness::FreshnessState,
     input::Input,
     lease::{LeaseManager, PeerLeaseState},
     limits::LimitState,
@@ -178,6 +180,7 @@
     /// known.
     store_era: Option<u64>,
     catch_up: CatchUp,
+    freshness: FreshnessState,
     published: Published,
     started: Millis,
     start: u64,
@@ -297,6 +300,7 @@
             store_presence: StoreAvailability::default(),
             store_era: None,
             catch_up: CatchUp::new(is_seed, now),
+            freshness: FreshnessState::new(now),
             published: Published::default(),
             started: now,
             start: rand::random(),
@@ -488,6 +492,7 @@
                 let store_was_unreachable =
                     self.store == StoreStatus::Unreachable;
                 self.on_store_answered(now);
+                self.confirm_catalog(now);
                 self.record_store_era(version);
                 self.apply_stored_evacuations(
                     evacuations,
@@ -502,10 +507,12 @@
                 self.on_store_answered(now);
                 self.record_store_era(listing.version);
                 self.replace_listing(listing, now);
+                self.confirm_listing(now);
             }
             Input::ListingChanged(news) => {
                 self.on_store_answered(now);
                 self.on_listing_changes(news, now);
+                self.confirm_listing(now);
             }
             Input::PeerState { peer, state } => {
                 self.on_peer_state(peer, state, now);
--- a/crates/valehold-gateway/src/control/store_status.rs
+++ b/crates/valehold-gateway/src/control/store_status.rs
@@ -21,6 +21,9 @@
     /// Updates the role of this gateway in observing the store.
     pub(super) fn update_observer_role(&mut self, now: Millis) {
         let has_required_state = self.has_required_state();
+        if !has_required_state {
+            self.restart_freshness(now);
+        }
         let peers_are_complete = !has_required_state
             && self.roster.newer_listing_address(0, None, now).is_some();
         let reads_store = self.catch_up.reads_store(
@@ -32,7 +35,7 @@
             Some(true) => ObserverRole::Primary,
             Some(false) => ObserverRole::Inactive,
             None if self.is_new_among_many(now) => ObserverRole::Inactive,
-            None => self.roster.observer_role(self.store),
+            None => self.role_by_rank_and_age(now),
         };
         self.watch_state.set_role(role);
         if role == ObserverRole::Inactive {
--- a/crates/valehold-gateway/src/control/telling.rs
+++ b/crates/valehold-gateway/src/control/telling.rs
@@ -447,6 +447,9 @@
             Message::OriginUnknown { stream, only_version } => {
                 self.on_origin_unknown(from, stream, only_version, now);
             }
+            Message::Confirmed(told) => {
+                self.receive_confirmation(&told, now);
+            }
             Message::Fragment(fragment) => {
                 self.on_fragment(from, fragment, now);
             }
--- a/crates/valehold-gateway/src/events/describe.rs
+++ b/crates/valehold-gateway/src/events/describe.rs
@@ -345,6 +345,10 @@
                 "the store has no history after {after} ({call}): what \
                  changed is read whole\n"
             ),
+            Self::StateOutdated { age_ms, position } => format!(
+                "nothing confirmed for {age_ms} ms what is known of the \
+                 store; {position} gateways observe it rather than this one\n"
+            ),
             Self::ListLeftOut { version, known } => format!(
                 "a list of upstreams, {version}, was left out: {known} is \
                  known\n"
@@ -425,6 +429,7 @@
             | Self::StoreBack
             | Self::StoreRestored { .. }
             | Self::HistoryGone { .. }
+            | Self::StateOutdated { .. }
             | Self::ListLeftOut { .. }
             | Self::StoreCallFailed { .. } => true,
             _ => false,
--- a/crates/valehold-gateway/src/events/mod.rs
+++ b/crates/valehold-gateway/src/events/mod.rs
@@ -110,6 +110,8 @@
     StoreRestored = "store_restored",
     /// The store no longer has the history after a version.
     HistoryGone = "history_gone",
+    /// Nothing confirmed for long what this gateway knows of the store.
+    StateOutdated = "state_outdated",
     /// A full list of upstreams was ignored as stale.
     ListLeftOut = "list_left_out",
     /// An upstream crashed while it served requests of this gateway.
@@ -390,6 +392,15 @@
         /// The version.
         after: u64,
     },
+    /// Neither the store nor an observer confirmed for long what this gateway
+    /// knows of the configuration and the upstreams. It asks the store.
+    StateOutdated {
+        /// The time since the last confirmation, in ms.
+        age_ms: u64,
+        /// The number of gateways that were to observe the store rather than
+        /// this one.
+        position: usize,
+    },
     /// A full list of upstreams was ignored because a newer version is known.
     ListLeftOut {
         /// The version of the ignored list.
@@ -558,6 +569,7 @@
             }
             Self::StoreRestored { .. } => EventKind::StoreRestored,
             Self::HistoryGone { .. } => EventKind::HistoryGone,
+            Self::StateOutdated { .. } => EventKind::StateOutdated,
             Self::ListLeftOut { .. } => EventKind::ListLeftOut,
             Self::UpstreamCrashed { .. } => EventKind::UpstreamCrashed,
             Self::CrashUnconfirmed { .. } => EventKind::CrashUnconfirmed,
--- a/crates/valehold-gateway/src/peers/message.rs
+++ b/crates/valehold-gateway/src/peers/message.rs
@@ -16,6 +16,7 @@
         cold::{PermitReply, PermitRequest},
         crashes::{CrashReports, PartReports},
         evacuation::HeldEvacuation,
+        freshness::StateConfirmation,
         paces::{PaceObservation, PaceUpdate},
         stream_origin::{OriginReport, StreamId},
         upstream_limit::LimitReport,
@@ -521,6 +522,8 @@
     /// requests that were in flight, and the parts of prompts that are sound.
     /// To a gateway whose records differ: all records.
     CrashParts(PartReports),
+    /// From an observer: the versions that the store confirmed.
+    Confirmed(StateConfirmation),
 }
 
 /// Why a datagram cannot be decoded or encoded.
@@ -589,6 +592,7 @@
             Self::OriginRequest { .. } => "origin_request",
             Self::OriginUnknown { .. } => "origin_unknown",
             Self::CrashParts(_) => "crash_parts",
+            Self::Confirmed(_) => "confirmed",
         }
     }
 
@@ -622,7 +626,8 @@
             | Self::StreamOrigins(_)
             | Self::OriginRequest { .. }
             | Self::OriginUnknown { .. }
-            | Self::CrashParts(_) => return None,
+            | Self::CrashParts(_)
+            | Self::Confirmed(_) => return None,
         };
         Some((audience, number))
     }
--- a/crates/valehold-gateway/src/peers/roster/duties.rs
+++ b/crates/valehold-gateway/src/peers/roster/duties.rs
@@ -3,13 +3,11 @@
 
 use std::net::SocketAddr;
 
+use valehold_core::fleet::freshness::{OBSERVERS, ObserverPlace};
+
 use super::{Roster, hierarchy::Member};
 use crate::peers::message::{Duty, StoreStatus};
 
-/// The number of gateways that watch the platform's list of upstreams for the
-/// fleet.
-const STORE_OBSERVERS: usize = 3;
-
 /// The number of gateways that watch the configuration where hubs distribute
 /// it. A store may reject a third of all gateways and still answer the
 /// operator; the chance that it rejects all of these is below one in 300,000.
@@ -43,25 +41,13 @@
     /// store rejects. A rejected gateway keeps probing the store; where there
     /// are hubs, only the first `MAX_PROBING_GATEWAYS` gateways do so.
     pub fn observer_role(&self, own_status: StoreStatus) -> ObserverRole {
-        let own_rank = self.own.rank.for_duty(Duty::Observe);
-        let outranks = |(_, member): &(SocketAddr, &Member)| {
-            member.rank.for_duty(Duty::Observe) > own_rank
-        };
-        let others = self.hierarchy.serving_others().filter(outranks);
-        let position = others.clone().count();
-        let fails = |(_, member): &(SocketAddr, &Member)| {
-            member.store == StoreStatus::Unreachable
-        };
-        let failing = others.filter(fails).count();
-        let is_beyond_limit =
-            self.has_hubs() && position >= MAX_PROBING_GATEWAYS;
-        match position - failing {
-            _ if is_beyond_limit => ObserverRole::Inactive,
+        match self.observer_place().position {
+            _ if !self.may_observe() => ObserverRole::Inactive,
             _ if own_status == StoreStatus::Unreachable => {
                 ObserverRole::Primary
             }
             0 => ObserverRole::Primary,
-            position if position < STORE_OBSERVERS => ObserverRole::Standby,
+            position if position < OBSERVERS => ObserverRole::Standby,
             position if position < CONFIGURATION_WATCHERS => {
                 ObserverRole::ConfigurationOnly
             }
@@ -70,12 +56,39 @@
         }
     }
 
+    /// Returns the place of this gateway among those that can observe the
+    /// store. Gateways that the store rejects have no place.
+    pub fn observer_place(&self) -> ObserverPlace {
+        let others = self.hierarchy.serving_others();
+        let sound =
+            others.filter(|(_, one)| one.store != StoreStatus::Unreachable);
+        let position = sound.clone().filter(|one| self.is_before(one));
+        ObserverPlace {
+            position: position.count(),
+            observers: OBSERVERS.min(1 + sound.count()),
+        }
+    }
+
+    /// Returns whether this gateway may call the store while others do not.
+    pub fn may_observe(&self) -> bool {
+        let others = self.hierarchy.serving_others();
+        let before = others.filter(|one| self.is_before(one)).count();
+        !self.has_hubs() || before < MAX_PROBING_GATEWAYS
+    }
+
+    /// Returns whether another gateway is to observe the store rather than
+    /// this one.
+    fn is_before(&self, (_, member): &(SocketAddr, &Member)) -> bool {
+        let own_rank = self.own.rank.for_duty(Duty::Observe);
+        member.rank.for_duty(Duty::Observe) > own_rank
+    }
+
     /// Returns whether enough other gateways watch the store while it does not
     /// answer this one: another gateway reaches the store, or enough gateways
     /// of higher rank probe the store.
     pub fn others_probe_store(&self) -> bool {
         self.others_reach_store()
-            || self.duty_position(Duty::Observe) >= STORE_OBSERVERS
+            || self.duty_position(Duty::Observe) >= OBSERVERS
     }
 
     /// Returns whether the store answers another serving gateway.
--- a/crates/valehold-gateway/tests/events.rs
+++ b/crates/valehold-gateway/tests/events.rs
@@ -97,6 +97,7 @@
         },
         Event::StoreRestored { era: 2, before: 1 },
         Event::HistoryGone { call: "watch_upstreams".to_owned(), after: 120 },
+        Event::StateOutdated { age_ms: 1_290, position: 3 },
         Event::ListLeftOut { version: 95, known: 120 },
         Event::UpstreamCrashed {
             upstream: UpstreamId::new("e1"),
--- a/crates/valehold-gateway/tests/recorded_bytes.rs
+++ b/crates/valehold-gateway/tests/recorded_bytes.rs
@@ -34,6 +34,7 @@
             RefusedPartsReport, RefusedReport, RequestContent,
         },
         evacuation::HeldEvacuation,
+        freshness::{ConfirmedVersion, StateConfirmation},
         paces::{LogRatio, PaceObservation, PaceUpdate, Paces},
         stream_origin::{
             OriginReport, ReportedStream, StreamId, StreamOrigin,
@@ -570,6 +571,10 @@
             only_version: Some(SoftwareVersion::new("v1.1")),
         },
         Message::CrashParts(part_reports()),
+        Message::Confirmed(StateConfirmation {
+            catalog: ConfirmedVersion { version: 42, age_ms: 120 },
+            listing: ConfirmedVersion { version: 301, age_ms: 35 },
+        }),
     ]
 }
 
@@ -618,6 +623,7 @@
         Message::OriginRequest { .. } => ORIGIN_REQUEST,
         Message::OriginUnknown { .. } => ORIGIN_UNKNOWN,
         Message::CrashParts(_) => CRASH_PARTS,
+        Message::Confirmed(_) => CONFIRMED,
     }
 }
 
@@ -667,7 +673,7 @@
         .iter()
         .map(|message| bytes_of(recorded(message))[1])
         .collect();
-    expect_that!(indices, eq(&Vec::from_iter(0..26)));
+    expect_that!(indices, eq(&Vec::from_iter(0..27)));
 }
 
 /// A build without exposures ignores the bytes after those that it knows.
@@ -826,3 +832,5 @@
     2e31150205616c706861020261310261320462657461000108656e67696e652d330101\
     0e02067a6f6e652d33067a6f6e652d340108656e67696e652d320182d095ffbc311f01\
     c413";
+
+const CONFIRMED: &str = "bb1a2a78ad0223";
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -32,6 +32,8 @@
     Heard {
         /// The store's version from which to go on.
         version: u64,
+        /// The store's steady clock, in ms.
+        store_ms: u64,
         /// The configuration, if there is a newer one.
         catalog: Option<Box<Catalog>>,
         /// Orders to empty data centres: all after a read, changes after a
@@ -49,6 +51,8 @@
     Changed {
         /// The version of the store from which to go on.
         next: u64,
+        /// The store's steady clock, in ms.
+        store_ms: u64,
         /// The version of the newest change; `None` if nothing changed.
         version: Option<u64>,
         /// Upstreams that are new or differ.
@@ -89,6 +93,9 @@
     },
 }
 
+/// How long the answer of a watch may take after its turn.
+const TURN_SLACK: Duration = Duration::from_millis(450);
+
 /// For how long a watch on the store waits for a change.
 ///
 /// A store that fell silent forgets who watches. Nothing tells a watch that
@@ -100,6 +107,8 @@
     Now,
     /// A second or two, for those that watch for others.
     Brief,
+    /// So many ms, for those that watch for others in turns.
+    Turn(u64),
     /// As long as calls should be few.
     Long,
 }
@@ -110,6 +119,7 @@
         match self {
             Self::Now => Duration::ZERO,
             Self::Brief => Duration::from_millis(1_600),
+            Self::Turn(wait_ms) => Duration::from_millis(wait_ms),
             Self::Long => Duration::from_secs(28),
         }
     }
@@ -124,6 +134,9 @@
         match self {
             Self::Now => Duration::from_millis(1_000),
             Self::Brief => Duration::from_millis(2_200),
+            Self::Turn(wait_ms) => {
+                Duration::from_millis(wait_ms).saturating_add(TURN_SLACK)
+            }
             Self::Long => Duration::from_secs(29),
         }
     }
