A stream has no more time than its request, also if it never pauses

Callers would have been held past their deadline by an engine that sends events or comments without end (over 60 s with a deadline of 1.5 s).

Cause: the time of a request was looked at only while its stream was silent. The class: a bound is checked on one path of two.

Change: the time is looked at before each event. Comments no longer stand between events: the users' pages know none, and they are no part of an answer.

--- a/crates/valehold-core/src/fleet/event.rs
+++ b/crates/valehold-core/src/fleet/event.rs
@@ -2,8 +2,7 @@
 //! events.
 //!
 //! A streamed answer is a series of events. Each event ends with an empty line
-//! and has a number in a line `id: N`; the numbers rise by one. Comments, whose
-//! lines begin with a colon, may stand between events. Only whole
+//! and has a number in a line `id: N`; the numbers rise by one. Only whole
 //! events are passed on to the caller, so that another upstream can continue
 //! the stream if one breaks off inside an event.
 
@@ -45,15 +44,6 @@
     pub bytes: Bytes,
 }
 
-impl Event {
-    /// Returns whether all lines are comments, which may stand between events.
-    fn is_comment(&self) -> bool {
-        let lines = self.bytes.split(|byte| *byte == b'\n');
-        let mut written = lines.filter(|line| !matches!(line, [] | [b'\r']));
-        written.all(|line| line.starts_with(b":"))
-    }
-}
-
 /// Buffers received bytes and splits them into whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -82,9 +72,6 @@
                 EventPosition::Next => bytes.extend_from_slice(&event.bytes),
                 EventPosition::Duplicate => {}
                 EventPosition::Gap => break Some(StreamFault::Gap),
-                EventPosition::Unknown if event.is_comment() => {
-                    bytes.extend_from_slice(&event.bytes);
-                }
                 EventPosition::Unknown => {
                     break Some(StreamFault::Unnumbered);
                 }
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -228,6 +228,11 @@
     /// Returns the next events; `None` at the end.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         loop {
+            if self.exchange.is_over() {
+                // A stream that never pauses has no more time than others.
+                self.relay.take()?;
+                return Some(self.break_off().await);
+            }
             let relay = self.relay.as_mut()?;
             let app = self.exchange.app.clone();
             let mut order = self.exchange.order;
@@ -262,15 +267,20 @@
                 None => self.take_over().await,
             }
             if self.relay.is_none() {
-                self.exchange.log_broken_off();
-                // The connection writes what it was given before it is closed
-                // only if the body waits in between.
-                tokio::task::yield_now().await;
-                return Some(Err(BrokenOff));
+                return Some(self.break_off().await);
             }
         }
     }
 
+    /// Breaks the answer off.
+    async fn break_off(&mut self) -> Result<Bytes, BrokenOff> {
+        self.exchange.log_broken_off();
+        // The connection writes what it was given before it is closed only if
+        // the body waits in between.
+        tokio::task::yield_now().await;
+        Err(BrokenOff)
+    }
+
     /// Records that the upstream has outlived the request, if the answer has
     /// gone on for long enough.
     fn record_if_outlived(&mut self) {
