All answers together have a bound of memory

An engine whose answers have no end would have taken the memory of a gateway (373 to 527 MB with 60 such answers; the smallest machine has 160), which is killed then with all its requests.

Cause: each answer that is passed on as a whole was allowed 16 MB, and each event of a stream 1 MB, however many others there were. The class: a bound for each where all together need one.

Change: traffic/buffered counts what is held of all answers, 24 MB at most; 16 KB of each are free, so that usual answers have room beside endless ones. A body that states a larger length than any answer may have is refused at once. The library reads at most 64 KB of a connection ahead, and so of a head (400 KB before).

Found by reading, not changed: the streams of valehold-instance's own engines (valehold-ports, http/engine.rs) bound the time between events, not their size.

--- a/crates/valehold-core/src/fleet/event.rs
+++ b/crates/valehold-core/src/fleet/event.rs
@@ -104,6 +104,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     fn event_length(&mut self) -> Option<usize> {
         let from = self.searched.saturating_sub(3);
         let end = end_of_event(&self.pending[from..]);
--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -18,7 +18,9 @@
 };
 
 use super::{
-    Body, BrokenOff, after_close, crashes,
+    Body, BrokenOff, after_close,
+    buffered::{BufferedBody, BufferedBytes},
+    crashes,
     exchange::{Exchange, ReceivedAnswer},
     pool::Reuse,
     route::Job,
@@ -38,6 +40,8 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     reuse: Option<Reuse>,
     splitter: EventSplitter,
+    /// Counts the bytes in the splitter.
+    buffered: BufferedBytes,
     in_flight: InFlightGuard,
     /// Whether only the end of the connection ends the body, and the answer is
     /// not shown to be whole yet.
@@ -68,6 +72,7 @@
 
 impl Relay {
     pub(super) fn new(
+        app: &App,
         upstream: Arc<Upstream>,
         job: &Job,
         begun: BegunAnswer,
@@ -81,6 +86,7 @@
             ends_with_connection: begun.ends_with_connection,
             ended_at: None,
             splitter: EventSplitter::default(),
+            buffered: app.buffered.begin(),
             in_flight,
             variant: job.request.variant.clone(),
             began: Instant::now(),
@@ -144,6 +150,11 @@
                 if let Some(bytes) = frame.data_ref() {
                     self.splitter.push(bytes);
                 }
+                let held = self.splitter.pending_bytes();
+                if let Err(error) = self.buffered.set(held) {
+                    log::debug!("{}: {error}", self.upstream.id);
+                    self.ended = Some(BodyEnd::BrokenOff);
+                }
             }
             Some(Err(error)) => {
                 log::debug!(
@@ -351,7 +362,13 @@
         ReceivedAnswer::Whole { head, body } => {
             exchange.record.record_relayed();
             exchange.log_answered(head.status);
-            let body = Full::new(body).map_err(BrokenOff::from);
+            let BufferedBody { bytes, counted } = body;
+            let body = Full::new(bytes).map_err(BrokenOff::from);
+            let body = body.map_frame(move |frame| {
+                // The bytes count until the caller has the answer.
+                let _ = &counted;
+                frame
+            });
             Response::from_parts(head, Box::pin(body) as Body)
         }
         ReceivedAnswer::Stream { head, relay } => {
--- a/crates/valehold-gateway/src/traffic/connect.rs
+++ b/crates/valehold-gateway/src/traffic/connect.rs
@@ -19,6 +19,10 @@
     tunnel::{self, TunnelError},
 };
 
+/// The most bytes that are read of a connection ahead of their use, and so the
+/// largest head of an answer.
+const MAX_READ_BYTES: usize = 64 << 10;
+
 /// A connection that can take one request at a time.
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
@@ -134,7 +138,9 @@
 async fn start_http(
     stream: Box<dyn UpstreamStream>,
 ) -> io::Result<SendRequest<Full<Bytes>>> {
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
--- a/crates/valehold-gateway/src/traffic/exchange/beginning.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/beginning.rs
@@ -2,8 +2,6 @@
 
 use std::{pin::Pin, rc::Rc};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 use valehold_core::{
     Millis,
@@ -14,6 +12,7 @@
     super::{
         after_close,
         answer::Relay,
+        buffered::{BufferedBody, ReadBodyError, read_body},
         choose::Chosen,
         crashes,
         route::Job,
@@ -23,9 +22,6 @@
     ReceivedAnswer,
 };
 
-/// The maximum size in bytes of an answer that is not streamed.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-
 /// A send of a request whose answer has not begun.
 pub(super) struct PendingSend {
     pub(super) chosen: Chosen,
@@ -107,7 +103,7 @@
         }
         return Ok(ReceivedAnswer::Whole { head, body });
     }
-    let mut relay = Relay::new(upstream.clone(), job, begun, in_flight);
+    let mut relay = Relay::new(app, upstream.clone(), job, begun, in_flight);
     let first = relay.first_events(app, job, order).await?;
     relay.hold(first);
     Ok(ReceivedAnswer::Stream { head, relay: Box::new(relay) })
@@ -118,22 +114,28 @@
 ///
 /// # Errors
 ///
-/// If the answer broke off, or is not shown to be whole.
+/// If the answer broke off, has no room, or is not shown to be whole.
 async fn read_whole(
     app: &App,
     job: &Job,
     upstream: &Upstream,
     begun: BegunAnswer,
-) -> Result<Bytes, SendFailure> {
-    let reading = Limited::new(begun.body, MAX_ANSWER_BYTES).collect();
-    let collected = reading.await.map_err(|_| SendFailure::cut_off())?;
+) -> Result<BufferedBody, SendFailure> {
+    let reading = read_body(&app.buffered, begun.body).await;
+    let body = reading.map_err(|error| {
+        log::debug!("the answer of {}: {error}", upstream.id);
+        match error {
+            ReadBodyError::BrokenOff(_) => SendFailure::cut_off(),
+            ReadBodyError::NoRoom(_) => SendFailure::broken(),
+        }
+    })?;
     if let Some(reuse) = begun.reuse {
         app.pool.put_back(&upstream.start(), begun.sender, reuse);
     }
     let is_whole = !begun.ends_with_connection
         || after_close::is_whole(app, job, upstream, app.now()).await;
     match is_whole {
-        true => Ok(collected.to_bytes()),
+        true => Ok(body),
         false => Err(SendFailure::cut_off()),
     }
 }
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -15,7 +15,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http::{Response, StatusCode};
 use valehold_core::{
     Millis, Verdict,
@@ -35,6 +34,7 @@
 use super::{
     Body,
     answer::{self, Relay},
+    buffered::BufferedBody,
     charge::{Charge, charge},
     choose::{Chosen, choose},
     crashes,
@@ -87,7 +87,7 @@
 /// An answer that can be relayed to the caller.
 pub(super) enum ReceivedAnswer {
     /// An answer that is not streamed.
-    Whole { head: http::response::Parts, body: Bytes },
+    Whole { head: http::response::Parts, body: BufferedBody },
     /// A stream, beginning with its first event.
     Stream { head: http::response::Parts, relay: Box<Relay> },
 }
@@ -380,7 +380,7 @@
         &mut self,
         upstream: &Upstream,
         mut head: http::response::Parts,
-        body: Bytes,
+        body: BufferedBody,
     ) -> Result<ReceivedAnswer, SendFailure> {
         let failed = head.status.is_server_error();
         self.app.update_health(&upstream.start(), |h, now| match failed {
--- a/crates/valehold-gateway/src/traffic/mod.rs
+++ b/crates/valehold-gateway/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 //! - `after_close` decides whether an answer that ended with its connection is
 //!   whole.
 //! - `answer` relays the answer to the caller, event by event if the answer is
-//!   a stream.
+//!   a stream. `buffered` bounds the memory of all answers.
 //!
 //! `exchange` calls these modules for a request, and repeats sends that fail.
 //! `stop` has the times of a planned stop.
@@ -27,6 +27,7 @@
 mod after_close;
 mod answer;
 mod brittle;
+mod buffered;
 mod charge;
 mod choose;
 mod connect;
--- a/crates/valehold-gateway/src/traffic/state.rs
+++ b/crates/valehold-gateway/src/traffic/state.rs
@@ -29,7 +29,8 @@
 use valehold_ports::port::fleet::{Dialect, UpstreamConnector};
 
 use super::{
-    choose::Chosen, crashes::PendingBreakOffs, pool::Pool, tunnel::TunnelPeers,
+    buffered::BufferedTotal, choose::Chosen, crashes::PendingBreakOffs,
+    pool::Pool, tunnel::TunnelPeers,
 };
 use crate::{mechanisms::MechanismSettings, shared::Shared, view::Load};
 
@@ -60,6 +61,8 @@
     /// When this gateway started.
     started: Millis,
     pub(super) pool: Pool,
+    /// The bytes of answers that are held.
+    pub(super) buffered: BufferedTotal,
     pub(super) tunnel_peers: TunnelPeers,
     /// One reference for each tunnel that is open, besides this one.
     pub(super) open_tunnels: Rc<()>,
@@ -87,6 +90,7 @@
         Self {
             started: shared.clock.now(),
             pool: Pool::new(shared.clock),
+            buffered: BufferedTotal::default(),
             shared,
             dialect,
             connector,
