--- a/crates/valehold-gateway/src/traffic/answer.rs
+++ b/crates/valehold-gateway/src/traffic/answer.rs
@@ -19,7 +19,7 @@
 
 use super::{
     Body, BrokenOff, after_close,
-    buffered::{BufferedBody, BufferedBytes},
+    buffered::BufferedBytes,
     crashes,
     exchange::{Exchange, ReceivedAnswer},
     pool::Reuse,
@@ -362,13 +362,7 @@
         ReceivedAnswer::Whole { head, body } => {
             exchange.record.record_relayed();
             exchange.log_answered(head.status);
-            let BufferedBody { bytes, counted } = body;
-            let body = Full::new(bytes).map_err(BrokenOff::from);
-            let body = body.map_frame(move |frame| {
-                // The bytes count until the caller has the answer.
-                let _ = &counted;
-                frame
-            });
+            let body = body.map_err(BrokenOff::from);
             Response::from_parts(head, Box::pin(body) as Body)
         }
         ReceivedAnswer::Stream { head, relay } => {
--- a/crates/valehold-gateway/src/traffic/buffered.rs
+++ b/crates/valehold-gateway/src/traffic/buffered.rs
@@ -7,11 +7,17 @@
 #[cfg(test)]
 mod tests;
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
 
 use bytes::{Bytes, BytesMut};
-use http_body::Body as _;
-use http_body_util::BodyExt;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
 /// The memory for all answers together, in bytes: a sixth of the smallest
@@ -68,13 +74,32 @@
     }
 }
 
-/// A body that is held as a whole.
+/// A body that is held as a whole. Its bytes count until it is dropped, when
+/// the caller has them.
 #[derive(Debug)]
 pub(super) struct BufferedBody {
-    /// The bytes.
-    pub(super) bytes: Bytes,
-    /// Counts the bytes for as long as they are held.
-    pub(super) counted: BufferedBytes,
+    body: Full<Bytes>,
+    _counted: BufferedBytes,
+}
+
+impl Body for BufferedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 /// Why a body was not read to its end.
@@ -106,5 +131,6 @@
             bytes.extend_from_slice(&data);
         }
     }
-    Ok(BufferedBody { bytes: bytes.freeze(), counted })
+    let body = Full::new(bytes.freeze());
+    Ok(BufferedBody { body, _counted: counted })
 }
