The store keeps where streams began, for when all gateways lose power

Callers of streams that broke off with all gateways were refused for ten seconds, until they gave up (LOST); callers that name no request got events of another version (ORDER).

Cause: where streams began, and which versions were in use, was known to gateways alone. The class: what nobody alive remembers any more.

Change: - The first observer writes for all: which versions each service has had in use, once for each change; and, while a service has several, where streams began, all of at least 300 ms in one call. A gateway that begins a stream reports it to the first observer beside the keepers. - Observers read the table once after their start, before they serve (1 s at most). Whoever is asked to continue a stream asks the observers too and, for three seconds after its own start, the seeds, again each 200 ms and for 1 s. - A service of which the store told the versions has its only version for certain at once. Streams without a name go on by the only known version only where the table was read; others ask. - Tables of the gateways' own are read and written by one pair of calls of the port (read_own, write_own); what their rows say is written by the gateway (control/records), as the platform's folder only translates.

--- a/crates/valehold-core/src/fleet/mod.rs
+++ b/crates/valehold-core/src/fleet/mod.rs
@@ -45,6 +45,7 @@
 pub mod software;
 pub mod store_version;
 pub mod stream_origin;
+pub mod stream_record;
 #[cfg(test)]
 mod tests;
 pub mod topology;
--- a/crates/valehold-core/src/fleet/registry.rs
+++ b/crates/valehold-core/src/fleet/registry.rs
@@ -26,6 +26,7 @@
     recent::RecentChanges,
     software::SoftwareHistory,
     store_version::StoreVersion,
+    stream_record::ServiceVersions,
 };
 use crate::{id::UpstreamId, order::Stamp, time::Millis};
 
@@ -111,6 +112,17 @@
         &self.software
     }
 
+    /// Adds the software versions that were in use before the start of this
+    /// instance, as the store recorded them at its time `store_ms`.
+    pub fn restore_software(
+        &mut self,
+        recorded: &[ServiceVersions],
+        store_ms: u64,
+        now: Millis,
+    ) {
+        self.software.restore(recorded, store_ms, now);
+    }
+
     /// Returns the most recent changes of the platform's list.
     pub fn recent(&self) -> &Arc<RecentChanges> {
         &self.recent
--- a/crates/valehold-core/src/fleet/software.rs
+++ b/crates/valehold-core/src/fleet/software.rs
@@ -5,9 +5,12 @@
 //! version, this version is known without any exchange between gateways.
 //! [`SoftwareHistory`] tells when that is certain.
 
-use imbl::OrdMap;
+use imbl::{OrdMap, OrdSet};
 
-use super::listing::Upstream;
+use super::{
+    listing::Upstream,
+    stream_record::{ServiceVersions, VersionUse},
+};
 use crate::{
     id::{ServiceName, SoftwareVersion},
     time::Millis,
@@ -54,6 +57,8 @@
     usages: OrdMap<ServiceVersion, Usage>,
     /// Since when the list is known.
     known_since: Option<Millis>,
+    /// The services of which the store told which versions were in use before.
+    recorded: OrdSet<ServiceName>,
 }
 
 impl SoftwareHistory {
@@ -68,7 +73,7 @@
         now: Millis,
     ) -> Option<SoftwareVersion> {
         let known_ms = now.since(self.known_since?);
-        if known_ms < MIN_KNOWN_MS {
+        if known_ms < MIN_KNOWN_MS && !self.recorded.contains(service) {
             return None;
         }
         self.only_known_version(service, now)
@@ -138,6 +143,55 @@
         }
     }
 
+    /// Adds the versions that were in use before the start of this gateway, as
+    /// the store recorded them. `store_ms` is the clock of the store.
+    pub(super) fn restore(
+        &mut self,
+        recorded: &[ServiceVersions],
+        store_ms: u64,
+        now: Millis,
+    ) {
+        for one in recorded {
+            self.recorded.insert(one.service.clone());
+            for version in &one.versions {
+                let left_ms = version.left_ms.unwrap_or(store_ms);
+                let ago_ms = store_ms.saturating_sub(left_ms);
+                if ago_ms >= RETENTION_MS {
+                    continue;
+                }
+                let until = Millis::new(now.get().saturating_sub(ago_ms));
+                let key = (one.service.clone(), version.software.clone());
+                let before = Usage { upstreams: 0, since: until, until };
+                self.usages.entry(key).or_insert(before);
+            }
+        }
+    }
+
+    /// Returns which versions are and were in use, for the store to record.
+    /// `store_ms` is the clock of the store.
+    pub fn record(&self, store_ms: u64, now: Millis) -> Vec<ServiceVersions> {
+        let mut services: Vec<ServiceVersions> = Vec::new();
+        let recent = self.usages.iter().filter(|(_, one)| one.is_recent(now));
+        for ((service, software), usage) in recent {
+            let left_ago = now.since(usage.until);
+            let left_ms = match usage.upstreams {
+                0 => Some(store_ms.saturating_sub(left_ago)),
+                _ => None,
+            };
+            let version = VersionUse { software: software.clone(), left_ms };
+            match services.last_mut() {
+                Some(last) if last.service == *service => {
+                    last.versions.push(version);
+                }
+                _ => services.push(ServiceVersions {
+                    service: service.clone(),
+                    versions: vec![version],
+                }),
+            }
+        }
+        services
+    }
+
     /// Removes versions that are no longer in use.
     pub(super) fn prune(&mut self, now: Millis) {
         let old = self.usages.iter().filter(|(_, one)| !one.is_recent(now));
--- a/crates/valehold-core/src/fleet/stream_origin.rs
+++ b/crates/valehold-core/src/fleet/stream_origin.rs
@@ -53,6 +53,16 @@
         Self(xxh3_64(id))
     }
 
+    /// Creates an identifier from its number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number of the identifier.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
     /// Returns the gateways to which the origin of the stream is reported.
     /// `others` are the gateways except the one that began the stream.
     pub fn keepers(self, others: &[SocketAddr]) -> Vec<SocketAddr> {
@@ -153,6 +163,8 @@
     /// Streams that began at this gateway and were not reported yet, by the
     /// service from which their origin can be inferred, if any.
     unreported: BTreeMap<Option<ServiceName>, BTreeSet<StreamId>>,
+    /// Streams whose origin is not known to be in the store.
+    unstored: BTreeSet<StreamId>,
 }
 
 impl StreamOrigins {
@@ -171,6 +183,7 @@
     ) {
         let keep_ms = u32::try_from(keep_ms).unwrap_or(MAX_KEEP_MS);
         self.insert(ReportedStream { stream, keep_ms }, origin, now);
+        self.unstored.insert(stream);
         let inferred_from = is_only_service.then(|| origin.service.clone());
         self.unreported.entry(inferred_from).or_default().insert(stream);
     }
@@ -179,11 +192,50 @@
     pub fn receive(&mut self, reports: &[OriginReport], now: Millis) {
         for report in reports {
             for stream in &report.streams {
+                let is_new = !self.known.contains_key(&stream.stream);
                 self.insert(*stream, &report.origin, now);
+                if is_new {
+                    self.unstored.insert(stream.stream);
+                }
             }
         }
     }
 
+    /// Records the origins that the store has.
+    pub fn receive_stored(&mut self, reports: &[OriginReport], now: Millis) {
+        for report in reports {
+            for stream in &report.streams {
+                self.insert(*stream, &report.origin, now);
+                self.unstored.remove(&stream.stream);
+            }
+        }
+    }
+
+    /// Returns the streams that are to be stored, `max` at most, except those
+    /// of services whose only version is certain.
+    pub fn unstored(
+        &self,
+        has_only_version: impl Fn(&ServiceName) -> bool,
+        max: usize,
+        now: Millis,
+    ) -> Vec<OriginReport> {
+        let wanted = self.unstored.iter().filter_map(|stream| {
+            let origin = self.get(*stream, now)?;
+            let is_inferred = has_only_version(&origin.service);
+            let reported = self.reported(*stream, now)?;
+            (!is_inferred).then(|| (reported, origin.clone()))
+        });
+        reports_of(wanted.take(max))
+    }
+
+    /// Records that the store has the origins of some streams.
+    pub fn on_stored(&mut self, reports: &[OriginReport]) {
+        let streams = reports.iter().flat_map(|report| &report.streams);
+        streams.for_each(|one| {
+            self.unstored.remove(&one.stream);
+        });
+    }
+
     /// Returns the origin of a stream, or `None` if it is not known or reports
     /// contradict one another.
     pub fn get(&self, stream: StreamId, now: Millis) -> Option<&StreamOrigin> {
@@ -262,6 +314,7 @@
             }
             self.expiries.pop_first();
             self.known.remove(&stream);
+            self.unstored.remove(&stream);
             for unreported in self.unreported.values_mut() {
                 unreported.remove(&stream);
             }
--- a/crates/valehold-core/src/fleet/tests.rs
+++ b/crates/valehold-core/src/fleet/tests.rs
@@ -34,6 +34,7 @@
 mod software;
 mod store_version;
 mod stream_origin;
+mod stream_record;
 mod topology;
 mod upstream_limit;
 mod usage;
--- a/crates/valehold-gateway/src/control/counted_store.rs
+++ b/crates/valehold-gateway/src/control/counted_store.rs
@@ -4,18 +4,12 @@
 use std::sync::Arc;
 
 use futures::FutureExt;
-use valehold_core::{
-    fleet::{
-        Listing,
-        crashes::{RecordChange, RecordState},
-    },
-    lease::LeaseRow,
-};
+use valehold_core::{fleet::Listing, lease::LeaseRow};
 use valehold_ports::port::{
     Answer,
     fleet::{
-        CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews,
-        WatchSpan,
+        CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews, OwnRows,
+        OwnRowsChange, OwnTable, WatchSpan,
     },
 };
 
@@ -103,15 +97,23 @@
         self.count("write_lease", answer)
     }
 
-    fn read_refused(&self) -> Answer<'_, RecordState> {
-        self.count("read_refused", self.store.read_refused())
+    fn read_own(&self, table: OwnTable) -> Answer<'_, OwnRows> {
+        let label = match table {
+            OwnTable::Refused => "read_refused",
+            OwnTable::Streams => "read_streams",
+        };
+        self.count(label, self.store.read_own(table))
     }
 
-    fn write_refused<'a>(
+    fn write_own<'a>(
         &'a self,
-        change: &'a RecordChange,
+        table: OwnTable,
+        change: &'a OwnRowsChange,
     ) -> Answer<'a, ()> {
-        let answer = self.store.write_refused(change);
-        self.count("write_refused", answer)
+        let label = match table {
+            OwnTable::Refused => "write_refused",
+            OwnTable::Streams => "write_streams",
+        };
+        self.count(label, self.store.write_own(table, change))
     }
 }
--- a/crates/valehold-gateway/src/control/crashes.rs
+++ b/crates/valehold-gateway/src/control/crashes.rs
@@ -8,9 +8,12 @@
     Millis,
     fleet::crashes::{CrashReports, Culprit, PartReports, Refusal},
 };
-use valehold_ports::{PortError, port::fleet::FleetStore};
+use valehold_ports::{
+    PortError,
+    port::fleet::{FleetStore, OwnTable},
+};
 
-use super::{Control, input::Input};
+use super::{Control, input::Input, records::refused as refused_rows};
 use crate::peers::{message::Message, roster::ObserverRole};
 
 /// How long the set of refused requests must be unchanged before the gateway
@@ -123,7 +126,7 @@
     }
 
     /// Returns whether this gateway observes the store for the others.
-    fn observes_store(&self) -> bool {
+    pub(super) fn observes_store(&self) -> bool {
         !matches!(
             self.watch_state.role(),
             ObserverRole::Inactive | ObserverRole::ConfigurationOnly
@@ -289,11 +292,13 @@
     refused: &[Refusal],
     obsolete: &[Culprit],
 ) -> Result<Vec<Refusal>, PortError> {
-    let state = store.read_refused().await?;
+    let table = OwnTable::Refused;
+    let state = refused_rows::read(&store.read_own(table).await?);
     let change = state.change(refused, obsolete);
     let has_requested_changes = !(refused.is_empty() && obsolete.is_empty());
     if has_requested_changes && !change.is_empty() {
-        store.write_refused(&change).await?;
+        let rows = refused_rows::rows(&change)?;
+        store.write_own(table, &rows).await?;
     }
     let mut listed = state.unexpired();
     listed.retain(|refusal| !change.remove.contains(&refusal.culprit));
--- a/crates/valehold-gateway/src/control/feeds/tests.rs
+++ b/crates/valehold-gateway/src/control/feeds/tests.rs
@@ -10,9 +10,7 @@
 use tokio::{sync::mpsc, time::Instant};
 use valehold_core::{
     fleet::{
-        Catalog, EvacuationUpdate, Evacuations, Listing,
-        catalog::CallerLimits,
-        crashes::{RecordChange, RecordState},
+        Catalog, EvacuationUpdate, Evacuations, Listing, catalog::CallerLimits,
     },
     lease::LeaseRow,
 };
@@ -22,7 +20,7 @@
         Answer,
         fleet::{
             CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews,
-            WatchSpan,
+            OwnRows, OwnRowsChange, OwnTable, WatchSpan,
         },
     },
 };
@@ -193,13 +191,14 @@
         std::future::pending().boxed()
     }
 
-    fn read_refused(&self) -> Answer<'_, RecordState> {
+    fn read_own(&self, _: OwnTable) -> Answer<'_, OwnRows> {
         std::future::pending().boxed()
     }
 
-    fn write_refused<'a>(
+    fn write_own<'a>(
         &'a self,
-        _change: &'a RecordChange,
+        _: OwnTable,
+        _: &'a OwnRowsChange,
     ) -> Answer<'a, ()> {
         std::future::pending().boxed()
     }
--- a/crates/valehold-gateway/src/control/feeds/watch_state.rs
+++ b/crates/valehold-gateway/src/control/feeds/watch_state.rs
@@ -113,13 +113,18 @@
         self.store_clock.set(Some((store_ms, Instant::now())));
     }
 
+    /// Returns the clock of the store in ms, as far as it is known.
+    pub(in crate::control) fn store_ms(&self) -> Option<u64> {
+        let (store_ms, read) = self.store_clock.get()?;
+        Some(store_ms + Millis::from(read.elapsed()).get())
+    }
+
     /// Returns the span of an observer's watch, which ends `lead_ms` before its
     /// next turn.
     fn span_until_turn(&self, lead_ms: u64) -> WatchSpan {
-        let Some((store_ms, read)) = self.store_clock.get() else {
+        let Some(store_ms) = self.store_ms() else {
             return WatchSpan::Brief;
         };
-        let store_ms = store_ms + Millis::from(read.elapsed()).get();
         WatchSpan::Turn(wait_for_turn(store_ms + lead_ms, self.turn.get()))
     }
 
--- a/crates/valehold-gateway/src/control/input.rs
+++ b/crates/valehold-gateway/src/control/input.rs
@@ -18,7 +18,7 @@
     },
 };
 
-use super::crashes::RecordSyncResult;
+use super::{crashes::RecordSyncResult, stream_record::StreamRecordResult};
 use crate::peers::state::PeerState;
 
 /// A write of the lease's row that was sent to the store.
@@ -171,6 +171,8 @@
     OrderFinished(PendingOrder, OrderResult),
     /// A call to the store about the record of refused requests ended.
     RecordCallFinished(RecordSyncResult),
+    /// A call to the store about the record of streams ended.
+    StreamRecordCallFinished(StreamRecordResult),
     /// A datagram arrived from an address.
     Datagram(SocketAddr, Vec<u8>),
 }
--- a/crates/valehold-gateway/src/control/lease/tests.rs
+++ b/crates/valehold-gateway/src/control/lease/tests.rs
@@ -12,7 +12,6 @@
     Millis,
     fleet::{
         Listing, StoreVersion,
-        crashes::{RecordChange, RecordState},
         weight_loads::{InheritedLoads, LostLoads},
     },
     id::InstanceId,
@@ -24,7 +23,7 @@
         Answer,
         fleet::{
             CatalogNews, FleetStore, LeaseSight, LeaseWrite, ListingNews,
-            WatchSpan,
+            OwnRows, OwnRowsChange, OwnTable, WatchSpan,
         },
     },
 };
@@ -133,11 +132,15 @@
         async move { Ok(LeaseWrite::Won { version, store_ms }) }.boxed()
     }
 
-    fn read_refused(&self) -> Answer<'_, RecordState> {
+    fn read_own(&self, _: OwnTable) -> Answer<'_, OwnRows> {
         not_supported()
     }
 
-    fn write_refused<'a>(&'a self, _: &'a RecordChange) -> Answer<'a, ()> {
+    fn write_own<'a>(
+        &'a self,
+        _: OwnTable,
+        _: &'a OwnRowsChange,
+    ) -> Answer<'a, ()> {
         not_supported()
     }
 }
--- a/crates/valehold-gateway/src/control/mod.rs
+++ b/crates/valehold-gateway/src/control/mod.rs
@@ -12,10 +12,12 @@
 //! - `telling` exchanges messages with peers, `loads` sends the requests in
 //!   flight between heartbeats, `limits` handles usage and throttles, and
 //!   `paces` the speed of engines and models.
+//! - `records` reads and writes the rows of the gateways' own tables.
 //! - `crashes` propagates reports of crashes and the requests in flight at the
 //!   time, `leaving` propagates leaving upstreams, and `upstream_limits` the
 //!   limits of overloaded upstreams.
-//! - `origins` propagates the software versions at which streams began.
+//! - `origins` propagates the software versions at which streams began, and
+//!   `stream_record` keeps them in the store.
 //! - `cold` tracks cold upstreams and grants permits to send to cold or
 //!   limited upstreams.
 //! - `upstreams` maintains the registry of upstreams, and `publishing`
@@ -44,7 +46,9 @@
 mod placement;
 mod placer;
 mod publishing;
+mod records;
 mod store_status;
+mod stream_record;
 mod telling;
 mod upstream_limits;
 mod upstreams;
@@ -209,6 +213,7 @@
     /// The members that this gateway last advertised as a hub.
     advertised_members: AdvertisedMembers,
     origins: origins::OriginState,
+    stream_record: stream_record::StreamRecordSync,
 }
 
 impl Control {
@@ -318,6 +323,7 @@
             advertised_limits: upstream_limits::AdvertisedLimits::default(),
             advertised_members: AdvertisedMembers::default(),
             origins: origins::OriginState::default(),
+            stream_record: stream_record::StreamRecordSync::default(),
             shared: shared.clone(),
         };
         control.update_presence(now);
@@ -401,6 +407,7 @@
         self.repeat_leaving(now);
         self.send_due_limits(now);
         self.sync_record(now);
+        self.sync_stream_record(now);
         self.contend_for_lease(now);
         self.place(now);
         self.send_holdings(now);
@@ -552,6 +559,9 @@
             Input::RecordCallFinished(done) => {
                 self.on_record_synced(done, now)
             }
+            Input::StreamRecordCallFinished(done) => {
+                self.on_stream_record(done, now);
+            }
             Input::Datagram(from, bytes) => {
                 self.on_datagram(from, &bytes, now)
             }
@@ -586,6 +596,7 @@
             && self.evacuations.is_known()
             && !self.may_lack_held_evacuations(self.now())
             && !self.waits_for_record(self.now())
+            && !self.waits_for_stream_record(self.now())
     }
 
     fn serve_if_ready(&mut self) {
--- a/crates/valehold-gateway/src/control/origins.rs
+++ b/crates/valehold-gateway/src/control/origins.rs
@@ -13,7 +13,7 @@
     id::{ServiceName, SoftwareVersion},
 };
 
-use super::{Control, SETTLE_MS};
+use super::{Control, SETTLE_MS, seeds};
 use crate::{
     peers::message::{Message, StoreStatus},
     shared::{OriginFinding, OriginLookup},
@@ -36,6 +36,14 @@
 /// handled the messages that arrived meanwhile.
 const STALL_RECOVERY_MS: u64 = 1_000;
 
+/// How long a gateway counts as just started, in ms. It may not know the others
+/// yet, and these may still read the store's record of streams.
+const START_MS: u64 = 3_000;
+
+/// The same times as above for a gateway that has just started, in ms.
+const START_REPEAT_AFTER_MS: u64 = 200;
+const START_LOOKUP_TIMEOUT_MS: u64 = 1_000;
+
 /// How long the knowledge of software versions counts as current after the
 /// last tick, in ms.
 const CURRENT_MS: u64 = 400;
@@ -44,6 +52,8 @@
 #[derive(Debug)]
 struct PendingLookup {
     began: Millis,
+    /// When others were asked last.
+    asked: Millis,
     is_repeated: bool,
     service: ServiceName,
     /// The gateways that have not replied since they were asked last.
@@ -102,7 +112,7 @@
 
     /// Returns the version that all upstreams of a service run, if this is
     /// certain.
-    fn only_version(
+    pub(super) fn only_version(
         &self,
         service: &ServiceName,
         now: Millis,
@@ -130,9 +140,18 @@
         let own = self.shared.settings.peers.heartbeats;
         let mut others = self.roster.staying();
         others.retain(|address| *address != own);
+        let is_first = self.roster.observer_place().position == 0;
+        let first_observer = match is_first {
+            true => None,
+            false => self.roster.observers().first().copied(),
+        };
         let mut by_keeper: BTreeMap<SocketAddr, Vec<_>> = BTreeMap::new();
         for (reported, origin) in unreported {
-            for keeper in reported.stream.keepers(&others) {
+            let keepers = reported.stream.keepers(&others).into_iter();
+            // The first observer writes the store's record for all.
+            let receivers: BTreeSet<SocketAddr> =
+                keepers.chain(first_observer).collect();
+            for keeper in receivers {
                 let streams = by_keeper.entry(keeper).or_default();
                 streams.push((reported, origin.clone()));
             }
@@ -175,6 +194,7 @@
         let now = self.now();
         let lookup = PendingLookup {
             began: now,
+            asked: now,
             is_repeated: false,
             service,
             unanswered: BTreeSet::new(),
@@ -182,7 +202,7 @@
             replies: vec![reply],
         };
         let knows_others = now.since(self.started) >= SETTLE_MS;
-        if knows_others && self.possible_keepers(stream).is_empty() {
+        if knows_others && self.possible_informants(stream).is_empty() {
             lookup.finish_unreported();
             return;
         }
@@ -192,25 +212,35 @@
 
     /// Asks the gateways that may know the origin of a pending lookup.
     fn ask_for_origin(&mut self, stream: StreamId) {
-        let asked = self.possible_keepers(stream);
+        let asked = self.possible_informants(stream);
         let Some(lookup) = self.origins.lookups.get_mut(&stream) else {
             return;
         };
-        lookup.unanswered = asked.iter().copied().collect();
+        lookup.unanswered = asked.clone();
         let service = lookup.service.clone();
         self.send(asked, &Message::OriginRequest { stream, service });
     }
 
-    /// Returns the other gateways that may know the origin of a stream.
-    fn possible_keepers(&self, stream: StreamId) -> Vec<SocketAddr> {
+    /// Returns the other gateways that may know the origin of a stream: its
+    /// keepers, and the observers, which know the store's record.
+    fn possible_informants(&self, stream: StreamId) -> BTreeSet<SocketAddr> {
         let own = self.shared.settings.peers.heartbeats;
         let mut members = self.roster.staying();
         members.extend(self.roster.leaving());
-        let mut asked = stream.possible_keepers(&members);
-        asked.retain(|address| *address != own);
+        let keepers = stream.possible_keepers(&members);
+        let mut asked: BTreeSet<SocketAddr> = keepers.into_iter().collect();
+        asked.extend(self.roster.observers());
+        if self.has_just_started(self.now()) {
+            asked.extend(seeds(own, &self.shared.settings.peers.seeds));
+        }
+        asked.remove(&own);
         asked
     }
 
+    fn has_just_started(&self, now: Millis) -> bool {
+        now.since(self.started) < START_MS
+    }
+
     /// Answers a gateway that asks for the origin of a stream.
     pub(super) fn answer_origin_request(
         &self,
@@ -220,6 +250,10 @@
         now: Millis,
     ) {
         let report = self.shared.origins().report(stream, now);
+        if report.is_none() && self.waits_for_stream_record(now) {
+            // The other gateway asks again.
+            return;
+        }
         let message = match report {
             Some(report) => Message::StreamOrigins(vec![report]),
             None => Message::OriginUnknown {
@@ -249,6 +283,10 @@
         lookup.only_versions.extend(only_version.filter(is_only));
         lookup.unanswered.remove(&from);
         let is_certain = !lookup.only_versions.is_empty();
+        if self.waits_for_stream_record(now) {
+            return;
+        }
+        let Some(lookup) = self.origins.lookups.get(&stream) else { return };
         let is_over = is_certain || lookup.is_repeated;
         if lookup.unanswered.is_empty()
             && is_over
@@ -258,19 +296,42 @@
         }
     }
 
+    /// Ends lookups of streams whose origin this gateway has learned.
+    pub(super) fn finish_known_lookups(&mut self, now: Millis) {
+        let origins = self.shared.origins();
+        let mut known = BTreeMap::new();
+        for stream in self.origins.lookups.keys() {
+            if let Some(origin) = origins.get(*stream, now) {
+                known.insert(*stream, origin.clone());
+            }
+        }
+        drop(origins);
+        for (stream, origin) in known {
+            if let Some(lookup) = self.origins.lookups.remove(&stream) {
+                lookup.finish(&OriginFinding::Reported(origin));
+            }
+        }
+    }
+
     /// Repeats requests for origins that were not reported, and ends lookups
     /// that take too long.
     pub(super) fn continue_lookups(&mut self, now: Millis) {
+        let is_starting = self.has_just_started(now);
+        let (repeat_after_ms, give_up_after_ms) = match is_starting {
+            true => (START_REPEAT_AFTER_MS, START_LOOKUP_TIMEOUT_MS),
+            false => (REPEAT_AFTER_MS, LOOKUP_TIMEOUT_MS),
+        };
         let lookups = &mut self.origins.lookups;
         let over = lookups.extract_if(.., |_, lookup| {
-            now.since(lookup.began) >= LOOKUP_TIMEOUT_MS
+            now.since(lookup.began) >= give_up_after_ms
         });
         over.for_each(|(_, lookup)| lookup.finish_unreported());
         let mut repeated = Vec::new();
         for (stream, lookup) in lookups.iter_mut() {
-            let is_due = now.since(lookup.began) >= REPEAT_AFTER_MS;
-            if is_due && !lookup.is_repeated {
+            let is_due = now.since(lookup.asked) >= repeat_after_ms;
+            if is_due && (is_starting || !lookup.is_repeated) {
                 lookup.is_repeated = true;
+                lookup.asked = now;
                 repeated.push(*stream);
             }
         }
--- a/crates/valehold-gateway/src/peers/roster/duties.rs
+++ b/crates/valehold-gateway/src/peers/roster/duties.rs
@@ -1,12 +1,12 @@
 //! The duties of this gateway for the fleet: observing the store and holding
 //! the lease.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use valehold_core::fleet::freshness::{OBSERVERS, ObserverPlace};
 
 use super::{Roster, hierarchy::Member};
-use crate::peers::message::{Duty, StoreStatus};
+use crate::peers::message::{Duty, Rank, StoreStatus};
 
 /// The number of gateways that watch the configuration where hubs distribute
 /// it. A store may reject a third of all gateways and still answer the
@@ -69,6 +69,20 @@
         }
     }
 
+    /// Returns the other gateways that observe the store, in the order of their
+    /// ranks.
+    pub fn observers(&self) -> Vec<SocketAddr> {
+        let others = self.hierarchy.serving_others();
+        let sound =
+            others.filter(|(_, one)| one.store != StoreStatus::Unreachable);
+        let ranked = sound
+            .map(|(address, one)| (one.rank.for_duty(Duty::Observe), address));
+        let mut ranked: Vec<(Rank, SocketAddr)> = ranked.collect();
+        ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        let first = ranked.into_iter().take(OBSERVERS);
+        first.map(|(_, address)| address).collect()
+    }
+
     /// Returns whether this gateway may call the store while others do not.
     pub fn may_observe(&self) -> bool {
         let others = self.hierarchy.serving_others();
--- a/crates/valehold-gateway/src/shared.rs
+++ b/crates/valehold-gateway/src/shared.rs
@@ -7,7 +7,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -149,6 +149,8 @@
     origins: Mutex<StreamOrigins>,
     /// Notifies control that an origin is to be reported at once.
     origin_recorded: Notify,
+    /// Whether this gateway has read the store's record of streams.
+    stream_record_read: AtomicBool,
     /// Until when this gateway knows the software versions that others know,
     /// in ms of the clock.
     software_known_until: AtomicU64,
@@ -205,6 +207,7 @@
             crash_changes: watch::Sender::new(0),
             origins: Mutex::default(),
             origin_recorded: Notify::new(),
+            stream_record_read: AtomicBool::new(false),
             software_known_until: AtomicU64::new(0),
             load_requests,
             permit_requests,
@@ -301,6 +304,16 @@
         &self.origin_recorded
     }
 
+    /// Records that this gateway has read the store's record of streams.
+    pub fn set_stream_record_read(&self) {
+        self.stream_record_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this gateway has read the store's record of streams.
+    pub fn has_stream_record(&self) -> bool {
+        self.stream_record_read.load(Ordering::Relaxed)
+    }
+
     /// Asks control to find where a stream began.
     ///
     /// The request is dropped, and with it the sender of the reply, if the
--- a/crates/valehold-gateway/src/traffic/origins.rs
+++ b/crates/valehold-gateway/src/traffic/origins.rs
@@ -86,13 +86,15 @@
         let origin = StreamOrigin { service, software };
         job.route.has_only_target().then_some(origin)
     };
-    let Some(id) = &job.request.resumes else {
+    if job.request.resumes.is_none() && app.shared.has_stream_record() {
         // An unnamed stream has no record anywhere. Waiting for certainty
         // after a start of all gateways would refuse all of them.
         let view = app.shared.view.load();
         let software = view.software.only_known_version(service, app.now());
         return infer(software?);
-    };
+    }
+    // Of an unnamed stream, others may still know the only version.
+    let id = job.request.resumes.as_ref().or(job.request.id.as_ref())?;
     let stream = StreamId::of_request(id);
     let known = app.shared.origins().get(stream, app.now()).cloned();
     let inferred = || only_version(app, service).and_then(infer);
--- a/crates/valehold-ports/src/port/fleet.rs
+++ b/crates/valehold-ports/src/port/fleet.rs
@@ -2,20 +2,23 @@
 //! lease; engines that take orders; and the headers that all of them use.
 
 use std::{
-    collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration,
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use tokio::io::{AsyncRead, AsyncWrite};
 use valehold_core::{
     fleet::{
         Catalog, EvacuationUpdate, Holding, Listing, Upstream, Variant,
-        crashes::{RecordChange, RecordState},
-        upstream_limit::StatedLimit,
-        workspace::KeyDigest,
+        upstream_limit::StatedLimit, workspace::KeyDigest,
     },
     id::{
         DataCentreId, InstanceId, ModelName, RegionId, UpstreamId, WorkspaceId,
@@ -182,12 +185,44 @@
         row: &'a LeaseRow,
     ) -> Answer<'a, LeaseWrite>;
 
-    /// Reads which requests are refused since they crash upstreams.
-    fn read_refused(&self) -> Answer<'_, RecordState>;
+    /// Reads a table that belongs to the gateways. Rows that cannot be read
+    /// are left out.
+    fn read_own(&self, table: OwnTable) -> Answer<'_, OwnRows>;
 
-    /// Changes which requests it names as refused.
-    fn write_refused<'a>(&'a self, change: &'a RecordChange)
-    -> Answer<'a, ()>;
+    /// Changes rows of such a table, whatever they said before.
+    fn write_own<'a>(
+        &'a self,
+        table: OwnTable,
+        change: &'a OwnRowsChange,
+    ) -> Answer<'a, ()>;
+}
+
+/// A table that belongs to the gateways, in which they keep what has to outlive
+/// all of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnTable {
+    /// What requests are refused for since it crashes upstreams.
+    Refused,
+    /// Where streams began.
+    Streams,
+}
+
+/// The rows of such a table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OwnRows {
+    /// The values, by their keys.
+    pub rows: BTreeMap<String, Value>,
+    /// The store's steady clock, in ms.
+    pub store_ms: u64,
+}
+
+/// A change of rows of such a table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OwnRowsChange {
+    /// The values to write, by their keys.
+    pub put: BTreeMap<String, Value>,
+    /// The keys of rows to remove.
+    pub remove: Vec<String>,
 }
 
 /// What an engine says of itself, as of a moment ago.
