Answers whose status no final answer has reach no caller

Callers would have got answers of an engine in trouble whose status is 101 or 600 and above, with its signature (MIXED).

Ruled out: the HTTP library takes a status under 100 for an error, and the request fails or goes elsewhere (000, 001, 042, 099). An interim status taken for a final one (101), or one above all, passes: held.

Change: an answer counts only with a status from 200 to 599; others fail like an answer to another request, and their connection is closed.

Evidence: the two tests of invalid_statuses failed before (101, 600, 799, 999) and pass.

--- a/crates/valehold-gateway/src/traffic/send.rs
+++ b/crates/valehold-gateway/src/traffic/send.rs
@@ -314,8 +314,8 @@
         limit: stated.limit,
         limit_number_at_send: answered.limit_number,
     };
-    if stated.id != job.request.id {
-        // The answer belongs to another request, so the connection is closed.
+    if stated.id != job.request.id || !is_final(head.status) {
+        // It is no answer to this request, so the connection is closed.
         return Err(SendFailure::broken());
     }
     if stated.not_run {
@@ -359,6 +359,12 @@
     Ok(BegunAnswer { head, body, sender, reuse, ends_with_connection })
 }
 
+/// Returns whether a status is one of a final answer. Statuses below 100 are
+/// errors of the HTTP library.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether only the end of the connection ends the body of an answer.
 fn ends_with_connection(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_LENGTH)
