Streams that a stop would cut off are refused before they are passed on

Callers lost streams that came late in the time of a planned stop: they were passed on to an engine and cut off at the end, also those that may not be repeated (LOST).

Cause: a request that came during a stop was told the shorter time, and nobody asked whether it is enough. The class: work is begun for which the time is known to be too short.

Change: a stream that comes during a stop is refused (503, stopping, not run) if a quarter of its objective and twice the mean time of its model's streams do not fit before the end. Refusals of a stopping gateway close the connection, as its answers do, so that the caller comes back elsewhere.

--- a/crates/valehold-core/src/reason.rs
+++ b/crates/valehold-core/src/reason.rs
@@ -86,6 +86,8 @@
         CrashesUpstreams = "crashes_upstreams",
         /// Upstreams that ran requests with a part of its prompt crashed.
         PartCrashesUpstreams = "part_crashes_upstreams",
+        /// This instance stops before the answer could come to its end.
+        Stopping = "stopping",
         /// Every attempt failed, or the budget for retries is spent.
         UpstreamFailed = "upstream_failed",
         /// The answer did not begin within its time.
@@ -130,6 +132,7 @@
             | Self::NoUpstreamOfVersion
             | Self::CrashesUpstreams
             | Self::PartCrashesUpstreams
+            | Self::Stopping
             | Self::NotReady
             | Self::StoreDown => 503,
         }
--- a/crates/valehold-gateway/src/traffic/exchange/mod.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/mod.rs
@@ -135,6 +135,7 @@
     async fn run(&mut self) -> Result<ReceivedAnswer, Refusal> {
         self.refuse_if_it_crashes()?;
         self.refuse_if_unservable()?;
+        self.refuse_if_stopping()?;
         self.bind_to_origin().await?;
         self.charge = charge(&self.app, &self.job)?;
         record_work(&self.app, &self.job);
--- a/crates/valehold-gateway/src/traffic/exchange/refusals.rs
+++ b/crates/valehold-gateway/src/traffic/exchange/refusals.rs
@@ -14,6 +14,16 @@
 /// The time after which to retry when no upstream is available, in ms.
 pub(super) const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 400;
 
+/// The time after which to retry at another gateway while this one stops, in
+/// ms.
+const STOPPING_RETRY_AFTER_MS: u64 = 20;
+
+/// How much longer than the mean of its model a stream may take.
+const MAX_STREAM_FACTOR: f64 = 2.0;
+
+/// The part of the objective that a stream may take to begin, as a divisor.
+const BEGIN_FRACTION: u64 = 4;
+
 /// The range over which the retries of callers that wait for the same upstream
 /// are spread, in ms. The range is twice as long as the time after a backoff
 /// in which the upstream receives only one request.
@@ -47,6 +57,34 @@
         })
     }
 
+    /// Refuses a stream that would probably be cut off by a stop of this gateway
+    /// that has begun. Others can serve it whole.
+    pub(super) fn refuse_if_stopping(&self) -> Result<(), Refusal> {
+        let job = &self.job;
+        let is_cut = self.app.request_end(job.deadline) < job.deadline;
+        if !is_cut || !job.route.streaming {
+            return Ok(());
+        }
+        let left_ms = Millis::from(self.left()).get();
+        match self.needed_ms() > left_ms {
+            true => Err(Refusal::not_run(
+                RefusalReason::Stopping,
+                STOPPING_RETRY_AFTER_MS,
+            )),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns the time that a stream may need, in ms.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn needed_ms(&self) -> u64 {
+        let variant = self.job.request.variant.as_ref();
+        let expected_ms =
+            variant.map_or(0.0, |one| self.app.expected_slot_ms(&one.model));
+        let begin_ms = self.job.route.begin_within_ms / BEGIN_FRACTION;
+        begin_ms + (expected_ms * MAX_STREAM_FACTOR) as u64
+    }
+
     /// Returns the refusal for a request whose available upstreams are all in
     /// a backoff.
     pub(super) fn refuse_for_backoff(&self, retry_after_ms: u64) -> Refusal {
--- a/crates/valehold-gateway/src/traffic/refusal.rs
+++ b/crates/valehold-gateway/src/traffic/refusal.rs
@@ -6,7 +6,10 @@
 use valehold_core::{Verdict, reason::RefusalReason};
 
 use super::{Body, BrokenOff, send::guarantees_not_run, state::App};
-use crate::events::{RequestEnd, RequestOutcome};
+use crate::{
+    events::{RequestEnd, RequestOutcome},
+    view::Life,
+};
 
 /// The header that states the reason for a refusal.
 const REASON: HeaderName = HeaderName::from_static("valehold-reason");
@@ -85,6 +88,12 @@
                 answer.headers_mut().insert(header::RETRY_AFTER, seconds);
             }
         }
+        let life = app.shared.view.load().life;
+        if matches!(life, Life::Leaving | Life::Finishing) {
+            // The caller comes back to a gateway that stays.
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
         if let Some(id) = id {
             app.dialect.write_answer(answer.headers_mut(), id);
         }
