A whole answer without a length of an engine that leaves is passed on

Cause: an engine that is listed as leaving, or no longer listed, was not even asked whether it lives after the end of the connection, since its end may have cut the answer off. The class: a suspicion stands for evidence.

Change: such an engine is asked like any other, and once more 300 ms later. The answer is whole only if the same start shows itself both times: an engine that ends closes its connections one after the other, and is gone by then. The start is compared for engines that say that they leave as well.

--- a/crates/valehold-gateway/src/traffic/after_close.rs
+++ b/crates/valehold-gateway/src/traffic/after_close.rs
@@ -2,7 +2,8 @@
 //!
 //! An answer without a length and without chunks ends where its connection
 //! ends, and so does one that the end of its upstream cuts off. The answer is
-//! whole only if the start of the upstream that gave it is alive afterwards. A
+//! whole only if the start of the upstream that gave it is alive afterwards, and
+//! stays so for a while if it is leaving. A
 //! connection that the address accepts does not show that: another engine, or
 //! a later start of the same one, may have the address by the time at which
 //! the end is read. So the upstream is asked which one it is.
@@ -32,6 +33,10 @@
 /// could still be answered.
 const CLOSE_DELAY: Duration = Duration::from_millis(5);
 
+/// The delay before an upstream that leaves is asked once more. A process that
+/// ends is gone by then.
+const LEAVING_DELAY: Duration = Duration::from_millis(300);
+
 /// How long the upstream may take to show that it is alive, in ms. A sound one
 /// may be silent for a second or more.
 const MAX_SILENCE_MS: u64 = 2_500;
@@ -78,60 +83,78 @@
 
 /// Returns whether an answer is whole whose connection ended at `ended`.
 ///
-/// The answer is whole if the start of the upstream that gave it is listed,
-/// is not leaving, and shows after the end that it is alive. Whether a request
-/// made the upstream crash is another matter: an answer that a planned shutdown
-/// cuts off is not whole either.
+/// The answer is whole if the start of the upstream that gave it shows after
+/// the end that it is alive, and has not crashed. One that leaves has to show
+/// itself once more after a while: an upstream that ends closes its connections
+/// one after the other, and may answer until the last. Whether a request made
+/// the upstream crash is another matter: an answer that a planned shutdown cuts
+/// off is not whole either.
 pub(super) async fn is_whole(
     app: &App,
     job: &Job,
     upstream: &Upstream,
     ended: Millis,
 ) -> bool {
-    time::sleep(CLOSE_DELAY).await;
-    let start = upstream.start();
-    if !is_staying(app, &start) {
-        log_not_shown(upstream, "it is leaving or no longer listed");
-        return false;
-    }
     let until = (ended + MAX_SILENCE_MS).min(job.deadline);
-    let showing = shows_itself(app, job, upstream);
-    let Some(is_shown) = app.shared.clock.wait_until(until, showing).await
-    else {
+    let showing = stays_alive(app, job, upstream);
+    let shown = app.shared.clock.wait_until(until, showing).await;
+    if shown.is_none() {
         log_not_shown(upstream, "it does not say which one it is");
+    }
+    shown.unwrap_or(false) && !has_crashed(app, &upstream.start())
+}
+
+/// Returns whether the start of an upstream is alive after the end of an
+/// answer.
+async fn stays_alive(app: &App, job: &Job, upstream: &Upstream) -> bool {
+    time::sleep(CLOSE_DELAY).await;
+    let Some(identity) = shows_itself(app, job, upstream).await else {
         return false;
     };
-    // The list may have changed meanwhile.
-    is_shown && is_staying(app, &start)
+    let is_staying = is_staying(app, &upstream.start());
+    if is_staying && identity != Identity::Leaving {
+        return true;
+    }
+    time::sleep(LEAVING_DELAY).await;
+    shows_itself(app, job, upstream).await.is_some()
 }
 
-/// Returns whether a start of an upstream is listed, is not leaving, and has
-/// not crashed according to any gateway.
+/// Returns whether a start of an upstream is listed and is not leaving.
 fn is_staying(app: &App, start: &UpstreamStart) -> bool {
     let view = app.shared.view.load();
     let listed = view.listing.get_start(start);
     listed.is_some_and(|listed| !listed.leaving)
-        && !app.shared.crashes().has_crashed(start.tag())
+}
+
+fn has_crashed(app: &App, start: &UpstreamStart) -> bool {
+    app.shared.crashes().has_crashed(start.tag())
 }
 
 /// Asks an upstream which start of which upstream it is, until it answers or
-/// nothing has its address any more.
-async fn shows_itself(app: &App, job: &Job, upstream: &Upstream) -> bool {
-    loop {
+/// nothing has its address any more. Returns `None` if it is not the one that
+/// is meant.
+async fn shows_itself(
+    app: &App,
+    job: &Job,
+    upstream: &Upstream,
+) -> Option<Identity> {
+    while !has_crashed(app, &upstream.start()) {
         // A brittle upstream falls over if it has to reject too much.
         while brittle::is_held_back(app, upstream) {
             time::sleep(REPEAT_DELAY).await;
         }
         match identify(app, job, upstream).await {
-            Ok(Identity::Same) => return true,
+            Ok(identity @ (Identity::Same | Identity::Leaving)) => {
+                return Some(identity);
+            }
             Ok(identity) => {
                 let why = format!("the start at its address: {identity:?}");
                 log_not_shown(upstream, &why);
-                return false;
+                return None;
             }
             Err(error) if error.is_final() => {
                 log_not_shown(upstream, &error.to_string());
-                return false;
+                return None;
             }
             Err(error) => {
                 log::debug!("{} did not say who it is: {error}", upstream.id);
@@ -139,6 +162,8 @@
         }
         time::sleep(REPEAT_DELAY).await;
     }
+    log_not_shown(upstream, "it has crashed");
+    None
 }
 
 /// Returns whether another start of any upstream has the address of an upstream
@@ -177,13 +202,13 @@
     let Some(started_at_ms) = upstream.started_at_ms else {
         return Ok(identity);
     };
-    if identity != Identity::Same {
+    if !matches!(identity, Identity::Same | Identity::Leaving) {
         return Ok(identity);
     }
     let path = app.dialect.report_path();
     let report = ask(app, job, upstream, path).await?;
     Ok(match app.dialect.read_birth(report.body()) {
-        Some(stated) if stated == started_at_ms => Identity::Same,
+        Some(stated) if stated == started_at_ms => identity,
         Some(_) => Identity::Another,
         None => Identity::Untold,
     })
